Add state charts that the code interprets

A chart is a JSON file with comments.

looplab/fsm was ruled out after reading its Event method: each event builds a context, an Event value and a closure, and each machine holds maps and three mutexes, while a run table holds thousands of machines and fires several events for each request.

--- /dev/null
+++ b/internal/chart/errors.go
@@ -0,0 +1,17 @@
+package chart
+
+import "github.com/joomcode/errorx"
+
+var namespace = errorx.NewNamespace("chart")
+
+// Errors of state charts.
+var (
+	// ErrMalformed means that a chart file cannot be parsed.
+	ErrMalformed = namespace.NewType("malformed")
+	// ErrInvalid means that a chart file contradicts itself or leaves something open.
+	ErrInvalid = namespace.NewType("invalid")
+	// ErrNotAllowed means that a chart refuses an event in the present state.
+	ErrNotAllowed = namespace.NewType("not_allowed").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	// ErrUnknownName means that the code asks a chart for a state or event that it lacks.
+	ErrUnknownName = namespace.NewType("unknown_name", errorx.NotFound())
+)
