--- /dev/null
+++ b/internal/attempt/errors.go
@@ -0,0 +1,13 @@
+package attempt
+
+import "github.com/joomcode/errorx"
+
+var namespace = errorx.NewNamespace("attempt")
+
+// Errors of attempt ids.
+var (
+	// ErrInvalidID means that bytes are not a UUID of version 7.
+	ErrInvalidID = namespace.NewType("invalid_id")
+	// ErrNoEntropy means that the system's random source failed.
+	ErrNoEntropy = namespace.NewType("no_entropy")
+)
