Add the assembler of an answer's chunks

The entry's side of a stream: chunks are numbered by their place in the whole answer, so copies, late frames and frames of superseded attempts are dropped by number, and a continuation on another replica starts at the next undelivered chunk. Supersede tells the resume position instead of taking one, so the caller cannot name a wrong one.

--- /dev/null
+++ b/internal/stream/assembler_test.go
@@ -0,0 +1,177 @@
+package stream
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"balsamyoke.example/balsamyoke/internal/attempt"
+)
+
+// TestMain fixes the seed and the length of the property tests unless the command line sets them.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "2000"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var (
+	firstAttempt  = attempt.ID{1}
+	secondAttempt = attempt.ID{2}
+)
+
+// frame is a chunk, or the end of an attempt when last is set.
+type frame struct {
+	id       attempt.ID
+	sequence uint32
+	data     string
+	last     bool
+}
+
+// Returns the frames of an attempt that starts at resumeAt and stops after sent chunks; an attempt
+// that sends all ends the answer.
+func framesOf(id attempt.ID, answer []string, resumeAt, sent int) []frame {
+	var frames []frame
+	for sequence := resumeAt; sequence < sent; sequence++ {
+		frames = append(frames, frame{id: id, sequence: uint32(sequence), data: answer[sequence]})
+	}
+	if sent == len(answer) {
+		frames = append(frames, frame{id: id, sequence: uint32(sent), last: true})
+	}
+	return frames
+}
+
+func apply(t *rapid.T, a *Assembler, f frame) []string {
+	if f.last {
+		if err := a.Done(f.id, f.sequence); err != nil {
+			t.Fatal(err)
+		}
+		return nil
+	}
+	ready, err := a.Chunk(f.id, f.sequence, []byte(f.data))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var texts []string
+	for _, data := range ready {
+		texts = append(texts, string(data))
+	}
+	return texts
+}
+
+// Draws an order in which each frame arrives one to three times.
+func drawArrivals(t *rapid.T, frames []frame, label string) []frame {
+	var copies []frame
+	for _, f := range frames {
+		for range rapid.IntRange(1, 3).Draw(t, "copies") {
+			copies = append(copies, f)
+		}
+	}
+	return rapid.Permutation(copies).Draw(t, label)
+}
+
+func checkPrefix(t *rapid.T, delivered, answer []string) {
+	if len(delivered) > len(answer) {
+		t.Fatalf("delivered %d chunks of %d", len(delivered), len(answer))
+	}
+	for i, text := range delivered {
+		if text != answer[i] {
+			t.Fatalf("chunk %d is %q, want %q", i, text, answer[i])
+		}
+	}
+}
+
+func TestDeliveryIsThePrefixOfOneAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		answer := make([]string, rapid.IntRange(0, 12).Draw(t, "chunks"))
+		for i := range answer {
+			answer[i] = fmt.Sprintf("token %d", i)
+		}
+		a := NewAssembler(firstAttempt)
+		var delivered []string
+		sent := rapid.IntRange(0, len(answer)).Draw(t, "sent by the first attempt")
+		early := drawArrivals(t, framesOf(firstAttempt, answer, 0, sent), "first attempt")
+		seen := rapid.IntRange(0, len(early)).Draw(t, "seen before the second attempt")
+		for _, f := range early[:seen] {
+			delivered = append(delivered, apply(t, a, f)...)
+			checkPrefix(t, delivered, answer)
+		}
+
+		resumeAt := a.Supersede(secondAttempt)
+		if int(resumeAt) != len(delivered) {
+			t.Fatalf("resumes at %d after %d chunks", resumeAt, len(delivered))
+		}
+		// Another engine may word an undelivered token differently; the second attempt decides.
+		for i := int(resumeAt); i < len(answer); i++ {
+			answer[i] = fmt.Sprintf("second token %d", i)
+		}
+		late := framesOf(secondAttempt, answer, int(resumeAt), len(answer))
+		mixed := rapid.Permutation(append(early[seen:], drawArrivals(t, late, "second attempt")...))
+		for _, f := range mixed.Draw(t, "rest") {
+			delivered = append(delivered, apply(t, a, f)...)
+			checkPrefix(t, delivered, answer)
+			if a.Whole() && len(delivered) != len(answer) {
+				t.Fatalf("whole after %d chunks of %d", len(delivered), len(answer))
+			}
+		}
+		if !a.Whole() {
+			t.Fatalf("not whole after every frame arrived: %d of %d", len(delivered), len(answer))
+		}
+	})
+}
+
+func TestMissingChunkIsSeen(t *testing.T) {
+	c := qt.New(t)
+	a := NewAssembler(firstAttempt)
+	_, gap := a.Missing()
+	c.Assert(gap, qt.IsFalse)
+	ready, err := a.Chunk(firstAttempt, 1, []byte("b"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ready, qt.HasLen, 0)
+	sequence, gap := a.Missing()
+	c.Assert(sequence, qt.Equals, uint32(0))
+	c.Assert(gap, qt.IsTrue)
+	ready, err = a.Chunk(firstAttempt, 0, []byte("a"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ready, qt.DeepEquals, [][]byte{[]byte("a"), []byte("b")})
+	_, gap = a.Missing()
+	c.Assert(gap, qt.IsFalse)
+	c.Assert(a.Done(firstAttempt, 3), qt.IsNil)
+	_, gap = a.Missing()
+	c.Assert(gap, qt.IsTrue)
+}
+
+func TestBufferBehindAGapIsBounded(t *testing.T) {
+	c := qt.New(t)
+	a := NewAssembler(firstAttempt)
+	for sequence := range uint32(maxBuffered) {
+		_, err := a.Chunk(firstAttempt, sequence+1, nil)
+		c.Assert(err, qt.IsNil)
+	}
+	_, err := a.Chunk(firstAttempt, maxBuffered+1, nil)
+	c.Assert(errorx.IsOfType(err, ErrGap), qt.IsTrue)
+}
+
+func TestContradictingEndsAreErrors(t *testing.T) {
+	c := qt.New(t)
+	a := NewAssembler(firstAttempt)
+	_, err := a.Chunk(firstAttempt, 0, []byte("a"))
+	c.Assert(err, qt.IsNil)
+	_, err = a.Chunk(firstAttempt, 2, []byte("c"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(errorx.IsOfType(a.Done(firstAttempt, 0), ErrContradiction), qt.IsTrue)
+	c.Assert(errorx.IsOfType(a.Done(firstAttempt, 2), ErrContradiction), qt.IsTrue)
+	c.Assert(a.Done(firstAttempt, 3), qt.IsNil)
+	c.Assert(errorx.IsOfType(a.Done(firstAttempt, 4), ErrContradiction), qt.IsTrue)
+	_, err = a.Chunk(firstAttempt, 3, []byte("d"))
+	c.Assert(errorx.IsOfType(err, ErrContradiction), qt.IsTrue)
+}
