Bound the numbers of a manifest before schema validation

Cause: the schema library computes with exact fractions; a number such as 1e99999999 kept Parse busy for seconds. Found by FuzzParse, whose rate fell to 0 executions a second. TestParseRefusesHugeExponentsAtOnce covers it.

--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -139,6 +139,15 @@
 	}
 }
 
+// FuzzParse stopped making progress on such numbers before Parse bounded them.
+func TestParseRefusesHugeExponentsAtOnce(t *testing.T) {
+	for _, number := range []string{"1e99999999", "1E-99999999", strings.Repeat("9", 40)} {
+		c := qt.New(t)
+		_, err := Parse("m.json", []byte(`{"deployment": `+number+`}`))
+		c.Assert(err, qt.ErrorMatches, `.*m.json:1: deployment: number is out of range`)
+	}
+}
+
 func TestCheckRefusesWhatParseRefuses(t *testing.T) {
 	c := qt.New(t)
 	m, err := Parse("m.json", []byte(valid))
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -52,6 +52,9 @@
 	if problems := text.duplicates(&root, nil); len(problems) > 0 {
 		return nil, newInvalid(problems)
 	}
+	if problems := text.numbers(&root, nil); len(problems) > 0 {
+		return nil, newInvalid(problems)
+	}
 	standard := root.Clone()
 	standard.Standardize()
 	plain := standard.Pack()
