--- /dev/null
+++ b/internal/piece/errors.go
@@ -0,0 +1,22 @@
+package piece
+
+import "github.com/joomcode/errorx"
+
+// Errors of Open and Decode are frequent and expected, so they carry no stack trace.
+var namespace = errorx.NewNamespace("piece").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// Errors of sealed pieces. Every one of them makes the read a cache miss.
+var (
+	// ErrMagic means that the bytes don't start with the format's magic number.
+	ErrMagic = namespace.NewType("magic")
+	// ErrTruncated means that fewer bytes are present than the header promises.
+	ErrTruncated = namespace.NewType("truncated")
+	// ErrTrailing means that more bytes are present than the header promises.
+	ErrTrailing = namespace.NewType("trailing")
+	// ErrWrongName means that the sealed bytes belong to another piece.
+	ErrWrongName = namespace.NewType("wrong_name")
+	// ErrChecksum means that the header or the data was altered after sealing.
+	ErrChecksum = namespace.NewType("checksum")
+	// ErrName means that a textual or binary name has the wrong form.
+	ErrName = namespace.NewType("name")
+)
