--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,274 @@
+// Package entry is the role of the thin instances behind the platform's balancer: it serves
+// callers over HTTP, places each request on a backend server's agent, retries where that is
+// allowed and puts streams together. It keeps nothing that must last. cmd/balsam-entry runs it.
+package entry
+
+import (
+	"context"
+	"encoding/hex"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/settings"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// maxBodyBytes bounds a caller's request body.
+	maxBodyBytes = 8 << 20
+	// readTimeout bounds how long a caller may take to send its request.
+	readTimeout = 10 * time.Second
+	// idleTimeout bounds how long an idle caller connection is kept.
+	idleTimeout = 60 * time.Second
+	// decisionsKept is the capacity of the explain ring.
+	decisionsKept = 4096
+	// graceStep is how often a leaving entry looks whether its streams have ended.
+	graceStep = 20 * time.Millisecond
+)
+
+// Settings of balsam-entry.
+type Settings struct {
+	process.Identity
+
+	Listen       string `json:"listen" long:"listen" description:"ip:port for callers"`
+	Control      string `json:"control" long:"control" description:"ip:port for control calls"`
+	Metrics      string `json:"metrics" long:"metrics" description:"ip:port for metrics and dump over HTTP"`
+	KV           string `json:"kv" long:"kv" description:"ip:port of the platform's key-value service"`
+	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
+	// GraceSeconds bounds how long streams may finish after a stop is asked for.
+	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams may finish after SIGTERM"`
+}
+
+// Check returns an error for the first setting that can't be used.
+func (s *Settings) Check() error {
+	if err := settings.CheckName("instance", s.Instance); err != nil {
+		return err
+	}
+	if err := settings.CheckName("failure_domain", s.FailureDomain); err != nil {
+		return err
+	}
+	for setting, value := range map[string]string{
+		"listen": s.Listen, "control": s.Control, "metrics": s.Metrics, "kv": s.KV, "instance_list": s.InstanceList,
+	} {
+		if err := settings.CheckAddress(setting, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Configuration gives the configuration in force and catches up with newer ones.
+type Configuration interface {
+	// Current returns the configuration in force; nil before there is one.
+	Current() *config.Snapshot
+	// CatchUp returns when at least version is in force; from is the control address of a process that has it.
+	CatchUp(ctx context.Context, version uint64, from string) error
+}
+
+// Dependencies are what an Entry is built from.
+type Dependencies struct {
+	Configuration Configuration
+	Instances     platform.InstanceList
+	Logger        *zap.Logger
+	// Register adds further services to the control server.
+	Register func(*grpc.Server)
+}
+
+// Entry serves callers.
+type Entry struct {
+	settings      Settings
+	configuration Configuration
+	logger        *zap.Logger
+	registry      *metrics.Registry
+	counters      counters
+	decisions     *explain.Ring
+	attempts      *attempts
+	prober        *prober
+	links         *links
+	replicas      *replicas
+	incarnation   uint64
+	leaving       atomic.Bool
+	active        atomic.Int64
+	leave         chan struct{}
+	register      func(*grpc.Server)
+}
+
+// counters are the entry's metrics.
+type counters struct {
+	requests     tally.Counter
+	refused      tally.Counter
+	unknown      tally.Counter
+	completed    tally.Counter
+	retries      tally.Counter
+	lostAttempts tally.Counter
+	firstToken   tally.Histogram
+}
+
+// New builds an Entry; Run starts it.
+func New(s Settings, d Dependencies) (*Entry, error) {
+	e := &Entry{
+		settings:      s,
+		configuration: d.Configuration,
+		logger:        d.Logger,
+		registry:      metrics.NewRegistry("entry"),
+		decisions:     explain.NewRing(decisionsKept),
+		attempts:      newAttempts(),
+		prober:        newProber(),
+		replicas:      newReplicas(d.Instances, d.Logger),
+		incarnation:   process.NewIncarnation(),
+		leave:         make(chan struct{}, 1),
+		register:      d.Register,
+	}
+	e.counters = newCounters(e.registry.Scope)
+	links, err := newLinks(e.attempts, e.prober, e.hello, e.greeted)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "no client for agents")
+	}
+	e.links = links
+	return e, nil
+}
+
+func newCounters(scope tally.Scope) counters {
+	return counters{
+		requests:     scope.Counter("requests"),
+		refused:      scope.Counter("refused"),
+		unknown:      scope.Counter("outcome_unknown"),
+		completed:    scope.Counter("completed"),
+		retries:      scope.Counter("retries"),
+		lostAttempts: scope.Counter("lost_attempts"),
+		firstToken:   scope.Histogram("time_to_first_token", metrics.LatencyBuckets),
+	}
+}
+
+// Run serves until ctx ends or a drain is asked for, then lets streams finish within the grace.
+func (e *Entry) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	defer e.links.close()
+	defer e.registry.Close()
+	listener, err := net.Listen("tcp4", e.settings.Listen)
+	if err != nil {
+		return ErrStart.Wrap(err, "cannot listen on %s", e.settings.Listen)
+	}
+	control, err := process.ServeControl(e.settings.Control, e.registerControl)
+	if err != nil {
+		return ErrStart.Wrap(err, "no control server")
+	}
+	defer control.Stop()
+	metricsServer, err := process.ServeMetrics(e.settings.Metrics, e.registry, func() any { return e.State() })
+	if err != nil {
+		return ErrStart.Wrap(err, "no metrics server")
+	}
+	defer func() { _ = metricsServer.Shutdown() }()
+	go e.replicas.poll(background)
+	server := e.server()
+	go func() { _ = server.Serve(listener) }()
+	e.logger.Info("serving", zap.String("listen", e.settings.Listen), zap.Uint64("incarnation", e.incarnation))
+	select {
+	case <-ctx.Done():
+	case <-e.leave:
+	}
+	return e.stop(server)
+}
+
+// stop is the graceful shutdown: the balancer sees 503 from /healthz, new requests are refused as
+// not run, and streams finish until the grace ends.
+func (e *Entry) stop(server *fasthttp.Server) error {
+	e.leaving.Store(true)
+	e.logger.Info("leaving", zap.Int64("active", e.active.Load()))
+	deadline := time.Now().Add(time.Duration(e.settings.GraceSeconds) * time.Second)
+	for e.active.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(graceStep)
+	}
+	left := e.active.Load()
+	shutdown, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = server.ShutdownWithContext(shutdown)
+	e.logger.Info("stopped", zap.Int64("cut_off", left))
+	return nil
+}
+
+func (e *Entry) registerControl(server *grpc.Server) {
+	wire.RegisterAdminServer(server, &process.Admin{
+		State:     func() any { return e.State() },
+		Decisions: e.decisions,
+		Leave:     e.Leave,
+	})
+	if e.register != nil {
+		e.register(server)
+	}
+}
+
+// Leave starts a graceful stop.
+func (e *Entry) Leave() {
+	select {
+	case e.leave <- struct{}{}:
+	default:
+	}
+}
+
+func (e *Entry) hello() *wire.Hello {
+	hello := &wire.Hello{
+		Instance:       e.settings.Instance,
+		Incarnation:    e.incarnation,
+		FailureDomain:  e.settings.FailureDomain,
+		Leaving:        e.leaving.Load(),
+		ControlAddress: e.settings.Control,
+	}
+	if snapshot := e.configuration.Current(); snapshot != nil {
+		hello.ConfigVersion = snapshot.Version
+	}
+	return hello
+}
+
+// greeted takes direct evidence about an agent.
+func (e *Entry) greeted(string, *wire.Hello) {}
+
+// refusedBy takes a refusal as evidence about an agent.
+func (e *Entry) refusedBy(instance platform.Instance, refused *wire.Refused) {
+	if refused.GetReason() == wire.RefusalReason_REFUSAL_REASON_LEAVING {
+		e.replicas.failed(instance, time.Now())
+	}
+}
+
+// State is what dump shows.
+type State struct {
+	Instance      string        `json:"instance"`
+	FailureDomain string        `json:"failure_domain"`
+	Incarnation   uint64        `json:"incarnation"`
+	Leaving       bool          `json:"leaving"`
+	ConfigVersion uint64        `json:"config_version"`
+	Active        int64         `json:"active_requests"`
+	Attempts      int           `json:"attempts"`
+	Replicas      replicasState `json:"replicas"`
+}
+
+// State returns the entry's whole state.
+func (e *Entry) State() State {
+	state := State{
+		Instance:      e.settings.Instance,
+		FailureDomain: e.settings.FailureDomain,
+		Incarnation:   e.incarnation,
+		Leaving:       e.leaving.Load(),
+		Active:        e.active.Load(),
+		Attempts:      e.attempts.count(),
+		Replicas:      e.replicas.state(),
+	}
+	if snapshot := e.configuration.Current(); snapshot != nil {
+		state.ConfigVersion = snapshot.Version
+	}
+	return state
+}
+
+func formatAttempt(id attemptID) string { return hex.EncodeToString(id[:]) }
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// bytesPerToken estimates prompt tokens from canonical text.
+	bytesPerToken = 4
+	// defaultMaxTokens bounds answers of kinds that set no bound.
+	defaultMaxTokens = 1024
+	// kindHeader names the kind of request; without it the service's first kind applies.
+	kindHeader = "X-Request-Kind"
+	// idempotencyHeader carries the caller's idempotency key.
+	idempotencyHeader = "Idempotency-Key"
+	// adapterSeparator parts a service from an adapter in the model field.
+	adapterSeparator = ":"
+)
+
+// request is one caller's request after all checks that need no other process.
+type request struct {
+	id           uuid.UUID
+	arrived      time.Time
+	deadline     time.Time
+	snapshot     *config.Snapshot
+	organisation *manifest.Organisation
+	service      *manifest.Service
+	kind         *manifest.Kind
+	adapter      string
+	key          string
+	payload      []byte
+	stream       bool
+	// text is the canonical prompt, kept to name its pieces again for another weight version.
+	text         []byte
+	askedTokens  uint32
+	pieces       []piece.Name
+	promptTokens uint32
+	maxTokens    uint32
+
+	method      string
+	path        string
+	contentType string
+}
+
+// chatBody holds the fields of an OpenAI-style chat request that the entry reads.
+type chatBody struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	Stream    bool          `json:"stream"`
+	MaxTokens uint32        `json:"max_tokens"`
+	// MaxCompletionTokens is the newer name of MaxTokens.
+	MaxCompletionTokens uint32 `json:"max_completion_tokens"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// readChat turns a chat completion request into a checked request.
+func (e *Entry) readChat(ctx *fasthttp.RequestCtx) (*request, *Failure) {
+	r, failure := e.begin(ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	var body chatBody
+	r.payload = append([]byte(nil), ctx.PostBody()...)
+	if err := json.Unmarshal(r.payload, &body); err != nil {
+		return nil, refusal(CodeMalformed, fasthttp.StatusBadRequest, "body is not a chat request: "+err.Error())
+	}
+	if len(body.Messages) == 0 {
+		return nil, refusal(CodeMalformed, fasthttp.StatusBadRequest, `field "messages" is empty`)
+	}
+	name, adapter, _ := strings.Cut(body.Model, adapterSeparator)
+	if failure := r.resolve(name, manifest.ServiceModel, string(ctx.Request.Header.Peek(kindHeader))); failure != nil {
+		return nil, failure
+	}
+	if failure := r.useAdapter(adapter); failure != nil {
+		return nil, failure
+	}
+	r.stream = body.Stream
+	r.text = canonicalText(body.Messages)
+	r.askedTokens = max(body.MaxTokens, body.MaxCompletionTokens)
+	r.measure()
+	return r, nil
+}
+
+// readPlain turns a request to a plain service into a checked request.
+func (e *Entry) readPlain(ctx *fasthttp.RequestCtx, service, kind string) (*request, *Failure) {
+	r, failure := e.begin(ctx)
+	if failure != nil {
+		return nil, failure
+	}
+	if failure := r.resolve(service, manifest.ServicePlain, kind); failure != nil {
+		return nil, failure
+	}
+	r.payload = append([]byte(nil), ctx.PostBody()...)
+	r.method = string(ctx.Method())
+	r.path = "/" + kind
+	r.contentType = string(ctx.Request.Header.ContentType())
+	return r, nil
+}
+
+// begin checks who the caller is.
+func (e *Entry) begin(ctx *fasthttp.RequestCtx) (*request, *Failure) {
+	snapshot := e.configuration.Current()
+	if snapshot == nil || !snapshot.Confirmed {
+		return nil, retryable(CodeStarting, fasthttp.StatusServiceUnavailable,
+			"the configuration is not confirmed yet", time.Second)
+	}
+	organisation, failure := authenticate(ctx, snapshot)
+	if failure != nil {
+		return nil, failure
+	}
+	return &request{
+		id:           uuid.New(),
+		arrived:      time.Now(),
+		snapshot:     snapshot,
+		organisation: organisation,
+		key:          string(ctx.Request.Header.Peek(idempotencyHeader)),
+	}, nil
+}
+
+func authenticate(ctx *fasthttp.RequestCtx, snapshot *config.Snapshot) (*manifest.Organisation, *Failure) {
+	scheme, key, found := strings.Cut(string(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") {
+		return nil, refusal(CodeUnknownKey, fasthttp.StatusUnauthorized, "header Authorization holds no bearer key")
+	}
+	organisation, ok := snapshot.Index.OrganisationByKey(strings.TrimSpace(key))
+	if !ok {
+		return nil, refusal(CodeUnknownKey, fasthttp.StatusUnauthorized, "bearer key belongs to no organisation")
+	}
+	return organisation, nil
+}
+
+// resolve finds the service and kind in the configuration and sets the deadline.
+func (r *request) resolve(service string, serviceType manifest.ServiceType, kind string) *Failure {
+	index := r.snapshot.Index
+	found, ok := index.Service(service)
+	if !ok || found.Type != serviceType {
+		return refusal(CodeUnknownService, fasthttp.StatusNotFound, "no "+string(serviceType)+" service is named "+quote(service))
+	}
+	if !index.Allowed(r.organisation.Name, service) {
+		return refusal(CodeNotAllowed, fasthttp.StatusForbidden,
+			"organisation "+quote(r.organisation.Name)+" may not call service "+quote(service))
+	}
+	if failure := r.resolveKind(service, kind); failure != nil {
+		return failure
+	}
+	r.service = found
+	r.deadline = r.arrived.Add(time.Duration(r.kind.DeadlineMS) * time.Millisecond)
+	return nil
+}
+
+func (r *request) resolveKind(service, kind string) *Failure {
+	found, ok := r.snapshot.Index.DefaultKind(service)
+	if kind != "" {
+		found, ok = r.snapshot.Index.Kind(service, kind)
+	}
+	if !ok {
+		return refusal(CodeUnknownKind, fasthttp.StatusNotFound,
+			"service "+quote(service)+" has no kind of request "+quote(kind))
+	}
+	r.kind = found
+	return nil
+}
+
+func (r *request) useAdapter(adapter string) *Failure {
+	if adapter == "" {
+		return nil
+	}
+	for _, known := range r.service.Adapters {
+		if known == adapter {
+			r.adapter = adapter
+			return nil
+		}
+	}
+	return refusal(CodeUnknownService, fasthttp.StatusNotFound,
+		"service "+quote(r.service.Name)+" has no adapter "+quote(adapter))
+}
+
+// measure names the prompt's pieces for the bound weight version and estimates its tokens.
+func (r *request) measure() {
+	scope := piece.Scope{
+		Organisation:  r.organisation.Name,
+		WeightVersion: r.service.WeightVersion,
+		Adapter:       r.adapter,
+	}
+	r.pieces = piece.Names(scope, r.text, r.snapshot.Index.Manifest().PieceBytes)
+	r.promptTokens = uint32(len(r.text) / bytesPerToken)
+	r.maxTokens = answerBound(r.askedTokens, r.kind)
+}
+
+// answerBound is the smaller of what the caller asks for and what the kind allows.
+func answerBound(asked uint32, kind *manifest.Kind) uint32 {
+	bound := uint32(defaultMaxTokens)
+	if kind.MaxTokens > 0 {
+		bound = uint32(kind.MaxTokens)
+	}
+	if asked > 0 && asked < bound {
+		return asked
+	}
+	return bound
+}
+
+// rebind moves a request that has not run to a newer configuration.
+func (r *request) rebind(snapshot *config.Snapshot) *Failure {
+	organisation, ok := snapshot.Index.Organisation(r.organisation.Name)
+	if !ok {
+		return refusal(CodeUnknownKey, fasthttp.StatusUnauthorized, "the organisation is no longer configured")
+	}
+	r.snapshot = snapshot
+	r.organisation = organisation
+	if failure := r.resolve(r.service.Name, r.service.Type, r.kind.Name); failure != nil {
+		return failure
+	}
+	if r.service.Type == manifest.ServiceModel {
+		r.measure()
+	}
+	return nil
+}
+
+// canonicalText renders messages so that a conversation's earlier text is a prefix of its later
+// text. Lengths precede the parts, so different messages never render alike.
+func canonicalText(messages []chatMessage) []byte {
+	var text []byte
+	for _, message := range messages {
+		text = binary.AppendUvarint(text, uint64(len(message.Role)))
+		text = append(text, message.Role...)
+		text = binary.AppendUvarint(text, uint64(len(message.Content)))
+		text = append(text, message.Content...)
+	}
+	return text
+}
+
+func (r *request) urgency() wire.Urgency {
+	if r.kind.Urgency == manifest.Patient {
+		return wire.Urgency_URGENCY_PATIENT
+	}
+	return wire.Urgency_URGENCY_URGENT
+}
+
+func (r *request) pieceBytes() [][]byte {
+	names := make([][]byte, len(r.pieces))
+	for i := range r.pieces {
+		names[i] = r.pieces[i][:]
+	}
+	return names
+}
+
+func quote(name string) string { return `"` + name + `"` }
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,48 @@
+// Package metrics holds the counters, gauges and histograms of a process and shows them over HTTP
+// in the Prometheus text format. Every role makes one Registry at start-up.
+package metrics
+
+import (
+	"io"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// reportInterval is how often tally moves values to the Prometheus reporter.
+const reportInterval = time.Second
+
+// LatencyBuckets span 1 ms to about two minutes.
+var LatencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 26)
+
+// Registry owns the metrics of one process.
+type Registry struct {
+	// Scope makes counters, gauges and histograms.
+	Scope   tally.Scope
+	handler fasthttp.RequestHandler
+	closer  io.Closer
+}
+
+// NewRegistry returns a Registry whose metric names start with prefix.
+func NewRegistry(prefix string) *Registry {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         prefix,
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return &Registry{
+		Scope:   scope,
+		handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
+		closer:  closer,
+	}
+}
+
+// Handler answers a scrape.
+func (r *Registry) Handler(ctx *fasthttp.RequestCtx) { r.handler(ctx) }
+
+// Close stops reporting.
+func (r *Registry) Close() { _ = r.closer.Close() }
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,159 @@
+// Package process holds what every long-running program of the system does alike: identity,
+// logger, control server, metrics server and graceful stop. The cmd mains and the roles use it.
+package process
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+var namespace = errorx.NewNamespace("process")
+
+// ErrListen means that a server's address could not be listened on.
+var ErrListen = namespace.NewType("listen")
+
+// Exit codes of the programs.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// Identity is what a process learns about itself from its settings.
+type Identity struct {
+	Instance      string `json:"instance" long:"instance" description:"name of this instance"`
+	Region        string `json:"region" long:"region" description:"region of this instance"`
+	FailureDomain string `json:"failure_domain" long:"failure-domain" description:"failure domain of this instance"`
+}
+
+// NewIncarnation draws the number that tells this run of a process from all others.
+func NewIncarnation() uint64 {
+	var raw [8]byte
+	if _, err := rand.Read(raw[:]); err != nil {
+		panic(fmt.Sprintf("no randomness: %v", err))
+	}
+	return binary.BigEndian.Uint64(raw[:]) | 1
+}
+
+// NewLogger returns a logger whose lines name the program and instance.
+func NewLogger(program, instance string) *zap.Logger {
+	logger, err := zap.NewProduction(zap.Fields(zap.String("program", program), zap.String("instance", instance)))
+	if err != nil {
+		return zap.NewNop()
+	}
+	return logger
+}
+
+// StopContext returns a context that ends at SIGTERM or SIGINT.
+func StopContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// Exit ends a program: silently after help, otherwise with one line for a non-nil error.
+func Exit(program string, err error) {
+	if err == nil || flags.WroteHelp(err) {
+		if err != nil {
+			fmt.Println(err)
+		}
+		os.Exit(0)
+	}
+	fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+	if errorx.HasTrait(err, errorx.Temporary()) {
+		os.Exit(exitFailed)
+	}
+	os.Exit(exitUsage)
+}
+
+// Admin serves dump, explain and drain.
+type Admin struct {
+	wire.UnimplementedAdminServer
+
+	// State returns the whole state of the process as a value that marshals to JSON.
+	State func() any
+	// Decisions holds the recent decisions of the process.
+	Decisions *explain.Ring
+	// Leave starts a graceful stop.
+	Leave func()
+}
+
+// Dump implements wire.AdminServer.
+func (a *Admin) Dump(context.Context, *wire.DumpRequest) (*wire.DumpReply, error) {
+	text, err := json.Marshal(a.State())
+	if err != nil {
+		return nil, err
+	}
+	return &wire.DumpReply{Json: text}, nil
+}
+
+// Explain implements wire.AdminServer.
+func (a *Admin) Explain(_ context.Context, request *wire.ExplainRequest) (*wire.ExplainReply, error) {
+	text, err := a.Decisions.JSON(request.GetRequestId())
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ExplainReply{Json: text}, nil
+}
+
+// Drain implements wire.AdminServer.
+func (a *Admin) Drain(context.Context, *wire.DrainRequest) (*wire.DrainReply, error) {
+	a.Leave()
+	return &wire.DrainReply{}, nil
+}
+
+// ServeControl starts a gRPC server on address with the services that register adds.
+func ServeControl(address string, register func(*grpc.Server)) (*grpc.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "control address %s", address)
+	}
+	server := grpc.NewServer()
+	register(server)
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// ServeMetrics starts an HTTP server with GET /metrics and GET /dump.
+func ServeMetrics(address string, registry *metrics.Registry, state func() any) (*fasthttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "metrics address %s", address)
+	}
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		switch string(ctx.Path()) {
+		case "/metrics":
+			registry.Handler(ctx)
+		case "/dump":
+			writeJSON(ctx, state())
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, value any) {
+	text, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(text)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,117 @@
+// Package settings reads the settings of a program: a JSON file with comments, overridden by
+// command-line flags. Each cmd uses it once at start-up.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/netip"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
+	"github.com/tailscale/hujson"
+)
+
+var namespace = errorx.NewNamespace("settings")
+
+// Errors of settings.
+var (
+	// ErrRead means that the settings file can't be read.
+	ErrRead = namespace.NewType("read")
+	// ErrSyntax means that the file is not JSON with comments or names an unknown setting.
+	ErrSyntax = namespace.NewType("syntax")
+	// ErrValue means that a setting has a value that can't be used.
+	ErrValue = namespace.NewType("value")
+	// ErrUsage means that the command line is wrong.
+	ErrUsage = namespace.NewType("usage")
+)
+
+// fileFlag is the flag that names the settings file.
+type fileFlag struct {
+	File string `long:"settings" value-name:"FILE" description:"settings in JSON with comments"`
+}
+
+// Load fills into from the file named by --settings and then from the flags in args. The fields
+// of into carry json tags for the file and go-flags tags for the command line.
+func Load(program string, args []string, into any) error {
+	var file fileFlag
+	first := flags.NewNamedParser(program, flags.IgnoreUnknown)
+	if _, err := first.AddGroup("Settings", "", &file); err != nil {
+		return ErrUsage.WrapWithNoMessage(err)
+	}
+	if _, err := first.ParseArgs(args); err != nil {
+		return ErrUsage.WrapWithNoMessage(err)
+	}
+	if file.File != "" {
+		if err := loadFile(file.File, into); err != nil {
+			return err
+		}
+	}
+	return parseFlags(program, args, &file, into)
+}
+
+func parseFlags(program string, args []string, file *fileFlag, into any) error {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	for name, group := range map[string]any{"Settings": file, "Overrides": into} {
+		if _, err := parser.AddGroup(name, "", group); err != nil {
+			return ErrUsage.WrapWithNoMessage(err)
+		}
+	}
+	rest, err := parser.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		return err
+	}
+	if err != nil {
+		return ErrUsage.WrapWithNoMessage(err)
+	}
+	if len(rest) > 0 {
+		return ErrUsage.New("argument %q is not expected", rest[0])
+	}
+	return nil
+}
+
+func loadFile(name string, into any) error {
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return ErrRead.Wrap(err, "settings file %q", name)
+	}
+	return Decode(name, data, into)
+}
+
+// Decode parses JSON with comments into a struct and refuses unknown fields.
+func Decode(name string, data []byte, into any) error {
+	standard, err := hujson.Standardize(data)
+	if err != nil {
+		return ErrSyntax.Wrap(err, "file %q", name)
+	}
+	decoder := json.NewDecoder(bytes.NewReader(standard))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return ErrSyntax.Wrap(err, "file %q", name)
+	}
+	if decoder.More() {
+		return ErrSyntax.New("file %q: text after the settings", name)
+	}
+	return nil
+}
+
+// CheckAddress returns ErrValue unless value is ip:port with a port.
+func CheckAddress(setting, value string) error {
+	address, err := netip.ParseAddrPort(value)
+	if err != nil {
+		return ErrValue.New("setting %q: %q is not ip:port", setting, value)
+	}
+	if address.Port() == 0 {
+		return ErrValue.New("setting %q: %q has no port", setting, value)
+	}
+	return nil
+}
+
+// CheckName returns ErrValue when value is empty.
+func CheckName(setting, value string) error {
+	if value == "" {
+		return ErrValue.New("setting %q is missing", setting)
+	}
+	return nil
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -59,6 +59,9 @@
 	return nil
 }
 
+// Closed says whether the connection has ended.
+func (c *Conn) Closed() bool { return c.closed.Load() }
+
 // Close closes the connection; frames queued before it may be lost.
 func (c *Conn) Close() error {
 	if c.closed.Swap(true) {
