Add the engine and plain service clients with their stand-ins

The agent needs a client that tells a run that has not begun from one that was cut, so the connections are kept here and fasthttp gives the codec: its own client hides whether a failed connection had carried the request and can't be ended by a context.

--- /dev/null
+++ b/internal/httpclient/client.go
@@ -0,0 +1,198 @@
+// Package httpclient sends HTTP requests with the codec of fasthttp and tells a request that
+// certainly was not sent from one that may have taken effect. The clients of the key-value
+// service, the instance list, the stores and the backend servers build on it.
+//
+// fasthttp's own client hides whether a failed connection had already carried the request, and
+// it can't be interrupted by a context, so connections are kept here.
+package httpclient
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultMaxIdle     = 64
+	maxIdleAge         = 30 * time.Second
+	bufferBytes        = 16 << 10
+)
+
+// Options adjusts a Client. Zero values mean the defaults.
+type Options struct {
+	// DialTimeout bounds how long a connection may take to open.
+	DialTimeout time.Duration
+	// MaxIdle bounds how many unused connections are kept.
+	MaxIdle int
+}
+
+// Client sends requests to one address. It is safe for concurrent use.
+type Client struct {
+	address string
+	options Options
+
+	mu     sync.Mutex
+	idle   []*connection
+	closed bool
+}
+
+// connection is one TCP connection with its read buffer.
+type connection struct {
+	net.Conn
+	reader *bufio.Reader
+	idleAt time.Time
+}
+
+// New returns a Client for address, given as ip:port.
+func New(address string, options Options) *Client {
+	if options.DialTimeout == 0 {
+		options.DialTimeout = defaultDialTimeout
+	}
+	if options.MaxIdle == 0 {
+		options.MaxIdle = defaultMaxIdle
+	}
+	return &Client{address: address, options: options}
+}
+
+// Address returns the ip:port that the Client sends to.
+func (c *Client) Address() string { return c.address }
+
+// Close closes the unused connections. Running calls go on; their connections close afterwards.
+func (c *Client) Close() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.closed = true
+	c.mu.Unlock()
+	for _, conn := range idle {
+		_ = conn.Close()
+	}
+}
+
+// Do sends request and reads the whole answer into response. The end of ctx interrupts it.
+// It returns ErrNotSent or ErrInterrupted.
+func (c *Client) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	stop := interruptWith(ctx, conn)
+	err = exchange(conn, request, response)
+	if !stop() && err == nil {
+		// The context ended after the answer was read; its deadline now poisons the connection.
+		_ = conn.Close()
+		return nil
+	}
+	if err != nil {
+		_ = conn.Close()
+		return ErrInterrupted.Wrap(cause(ctx, err), "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
+	}
+	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 {
+		_ = conn.Close()
+		return nil
+	}
+	c.release(conn)
+	return nil
+}
+
+// Stream sends request and returns the answer while its body is still arriving. The caller must
+// close the Stream. The end of ctx closes the connection, which also ends reads of the body.
+func (c *Client) Stream(ctx context.Context, request *fasthttp.Request) (*Stream, error) {
+	conn, err := c.dial(ctx)
+	if err != nil {
+		return nil, err
+	}
+	request.SetConnectionClose()
+	s := &Stream{ctx: ctx, conn: conn, Response: fasthttp.AcquireResponse()}
+	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	s.Response.StreamBody = true
+	if err := exchange(conn, request, s.Response); err != nil {
+		err = cause(ctx, err)
+		s.Close()
+		return nil, ErrInterrupted.Wrap(err, "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
+	}
+	return s, nil
+}
+
+// connect returns an unused connection that the peer has not closed, or dials.
+func (c *Client) connect(ctx context.Context) (*connection, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, ErrNotSent.Wrap(err, "call to %s", c.address)
+	}
+	for {
+		conn := c.takeIdle()
+		if conn == nil {
+			return c.dial(ctx)
+		}
+		if time.Since(conn.idleAt) < maxIdleAge && !PeerClosed(conn.Conn) {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+func (c *Client) dial(ctx context.Context) (*connection, error) {
+	dialer := net.Dialer{Timeout: c.options.DialTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err, "dial %s", c.address)
+	}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes)}, nil
+}
+
+func (c *Client) takeIdle() *connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last := len(c.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	conn := c.idle[last]
+	c.idle[last] = nil
+	c.idle = c.idle[:last]
+	return conn
+}
+
+func (c *Client) release(conn *connection) {
+	conn.idleAt = time.Now()
+	c.mu.Lock()
+	keep := !c.closed && len(c.idle) < c.options.MaxIdle
+	if keep {
+		c.idle = append(c.idle, conn)
+	}
+	c.mu.Unlock()
+	if !keep {
+		_ = conn.Close()
+	}
+}
+
+// interruptWith makes reads and writes on conn fail once ctx ends. The returned function
+// undoes it and reports whether ctx had not ended.
+func interruptWith(ctx context.Context, conn net.Conn) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+}
+
+func exchange(conn *connection, request *fasthttp.Request, response *fasthttp.Response) error {
+	writer := bufio.NewWriterSize(conn, bufferBytes)
+	if err := request.Write(writer); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+	response.SkipBody = request.Header.IsHead()
+	return response.Read(conn.reader)
+}
+
+// cause prefers the reason of the context over the error that its end brought about.
+func cause(ctx context.Context, err error) error {
+	if ctxErr := context.Cause(ctx); ctxErr != nil {
+		return ctxErr
+	}
+	return err
+}
--- /dev/null
+++ b/internal/standin/engineserver/orders.go
@@ -0,0 +1,151 @@
+package engineserver
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/standin/weightserver"
+)
+
+// Kinds of orders.
+const (
+	orderLoadVersion = "load_version"
+	orderLoadAdapter = "load_adapter"
+	orderSetRole     = "set_role"
+)
+
+// Order is a command to load something or to change role.
+type Order struct {
+	Fence         uint64 `json:"fence"`
+	Kind          string `json:"kind"`
+	WeightVersion string `json:"weight_version,omitempty"`
+	Adapter       string `json:"adapter,omitempty"`
+	Role          string `json:"role,omitempty"`
+}
+
+// State is what the engine runs.
+type State struct {
+	WeightVersions []string `json:"weight_versions"`
+	Serving        string   `json:"serving"`
+	Loading        string   `json:"loading"`
+	Adapters       []string `json:"adapters"`
+	Role           string   `json:"role"`
+	HighestFence   uint64   `json:"highest_fence"`
+}
+
+// State returns what the engine runs.
+func (e *Engine) State() State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.state
+	s.WeightVersions = append([]string{}, s.WeightVersions...)
+	s.Adapters = append([]string{}, s.Adapters...)
+	return s
+}
+
+// Orders returns the orders that the engine has obeyed.
+func (e *Engine) Orders() []Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Order{}, e.orders...)
+}
+
+// obey carries out an order. It returns false when the fencing number is old and checked.
+func (e *Engine) obey(o Order) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.settings.ChecksFence && o.Fence < e.state.HighestFence {
+		return false
+	}
+	e.state.HighestFence = max(e.state.HighestFence, o.Fence)
+	e.orders = append(e.orders, o)
+	switch o.Kind {
+	case orderLoadVersion:
+		e.beginLoad(o.WeightVersion)
+	case orderLoadAdapter:
+		if !slices.Contains(e.state.Adapters, o.Adapter) {
+			e.state.Adapters = append(e.state.Adapters, o.Adapter)
+		}
+	case orderSetRole:
+		e.state.Role = o.Role
+	}
+	return true
+}
+
+// beginLoad starts to load a version in place of any other that is loading. The mutex is held.
+func (e *Engine) beginLoad(version string) {
+	if e.state.Loading == version {
+		return
+	}
+	e.cancelLoad()
+	if slices.Contains(e.state.WeightVersions, version) {
+		e.state.Loading = ""
+		e.state.Serving = version
+		e.unloadIdle()
+		return
+	}
+	e.state.Loading = version
+	ctx, cancel := context.WithCancel(e.ctx)
+	e.cancelLoad = cancel
+	e.background.Add(1)
+	go func() {
+		defer e.background.Done()
+		defer cancel()
+		e.load(ctx, version)
+	}()
+}
+
+func (e *Engine) load(ctx context.Context, version string) {
+	factor := e.weightStore(ctx, "/loads/begin")
+	defer e.weightStore(e.ctx, "/loads/end")
+	wait := e.scaled(float64(e.settings.LoadMS) * factor * float64(time.Millisecond))
+	if e.pauseUntil(ctx, time.Now().Add(wait)) != nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if ctx.Err() != nil || e.state.Loading != version {
+		return
+	}
+	e.state.Loading = ""
+	e.state.Serving = version
+	e.state.WeightVersions = append(e.state.WeightVersions, version)
+	e.unloadIdle()
+}
+
+// unloadIdle drops versions that neither serve nor run. The mutex is held.
+func (e *Engine) unloadIdle() {
+	keep := e.state.WeightVersions[:0]
+	for _, version := range e.state.WeightVersions {
+		if version == e.state.Serving || e.runsOf[version] > 0 {
+			keep = append(keep, version)
+			continue
+		}
+		e.cache.removeVersion(version, time.Now())
+	}
+	e.state.WeightVersions = keep
+}
+
+// weightStore tells the weight store about a load and returns how much slower than alone it is.
+func (e *Engine) weightStore(ctx context.Context, path string) float64 {
+	if e.weights == nil {
+		return 1
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + e.weights.Address() + path)
+	if err := e.weights.Do(ctx, request, response); err != nil {
+		return 1
+	}
+	var loads weightserver.Loads
+	if json.Unmarshal(response.Body(), &loads) != nil || loads.MaxParallel == 0 {
+		return 1
+	}
+	return max(1, float64(loads.Running)/float64(loads.MaxParallel))
+}
--- /dev/null
+++ b/internal/standin/engineserver/settings.go
@@ -0,0 +1,68 @@
+// Package engineserver stands in for a model engine: continuous batching, a prefix cache in
+// pieces, priorities, resumed and cancelled streams, KV cache export and import, late cache
+// events with gaps, lagging load reports, and orders with or without a fencing check. Its answers
+// are those of package answer; its times come from its settings.
+package engineserver
+
+// Settings of the engine.
+type Settings struct {
+	Listen string `json:"listen"`
+	// PrefillTokensPerSecond is the speed of prompt work; one run at a time.
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	// DecodeMS is the time between two tokens of a run, in milliseconds.
+	DecodeMS float64 `json:"decode_ms"`
+	// Slots is how many runs are in the batch at once.
+	Slots int `json:"slots"`
+	// MaxWaiting bounds the runs outside the batch; 0 means no bound.
+	MaxWaiting int `json:"max_waiting"`
+	// CachePieces is the capacity of the prefix cache.
+	CachePieces int `json:"cache_pieces"`
+	// PieceTokens is the number of tokens in a piece.
+	PieceTokens int `json:"piece_tokens"`
+	// KVBytesPerPiece is the size of an exported piece.
+	KVBytesPerPiece int `json:"kv_bytes_per_piece"`
+	// LoadLagMS is how old a load report may be, in milliseconds.
+	LoadLagMS int `json:"load_lag_ms"`
+	// EventLagMS delays cache events, in milliseconds.
+	EventLagMS int `json:"event_lag_ms"`
+	// DropEvery loses every n-th cache event; 0 loses none.
+	DropEvery int `json:"drop_every"`
+	// ChecksFence makes the engine refuse orders with an old fencing number.
+	ChecksFence bool `json:"checks_fence"`
+	// LoadMS is the time to load a weight version, in milliseconds.
+	LoadMS int `json:"load_ms"`
+	// WeightsAddress is the ip:port of the weight store; empty for none.
+	WeightsAddress string `json:"weights_address"`
+	// WeightVersion is loaded at the start.
+	WeightVersion string   `json:"weight_version"`
+	Adapters      []string `json:"adapters"`
+	Role          string   `json:"role"`
+}
+
+// Defaults for settings left at zero.
+const (
+	defaultPrefillTokensPerSecond = 20000
+	defaultSlots                  = 16
+	defaultCachePieces            = 1024
+	defaultPieceTokens            = 1000
+	defaultKVBytesPerPiece        = 16 << 10
+)
+
+func (s Settings) withDefaults() Settings {
+	if s.PrefillTokensPerSecond <= 0 {
+		s.PrefillTokensPerSecond = defaultPrefillTokensPerSecond
+	}
+	if s.Slots <= 0 {
+		s.Slots = defaultSlots
+	}
+	if s.CachePieces <= 0 {
+		s.CachePieces = defaultCachePieces
+	}
+	if s.PieceTokens <= 0 {
+		s.PieceTokens = defaultPieceTokens
+	}
+	if s.KVBytesPerPiece <= 0 {
+		s.KVBytesPerPiece = defaultKVBytesPerPiece
+	}
+	return s
+}
--- /dev/null
+++ b/internal/standin/httpserver/router.go
@@ -0,0 +1,16 @@
+package httpserver
+
+import "github.com/valyala/fasthttp"
+
+// Router maps "METHOD /path" to handlers.
+type Router map[string]fasthttp.RequestHandler
+
+// Handle answers a call by its route, or with 404.
+func (r Router) Handle(ctx *fasthttp.RequestCtx) {
+	handler, ok := r[string(ctx.Method())+" "+string(ctx.Path())]
+	if !ok {
+		Refuse(ctx, fasthttp.StatusNotFound, "no such route")
+		return
+	}
+	handler(ctx)
+}
--- /dev/null
+++ b/internal/standin/plainserver/server.go
@@ -0,0 +1,126 @@
+// Package plainserver stands in for a plain service. It counts how often each request ran, so
+// that tests can prove that non-idempotent work ran at most once.
+package plainserver
+
+import (
+	"encoding/hex"
+	"maps"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
+)
+
+const requestIDHeader = "X-Request-Id"
+
+// Settings of the service.
+type Settings struct {
+	Listen string `json:"listen"`
+	// WorkMS is the time of one call, in milliseconds.
+	WorkMS int `json:"work_ms"`
+}
+
+// Faults are the switches of POST /admin/faults.
+type Faults struct {
+	// Down refuses connections.
+	Down bool `json:"down"`
+	// SlowMS is added to each call, in milliseconds.
+	SlowMS int `json:"slow_ms"`
+	// CutAfterWork does the work of each call and cuts the connection without an answer.
+	CutAfterWork bool `json:"cut_after_work"`
+}
+
+// Reply is the answer to a call.
+type Reply struct {
+	ID   string `json:"id"`
+	Kind string `json:"kind"`
+	// Digest is that of the request's body, by BodyDigest.
+	Digest string `json:"digest"`
+	// Execution counts the runs of this request, this one included.
+	Execution int `json:"execution"`
+}
+
+// BodyDigest returns the digest of a request's body.
+func BodyDigest(body []byte) string {
+	digest := xxhash.New()
+	_, _ = digest.Write(body)
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// Server is the service.
+type Server struct {
+	*httpserver.Server
+	settings Settings
+
+	mu         sync.Mutex
+	faults     Faults
+	executions map[string]int
+}
+
+// Start starts a plain service.
+func Start(settings Settings) (*Server, error) {
+	s := &Server{settings: settings, executions: map[string]int{}}
+	var err error
+	s.Server, err = httpserver.Start(settings.Listen, s.handle, false)
+	return s, err
+}
+
+// SetFaults changes the fault switches.
+func (s *Server) SetFaults(f Faults) error {
+	s.mu.Lock()
+	s.faults = f
+	s.mu.Unlock()
+	if f.Down {
+		s.Down()
+		return nil
+	}
+	return s.Up()
+}
+
+// Executions returns how often each request ran.
+func (s *Server) Executions() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.executions)
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/admin/executions":
+		httpserver.Reply(ctx, fasthttp.StatusOK, s.Executions())
+	case "/admin/faults":
+		var faults Faults
+		if !httpserver.Decode(ctx, &faults) {
+			return
+		}
+		if err := s.SetFaults(faults); err != nil {
+			httpserver.Refuse(ctx, fasthttp.StatusInternalServerError, err.Error())
+		}
+	default:
+		s.work(ctx)
+	}
+}
+
+func (s *Server) work(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(requestIDHeader))
+	s.mu.Lock()
+	s.executions[id]++
+	execution := s.executions[id]
+	faults := s.faults
+	s.mu.Unlock()
+	time.Sleep(time.Duration(s.settings.WorkMS+faults.SlowMS) * time.Millisecond)
+	if faults.CutAfterWork {
+		httpserver.Cut(ctx)
+		return
+	}
+	httpserver.Reply(ctx, fasthttp.StatusOK, Reply{
+		ID:        id,
+		Kind:      strings.TrimPrefix(string(ctx.Path()), "/"),
+		Digest:    BodyDigest(ctx.Request.Body()),
+		Execution: execution,
+	})
+}
