Place requests by a policy chosen by name

Filters are hard but for the two that rest on beliefs (ejected, failure domain), which give way when no other replica is left.

--- /dev/null
+++ b/internal/placement/least_in_flight.go
@@ -0,0 +1,40 @@
+package placement
+
+import "math/rand/v2"
+
+// leastInFlightPolicy takes the eligible replica of the entry's subset with the fewest runs in its
+// last load report. Its score is that number of runs; the report lags and isn't corrected.
+type leastInFlightPolicy struct{}
+
+// Name implements Policy.
+func (*leastInFlightPolicy) Name() string { return PolicyLeastInFlight }
+
+// NeedsProbes implements Policy.
+func (*leastInFlightPolicy) NeedsProbes() bool { return false }
+
+// Select implements Policy.
+func (*leastInFlightPolicy) Select(req *Request, s *Snapshot, _ []Hint, _ *rand.Rand, d *Decision) {
+	g := s.groupOf(req)
+	d.reset(PolicyLeastInFlight, req, g)
+	relaxIfEmpty(d, func() { addLeastInFlight(req, s, g.subset, d) })
+}
+
+// addLeastInFlight adds the eligible member with the fewest reported runs.
+func addLeastInFlight(req *Request, s *Snapshot, members []int32, d *Decision) {
+	best := int32(-1)
+	for _, index := range members {
+		r := &s.replicas[index]
+		if Check(req, r, d.Relaxed) != Eligible {
+			continue
+		}
+		if best < 0 || r.Load.InFlight < s.replicas[best].Load.InFlight {
+			best = index
+		}
+	}
+	if best >= 0 {
+		d.add(s, best).Terms.Score = float64(s.replicas[best].Load.InFlight)
+	}
+}
+
+// Pick implements Policy.
+func (*leastInFlightPolicy) Pick(req *Request, s *Snapshot, d *Decision) { pickLowest(req, s, d) }
--- /dev/null
+++ b/internal/placement/round_robin.go
@@ -0,0 +1,37 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+)
+
+// roundRobinPolicy takes the eligible replicas of the entry's subset in turn. Its score is always
+// zero.
+type roundRobinPolicy struct {
+	turn atomic.Uint64
+}
+
+// Name implements Policy.
+func (*roundRobinPolicy) Name() string { return PolicyRoundRobin }
+
+// NeedsProbes implements Policy.
+func (*roundRobinPolicy) NeedsProbes() bool { return false }
+
+// Select implements Policy.
+func (p *roundRobinPolicy) Select(req *Request, s *Snapshot, _ []Hint, _ *rand.Rand, d *Decision) {
+	g := s.groupOf(req)
+	d.reset(PolicyRoundRobin, req, g)
+	turn := p.turn.Add(1)
+	relaxIfEmpty(d, func() {
+		for i := range g.subset {
+			index := g.subset[(turn+uint64(i))%uint64(len(g.subset))]
+			if usable(req, s, index, d) {
+				d.add(s, index)
+				return
+			}
+		}
+	})
+}
+
+// Pick implements Policy.
+func (*roundRobinPolicy) Pick(req *Request, s *Snapshot, d *Decision) { pickLowest(req, s, d) }
--- /dev/null
+++ b/internal/placement/snapshot.go
@@ -0,0 +1,156 @@
+package placement
+
+import (
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/rendezvous"
+)
+
+// DefaultSubsetSize bounds the replicas of one service and version that an entry samples at
+// random, and so the connections that it opens. Hints and affinity may name others.
+const DefaultSubsetSize = 64
+
+// Load is the lagging load report of a replica with a correction for what this entry sent since.
+type Load struct {
+	// InFlight counts the runs at the time of the report.
+	InFlight uint32
+	// ReportedAt is when the report arrived; zero means that there is none.
+	ReportedAt time.Time
+	// SentAtReport is the value of Sent when the report arrived.
+	SentAtReport int64
+	// Sent counts the runs of this entry that are in flight there. Snapshots share the counter.
+	Sent *atomic.Int64
+}
+
+// Estimate returns the reported runs plus those that this entry added since the report.
+func (l *Load) Estimate() uint32 {
+	if l.Sent == nil {
+		return l.InFlight
+	}
+	added := l.Sent.Load() - l.SentAtReport
+	if added <= 0 {
+		return l.InFlight
+	}
+	return l.InFlight + uint32(added)
+}
+
+// Replica is what an entry knows of one agent and its backend server without asking.
+type Replica struct {
+	Instance      string
+	Incarnation   uint64
+	Address       string
+	Region        string
+	FailureDomain string
+	Service       string
+	WeightVersion string
+	Adapters      []string
+	Leaving       bool
+	// Ejected says that recent attempts failed there.
+	Ejected bool
+	// DomainUnhealthy says that the replica's failure domain is held to be unreachable.
+	DomainUnhealthy bool
+	// DistanceMS is the round trip from this entry in milliseconds.
+	DistanceMS float64
+	Load       Load
+
+	hash uint64
+}
+
+// serving names the replicas that new requests of one kind may use.
+type serving struct {
+	service string
+	version string
+}
+
+// group holds the replicas of one service and weight version.
+type group struct {
+	members []int32
+	subset  []int32
+}
+
+// Snapshot is an immutable view of all replicas, indexed for placement.
+type Snapshot struct {
+	replicas   []Replica
+	byInstance map[string]int32
+	groups     map[serving]*group
+}
+
+// NewSnapshot indexes replicas. It keeps and sorts the slice. Each entry samples its own subset of
+// subsetSize replicas in every group, so that connections spread evenly.
+func NewSnapshot(entry string, replicas []Replica, subsetSize int) *Snapshot {
+	sort.Slice(replicas, func(i, j int) bool { return replicas[i].Instance < replicas[j].Instance })
+	s := &Snapshot{
+		replicas:   replicas,
+		byInstance: make(map[string]int32, len(replicas)),
+		groups:     make(map[serving]*group),
+	}
+	for i := range replicas {
+		r := &replicas[i]
+		r.hash = rendezvous.Hash(r.Instance)
+		s.byInstance[r.Instance] = int32(i)
+		key := serving{r.Service, r.WeightVersion}
+		g := s.groups[key]
+		if g == nil {
+			g = &group{}
+			s.groups[key] = g
+		}
+		g.members = append(g.members, int32(i))
+	}
+	for _, g := range s.groups {
+		g.subset = s.chooseSubset(rendezvous.Hash(entry), g.members, subsetSize)
+	}
+	return s
+}
+
+// chooseSubset returns the size members that rank highest for the entry.
+func (s *Snapshot) chooseSubset(entry uint64, members []int32, size int) []int32 {
+	if size <= 0 {
+		size = DefaultSubsetSize
+	}
+	subset := append([]int32(nil), members...)
+	if len(subset) <= size {
+		return subset
+	}
+	sort.Slice(subset, func(i, j int) bool {
+		a, b := s.replicas[subset[i]].hash, s.replicas[subset[j]].hash
+		return rendezvous.Weight(entry, a) > rendezvous.Weight(entry, b)
+	})
+	return subset[:size]
+}
+
+// Replica returns the replica at an index of a Candidate. It must not be changed.
+func (s *Snapshot) Replica(index int32) *Replica { return &s.replicas[index] }
+
+// Len returns the number of replicas.
+func (s *Snapshot) Len() int { return len(s.replicas) }
+
+// Lookup returns the replica of an instance, or nil.
+func (s *Snapshot) Lookup(instance string) *Replica {
+	i, ok := s.byInstance[instance]
+	if !ok {
+		return nil
+	}
+	return &s.replicas[i]
+}
+
+// Subset returns the indices of the replicas that this entry samples for a service and version.
+func (s *Snapshot) Subset(service, version string) []int32 {
+	g := s.groups[serving{service, version}]
+	if g == nil {
+		return nil
+	}
+	return g.subset
+}
+
+// noGroup stands for a service and version without replicas.
+var noGroup group
+
+// groupOf returns the replicas that serve the request's service and weight version.
+func (s *Snapshot) groupOf(req *Request) *group {
+	if g := s.groups[serving{req.Service, req.WeightVersion}]; g != nil {
+		return g
+	}
+	return &noGroup
+}
