Hold a configuration in force: documents, digests, rising versions

Holder takes deltas, verifies every digest, never takes a lower version and tells its subscribers.

go test -race ./internal/config passes.

--- /dev/null
+++ b/internal/config/holder.go
@@ -0,0 +1,186 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/joomcode/errorx"
+
+	"balsamyoke.example/balsamyoke/internal/manifest"
+)
+
+// Snapshot is the configuration that a process has in force. It is immutable.
+type Snapshot struct {
+	Version uint64
+	Digest  string
+	Index   *manifest.Index
+	// Confirmed says that the version was confirmed at start-up, by the service or by peers of
+	// enough failure domains. A process serves only with a confirmed snapshot.
+	Confirmed bool
+}
+
+// HolderStats counts what a Holder was offered.
+type HolderStats struct {
+	Accepted  uint64 // offers that came into force
+	Older     uint64 // offers of a version not above the one in force
+	Corrupt   uint64 // offers whose content did not match its digest
+	Conflicts uint64 // offers of the version in force with another digest
+}
+
+// Holder keeps the configuration that a process has in force. Versions only rise. Current may be
+// called from any goroutine without locks; the other methods may be called from any goroutine.
+type Holder struct {
+	current atomic.Pointer[Snapshot]
+
+	mu          sync.Mutex
+	bundle      Bundle
+	confirmed   bool
+	subscribers []func(*Snapshot)
+	stats       HolderStats
+}
+
+// NewHolder returns a Holder with no configuration.
+func NewHolder() *Holder { return &Holder{} }
+
+// Current returns the configuration in force, or nil before the first one.
+func (h *Holder) Current() *Snapshot { return h.current.Load() }
+
+// Version returns the version in force, 0 before the first one.
+func (h *Holder) Version() uint64 {
+	snapshot := h.current.Load()
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Version
+}
+
+// Ready tells whether the process may serve: a configuration is in force and confirmed.
+func (h *Holder) Ready() bool {
+	snapshot := h.current.Load()
+	return snapshot != nil && snapshot.Confirmed
+}
+
+// Subscribe calls notify for the snapshot in force, if any, and for each later one, in order.
+// The calls hold the Holder's lock: notify must neither block nor call the Holder's other
+// methods than Current, Version and Ready.
+func (h *Holder) Subscribe(notify func(*Snapshot)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.subscribers = append(h.subscribers, notify)
+	if snapshot := h.current.Load(); snapshot != nil {
+		notify(snapshot)
+	}
+}
+
+// Offer puts a bundle in force when its version is above the one in force. Documents that the
+// bundle leaves out are taken from the configuration in force. It returns whether the bundle came
+// into force; ErrIncomplete when documents are missing, ErrCorrupt when content does not match
+// its digest, ErrConflict when the version in force has another digest.
+func (h *Holder) Offer(offered Bundle) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if offered.Version <= h.bundle.Version {
+		return false, h.refuse(offered)
+	}
+	complete := h.complete(offered)
+	m, err := complete.Manifest()
+	if err != nil {
+		if errorx.IsOfType(err, ErrIncomplete) {
+			return false, err
+		}
+		h.stats.Corrupt++
+		return false, err
+	}
+	h.bundle = complete
+	h.stats.Accepted++
+	h.publish(&Snapshot{
+		Version:   complete.Version,
+		Digest:    complete.Digest,
+		Index:     manifest.NewIndex(m, complete.Version),
+		Confirmed: h.confirmed,
+	})
+	return true, nil
+}
+
+// Confirm marks the process as confirmed at the given version. It does nothing while the version
+// in force is lower, and returns whether the process is confirmed.
+func (h *Holder) Confirm(version uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.confirmed {
+		return true
+	}
+	snapshot := h.current.Load()
+	if snapshot == nil || snapshot.Version < version {
+		return false
+	}
+	h.confirmed = true
+	confirmed := *snapshot
+	confirmed.Confirmed = true
+	h.publish(&confirmed)
+	return true
+}
+
+// Delta returns the configuration in force without the documents that the caller has. The
+// version is 0 when nothing is in force.
+func (h *Holder) Delta(have []string) Bundle {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delta := h.bundle
+	delta.Documents = maps.Clone(h.bundle.Documents)
+	for _, digest := range have {
+		delete(delta.Documents, digest)
+	}
+	return delta
+}
+
+// Digests returns the digests of the documents in force, sorted.
+func (h *Holder) Digests() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.bundle.Documents))
+}
+
+// Stats returns the counts so far.
+func (h *Holder) Stats() HolderStats {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.stats
+}
+
+func (h *Holder) refuse(offered Bundle) error {
+	if offered.Version == h.bundle.Version && offered.Digest != h.bundle.Digest {
+		h.stats.Conflicts++
+		return ErrConflict.New("version %d has digest %.12s, not %.12s", offered.Version, h.bundle.Digest, offered.Digest)
+	}
+	h.stats.Older++
+	return nil
+}
+
+// complete returns the offered bundle with exactly the documents of its tree, as far as they are
+// offered or in force.
+func (h *Holder) complete(offered Bundle) Bundle {
+	tree, err := decodeTree(offered.Digest, offered.Tree)
+	if err != nil {
+		return offered
+	}
+	documents := make(map[string][]byte, len(tree.Documents))
+	for _, ref := range tree.Documents {
+		if content, ok := offered.Documents[ref.Digest]; ok {
+			documents[ref.Digest] = content
+		} else if content, ok := h.bundle.Documents[ref.Digest]; ok {
+			documents[ref.Digest] = content
+		}
+	}
+	offered.Documents = documents
+	return offered
+}
+
+func (h *Holder) publish(snapshot *Snapshot) {
+	h.current.Store(snapshot)
+	for _, notify := range h.subscribers {
+		notify(snapshot)
+	}
+}
--- /dev/null
+++ b/internal/config/holder_test.go
@@ -0,0 +1,138 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"balsamyoke.example/balsamyoke/internal/manifest"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sample returns a manifest whose content differs with n.
+func sample(n int) *manifest.Manifest {
+	return &manifest.Manifest{
+		Deployment: "test",
+		Organisations: []manifest.Organisation{
+			{Name: "north", KeyDigests: []string{manifest.KeyDigest("a")}},
+			{Name: "south", KeyDigests: []string{manifest.KeyDigest("b")}, Share: 1 + float64(n)},
+		},
+		Services: []manifest.Service{
+			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: fmt.Sprintf("w%d", n)},
+		},
+		Kinds: []manifest.Kind{
+			{Name: "trace", Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 850},
+		},
+	}
+}
+
+func mustBundle(tb testing.TB, version uint64, m *manifest.Manifest) Bundle {
+	bundle, err := NewBundle(version, m)
+	qt.Assert(tb, err, qt.IsNil)
+	return bundle
+}
+
+func TestHolderTakesDeltasAndTellsSubscribers(t *testing.T) {
+	c := qt.New(t)
+	holder := NewHolder()
+	var told []uint64
+	holder.Subscribe(func(s *Snapshot) { told = append(told, s.Version) })
+	c.Assert(holder.Ready(), qt.IsFalse)
+
+	first := mustBundle(t, 1, sample(1))
+	accepted, err := holder.Offer(first)
+	c.Assert(err, qt.IsNil)
+	c.Assert(accepted, qt.IsTrue)
+
+	second := mustBundle(t, 2, sample(2))
+	delta := second
+	delta.Documents = map[string][]byte{}
+	_, err = holder.Offer(delta)
+	c.Assert(errorx.IsOfType(err, ErrIncomplete), qt.IsTrue)
+	c.Assert(Missing(err), qt.HasLen, 2)
+	for _, digest := range Missing(err) {
+		delta.Documents[digest] = second.Documents[digest]
+	}
+	accepted, err = holder.Offer(delta)
+	c.Assert(err, qt.IsNil)
+	c.Assert(accepted, qt.IsTrue)
+	service, _ := holder.Current().Index.Service("assistant")
+	c.Assert(service.WeightVersion, qt.Equals, "w2")
+	c.Assert(told, qt.DeepEquals, []uint64{1, 2})
+
+	c.Assert(holder.Ready(), qt.IsFalse)
+	c.Assert(holder.Confirm(3), qt.IsFalse)
+	c.Assert(holder.Confirm(2), qt.IsTrue)
+	c.Assert(holder.Ready(), qt.IsTrue)
+	c.Assert(holder.Delta(nil).Documents, qt.HasLen, len(second.Documents))
+	c.Assert(holder.Delta(holder.Digests()).Documents, qt.HasLen, 0)
+}
+
+func TestHolderRefusesCorruptAndConflictingContent(t *testing.T) {
+	c := qt.New(t)
+	holder := NewHolder()
+	bundle := mustBundle(t, 1, sample(1))
+	for digest := range bundle.Documents {
+		damaged := bundle
+		damaged.Documents = map[string][]byte{}
+		for d, content := range bundle.Documents {
+			damaged.Documents[d] = content
+		}
+		damaged.Documents[digest] = append([]byte(" "), bundle.Documents[digest]...)
+		_, err := holder.Offer(damaged)
+		c.Assert(errorx.IsOfType(err, ErrCorrupt), qt.IsTrue)
+	}
+	damaged := bundle
+	damaged.Tree = append([]byte(" "), bundle.Tree...)
+	_, err := holder.Offer(damaged)
+	c.Assert(errorx.IsOfType(err, ErrCorrupt), qt.IsTrue)
+	c.Assert(holder.Current(), qt.IsNil)
+
+	_, err = holder.Offer(bundle)
+	c.Assert(err, qt.IsNil)
+	_, err = holder.Offer(mustBundle(t, 1, sample(2)))
+	c.Assert(errorx.IsOfType(err, ErrConflict), qt.IsTrue)
+}
+
+func TestBundleDoesNotDependOnTheOrderOfOrganisations(t *testing.T) {
+	c := qt.New(t)
+	m := sample(1)
+	bundle := mustBundle(t, 1, m)
+	m.Organisations[0], m.Organisations[1] = m.Organisations[1], m.Organisations[0]
+	c.Assert(mustBundle(t, 1, m).Digest, qt.Equals, bundle.Digest)
+	joined, err := bundle.Manifest()
+	c.Assert(err, qt.IsNil)
+	c.Assert(mustBundle(t, 1, joined).Digest, qt.Equals, bundle.Digest)
+}
+
+// A holder offered any versions in any order never goes back and ends at the highest.
+func TestHolderNeverReverts(t *testing.T) {
+	bundles := make([]Bundle, 9)
+	for i := range bundles {
+		bundles[i] = mustBundle(t, uint64(i), sample(i))
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		holder := NewHolder()
+		last, highest := uint64(0), uint64(0)
+		holder.Subscribe(func(s *Snapshot) {
+			if s.Version <= last {
+				t.Fatalf("version %d came into force after %d", s.Version, last)
+			}
+			last = s.Version
+		})
+		for _, i := range rapid.SliceOfN(rapid.IntRange(1, 8), 1, 30).Draw(t, "offers") {
+			if _, err := holder.Offer(bundles[i]); err != nil {
+				t.Fatal(err)
+			}
+			highest = max(highest, uint64(i))
+		}
+		if holder.Version() != highest {
+			t.Fatalf("version %d is in force instead of %d", holder.Version(), highest)
+		}
+	})
+}
