--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,263 @@
+// Package agent is the role of the small process beside each backend server. It owns admission and
+// the fair queue, the run table of its incarnation and the gate before the backend server. Entries
+// dispatch attempts to it; cmd/balsam-agent runs it.
+package agent
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/control"
+	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/plain"
+	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/transport"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// decisionsKept is the capacity of the explain ring.
+	decisionsKept = 4096
+	// tickInterval is how often the control goroutine looks for expired attempts.
+	tickInterval = 20 * time.Millisecond
+	// versionsInterval is how often the engine is asked which weight versions it has.
+	versionsInterval = 250 * time.Millisecond
+	// graceStep is how often a leaving agent looks whether its runs have ended.
+	graceStep = 20 * time.Millisecond
+	// flushTime lets the last frames of a leaving agent reach their entries.
+	flushTime = 100 * time.Millisecond
+)
+
+// Configuration gives the configuration in force and catches up with newer ones.
+type Configuration interface {
+	// Current returns the configuration in force; nil before there is one.
+	Current() *config.Snapshot
+	// CatchUp returns when at least version is in force; from is the control address of a process that has it.
+	CatchUp(ctx context.Context, version uint64, from string) error
+}
+
+// Dependencies are what an Agent is built from.
+type Dependencies struct {
+	Configuration Configuration
+	Logger        *zap.Logger
+	// Register adds further services to the control server.
+	Register func(*grpc.Server)
+}
+
+// Agent runs attempts on one backend server.
+type Agent struct {
+	settings      Settings
+	configuration Configuration
+	logger        *zap.Logger
+	registry      *metrics.Registry
+	counters      counters
+	decisions     *explain.Ring
+	engine        *engine.Client
+	plain         *plain.Client
+	incarnation   uint64
+	loop          *control.Loop
+	state         *state
+	server        *transport.Server
+	leaving       atomic.Bool
+	leave         chan struct{}
+	register      func(*grpc.Server)
+}
+
+// counters are the agent's metrics.
+type counters struct {
+	dispatched tally.Counter
+	accepted   tally.Counter
+	refused    tally.Counter
+	started    tally.Counter
+	finished   tally.Counter
+	failed     tally.Counter
+	cancelled  tally.Counter
+	probes     tally.Counter
+	queueWait  tally.Histogram
+}
+
+func newCounters(scope tally.Scope) counters {
+	return counters{
+		dispatched: scope.Counter("dispatched"),
+		accepted:   scope.Counter("accepted"),
+		refused:    scope.Counter("refused"),
+		started:    scope.Counter("started"),
+		finished:   scope.Counter("finished"),
+		failed:     scope.Counter("failed"),
+		cancelled:  scope.Counter("cancelled"),
+		probes:     scope.Counter("probes"),
+		queueWait:  scope.Histogram("queue_wait", metrics.LatencyBuckets),
+	}
+}
+
+// New builds an Agent; Run starts it.
+func New(s Settings, d Dependencies) *Agent {
+	incarnation := process.NewIncarnation()
+	a := &Agent{
+		settings:      s,
+		configuration: d.Configuration,
+		logger:        d.Logger,
+		registry:      metrics.NewRegistry("agent"),
+		decisions:     explain.NewRing(decisionsKept),
+		engine:        engine.New(s.Backend),
+		plain:         plain.New(s.Backend),
+		incarnation:   incarnation,
+		loop:          control.NewLoop(),
+		state:         newState(s, incarnation),
+		leave:         make(chan struct{}, 1),
+		register:      d.Register,
+	}
+	a.counters = newCounters(a.registry.Scope)
+	return a
+}
+
+// Run serves until ctx ends or a drain is asked for, then lets runs finish within the grace.
+func (a *Agent) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	defer a.registry.Close()
+	go a.loop.Run(background)
+	go a.tick(background)
+	if a.isModel() {
+		a.readVersions(background)
+		go a.watchVersions(background)
+	}
+	server, err := transport.Listen(a.settings.Listen, a, a.probed)
+	if err != nil {
+		return ErrStart.Wrap(err, "no frame server")
+	}
+	a.server = server
+	defer server.Close()
+	controlServer, err := process.ServeControl(a.settings.Control, a.registerControl)
+	if err != nil {
+		return ErrStart.Wrap(err, "no control server")
+	}
+	defer controlServer.Stop()
+	metricsServer, err := process.ServeMetrics(a.settings.Metrics, a.registry, func() any { return a.State() })
+	if err != nil {
+		return ErrStart.Wrap(err, "no metrics server")
+	}
+	defer func() { _ = metricsServer.Shutdown() }()
+	a.logger.Info("serving", zap.String("listen", a.settings.Listen), zap.Uint64("incarnation", a.incarnation))
+	select {
+	case <-ctx.Done():
+	case <-a.leave:
+	}
+	a.stop()
+	return nil
+}
+
+// stop is the graceful shutdown: new work is refused as not run, what waits goes back to its
+// entries, and runs finish until the grace ends.
+func (a *Agent) stop() {
+	a.leaving.Store(true)
+	a.loop.Call(a.handBack)
+	a.logger.Info("leaving")
+	deadline := time.Now().Add(time.Duration(a.settings.GraceSeconds) * time.Second)
+	left := a.jobs()
+	for left > 0 && time.Now().Before(deadline) {
+		time.Sleep(graceStep)
+		left = a.jobs()
+	}
+	time.Sleep(flushTime)
+	a.logger.Info("stopped", zap.Int("cut_off", left))
+}
+
+func (a *Agent) jobs() int {
+	count := 0
+	a.loop.Call(func() { count = len(a.state.jobs) })
+	return count
+}
+
+func (a *Agent) registerControl(server *grpc.Server) {
+	wire.RegisterAdminServer(server, &process.Admin{
+		State:     func() any { return a.State() },
+		Decisions: a.decisions,
+		Leave:     a.Leave,
+	})
+	if a.register != nil {
+		a.register(server)
+	}
+}
+
+// Leave starts a graceful stop.
+func (a *Agent) Leave() {
+	select {
+	case a.leave <- struct{}{}:
+	default:
+	}
+}
+
+func (a *Agent) isModel() bool { return a.state.isModel }
+
+// tick lets the control goroutine refuse what can't meet its deadline any more.
+func (a *Agent) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			a.loop.TryPost(func() { a.onTick(now) })
+		}
+	}
+}
+
+func (a *Agent) onTick(now time.Time) {
+	a.state.table.Expire(now)
+	a.schedule(now)
+}
+
+func (a *Agent) watchVersions(ctx context.Context) {
+	ticker := time.NewTicker(versionsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			a.readVersions(ctx)
+		}
+	}
+}
+
+// readVersions asks the engine which weight versions it has.
+func (a *Agent) readVersions(ctx context.Context) {
+	callCtx, cancel := context.WithTimeout(ctx, versionsInterval)
+	defer cancel()
+	observed, err := a.engine.State(callCtx)
+	if err != nil {
+		return
+	}
+	a.loop.Post(func() { a.state.observe(observed, time.Now()) })
+}
+
+func (a *Agent) hello() *wire.Hello {
+	hello := &wire.Hello{
+		Instance:       a.settings.Instance,
+		Incarnation:    a.incarnation,
+		FailureDomain:  a.settings.FailureDomain,
+		Leaving:        a.leaving.Load(),
+		Service:        a.settings.Service,
+		ControlAddress: a.settings.Control,
+		ConfigVersion:  a.configVersion(),
+	}
+	return hello
+}
+
+func (a *Agent) configVersion() uint64 {
+	snapshot := a.configuration.Current()
+	if snapshot == nil {
+		return 0
+	}
+	return snapshot.Version
+}
--- /dev/null
+++ b/internal/agent/probe.go
@@ -0,0 +1,127 @@
+package agent
+
+import (
+	"encoding/binary"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/admission"
+	"balsamyoke.example/balsamyoke/internal/attempt"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// reservationTTL is how long a probe reply holds its place for the dispatch that may follow.
+const reservationTTL = 100 * time.Millisecond
+
+// probed answers a probe from the live queue. A full control queue drops the probe: the entry
+// then takes another replica.
+func (a *Agent) probed(datagram *wire.Datagram, reply func(*wire.Datagram)) {
+	probe := datagram.GetProbe()
+	if probe == nil {
+		return
+	}
+	a.counters.probes.Inc(1)
+	a.loop.TryPost(func() {
+		answer := a.answerProbe(probe, time.Now())
+		reply(&wire.Datagram{Body: &wire.Datagram_ProbeReply{ProbeReply: answer}})
+	})
+}
+
+func (a *Agent) answerProbe(probe *wire.Probe, now time.Time) *wire.ProbeReply {
+	answer := &wire.ProbeReply{
+		Nonce:             probe.GetNonce(),
+		Instance:          a.settings.Instance,
+		Incarnation:       a.incarnation,
+		ConfigVersion:     a.configVersion(),
+		PrefillUsPerToken: uint32(a.settings.PrefillMicrosPerToken),
+		InFlight:          uint32(a.state.queue.Len() + a.state.queue.Running()),
+		LoadAgeMs:         uint32(now.Sub(a.state.readAt).Milliseconds()),
+		PredictedStartMs:  0,
+		FetchablePieces:   0,
+		CachedPieces:      0,
+	}
+	asked := probeDispatch(probe)
+	reason, _ := a.mismatch(asked, 0)
+	answer.Reason = reason
+	answer.Eligible = reason == wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED
+	if !answer.Eligible {
+		return answer
+	}
+	job := a.queueJob(attempt.ID{}, asked, now)
+	answer.PredictedStartMs = uint32(a.state.queue.Predict(now, job).Milliseconds())
+	if probe.GetReserve() {
+		answer.Reservation = a.reserve(now, job)
+	}
+	return answer
+}
+
+// probeDispatch is the dispatch that a probe asks about.
+func probeDispatch(probe *wire.Probe) *wire.Dispatch {
+	return &wire.Dispatch{
+		Organisation:  probe.GetOrganisation(),
+		Service:       probe.GetService(),
+		WeightVersion: probe.GetWeightVersion(),
+		Adapter:       probe.GetAdapter(),
+		Urgency:       probe.GetUrgency(),
+		PromptTokens:  probe.GetPromptTokens(),
+		MaxTokens:     probe.GetMaxTokens(),
+		DeadlineMs:    probe.GetDeadlineMs(),
+		ConfigVersion: probe.GetConfigVersion(),
+	}
+}
+
+func (a *Agent) reserve(now time.Time, job admission.Job) []byte {
+	a.state.reserveID++
+	id := a.state.reserveID
+	if !a.state.queue.Reserve(now, id, job, reservationTTL) {
+		return nil
+	}
+	return binary.BigEndian.AppendUint64(nil, uint64(id))
+}
+
+// queueJob estimates the work of a dispatch for the queue.
+func (a *Agent) queueJob(id attempt.ID, d *wire.Dispatch, now time.Time) admission.Job {
+	firstToken, work := a.estimate(d)
+	job := admission.Job{
+		Attempt:      admission.AttemptID(id),
+		Organisation: d.GetOrganisation(),
+		Share:        a.share(d.GetOrganisation()),
+		Kind:         d.GetKind(),
+		Urgency:      d.GetUrgency(),
+		Work:         float64(work.Milliseconds()),
+		FirstToken:   firstToken,
+		Deadline:     now.Add(time.Duration(d.GetDeadlineMs()) * time.Millisecond),
+	}
+	if raw := d.GetReservation(); len(raw) == reservationBytes {
+		job.Reservation = admission.ReservationID(binary.BigEndian.Uint64(raw))
+	}
+	return job
+}
+
+// reservationBytes is the length of a reservation on the wire.
+const reservationBytes = 8
+
+// estimate returns the time to the first token and the time that a run holds its slot.
+func (a *Agent) estimate(d *wire.Dispatch) (firstToken, work time.Duration) {
+	if !a.isModel() {
+		work = time.Duration(a.settings.PlainWorkMillis) * time.Millisecond
+		return work, work
+	}
+	prefill := time.Duration(a.settings.PrefillMicrosPerToken) * time.Microsecond
+	decode := time.Duration(a.settings.DecodeMicrosPerToken) * time.Microsecond
+	firstToken = time.Duration(d.GetPromptTokens()) * prefill
+	left := d.GetMaxTokens() - min(d.GetMaxTokens(), d.GetResumeTokens())
+	return firstToken, firstToken + time.Duration(left)*decode
+}
+
+// share returns the weight of an organisation in the fair queue.
+func (a *Agent) share(organisation string) float64 {
+	snapshot := a.configuration.Current()
+	if snapshot == nil {
+		return 1
+	}
+	found, ok := snapshot.Index.Organisation(organisation)
+	if !ok {
+		return 1
+	}
+	return found.Share
+}
--- /dev/null
+++ b/internal/agent/state.go
@@ -0,0 +1,121 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/admission"
+	"balsamyoke.example/balsamyoke/internal/attempt"
+	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/runtable"
+	"balsamyoke.example/balsamyoke/internal/transport"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// state is the control state of an agent. Only the control goroutine touches it.
+type state struct {
+	isModel   bool
+	table     *runtable.Table
+	queue     *admission.Queue
+	jobs      map[attempt.ID]*job
+	observed  engine.State
+	readAt    time.Time
+	reserveID admission.ReservationID
+}
+
+// job is one attempt that is queued or running.
+type job struct {
+	id       attempt.ID
+	dispatch *wire.Dispatch
+	conn     *transport.Conn
+	admitted time.Time
+	started  time.Time
+	// cancel stops the run; nil while the job is queued.
+	cancel context.CancelFunc
+}
+
+func newState(s Settings, incarnation uint64) *state {
+	return &state{
+		isModel: s.ServiceType == manifest.ServiceModel,
+		table:   runtable.New(runtable.DefaultSettings(incarnation)),
+		queue:   admission.New(admission.DefaultConfig(s.Slots)),
+		jobs:    make(map[attempt.ID]*job),
+	}
+}
+
+// observe takes what the engine says that it runs.
+func (s *state) observe(observed engine.State, now time.Time) {
+	s.observed = observed
+	s.readAt = now
+}
+
+// hasVersion says whether the engine can run a weight version.
+func (s *state) hasVersion(version string) bool {
+	return !s.isModel || slices.Contains(s.observed.WeightVersions, version)
+}
+
+func (s *state) hasAdapter(adapter string) bool {
+	return adapter == "" || slices.Contains(s.observed.Adapters, adapter)
+}
+
+// State is what dump shows.
+type State struct {
+	Instance       string          `json:"instance"`
+	FailureDomain  string          `json:"failure_domain"`
+	Service        string          `json:"service"`
+	Incarnation    uint64          `json:"incarnation"`
+	Leaving        bool            `json:"leaving"`
+	ConfigVersion  uint64          `json:"config_version"`
+	Queued         int             `json:"queued"`
+	Running        int             `json:"running"`
+	Table          runtable.Counts `json:"run_table"`
+	WeightVersions []string        `json:"weight_versions"`
+	LoadingVersion string          `json:"loading_version,omitempty"`
+	// EngineAgeMS is how old the engine's state is.
+	EngineAgeMS int64      `json:"engine_age_ms"`
+	Jobs        []JobState `json:"jobs"`
+}
+
+// JobState is one queued or running attempt.
+type JobState struct {
+	Attempt      string `json:"attempt"`
+	Organisation string `json:"organisation"`
+	Kind         string `json:"kind"`
+	Running      bool   `json:"running"`
+	AgeMS        int64  `json:"age_ms"`
+}
+
+// State returns the agent's whole state.
+func (a *Agent) State() State {
+	shown := State{
+		Instance:      a.settings.Instance,
+		FailureDomain: a.settings.FailureDomain,
+		Service:       a.settings.Service,
+		Incarnation:   a.incarnation,
+		Leaving:       a.leaving.Load(),
+		ConfigVersion: a.configVersion(),
+	}
+	a.loop.Call(func() { a.state.show(&shown, time.Now()) })
+	return shown
+}
+
+func (s *state) show(shown *State, now time.Time) {
+	shown.Queued = s.queue.Len()
+	shown.Running = s.queue.Running()
+	shown.Table = s.table.Counts()
+	shown.WeightVersions = s.observed.WeightVersions
+	shown.LoadingVersion = s.observed.Loading
+	shown.EngineAgeMS = now.Sub(s.readAt).Milliseconds()
+	shown.Jobs = []JobState{}
+	for id, j := range s.jobs {
+		shown.Jobs = append(shown.Jobs, JobState{
+			Attempt:      id.String(),
+			Organisation: j.dispatch.GetOrganisation(),
+			Kind:         j.dispatch.GetKind(),
+			Running:      j.cancel != nil,
+			AgeMS:        now.Sub(j.admitted).Milliseconds(),
+		})
+	}
+}
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -3,17 +3,15 @@
 import (
 	"sync"
 
+	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-// attemptID names one dispatch of a request.
-type attemptID [16]byte
-
-// attempt receives the frames of one dispatch. The event loop appends and the request's goroutine
+// flight receives the frames of one dispatch. The event loop appends and the request's goroutine
 // takes, so neither waits for the other; the connection's bound on unread bytes limits the queue.
-type attempt struct {
-	id   attemptID
+type flight struct {
+	id   attempt.ID
 	conn *transport.Conn
 
 	mu     sync.Mutex
@@ -23,83 +21,83 @@
 }
 
 // push appends a frame, or marks the connection as lost when frame is nil.
-func (a *attempt) push(frame *wire.Frame) {
-	a.mu.Lock()
+func (f *flight) push(frame *wire.Frame) {
+	f.mu.Lock()
 	if frame == nil {
-		a.lost = true
+		f.lost = true
 	} else {
-		a.frames = append(a.frames, frame)
+		f.frames = append(f.frames, frame)
 	}
-	a.mu.Unlock()
+	f.mu.Unlock()
 	select {
-	case a.signal <- struct{}{}:
+	case f.signal <- struct{}{}:
 	default:
 	}
 }
 
 // take returns all frames received so far and whether the connection is lost.
-func (a *attempt) take() (frames []*wire.Frame, lost bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	frames = a.frames
-	a.frames = nil
-	return frames, a.lost
+func (f *flight) take() (frames []*wire.Frame, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	frames = f.frames
+	f.frames = nil
+	return frames, f.lost
 }
 
-// attempts routes frames to the dispatches of this entry. A frame whose attempt is not registered
+// flights routes frames to the dispatches of this entry. A frame whose attempt is not registered
 // any more is dropped, so a superseded attempt never reaches a caller.
-type attempts struct {
+type flights struct {
 	mu   sync.Mutex
-	byID map[attemptID]*attempt
+	byID map[attempt.ID]*flight
 }
 
-func newAttempts() *attempts {
-	return &attempts{byID: make(map[attemptID]*attempt)}
+func newFlights() *flights {
+	return &flights{byID: make(map[attempt.ID]*flight)}
 }
 
 // register must be called before the dispatch is sent.
-func (a *attempts) register(id attemptID, conn *transport.Conn) *attempt {
-	registered := &attempt{id: id, conn: conn, signal: make(chan struct{}, 1)}
-	a.mu.Lock()
-	a.byID[id] = registered
-	a.mu.Unlock()
+func (f *flights) register(id attempt.ID, conn *transport.Conn) *flight {
+	registered := &flight{id: id, conn: conn, signal: make(chan struct{}, 1)}
+	f.mu.Lock()
+	f.byID[id] = registered
+	f.mu.Unlock()
 	return registered
 }
 
-func (a *attempts) forget(id attemptID) {
-	a.mu.Lock()
-	delete(a.byID, id)
-	a.mu.Unlock()
+func (f *flights) forget(id attempt.ID) {
+	f.mu.Lock()
+	delete(f.byID, id)
+	f.mu.Unlock()
 }
 
 // deliver hands a frame to its attempt; only the connection of the dispatch may answer it.
-func (a *attempts) deliver(conn *transport.Conn, rawID []byte, frame *wire.Frame) {
-	if len(rawID) != len(attemptID{}) {
+func (f *flights) deliver(conn *transport.Conn, rawID []byte, frame *wire.Frame) {
+	if len(rawID) != len(attempt.ID{}) {
 		return
 	}
-	a.mu.Lock()
-	found := a.byID[attemptID(rawID)]
-	a.mu.Unlock()
+	f.mu.Lock()
+	found := f.byID[attempt.ID(rawID)]
+	f.mu.Unlock()
 	if found != nil && found.conn == conn {
 		found.push(frame)
 	}
 }
 
 // connLost tells every attempt of a connection that no more frames come.
-func (a *attempts) connLost(conn *transport.Conn) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, candidate := range a.byID {
+func (f *flights) connLost(conn *transport.Conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, candidate := range f.byID {
 		if candidate.conn == conn {
 			candidate.push(nil)
 		}
 	}
 }
 
-func (a *attempts) count() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return len(a.byID)
+func (f *flights) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.byID)
 }
 
 // frameAttempt returns the attempt id of a frame that an agent sends, or nil.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"net"
 	"sync/atomic"
 	"time"
@@ -50,6 +49,11 @@
 	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams may finish after SIGTERM"`
 }
 
+// DefaultSettings returns the settings that a file or flags override.
+func DefaultSettings() Settings {
+	return Settings{GraceSeconds: 30}
+}
+
 // Check returns an error for the first setting that can't be used.
 func (s *Settings) Check() error {
 	if err := settings.CheckName("instance", s.Instance); err != nil {
@@ -93,7 +97,7 @@
 	registry      *metrics.Registry
 	counters      counters
 	decisions     *explain.Ring
-	attempts      *attempts
+	flights       *flights
 	prober        *prober
 	links         *links
 	replicas      *replicas
@@ -123,7 +127,7 @@
 		logger:        d.Logger,
 		registry:      metrics.NewRegistry("entry"),
 		decisions:     explain.NewRing(decisionsKept),
-		attempts:      newAttempts(),
+		flights:       newFlights(),
 		prober:        newProber(),
 		replicas:      newReplicas(d.Instances, d.Logger),
 		incarnation:   process.NewIncarnation(),
@@ -131,7 +135,7 @@
 		register:      d.Register,
 	}
 	e.counters = newCounters(e.registry.Scope)
-	links, err := newLinks(e.attempts, e.prober, e.hello, e.greeted)
+	links, err := newLinks(e.flights, e.prober, e.hello, e.greeted)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "no client for agents")
 	}
@@ -262,7 +266,7 @@
 		Incarnation:   e.incarnation,
 		Leaving:       e.leaving.Load(),
 		Active:        e.active.Load(),
-		Attempts:      e.attempts.count(),
+		Attempts:      e.flights.count(),
 		Replicas:      e.replicas.state(),
 	}
 	if snapshot := e.configuration.Current(); snapshot != nil {
@@ -270,5 +274,3 @@
 	}
 	return state
 }
-
-func formatAttempt(id attemptID) string { return hex.EncodeToString(id[:]) }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -22,10 +22,10 @@
 
 // links owns the connections to agents. It implements transport.FrameHandler.
 type links struct {
-	client   *transport.Client
-	attempts *attempts
-	prober   *prober
-	hello    func() *wire.Hello
+	client  *transport.Client
+	flights *flights
+	prober  *prober
+	hello   func() *wire.Hello
 	// greeted is told of every Hello: direct evidence about an agent.
 	greeted func(address string, hello *wire.Hello)
 
@@ -33,9 +33,9 @@
 	byAddress map[string]*link
 }
 
-func newLinks(attempts *attempts, prober *prober, hello func() *wire.Hello, greeted func(string, *wire.Hello)) (*links, error) {
+func newLinks(flights *flights, prober *prober, hello func() *wire.Hello, greeted func(string, *wire.Hello)) (*links, error) {
 	l := &links{
-		attempts:  attempts,
+		flights:   flights,
 		prober:    prober,
 		hello:     hello,
 		greeted:   greeted,
@@ -142,7 +142,7 @@
 		l.receivedHello(conn, hello)
 		return
 	}
-	l.attempts.deliver(conn, frameAttempt(frame), frame)
+	l.flights.deliver(conn, frameAttempt(frame), frame)
 }
 
 func (l *links) receivedHello(conn *transport.Conn, hello *wire.Hello) {
@@ -165,7 +165,7 @@
 	if peer, ok := conn.Tag.(*link); ok {
 		peer.closed(conn)
 	}
-	l.attempts.connLost(conn)
+	l.flights.connLost(conn)
 }
 
 func (p *link) closed(conn *transport.Conn) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -119,11 +120,11 @@
 	PromptPieces  int    `json:"prompt_pieces"`
 }
 
-func (e *Entry) explainDispatch(req *request, id attemptID, target *placed) {
+func (e *Entry) explainDispatch(req *request, id attempt.ID, target *placed) {
 	e.decisions.Add(explain.Decision{
 		Time:    time.Now(),
 		Request: req.id.String(),
-		Attempt: formatAttempt(id),
+		Attempt: id.String(),
 		Step:    "dispatch",
 		Detail: placementDetail{
 			Replica:       target.instance.ID,
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -120,9 +120,12 @@
 		r.entry.unreachable(target.instance)
 		return nil, verdictRetry, nil
 	}
-	id := attemptID(uuid.New())
-	registered := r.entry.attempts.register(id, conn)
-	defer r.entry.attempts.forget(id)
+	id, err := attempt.NewID()
+	if err != nil {
+		return nil, verdictFailed, retryable(CodeBusy, fasthttp.StatusServiceUnavailable, err.Error(), busyRetryAfter)
+	}
+	registered := r.entry.flights.register(id, conn)
+	defer r.entry.flights.forget(id)
 	dispatch := r.dispatch(id, hello, target)
 	if err := conn.Send(&wire.Frame{Body: &wire.Frame_Dispatch{Dispatch: dispatch}}); err != nil {
 		return r.lost(target)
@@ -131,7 +134,7 @@
 	return r.follow(ctx, registered, target)
 }
 
-func (r *run) dispatch(id attemptID, hello *wire.Hello, target *placed) *wire.Dispatch {
+func (r *run) dispatch(id attempt.ID, hello *wire.Hello, target *placed) *wire.Dispatch {
 	req := r.request
 	left := max(time.Until(req.deadline), time.Millisecond)
 	return &wire.Dispatch{
@@ -160,22 +163,22 @@
 }
 
 // follow reads an attempt's frames until it ends, stalls or the caller hangs up.
-func (r *run) follow(ctx context.Context, a *attempt, target *placed) (*wire.Done, verdict, *Failure) {
+func (r *run) follow(ctx context.Context, f *flight, target *placed) (*wire.Done, verdict, *Failure) {
 	timer := time.NewTimer(r.patience())
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
-			r.cancel(a)
+			r.cancel(f)
 			return nil, verdictFailed, r.hungUp()
 		case <-timer.C:
-			r.cancel(a)
+			r.cancel(f)
 			return r.lost(target)
-		case <-a.signal:
+		case <-f.signal:
 		}
-		frames, lost := a.take()
+		frames, lost := f.take()
 		for _, frame := range frames {
-			done, next, failure, ended := r.handle(a, frame, target)
+			done, next, failure, ended := r.handle(f, frame, target)
 			if ended {
 				return done, next, failure
 			}
@@ -196,11 +199,11 @@
 }
 
 // handle takes one frame. ended is true when the attempt is over.
-func (r *run) handle(a *attempt, frame *wire.Frame, target *placed) (done *wire.Done, next verdict, failure *Failure, ended bool) {
+func (r *run) handle(f *flight, frame *wire.Frame, target *placed) (done *wire.Done, next verdict, failure *Failure, ended bool) {
 	switch body := frame.GetBody().(type) {
 	case *wire.Frame_Chunk:
 		if err := r.chunk(body.Chunk); err != nil {
-			r.cancel(a)
+			r.cancel(f)
 			return nil, verdictFailed, r.hungUp(), true
 		}
 		return nil, 0, nil, false
@@ -241,9 +244,7 @@
 	if r.request.kind.Idempotent {
 		return r.lost(target)
 	}
-	failure := unknown(CodeRunFailed, fasthttp.StatusBadGateway, done.GetMessage())
-	failure.Outcome = done.GetOutcome()
-	return nil, verdictFailed, failure
+	return nil, verdictFailed, unknown(CodeRunFailed, fasthttp.StatusBadGateway, done.GetMessage())
 }
 
 // refused takes a refusal. Only a proven not run lets a non-idempotent request go elsewhere.
@@ -293,8 +294,8 @@
 	return verdictRetry, nil
 }
 
-func (r *run) cancel(a *attempt) {
-	_ = a.conn.Send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{AttemptId: a.id[:]}}})
+func (r *run) cancel(f *flight) {
+	_ = f.conn.Send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{AttemptId: f.id[:]}}})
 }
 
 // unreachable notes that an agent could not be reached or went silent.
