Store configurations by compare-and-swap on one root key

Documents are written before the root that names them; the root is swapped on the revision that was read. A lost answer is decided by the change ids and versions that the root remembers.

--- /dev/null
+++ b/internal/config/changer.go
@@ -0,0 +1,111 @@
+package config
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+)
+
+// prepare writes what the new root will name and returns the digest of its tree.
+type prepare func(ctx context.Context, root rootRecord) (digest string, err error)
+
+// changer makes one change of the root on top of a base version.
+type changer struct {
+	store *Store
+	base  uint64
+	id    string
+	// written says that a write of the root may have taken effect.
+	written bool
+}
+
+// run tries until the change is decided or ctx ends.
+func (c *changer) run(ctx context.Context, prepare prepare) (Change, error) {
+	for try := 0; ; try++ {
+		change, err := c.try(ctx, prepare)
+		if err == nil || !temporary(err) {
+			return change, err
+		}
+		if !pause(ctx, try) {
+			return Change{}, c.undecided(err)
+		}
+	}
+}
+
+func temporary(err error) bool {
+	return errorx.IsOfType(err, ErrUnavailable) || errorx.IsOfType(err, ErrOutcomeUnknown)
+}
+
+// undecided is the result when ctx ended before the change was decided.
+func (c *changer) undecided(err error) error {
+	if c.written {
+		return ErrOutcomeUnknown.Wrap(err, "change %q may take effect", c.id)
+	}
+	return ErrUnavailable.Wrap(err, "change %q was not made", c.id)
+}
+
+func (c *changer) try(ctx context.Context, prepare prepare) (Change, error) {
+	root, err := c.store.rootOrNew(ctx)
+	if err != nil {
+		return Change{}, err
+	}
+	if change, decided, err := c.decide(root); decided {
+		return change, err
+	}
+	digest, err := prepare(ctx, root)
+	if err != nil {
+		return Change{}, err
+	}
+	return c.swap(ctx, root, root.next(digest, c.id))
+}
+
+// decide reads from the root whether the change was made or beaten. The root that follows base
+// names the change that won: ours, or the one that beat us.
+func (c *changer) decide(root rootRecord) (Change, bool, error) {
+	if change, ok := root.byID(c.id); ok {
+		return change, true, nil
+	}
+	if root.Version == c.base {
+		return Change{}, false, nil
+	}
+	if root.Version < c.base {
+		return Change{}, true, ErrRaceLost.New("base version %d is above the current version %d", c.base, root.Version)
+	}
+	if _, ok := root.byVersion(c.base + 1); !ok && c.written {
+		return Change{}, true, ErrOutcomeUnknown.New("change %q on version %d is older than the last %d versions", c.id, c.base, keptVersions)
+	}
+	return Change{}, true, ErrRaceLost.New("version %d was made on top of version %d; version %d is current", c.base+1, c.base, root.Version)
+}
+
+// swap writes the root. The write expects the revision that was read, so a copy of it that
+// arrives late cannot take effect on top of another change.
+func (c *changer) swap(ctx context.Context, root rootRecord, next Root) (Change, error) {
+	value, err := next.encode()
+	if err != nil {
+		return Change{}, err
+	}
+	result, err := c.store.kv.CompareAndSwap(ctx, platform.Swap{
+		Key:    rootKey,
+		Expect: root.revision,
+		Value:  value,
+	})
+	if err != nil {
+		err = fromPlatform(err, "root cannot be written")
+		c.written = c.written || errorx.IsOfType(err, ErrOutcomeUnknown)
+		return Change{}, err
+	}
+	if result.Swapped {
+		c.store.collect(ctx, root.Root, rootRecord{Root: next, revision: result.Revision})
+		return next.Changes[len(next.Changes)-1], nil
+	}
+	current, err := decodeRoot(result.Current)
+	if err != nil {
+		return Change{}, err
+	}
+	change, decided, err := c.decide(current)
+	if !decided {
+		return Change{}, ErrUnavailable.New("root changed without a new version")
+	}
+	return change, err
+}
