--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -25,6 +25,11 @@
 // ConnOpened implements transport.FrameHandler.
 func (a *Agent) ConnOpened(conn *transport.Conn) {
 	conn.Tag = &peer{}
+	a.greet(conn)
+	a.loop.Post(func() { a.state.conns[conn] = struct{}{} })
+}
+
+func (a *Agent) greet(conn *transport.Conn) {
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: a.hello()}})
 }
 
@@ -54,6 +59,7 @@
 // and their answers are kept for the question that follows.
 func (a *Agent) connLost(conn *transport.Conn) {
 	now := time.Now()
+	delete(a.state.conns, conn)
 	for id, j := range a.state.jobs {
 		if j.conn != conn {
 			continue
@@ -297,8 +303,12 @@
 	go r.execute(ctx)
 }
 
-// handBack refuses everything that waits, so that its entries place it elsewhere.
+// handBack tells every connected entry that the agent is leaving and refuses everything that
+// waits, so that its entries place it elsewhere.
 func (a *Agent) handBack() {
+	for conn := range a.state.conns {
+		a.greet(conn)
+	}
 	for id, j := range a.state.jobs {
 		if j.cancel != nil {
 			continue
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -20,6 +20,7 @@
 	table     *runtable.Table
 	queue     *admission.Queue
 	jobs      map[attempt.ID]*job
+	conns     map[*transport.Conn]struct{}
 	observed  engine.State
 	readAt    time.Time
 	reserveID admission.ReservationID
@@ -42,6 +43,7 @@
 		table:   runtable.New(runtable.DefaultSettings(incarnation)),
 		queue:   admission.New(admission.DefaultConfig(s.Slots)),
 		jobs:    make(map[attempt.ID]*job),
+		conns:   make(map[*transport.Conn]struct{}),
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -237,7 +237,9 @@
 }
 
 // greeted takes direct evidence about an agent.
-func (e *Entry) greeted(string, *wire.Hello) {}
+func (e *Entry) greeted(_ string, hello *wire.Hello) {
+	e.replicas.heard(hello)
+}
 
 // refusedBy takes a refusal as evidence about an agent.
 func (e *Entry) refusedBy(instance platform.Instance, refused *wire.Refused) {
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
+	"net"
 	"strings"
 	"time"
 
@@ -21,6 +23,15 @@
 	servicesPath = "/v1/services/"
 )
 
+const (
+	// discardTime bounds reading a body that is too large.
+	discardTime = 2 * time.Second
+	// discardSilence is the pause after which a caller has sent its body.
+	discardSilence = 100 * time.Millisecond
+	// discardStep is how many bytes are read between looks at the clock.
+	discardStep = 1 << 20
+)
+
 // server returns the HTTP server for callers.
 func (e *Entry) server() *fasthttp.Server {
 	return &fasthttp.Server{
@@ -31,19 +42,39 @@
 		ReadTimeout:        readTimeout,
 		IdleTimeout:        idleTimeout,
 		CloseOnShutdown:    true,
+		Logger:             silent{},
 	}
 }
 
+// silent drops the HTTP library's lines; what callers do wrong is counted instead.
+type silent struct{}
+
+// Printf implements fasthttp.Logger.
+func (silent) Printf(string, ...any) {}
+
 // badHTTP answers what is not a readable HTTP request.
 func badHTTP(ctx *fasthttp.RequestCtx, err error) {
 	failure := refusal(CodeMalformed, fasthttp.StatusBadRequest, "not a readable HTTP request: "+err.Error())
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		discardBody(ctx.Conn())
 		failure = refusal(CodeBodyTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body is larger than 8 MiB")
 	}
 	writeFailure(ctx, failure, "")
 	ctx.SetConnectionClose()
 }
 
+// discardBody reads what a caller still sends, within bounds: closing a connection with unread
+// bytes resets it, and the caller would lose the answer.
+func discardBody(conn net.Conn) {
+	deadline := time.Now().Add(discardTime)
+	for time.Now().Before(deadline) {
+		_ = conn.SetReadDeadline(time.Now().Add(discardSilence))
+		if _, err := io.CopyN(io.Discard, conn, discardStep); err != nil {
+			return
+		}
+	}
+}
+
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 const (
@@ -26,10 +27,13 @@
 	byService map[string][]platform.Instance
 	readAt    time.Time
 	avoid     map[string]time.Time
+	// leaving holds the incarnations that said that they are leaving. What an agent says of
+	// itself wins over the lagging list.
+	leaving map[string]uint64
 }
 
 func newReplicas(list platform.InstanceList, logger *zap.Logger) *replicas {
-	return &replicas{list: list, logger: logger, avoid: make(map[string]time.Time)}
+	return &replicas{list: list, logger: logger, avoid: make(map[string]time.Time), leaving: make(map[string]uint64)}
 }
 
 // poll reads the instance list until ctx ends. It keeps the last list during an outage.
@@ -70,6 +74,9 @@
 	defer r.mu.RUnlock()
 	var healthy []platform.Instance
 	for _, instance := range r.byService[service] {
+		if _, leaving := r.leaving[instance.ID]; leaving {
+			continue
+		}
 		if now.After(r.avoid[instance.ID]) {
 			healthy = append(healthy, instance)
 		}
@@ -86,6 +93,19 @@
 	r.avoid[instance.ID] = now.Add(avoidFor)
 }
 
+// heard takes an agent's own word on whether it is leaving.
+func (r *replicas) heard(hello *wire.Hello) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if hello.GetLeaving() {
+		r.leaving[hello.GetInstance()] = hello.GetIncarnation()
+		return
+	}
+	if r.leaving[hello.GetInstance()] != hello.GetIncarnation() {
+		delete(r.leaving, hello.GetInstance())
+	}
+}
+
 // replicasState is what dump shows.
 type replicasState struct {
 	Services  map[string][]platform.Instance `json:"services"`
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -28,11 +29,14 @@
 
 // NewRegistry returns a Registry whose metric names start with prefix.
 func NewRegistry(prefix string) *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{
 		Scope:   scope,
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -5,7 +5,7 @@
 	"net"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -33,7 +33,7 @@
 		gnet.WithMulticore(true),
 		gnet.WithNumEventLoop(eventLoops),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithLogLevel(logging.FatalLevel))
+		gnet.WithLogger(zap.NewNop().Sugar()))
 	if err != nil {
 		return nil, ErrDial.Wrap(err, "cannot make a client")
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -55,7 +55,7 @@
 		gnet.WithMulticore(true),
 		gnet.WithNumEventLoop(eventLoops),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-		gnet.WithLogLevel(logging.FatalLevel))
+		gnet.WithLogger(zap.NewNop().Sugar()))
 	if err != nil {
 		s.booted <- err
 	}
