--- /dev/null
+++ b/internal/platform/memkv/lease.go
@@ -0,0 +1,93 @@
+package memkv
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+)
+
+// Grant implements platform.KV. A ttl is rounded up to whole seconds.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	if ttl <= 0 {
+		return 0, platform.ErrInvalid.New("lease time %s", ttl)
+	}
+	if err := s.enter(ctx, func(c *Calls) { c.Grant++ }); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastLease++
+	id := s.lastLease
+	l := &lease{ttl: (ttl + time.Second - 1).Truncate(time.Second)}
+	l.timer = time.AfterFunc(l.ttl, func() { s.lapse(id, l) })
+	s.leases[id] = l
+	return id, s.answerLost("grant")
+}
+
+// KeepAlive implements platform.KV.
+func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+	if err := s.enter(ctx, func(c *Calls) { c.KeepAlive++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.leases[id]
+	if l == nil {
+		return platform.ErrLeaseNotFound.New("lease %d", id)
+	}
+	l.timer.Stop()
+	renewed := &lease{ttl: l.ttl}
+	renewed.timer = time.AfterFunc(l.ttl, func() { s.lapse(id, renewed) })
+	s.leases[id] = renewed
+	return nil
+}
+
+// Revoke implements platform.KV.
+func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+	if err := s.enter(ctx, func(c *Calls) { c.Revoke++ }); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == nil {
+		return platform.ErrLeaseNotFound.New("lease %d", id)
+	}
+	s.endLease(id)
+	return s.answerLost("revoke")
+}
+
+// Expire makes a lease lapse now, as if its time had run out.
+func (s *Store) Expire(id platform.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] != nil {
+		s.endLease(id)
+	}
+}
+
+// lapse ends a lease unless it was renewed since its timer was set.
+func (s *Store) lapse(id platform.LeaseID, l *lease) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leases[id] == l {
+		s.endLease(id)
+	}
+}
+
+// endLease deletes a lease with its keys at one revision. The mutex is held.
+func (s *Store) endLease(id platform.LeaseID) {
+	s.leases[id].timer.Stop()
+	delete(s.leases, id)
+	next := s.revision + 1
+	var events []platform.Event
+	for key, record := range s.records {
+		if record.Lease == id {
+			delete(s.records, key)
+			events = append(events, platform.Event{Record: platform.Record{Key: key, ModRevision: next}, Deleted: true})
+		}
+	}
+	sort.Slice(events, func(i, j int) bool { return events[i].Record.Key < events[j].Record.Key })
+	s.publish(next, events)
+}
--- /dev/null
+++ b/internal/platform/memlist/list.go
@@ -0,0 +1,91 @@
+// Package memlist is an in-memory instance list for tests and for the list stand-in.
+package memlist
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+)
+
+// List is the instance list. It is safe for concurrent use.
+type List struct {
+	lag time.Duration
+
+	mu      sync.Mutex
+	visible []platform.Instance
+	pending []change
+	down    bool
+}
+
+// change is a state of the list that becomes visible later.
+type change struct {
+	at        time.Time
+	instances []platform.Instance
+}
+
+var _ platform.InstanceList = (*List)(nil)
+
+// New returns an empty list whose changes become visible after lag.
+func New(lag time.Duration) *List { return &List{lag: lag} }
+
+// Replace sets all instances.
+func (l *List) Replace(instances []platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue(append([]platform.Instance{}, instances...))
+}
+
+// SetState changes the state of one instance. It returns false when there is none with that ID.
+func (l *List) SetState(id string, state platform.InstanceState) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := append([]platform.Instance{}, l.latest()...)
+	for i := range latest {
+		if latest[i].ID == id {
+			latest[i].State = state
+			l.queue(latest)
+			return true
+		}
+	}
+	return false
+}
+
+// SetDown makes calls fail with ErrUnavailable.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// Instances implements platform.InstanceList.
+func (l *List) Instances(ctx context.Context) ([]platform.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down || ctx.Err() != nil {
+		return nil, platform.ErrUnavailable.New("the instance list is down")
+	}
+	l.reveal(time.Now())
+	return append([]platform.Instance{}, l.visible...), nil
+}
+
+func (l *List) queue(instances []platform.Instance) {
+	sort.Slice(instances, func(i, j int) bool { return instances[i].ID < instances[j].ID })
+	l.pending = append(l.pending, change{at: time.Now().Add(l.lag), instances: instances})
+}
+
+func (l *List) latest() []platform.Instance {
+	if len(l.pending) > 0 {
+		return l.pending[len(l.pending)-1].instances
+	}
+	return l.visible
+}
+
+func (l *List) reveal(now time.Time) {
+	for len(l.pending) > 0 && !l.pending[0].at.After(now) {
+		l.visible = l.pending[0].instances
+		l.pending = l.pending[1:]
+	}
+}
--- a/internal/standin/engineserver/engine.go
+++ b/internal/standin/engineserver/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"sync"
 	"time"
@@ -13,9 +12,6 @@
 	"balsamyoke.example/balsamyoke/internal/standin/turnstile"
 )
 
-// hangUpCheck is the time between two looks whether a caller has hung up.
-const hangUpCheck = 20 * time.Millisecond
-
 // Engine is one running engine.
 type Engine struct {
 	*httpserver.Server
@@ -205,20 +201,3 @@
 	e.sampledAt = now
 	return e.sample
 }
-
-// watchHangUp cancels a run when its caller hangs up. It ends with ctx.
-func watchHangUp(ctx context.Context, cancel context.CancelFunc, conn net.Conn) {
-	ticker := time.NewTicker(hangUpCheck)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if httpclient.PeerClosed(conn) {
-				cancel()
-				return
-			}
-		}
-	}
-}
--- a/internal/standin/engineserver/http.go
+++ b/internal/standin/engineserver/http.go
@@ -69,14 +69,13 @@
 		httpserver.Refuse(ctx, fasthttp.StatusTooManyRequests, "the queue is full")
 		return
 	}
-	runCtx, cancel := context.WithCancel(e.ctx)
+	runCtx, cancel := httpserver.UntilHangUp(e.ctx, ctx.Conn())
 	r := e.admit(string(ctx.Request.Header.Peek(requestIDHeader)), request, cancel)
 	if r == nil {
 		cancel()
 		httpserver.Refuse(ctx, fasthttp.StatusConflict, "weight version or adapter is not loaded")
 		return
 	}
-	go watchHangUp(runCtx, cancel, ctx.Conn())
 	if request.Stream {
 		e.streamRun(ctx, runCtx, cancel, r)
 		return
--- /dev/null
+++ b/internal/standin/listserver/server.go
@@ -0,0 +1,80 @@
+// Package listserver stands in for the platform's lagging list of instances.
+package listserver
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+	"balsamyoke.example/balsamyoke/internal/platform/memlist"
+	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
+)
+
+// Settings of the list.
+type Settings struct {
+	Listen string `json:"listen"`
+	// LagMS is the time until a change becomes visible, in milliseconds.
+	LagMS int `json:"lag_ms"`
+	// Instances are listed from the start.
+	Instances []platform.Instance `json:"instances"`
+}
+
+// StateChange is the body of POST /admin/state.
+type StateChange struct {
+	ID    string                 `json:"id"`
+	State platform.InstanceState `json:"state"`
+}
+
+// Server is the list.
+type Server struct {
+	*httpserver.Server
+	list *memlist.List
+}
+
+// Start starts a list.
+func Start(settings Settings) (*Server, error) {
+	s := &Server{list: memlist.New(time.Duration(settings.LagMS) * time.Millisecond)}
+	if len(settings.Instances) > 0 {
+		s.list.Replace(settings.Instances)
+	}
+	routes := httpserver.Router{
+		"GET " + listhttp.Path: s.serveList,
+		"PUT /admin/instances": s.serveReplace,
+		"POST /admin/state":    s.serveState,
+	}
+	var err error
+	s.Server, err = httpserver.Start(settings.Listen, routes.Handle, false)
+	return s, err
+}
+
+// List returns the list behind the server.
+func (s *Server) List() *memlist.List { return s.list }
+
+func (s *Server) serveList(ctx *fasthttp.RequestCtx) {
+	instances, err := s.list.Instances(context.Background())
+	if err != nil {
+		httpserver.Refuse(ctx, fasthttp.StatusServiceUnavailable, err.Error())
+		return
+	}
+	httpserver.Reply(ctx, fasthttp.StatusOK, listhttp.Document{Instances: instances})
+}
+
+func (s *Server) serveReplace(ctx *fasthttp.RequestCtx) {
+	var document listhttp.Document
+	if httpserver.Decode(ctx, &document) {
+		s.list.Replace(document.Instances)
+	}
+}
+
+func (s *Server) serveState(ctx *fasthttp.RequestCtx) {
+	var change StateChange
+	if !httpserver.Decode(ctx, &change) {
+		return
+	}
+	if !s.list.SetState(change.ID, change.State) {
+		httpserver.Refuse(ctx, fasthttp.StatusNotFound, "no such instance")
+	}
+}
