--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"balsamyoke.example/balsamyoke/internal/chart"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 )
 
@@ -36,13 +37,13 @@
 
 	mu          sync.Mutex
 	bundle      Bundle
-	confirmed   bool
+	machine     chart.Machine
 	subscribers []func(*Snapshot)
 	stats       HolderStats
 }
 
 // NewHolder returns a Holder with no configuration.
-func NewHolder() *Holder { return &Holder{} }
+func NewHolder() *Holder { return &Holder{machine: stateChart.NewMachine()} }
 
 // Current returns the configuration in force, or nil before the first one.
 func (h *Holder) Current() *Snapshot { return h.current.Load() }
@@ -93,13 +94,17 @@
 		h.stats.Corrupt++
 		return false, err
 	}
+	state, err := h.machine.Fire(eventAdopt)
+	if err != nil {
+		return false, ErrInvalid.Wrap(err, "version %d cannot be adopted", offered.Version)
+	}
 	h.bundle = complete
 	h.stats.Accepted++
 	h.publish(&Snapshot{
 		Version:   complete.Version,
 		Digest:    complete.Digest,
 		Index:     manifest.NewIndex(m, complete.Version),
-		Confirmed: h.confirmed,
+		Confirmed: serving(state),
 	})
 	return true, nil
 }
@@ -109,14 +114,17 @@
 func (h *Holder) Confirm(version uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.confirmed {
-		return true
-	}
 	snapshot := h.current.Load()
 	if snapshot == nil || snapshot.Version < version {
 		return false
 	}
-	h.confirmed = true
+	if snapshot.Confirmed {
+		return true
+	}
+	state, err := h.machine.Fire(eventConfirm)
+	if err != nil || !serving(state) {
+		return false
+	}
 	confirmed := *snapshot
 	confirmed.Confirmed = true
 	h.publish(&confirmed)
--- /dev/null
+++ b/internal/config/state.go
@@ -0,0 +1,21 @@
+package config
+
+import (
+	_ "embed"
+
+	"balsamyoke.example/balsamyoke/internal/chart"
+)
+
+//go:embed configuration.chart.json
+var chartFile []byte
+
+var (
+	stateChart   = chart.MustLoad(chartFile)
+	eventAdopt   = stateChart.MustEvent("adopt")
+	eventConfirm = stateChart.MustEvent("confirm")
+)
+
+// labelServing marks the states in which a process may serve.
+const labelServing = "serving"
+
+func serving(state chart.State) bool { return stateChart.Label(state) == labelServing }
