--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -15,8 +15,9 @@
 	maxBatch = 128
 	// batchWait is how long the first claim of a batch waits for others.
 	batchWait = 2 * time.Millisecond
-	// maxCalls bounds calls under way at once; claims gather meanwhile.
-	maxCalls = 4
+	// maxCalls bounds calls under way at once. Claims gather meanwhile, so that batches grow as the
+	// service slows down.
+	maxCalls = 1
 	// commitTimeout bounds a batch with all its tries.
 	commitTimeout = 2 * time.Second
 	// callTimeout bounds one call to the service.
