Watch agents by heartbeats while an attempt waits

Cause: a frozen agent was noticed only by the request's deadline. An engine that leaves its state unanswered for 2 s is lost too: its idempotent runs end so that entries continue them elsewhere. Ruled out: TCP keepalive, which a frozen process's kernel still answers.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -30,6 +30,8 @@
 	tickInterval = 20 * time.Millisecond
 	// versionsInterval is how often the engine is asked which weight versions it has.
 	versionsInterval = 250 * time.Millisecond
+	// engineSilence is how long an engine may leave its state unanswered before it counts as lost.
+	engineSilence = 2 * time.Second
 	// graceStep is how often a leaving agent looks whether its runs have ended.
 	graceStep = 20 * time.Millisecond
 	// flushTime lets the last frames of a leaving agent reach their entries.
@@ -214,9 +216,22 @@
 
 func (a *Agent) onTick(now time.Time) {
 	a.state.table.Expire(now)
+	if a.state.engineLost(now) {
+		a.stopIdempotentRuns()
+	}
 	a.schedule(now)
 }
 
+// stopIdempotentRuns ends the runs on an engine that went silent, so that entries continue them on
+// other replicas. Runs that may not be repeated wait for the engine.
+func (a *Agent) stopIdempotentRuns() {
+	for _, j := range a.state.jobs {
+		if j.cancel != nil && j.dispatch.GetIdempotent() {
+			j.cancel()
+		}
+	}
+}
+
 func (a *Agent) watchVersions(ctx context.Context) {
 	ticker := time.NewTicker(versionsInterval)
 	defer ticker.Stop()
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -131,6 +131,8 @@
 		return wire.RefusalReason_REFUSAL_REASON_NOT_SERVED, "the backend server serves " + a.settings.Service
 	case d.GetConfigVersion() < current && d.GetResumeTokens() == 0:
 		return wire.RefusalReason_REFUSAL_REASON_STALE_CONFIGURATION, "a newer configuration is in force"
+	case a.state.engineLost(time.Now()):
+		return wire.RefusalReason_REFUSAL_REASON_ENGINE, "the model engine does not answer"
 	case !a.state.hasVersion(d.GetWeightVersion()):
 		return wire.RefusalReason_REFUSAL_REASON_WRONG_VERSION, "weight version " + d.GetWeightVersion() + " is not loaded"
 	case !a.state.hasAdapter(d.GetAdapter()):
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -53,6 +53,11 @@
 	s.readAt = now
 }
 
+// engineLost says whether the model engine has been silent for too long.
+func (s *state) engineLost(now time.Time) bool {
+	return s.isModel && now.Sub(s.readAt) > engineSilence
+}
+
 // hasVersion says whether the engine can run a weight version.
 func (s *state) hasVersion(version string) bool {
 	return !s.isModel || slices.Contains(s.observed.WeightVersions, version)
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -29,7 +29,7 @@
 	if len(candidates) == 0 {
 		return nil, r.noReplica()
 	}
-	replies := r.entry.prober.ask(ctx, r.entry.links, candidates, r.probe())
+	replies := r.entry.prober.ask(ctx, r.entry.links, candidates, r.probe(), probeTimeout)
 	best := r.cheapest(candidates, replies)
 	if best == nil {
 		return &placed{instance: candidates[0]}, nil
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -42,12 +42,12 @@
 }
 
 // ask probes the targets and returns the replies that came within the timeout.
-func (p *prober) ask(ctx context.Context, links *links, targets []platform.Instance, probe *wire.Probe) []*wire.ProbeReply {
+func (p *prober) ask(ctx context.Context, links *links, targets []platform.Instance, probe *wire.Probe, timeout time.Duration) []*wire.ProbeReply {
 	nonce, replies := p.open(len(targets))
 	defer p.close(nonce)
 	probe.Nonce = nonce
 	sent := sendProbes(links, targets, probe)
-	return gather(ctx, replies, sent)
+	return gather(ctx, replies, sent, timeout)
 }
 
 func (p *prober) open(targets int) (uint64, chan *wire.ProbeReply) {
@@ -80,15 +80,15 @@
 	return sent
 }
 
-func gather(ctx context.Context, replies <-chan *wire.ProbeReply, expected int) []*wire.ProbeReply {
-	timeout := time.NewTimer(probeTimeout)
-	defer timeout.Stop()
+func gather(ctx context.Context, replies <-chan *wire.ProbeReply, expected int, timeout time.Duration) []*wire.ProbeReply {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
 	gathered := make([]*wire.ProbeReply, 0, expected)
 	for len(gathered) < expected {
 		select {
 		case reply := <-replies:
 			gathered = append(gathered, reply)
-		case <-timeout.C:
+		case <-timer.C:
 			return gathered
 		case <-ctx.Done():
 			return gathered
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -17,7 +17,7 @@
 	// dialTimeout bounds connecting to an agent, its greeting included.
 	dialTimeout = 500 * time.Millisecond
 	// stallTimeout is the silence within a stream after which its replica is taken as lost.
-	stallTimeout = 2 * time.Second
+	stallTimeout = 4 * time.Second
 	// lateAllowance is how long after its deadline a run that was accepted may still begin.
 	lateAllowance = 5 * time.Second
 	// busyRetryAfter is what a caller is told when no replica could say when to come back.
@@ -162,19 +162,28 @@
 	}
 }
 
-// follow reads an attempt's frames until it ends, stalls or the caller hangs up.
+// follow reads an attempt's frames until it ends, its agent goes silent or the caller hangs up.
 func (r *run) follow(ctx context.Context, f *flight, target *placed) (*wire.Done, verdict, *Failure) {
-	timer := time.NewTimer(r.patience())
-	defer timer.Stop()
+	heartbeat := newHeartbeat(r.entry, target.instance)
+	defer heartbeat.stop()
+	progress := time.NewTimer(r.patience())
+	defer progress.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			r.cancel(f)
 			return nil, verdictFailed, r.hungUp()
-		case <-timer.C:
+		case <-progress.C:
 			r.cancel(f)
 			return r.lost(target)
+		case <-heartbeat.ticks():
+			if heartbeat.silent(time.Now()) {
+				r.cancel(f)
+				return r.lost(target)
+			}
+			continue
 		case <-f.signal:
+			heartbeat.heard()
 		}
 		frames, lost := f.take()
 		for _, frame := range frames {
@@ -186,11 +195,11 @@
 		if lost {
 			return r.lost(target)
 		}
-		timer.Reset(r.patience())
+		progress.Reset(r.patience())
 	}
 }
 
-// patience is how long the run waits for the next frame.
+// patience is how long the run waits for the next frame of an agent that is alive.
 func (r *run) patience() time.Duration {
 	if r.delivered > 0 {
 		return stallTimeout
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,109 +4,92 @@
 
 import (
 	"context"
-	"time"
 
-	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
+	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/agent"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
+	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
 	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
 	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-// followInterval is how often the root of the configuration is read.
-const followInterval = 500 * time.Millisecond
+// common is what every role is built on.
+type common struct {
+	logger        *zap.Logger
+	kv            platform.KV
+	instances     platform.InstanceList
+	configuration *configuration
+	spread        *config.Spread
+	peers         *peers
+}
+
+// newCommon connects to the platform's services.
+func newCommon(program string, identity process.Identity, control, kv, list string) *common {
+	c := &common{
+		logger:    process.NewLogger(program, identity.Instance),
+		kv:        etcdhttp.New(kv),
+		instances: listhttp.New(list),
+	}
+	c.peers = newPeers(identity.Instance, c.instances)
+	holder := config.NewHolder()
+	c.spread = config.NewSpread(config.SpreadOptions{
+		Self: config.Peer{
+			Instance:       identity.Instance,
+			ControlAddress: control,
+			FailureDomain:  identity.FailureDomain,
+		},
+		Holder:    holder,
+		Store:     config.NewStore(c.kv),
+		Peers:     c.peers,
+		Messenger: config.NewGRPCMessenger(),
+		Logger:    c.logger,
+	})
+	c.configuration = newConfiguration(holder, c.spread)
+	return c
+}
+
+// start runs what every role needs until the returned function is called.
+func (c *common) start() context.CancelFunc {
+	background, stop := context.WithCancel(context.Background())
+	go c.peers.run(background)
+	go c.spread.Run(background)
+	return stop
+}
+
+// register adds the control services that every role serves.
+func (c *common) register(server *grpc.Server) {
+	wire.RegisterConfigurationServer(server, c.spread.Server())
+}
 
 // RunEntry runs the entry role until ctx ends.
 func RunEntry(ctx context.Context, s entry.Settings) error {
-	logger := process.NewLogger("balsam-entry", s.Instance)
-	follower := newFollower(s.KV, logger)
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	go follower.run(background)
+	c := newCommon("balsam-entry", s.Identity, s.Control, s.KV, s.InstanceList)
 	e, err := entry.New(s, entry.Dependencies{
-		Configuration: follower,
-		Instances:     listhttp.New(s.InstanceList),
-		Logger:        logger,
+		Configuration: c.configuration,
+		Instances:     c.instances,
+		Logger:        c.logger,
+		Register:      c.register,
 	})
 	if err != nil {
 		return err
 	}
+	defer c.start()()
 	return e.Run(ctx)
 }
 
 // RunAgent runs the agent role until ctx ends.
 func RunAgent(ctx context.Context, s agent.Settings) error {
-	logger := process.NewLogger("balsam-agent", s.Instance)
-	follower := newFollower(s.KV, logger)
-	background, stop := context.WithCancel(context.Background())
-	defer stop()
-	go follower.run(background)
-	return agent.New(s, agent.Dependencies{Configuration: follower, Logger: logger}).Run(ctx)
-}
-
-// follower keeps a Holder up to date from the key-value service.
-type follower struct {
-	holder *config.Holder
-	store  *config.Store
-	logger *zap.Logger
-}
-
-func newFollower(address string, logger *zap.Logger) *follower {
-	return &follower{
-		holder: config.NewHolder(),
-		store:  config.NewStore(etcdhttp.New(address)),
-		logger: logger,
-	}
-}
-
-// Current implements entry.Configuration and agent.Configuration.
-func (f *follower) Current() *config.Snapshot { return f.holder.Current() }
-
-// CatchUp implements entry.Configuration and agent.Configuration.
-func (f *follower) CatchUp(ctx context.Context, version uint64, _ string) error {
-	for f.holder.Version() < version {
-		if err := f.read(ctx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (f *follower) run(ctx context.Context) {
-	ticker := time.NewTicker(followInterval)
-	defer ticker.Stop()
-	for {
-		if err := f.read(ctx); err != nil && !errorx.IsOfType(err, config.ErrUnavailable) && !errorx.IsOfType(err, config.ErrNotFound) {
-			f.logger.Warn("configuration not read", zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
-// read puts the newest configuration in force.
-func (f *follower) read(ctx context.Context) error {
-	root, err := f.store.Root(ctx)
-	if err != nil {
-		return err
-	}
-	if root.Version > f.holder.Version() {
-		bundle, err := f.store.Load(ctx, root.Version, root.Digest, f.holder.Delta(nil).Documents)
-		if err != nil {
-			return err
-		}
-		if _, err := f.holder.Offer(bundle); err != nil {
-			return err
-		}
-		f.logger.Info("configuration in force", zap.Uint64("version", root.Version))
-	}
-	f.holder.Confirm(root.Version)
-	return nil
+	c := newCommon("balsam-agent", s.Identity, s.Control, s.KV, s.InstanceList)
+	a := agent.New(s, agent.Dependencies{
+		Configuration: c.configuration,
+		Logger:        c.logger,
+		Register:      c.register,
+	})
+	defer c.start()()
+	return a.Run(ctx)
 }
