--- /dev/null
+++ b/internal/standin/storeserver/server.go
@@ -0,0 +1,291 @@
+package storeserver
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
+)
+
+// Names of headers, tiers and classes on the wire.
+const (
+	HeaderPriority  = "X-Priority" // urgent, patient or export
+	HeaderTier      = "X-Tier"     // memory or disk
+	PriorityUrgent  = "urgent"
+	PriorityPatient = "patient"
+	PriorityExport  = "export"
+
+	tierMemory = "memory"
+	tierDisk   = "disk"
+	piecesPath = "/pieces/"
+)
+
+// Settings of the store.
+type Settings struct {
+	Listen string `json:"listen"`
+	// Admin is the ip:port of the fault switches, which stay up while the store is down.
+	Admin string `json:"admin"`
+	// MemoryBytes and DiskBytes are the capacities of the tiers.
+	MemoryBytes int64 `json:"memory_bytes"`
+	DiskBytes   int64 `json:"disk_bytes"`
+	// LinkBytesPerSecond is shared by all transfers; 0 means no limit.
+	LinkBytesPerSecond float64 `json:"link_bytes_per_second"`
+	// DiskMS is added to each read from the disk tier, in milliseconds.
+	DiskMS int `json:"disk_ms"`
+	// PublishPartial makes a piece visible before its last byte has arrived.
+	PublishPartial bool `json:"publish_partial"`
+}
+
+const defaultMemoryBytes = 64 << 20
+
+// Faults are the switches of POST /admin/faults.
+type Faults struct {
+	// Down refuses connections and cuts the open ones. The content stays.
+	Down bool `json:"down"`
+	// SlowFactor stretches the use of the link; 0 and 1 mean full speed.
+	SlowFactor float64 `json:"slow_factor"`
+	// Full refuses every new piece.
+	Full bool `json:"full"`
+}
+
+// Server is the store.
+type Server struct {
+	*httpserver.Server
+	admin    *httpserver.Server
+	settings Settings
+	pieces   pieces
+	link     *link
+	ctx      context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// Start starts an empty store.
+func Start(settings Settings) (*Server, error) {
+	if settings.MemoryBytes == 0 {
+		settings.MemoryBytes = defaultMemoryBytes
+	}
+	s := &Server{
+		settings: settings,
+		pieces:   pieces{memory: newTier(settings.MemoryBytes), disk: newTier(settings.DiskBytes)},
+		link:     newLink(settings.LinkBytesPerSecond),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	var err error
+	if s.Server, err = httpserver.Start(settings.Listen, s.handle, true); err != nil {
+		return nil, err
+	}
+	routes := httpserver.Router{
+		"GET /admin/stats": func(ctx *fasthttp.RequestCtx) {
+			httpserver.Reply(ctx, fasthttp.StatusOK, s.Stats())
+		},
+		"POST /admin/faults": s.serveFaults,
+	}
+	if s.admin, err = httpserver.Start(settings.Admin, routes.Handle, false); err != nil {
+		s.Server.Stop()
+		return nil, err
+	}
+	return s, nil
+}
+
+// AdminAddress returns the ip:port of the fault switches.
+func (s *Server) AdminAddress() string { return s.admin.Address() }
+
+// Stop ends the store.
+func (s *Server) Stop() {
+	s.cancel()
+	s.Server.Stop()
+	s.admin.Stop()
+	s.running.Wait()
+}
+
+// Stats returns what the store holds and has done.
+func (s *Server) Stats() Stats {
+	stats := s.pieces.snapshot()
+	stats.WaitingOnLink = s.link.turnstile.Waiting()
+	return stats
+}
+
+// SetFaults changes the fault switches.
+func (s *Server) SetFaults(f Faults) error {
+	s.pieces.setFull(f.Full)
+	s.link.setSlowFactor(f.SlowFactor)
+	if f.Down {
+		s.Down()
+		return nil
+	}
+	return s.Up()
+}
+
+func (s *Server) serveFaults(ctx *fasthttp.RequestCtx) {
+	var faults Faults
+	if !httpserver.Decode(ctx, &faults) {
+		return
+	}
+	if err := s.SetFaults(faults); err != nil {
+		httpserver.Refuse(ctx, fasthttp.StatusInternalServerError, err.Error())
+	}
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	name, ok := strings.CutPrefix(string(ctx.Path()), piecesPath)
+	if !ok || name == "" {
+		httpserver.Refuse(ctx, fasthttp.StatusNotFound, "no such route")
+		return
+	}
+	switch string(ctx.Method()) {
+	case fasthttp.MethodPut:
+		s.servePut(ctx, name)
+	case fasthttp.MethodGet:
+		s.serveGet(ctx, name)
+	case fasthttp.MethodHead:
+		s.serveHead(ctx, name)
+	case fasthttp.MethodDelete:
+		if !s.pieces.remove(name) {
+			httpserver.Refuse(ctx, fasthttp.StatusNotFound, "no such piece")
+		}
+	default:
+		httpserver.Refuse(ctx, fasthttp.StatusMethodNotAllowed, "method is not served")
+	}
+}
+
+// servePut reads a piece over the link. It becomes visible after its last byte, or at once when
+// the settings publish partly written pieces.
+func (s *Server) servePut(ctx *fasthttp.RequestCtx, name string) {
+	size := ctx.Request.Header.ContentLength()
+	if size < 0 {
+		httpserver.Refuse(ctx, fasthttp.StatusLengthRequired, "the length of the piece is missing")
+		return
+	}
+	e := &entry{name: name, size: int64(size)}
+	if s.settings.PublishPartial && !s.pieces.add(e) {
+		s.refuseFull(ctx)
+		return
+	}
+	content, err := s.receive(ctx, e, size)
+	if err != nil {
+		httpserver.Cut(ctx)
+		return
+	}
+	s.pieces.grow(e, content)
+	if !s.settings.PublishPartial && !s.pieces.add(e) {
+		s.refuseFull(ctx)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func (s *Server) refuseFull(ctx *fasthttp.RequestCtx) {
+	ctx.SetConnectionClose() // the rest of the body may be unread
+	httpserver.Refuse(ctx, fasthttp.StatusInsufficientStorage, "the store is full")
+}
+
+func (s *Server) receive(ctx *fasthttp.RequestCtx, e *entry, size int) ([]byte, error) {
+	class := s.class(ctx)
+	body := ctx.RequestBodyStream()
+	if body == nil {
+		body = strings.NewReader(string(ctx.Request.Body()))
+	}
+	content := make([]byte, size)
+	for at := 0; at < size; {
+		end := min(at+linkChunkBytes, size)
+		if _, err := io.ReadFull(body, content[at:end]); err != nil {
+			return nil, err
+		}
+		if err := s.link.pass(s.ctx, class, end-at); err != nil {
+			return nil, err
+		}
+		s.countBytes(class, end-at)
+		s.pieces.count(func(stats *Stats) { stats.BytesIn += int64(end - at) })
+		at = end
+		if s.settings.PublishPartial {
+			s.pieces.grow(e, content[:at:at])
+		}
+	}
+	return content, nil
+}
+
+func (s *Server) serveGet(ctx *fasthttp.RequestCtx, name string) {
+	content, tierName, ok := s.pieces.find(name)
+	if !ok {
+		s.pieces.count(func(stats *Stats) { stats.Misses++ })
+		httpserver.Refuse(ctx, fasthttp.StatusNotFound, "no such piece")
+		return
+	}
+	s.pieces.count(func(stats *Stats) { stats.Gets++ })
+	class := s.class(ctx)
+	ctx.Response.Header.Set(HeaderTier, tierName)
+	ctx.SetContentType("application/octet-stream")
+	if tierName == tierDisk {
+		time.Sleep(time.Duration(s.settings.DiskMS) * time.Millisecond)
+	}
+	reader, writer := io.Pipe()
+	s.running.Add(1)
+	ctx.SetBodyStream(reader, len(content))
+	go func() {
+		defer s.running.Done()
+		_ = writer.CloseWithError(s.send(writer, content, class))
+	}()
+}
+
+// send writes content over the link, chunk by chunk.
+func (s *Server) send(to io.Writer, content []byte, class int) error {
+	w := bufio.NewWriterSize(to, linkChunkBytes)
+	for at := 0; at < len(content); {
+		end := min(at+linkChunkBytes, len(content))
+		if err := s.link.pass(s.ctx, class, end-at); err != nil {
+			return err
+		}
+		if _, err := w.Write(content[at:end]); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+		s.countBytes(class, end-at)
+		s.pieces.count(func(stats *Stats) { stats.BytesOut += int64(end - at) })
+		at = end
+	}
+	return nil
+}
+
+func (s *Server) serveHead(ctx *fasthttp.RequestCtx, name string) {
+	content, tierName, ok := s.pieces.find(name)
+	if !ok {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.Response.SkipBody = true
+	ctx.Response.Header.Set(HeaderTier, tierName)
+	ctx.Response.Header.SetContentLength(len(content))
+}
+
+func (s *Server) class(ctx *fasthttp.RequestCtx) int {
+	switch string(ctx.Request.Header.Peek(HeaderPriority)) {
+	case PriorityUrgent:
+		return classUrgent
+	case PriorityPatient:
+		return classPatient
+	default:
+		return classExport
+	}
+}
+
+func (s *Server) countBytes(class, n int) {
+	s.pieces.count(func(stats *Stats) {
+		switch class {
+		case classUrgent:
+			stats.UrgentBytes += int64(n)
+		case classPatient:
+			stats.PatientBytes += int64(n)
+		default:
+			stats.ExportBytes += int64(n)
+		}
+	})
+}
