--- a/internal/standin/engineserver/settings.go
+++ b/internal/standin/engineserver/settings.go
@@ -6,37 +6,37 @@
 
 // Settings of the engine.
 type Settings struct {
-	Listen string `json:"listen"`
+	Listen string `json:"listen" long:"listen"`
 	// PrefillTokensPerSecond is the speed of prompt work; one run at a time.
-	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second"`
+	PrefillTokensPerSecond float64 `json:"prefill_tokens_per_second" long:"prefill-tokens-per-second"`
 	// DecodeMS is the time between two tokens of a run, in milliseconds.
-	DecodeMS float64 `json:"decode_ms"`
+	DecodeMS float64 `json:"decode_ms" long:"decode-ms"`
 	// Slots is how many runs are in the batch at once.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" long:"slots"`
 	// MaxWaiting bounds the runs outside the batch; 0 means no bound.
-	MaxWaiting int `json:"max_waiting"`
+	MaxWaiting int `json:"max_waiting" long:"max-waiting"`
 	// CachePieces is the capacity of the prefix cache.
-	CachePieces int `json:"cache_pieces"`
+	CachePieces int `json:"cache_pieces" long:"cache-pieces"`
 	// PieceTokens is the number of tokens in a piece.
-	PieceTokens int `json:"piece_tokens"`
+	PieceTokens int `json:"piece_tokens" long:"piece-tokens"`
 	// KVBytesPerPiece is the size of an exported piece.
-	KVBytesPerPiece int `json:"kv_bytes_per_piece"`
+	KVBytesPerPiece int `json:"kv_bytes_per_piece" long:"kv-bytes-per-piece"`
 	// LoadLagMS is how old a load report may be, in milliseconds.
-	LoadLagMS int `json:"load_lag_ms"`
+	LoadLagMS int `json:"load_lag_ms" long:"load-lag-ms"`
 	// EventLagMS delays cache events, in milliseconds.
-	EventLagMS int `json:"event_lag_ms"`
+	EventLagMS int `json:"event_lag_ms" long:"event-lag-ms"`
 	// DropEvery loses every n-th cache event; 0 loses none.
-	DropEvery int `json:"drop_every"`
+	DropEvery int `json:"drop_every" long:"drop-every"`
 	// ChecksFence makes the engine refuse orders with an old fencing number.
-	ChecksFence bool `json:"checks_fence"`
+	ChecksFence bool `json:"checks_fence" long:"checks-fence"`
 	// LoadMS is the time to load a weight version, in milliseconds.
-	LoadMS int `json:"load_ms"`
+	LoadMS int `json:"load_ms" long:"load-ms"`
 	// WeightsAddress is the ip:port of the weight store; empty for none.
-	WeightsAddress string `json:"weights_address"`
+	WeightsAddress string `json:"weights_address" long:"weights-address"`
 	// WeightVersion is loaded at the start.
-	WeightVersion string   `json:"weight_version"`
-	Adapters      []string `json:"adapters"`
-	Role          string   `json:"role"`
+	WeightVersion string   `json:"weight_version" long:"weight-version"`
+	Adapters      []string `json:"adapters" long:"adapters"`
+	Role          string   `json:"role" long:"role"`
 }
 
 // Defaults for settings left at zero.
--- a/internal/standin/kvserver/server.go
+++ b/internal/standin/kvserver/server.go
@@ -21,12 +21,12 @@
 
 // Settings of the service.
 type Settings struct {
-	Listen string `json:"listen"`
+	Listen string `json:"listen" long:"listen"`
 	// Admin is the ip:port of the fault switches, which stay up while the service is down.
-	Admin string `json:"admin"`
+	Admin string `json:"admin" long:"admin"`
 	// WritesPerSecond and ReadsPerSecond limit the calls; 0 means no limit.
-	WritesPerSecond float64 `json:"writes_per_second"`
-	ReadsPerSecond  float64 `json:"reads_per_second"`
+	WritesPerSecond float64 `json:"writes_per_second" long:"writes-per-second"`
+	ReadsPerSecond  float64 `json:"reads_per_second" long:"reads-per-second"`
 }
 
 // Calls is the answer to GET /admin/calls.
--- a/internal/standin/listserver/server.go
+++ b/internal/standin/listserver/server.go
@@ -15,9 +15,9 @@
 
 // Settings of the list.
 type Settings struct {
-	Listen string `json:"listen"`
+	Listen string `json:"listen" long:"listen"`
 	// LagMS is the time until a change becomes visible, in milliseconds.
-	LagMS int `json:"lag_ms"`
+	LagMS int `json:"lag_ms" long:"lag-ms"`
 	// Instances are listed from the start.
 	Instances []platform.Instance `json:"instances"`
 }
--- a/internal/standin/plainserver/server.go
+++ b/internal/standin/plainserver/server.go
@@ -19,9 +19,9 @@
 
 // Settings of the service.
 type Settings struct {
-	Listen string `json:"listen"`
+	Listen string `json:"listen" long:"listen"`
 	// WorkMS is the time of one call, in milliseconds.
-	WorkMS int `json:"work_ms"`
+	WorkMS int `json:"work_ms" long:"work-ms"`
 }
 
 // Faults are the switches of POST /admin/faults.
--- a/internal/standin/storeserver/server.go
+++ b/internal/standin/storeserver/server.go
@@ -28,18 +28,18 @@
 
 // Settings of the store.
 type Settings struct {
-	Listen string `json:"listen"`
+	Listen string `json:"listen" long:"listen"`
 	// Admin is the ip:port of the fault switches, which stay up while the store is down.
-	Admin string `json:"admin"`
+	Admin string `json:"admin" long:"admin"`
 	// MemoryBytes and DiskBytes are the capacities of the tiers.
-	MemoryBytes int64 `json:"memory_bytes"`
-	DiskBytes   int64 `json:"disk_bytes"`
+	MemoryBytes int64 `json:"memory_bytes" long:"memory-bytes"`
+	DiskBytes   int64 `json:"disk_bytes" long:"disk-bytes"`
 	// LinkBytesPerSecond is shared by all transfers; 0 means no limit.
-	LinkBytesPerSecond float64 `json:"link_bytes_per_second"`
+	LinkBytesPerSecond float64 `json:"link_bytes_per_second" long:"link-bytes-per-second"`
 	// DiskMS is added to each read from the disk tier, in milliseconds.
-	DiskMS int `json:"disk_ms"`
+	DiskMS int `json:"disk_ms" long:"disk-ms"`
 	// PublishPartial makes a piece visible before its last byte has arrived.
-	PublishPartial bool `json:"publish_partial"`
+	PublishPartial bool `json:"publish_partial" long:"publish-partial"`
 }
 
 const defaultMemoryBytes = 64 << 20
--- a/internal/standin/weightserver/server.go
+++ b/internal/standin/weightserver/server.go
@@ -13,11 +13,11 @@
 
 // Settings of the weight store.
 type Settings struct {
-	Listen string `json:"listen"`
+	Listen string `json:"listen" long:"listen"`
 	// MaxParallel is how many loads run at full speed at once.
-	MaxParallel int `json:"max_parallel"`
+	MaxParallel int `json:"max_parallel" long:"max-parallel"`
 	// CallsPerSecond limits the calls; 0 means no limit.
-	CallsPerSecond float64 `json:"calls_per_second"`
+	CallsPerSecond float64 `json:"calls_per_second" long:"calls-per-second"`
 }
 
 // Loads tells how many loads run at once.
