Bind keyed requests to one attempt and ask before giving up

A non-idempotent request with an Idempotency-Key is claimed before its dispatch. When the key is bound to another attempt, or contact with the agent is lost, the entry asks the agent of the bound attempt and follows the replay of the recorded answer; only a proven not run moves the claim. The agent sends chunks of recorded runs from its control goroutine, so that a replay and what follows it leave no gap, and to every connection that asked. The stream assembler replaces the counter of delivered chunks.

A refusal of a keyed request says not_run only when the key is known to be unclaimed or its attempt is proven not to have run: a caller that comes back with its key takes the last answer for what became of the key. So an unreadable key-value service gives outcome unknown with Retry-After, not not_run.

Requests with the same key get the same request id, and the plain service now sees the request id instead of the attempt id, as the plain client documents; executions can be counted over attempts.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -55,13 +55,13 @@
 	a.loop.Post(func() { a.connLost(conn) })
 }
 
-// connLost gives up what waits for a lost entry and stops its idempotent runs. Other runs go on,
-// and their answers are kept for the question that follows.
+// connLost gives up what waits for lost entries only and stops their idempotent runs. Other runs go
+// on, and their answers are kept for the question that follows.
 func (a *Agent) connLost(conn *transport.Conn) {
 	now := time.Now()
 	delete(a.state.conns, conn)
 	for id, j := range a.state.jobs {
-		if j.conn != conn {
+		if !j.unwatch(conn) || len(j.watchers) > 0 {
 			continue
 		}
 		if j.cancel == nil {
@@ -149,7 +149,7 @@
 		Attempt:       id,
 		Incarnation:   d.GetIncarnation(),
 		FirstSequence: d.GetResumeTokens(),
-		Record:        !d.GetIdempotent(),
+		Record:        recorded(d),
 	})
 	switch admitted.Verdict {
 	case runtable.VerdictNew:
@@ -183,7 +183,7 @@
 		return
 	}
 	a.counters.accepted.Inc(1)
-	a.state.jobs[id] = &job{id: id, dispatch: d, conn: conn, admitted: now}
+	a.state.jobs[id] = &job{id: id, dispatch: d, conn: conn, watchers: []*transport.Conn{conn}, admitted: now}
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{
 		AttemptId:        id[:],
 		PredictedStartMs: uint32(verdict.Wait.Milliseconds()),
@@ -204,6 +204,14 @@
 	a.sendRefused(conn, id, outcome, r)
 }
 
+// refuseJob poisons a queued attempt and tells its watchers.
+func (a *Agent) refuseJob(j *job, r refusal) {
+	outcome := a.state.table.Refuse(time.Now(), j.id, j.dispatch.GetIncarnation())
+	for _, conn := range j.watchers {
+		a.sendRefused(conn, j.id, outcome, r)
+	}
+}
+
 func (a *Agent) sendRefused(conn *transport.Conn, id attempt.ID, outcome wire.Outcome, r refusal) {
 	a.counters.refused.Inc(1)
 	a.decisions.Add(explain.Decision{Time: time.Now(), Attempt: id.String(), Step: "refuse", Detail: r.message})
@@ -241,25 +249,6 @@
 	a.schedule(now)
 }
 
-// asked answers a question about an attempt, and poisons it when it was never dispatched here.
-func (a *Agent) asked(conn *transport.Conn, ask *wire.Ask) {
-	id, err := attempt.ParseID(ask.GetAttemptId())
-	if err != nil {
-		return
-	}
-	answer := a.state.table.Ask(time.Now(), runtable.Question{
-		Attempt:     id,
-		Incarnation: ask.GetIncarnation(),
-		Replay:      ask.GetReplay(),
-	})
-	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Answer{Answer: &wire.Answer{
-		AttemptId:   id[:],
-		Outcome:     answer.Outcome,
-		Chunks:      answer.Chunks,
-		Incarnation: a.incarnation,
-	}}})
-}
-
 // schedule refuses what is too late and starts what has a free slot.
 func (a *Agent) schedule(now time.Time) {
 	for _, late := range a.state.queue.Expired(now) {
@@ -280,7 +269,7 @@
 		return
 	}
 	delete(a.state.jobs, id)
-	a.refuse(j.conn, id, j.dispatch, refusal{
+	a.refuseJob(j, refusal{
 		reason:     wire.RefusalReason_REFUSAL_REASON_DEADLINE,
 		message:    "the deadline can't be met any more",
 		retryAfter: time.Second,
@@ -316,7 +305,7 @@
 			continue
 		}
 		a.dropQueued(id)
-		a.refuse(j.conn, id, j.dispatch, refusal{
+		a.refuseJob(j, refusal{
 			reason:  wire.RefusalReason_REFUSAL_REASON_LEAVING,
 			message: "the agent is leaving",
 		})
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
@@ -97,17 +99,12 @@
 func (r *run) chunk(data []byte) error {
 	sequence := r.sent
 	r.sent++
-	kept := append([]byte(nil), data...)
-	if !r.job.dispatch.GetIdempotent() {
-		r.agent.loop.Post(func() {
-			_ = r.agent.state.table.Append(time.Now(), r.job.id, sequence, kept)
-		})
+	chunk := &wire.Chunk{AttemptId: r.job.id[:], Sequence: sequence, Data: append([]byte(nil), data...)}
+	if recorded(r.job.dispatch) {
+		r.agent.loop.Post(func() { r.agent.keepChunk(r.job, chunk) })
+		return nil
 	}
-	return r.job.conn.Send(&wire.Frame{Body: &wire.Frame_Chunk{Chunk: &wire.Chunk{
-		AttemptId: r.job.id[:],
-		Sequence:  sequence,
-		Data:      kept,
-	}}})
+	return r.job.conn.Send(&wire.Frame{Body: &wire.Frame_Chunk{Chunk: chunk}})
 }
 
 func (r *run) failedModel(err error) {
@@ -124,7 +121,7 @@
 func (r *run) runPlain(ctx context.Context) {
 	d := r.job.dispatch
 	response, err := r.agent.plain.Call(ctx, plain.Request{
-		RequestID:   r.job.id.String(),
+		RequestID:   requestName(d),
 		Method:      d.GetMethod(),
 		Path:        d.GetPath(),
 		ContentType: d.GetContentType(),
@@ -140,6 +137,15 @@
 	}
 }
 
+// requestName is the name of a caller's request, the same for all its attempts.
+func requestName(d *wire.Dispatch) string {
+	id, err := uuid.FromBytes(d.GetRequestId())
+	if err != nil {
+		return hex.EncodeToString(d.GetRequestId())
+	}
+	return id.String()
+}
+
 func (r *run) answerPlain(response plain.Response) {
 	body := response.Body
 	for len(body) > 0 {
@@ -184,7 +190,7 @@
 	_ = a.state.table.Finish(now, j.id, done)
 	a.state.queue.Done(admission.AttemptID(j.id), float64(held.Milliseconds()))
 	delete(a.state.jobs, j.id)
-	_ = j.conn.Send(&wire.Frame{Body: &wire.Frame_Done{Done: done}})
+	j.tell(&wire.Frame{Body: &wire.Frame_Done{Done: done}})
 	a.schedule(now)
 }
 
@@ -197,10 +203,12 @@
 	}
 	a.state.queue.Done(admission.AttemptID(j.id), 0)
 	delete(a.state.jobs, j.id)
-	a.sendRefused(j.conn, j.id, outcome, refusal{
-		reason:  wire.RefusalReason_REFUSAL_REASON_ENGINE,
-		message: err.Error(),
-	})
+	for _, conn := range j.watchers {
+		a.sendRefused(conn, j.id, outcome, refusal{
+			reason:  wire.RefusalReason_REFUSAL_REASON_ENGINE,
+			message: err.Error(),
+		})
+	}
 	a.schedule(now)
 }
 
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -30,7 +30,10 @@
 type job struct {
 	id       attempt.ID
 	dispatch *wire.Dispatch
-	conn     *transport.Conn
+	// conn is the connection that dispatched the job.
+	conn *transport.Conn
+	// watchers receive the job's frames; only the control goroutine touches them.
+	watchers []*transport.Conn
 	admitted time.Time
 	started  time.Time
 	// cancel stops the run; nil while the job is queued.
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -17,6 +17,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"balsamyoke.example/balsamyoke/internal/platform"
 )
 
@@ -97,6 +99,19 @@
 	return binding, err
 }
 
+// Exists reports whether the key is bound to an attempt. It returns ErrUnavailable when the service
+// cannot be read.
+func (c *Claimer) Exists(ctx context.Context, organisation string, key Key) (bool, error) {
+	_, err := c.kv.Get(ctx, recordKey(organisation, key))
+	if errorx.IsOfType(err, platform.ErrNotFound) {
+		return false, nil
+	}
+	if err != nil {
+		return false, ErrUnavailable.Wrap(err, "look for the claim of key %s", key)
+	}
+	return true, nil
+}
+
 func (c *Claimer) bind(ctx context.Context, r Request, expect platform.Revision) (Binding, error) {
 	if err := r.Key.checkConfirmed(c.now()); err != nil {
 		return Binding{}, err
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"sync"
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
@@ -13,6 +14,8 @@
 type flight struct {
 	id   attempt.ID
 	conn *transport.Conn
+	// asked says that the flight began with a question; set before frames can arrive.
+	asked bool
 
 	mu     sync.Mutex
 	frames []*wire.Frame
@@ -45,29 +48,35 @@
 }
 
 // flights routes frames to the dispatches of this entry. A frame whose attempt is not registered
-// any more is dropped, so a superseded attempt never reaches a caller.
+// any more is dropped, so a superseded attempt never reaches a caller. Two requests with the same
+// idempotency key may follow the same attempt.
 type flights struct {
 	mu   sync.Mutex
-	byID map[attempt.ID]*flight
+	byID map[attempt.ID][]*flight
 }
 
 func newFlights() *flights {
-	return &flights{byID: make(map[attempt.ID]*flight)}
+	return &flights{byID: make(map[attempt.ID][]*flight)}
 }
 
-// register must be called before the dispatch is sent.
+// register must be called before the dispatch or question is sent.
 func (f *flights) register(id attempt.ID, conn *transport.Conn) *flight {
 	registered := &flight{id: id, conn: conn, signal: make(chan struct{}, 1)}
 	f.mu.Lock()
-	f.byID[id] = registered
+	f.byID[id] = append(f.byID[id], registered)
 	f.mu.Unlock()
 	return registered
 }
 
-func (f *flights) forget(id attempt.ID) {
+func (f *flights) forget(gone *flight) {
 	f.mu.Lock()
-	delete(f.byID, id)
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	left := slices.DeleteFunc(f.byID[gone.id], func(candidate *flight) bool { return candidate == gone })
+	if len(left) == 0 {
+		delete(f.byID, gone.id)
+		return
+	}
+	f.byID[gone.id] = left
 }
 
 // deliver hands a frame to its attempt; only the connection of the dispatch may answer it.
@@ -76,10 +85,11 @@
 		return
 	}
 	f.mu.Lock()
-	found := f.byID[attempt.ID(rawID)]
-	f.mu.Unlock()
-	if found != nil && found.conn == conn {
-		found.push(frame)
+	defer f.mu.Unlock()
+	for _, found := range f.byID[attempt.ID(rawID)] {
+		if found.conn == conn {
+			found.push(frame)
+		}
 	}
 }
 
@@ -87,9 +97,11 @@
 func (f *flights) connLost(conn *transport.Conn) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, candidate := range f.byID {
-		if candidate.conn == conn {
-			candidate.push(nil)
+	for _, followers := range f.byID {
+		for _, candidate := range followers {
+			if candidate.conn == conn {
+				candidate.push(nil)
+			}
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -84,6 +84,7 @@
 type Dependencies struct {
 	Configuration Configuration
 	Instances     platform.InstanceList
+	Claims        Claims
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
@@ -93,6 +94,7 @@
 type Entry struct {
 	settings      Settings
 	configuration Configuration
+	claims        Claims
 	logger        *zap.Logger
 	registry      *metrics.Registry
 	counters      counters
@@ -124,6 +126,7 @@
 	e := &Entry{
 		settings:      s,
 		configuration: d.Configuration,
+		claims:        d.Claims,
 		logger:        d.Logger,
 		registry:      metrics.NewRegistry("entry"),
 		decisions:     explain.NewRing(decisionsKept),
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -49,6 +49,8 @@
 	Outcome wire.Outcome
 	// RetryAfter tells the caller when to come back; zero when coming back makes no sense.
 	RetryAfter time.Duration
+	// settled says that Outcome holds for the request's idempotency key, not just for this request.
+	settled bool
 }
 
 // Error implements error.
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -103,6 +103,9 @@
 		return
 	}
 	req, failure := read(ctx)
+	if failure == nil {
+		failure = req.useKey(time.Now())
+	}
 	if failure != nil {
 		e.fail(ctx, failure, req)
 		return
@@ -113,6 +116,7 @@
 
 // fail answers a request that has no answer on its way yet and counts it.
 func (e *Entry) fail(ctx *fasthttp.RequestCtx, failure *Failure, req *request) {
+	failure = e.truthful(ctx, failure, req)
 	e.countFailure(failure)
 	id := ""
 	if req != nil {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -9,6 +9,7 @@
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/piece"
@@ -39,6 +40,7 @@
 	kind         *manifest.Kind
 	adapter      string
 	key          string
+	claimKey     *claim.Key
 	payload      []byte
 	stream       bool
 	// text is the canonical prompt, kept to name its pieces again for another weight version.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,6 +8,8 @@
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/stream"
+	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -32,15 +34,16 @@
 
 // run carries one request through its attempts. It belongs to the request's goroutine.
 type run struct {
-	entry     *Entry
-	request   *request
-	sink      sink
-	delivered uint32
-	attempts  int
+	entry    *Entry
+	request  *request
+	sink     sink
+	stream   *stream.Assembler
+	attempts int
 	// tried holds replicas that are not asked again.
 	tried      map[string]bool
 	lastReason *wire.Refused
 	firstToken time.Duration
+	once       once
 }
 
 // verdict tells what follows after one attempt.
@@ -50,14 +53,30 @@
 	verdictDone verdict = iota
 	verdictRetry
 	verdictFailed
+	// verdictLost is an attempt of a non-idempotent request that its agent must be asked about.
+	verdictLost
 )
 
 func (e *Entry) newRun(r *request, s sink) *run {
-	return &run{entry: e, request: r, sink: s, tried: make(map[string]bool)}
+	return &run{
+		entry:   e,
+		request: r,
+		sink:    s,
+		stream:  stream.NewAssembler(attempt.ID{}),
+		tried:   make(map[string]bool),
+	}
 }
 
 // execute runs the request to its end. A nil Failure means that result holds the whole answer.
 func (r *run) execute(ctx context.Context) (*result, *Failure) {
+	result, failure := r.tryAll(ctx)
+	if failure != nil && r.once.bound && r.once.proven {
+		failure.settled = true
+	}
+	return result, failure
+}
+
+func (r *run) tryAll(ctx context.Context) (*result, *Failure) {
 	for r.attempts < maxAttempts {
 		if ctx.Err() != nil {
 			return nil, r.hungUp()
@@ -84,7 +103,7 @@
 		done:       done,
 		replica:    instance.ID,
 		attempts:   r.attempts,
-		delivered:  r.delivered,
+		delivered:  r.stream.Delivered(),
 		firstToken: r.firstToken,
 	}
 }
@@ -104,7 +123,7 @@
 		}
 		message += ": " + r.lastReason.GetMessage()
 	}
-	if r.delivered > 0 {
+	if r.stream.Delivered() > 0 {
 		return unknown(CodeInterrupted, fasthttp.StatusBadGateway, message)
 	}
 	return retryable(CodeBusy, fasthttp.StatusServiceUnavailable, message, after)
@@ -124,9 +143,18 @@
 	if err != nil {
 		return nil, verdictFailed, retryable(CodeBusy, fasthttp.StatusServiceUnavailable, err.Error(), busyRetryAfter)
 	}
+	if !r.request.kind.Idempotent {
+		return r.attemptOnce(ctx, conn, r.executor(id, hello, target), target)
+	}
+	return r.send(ctx, conn, id, hello.GetIncarnation(), target)
+}
+
+// send dispatches one attempt and follows it.
+func (r *run) send(ctx context.Context, conn *transport.Conn, id attempt.ID, incarnation uint64, target *placed) (*wire.Done, verdict, *Failure) {
+	resumeAt := r.stream.Supersede(id)
 	registered := r.entry.flights.register(id, conn)
-	defer r.entry.flights.forget(id)
-	dispatch := r.dispatch(id, hello, target)
+	defer r.entry.flights.forget(registered)
+	dispatch := r.dispatch(id, incarnation, resumeAt, target)
 	if err := conn.Send(&wire.Frame{Body: &wire.Frame_Dispatch{Dispatch: dispatch}}); err != nil {
 		return r.lost(target)
 	}
@@ -134,13 +162,13 @@
 	return r.follow(ctx, registered, target)
 }
 
-func (r *run) dispatch(id attempt.ID, hello *wire.Hello, target *placed) *wire.Dispatch {
+func (r *run) dispatch(id attempt.ID, incarnation uint64, resumeAt uint32, target *placed) *wire.Dispatch {
 	req := r.request
 	left := max(time.Until(req.deadline), time.Millisecond)
 	return &wire.Dispatch{
 		RequestId:     req.id[:],
 		AttemptId:     id[:],
-		Incarnation:   hello.GetIncarnation(),
+		Incarnation:   incarnation,
 		ConfigVersion: req.snapshot.Version,
 		Organisation:  req.organisation.Name,
 		Service:       req.service.Name,
@@ -153,7 +181,7 @@
 		Pieces:        req.pieceBytes(),
 		PromptTokens:  req.promptTokens,
 		MaxTokens:     req.maxTokens,
-		ResumeTokens:  r.delivered,
+		ResumeTokens:  resumeAt,
 		Payload:       req.payload,
 		Method:        req.method,
 		Path:          req.path,
@@ -171,14 +199,14 @@
 	for {
 		select {
 		case <-ctx.Done():
-			r.cancel(f)
+			r.leave(f)
 			return nil, verdictFailed, r.hungUp()
 		case <-progress.C:
-			r.cancel(f)
+			r.abandon(f)
 			return r.lost(target)
 		case <-heartbeat.ticks():
 			if heartbeat.silent(time.Now()) {
-				r.cancel(f)
+				r.abandon(f)
 				return r.lost(target)
 			}
 			continue
@@ -201,7 +229,7 @@
 
 // patience is how long the run waits for the next frame of an agent that is alive.
 func (r *run) patience() time.Duration {
-	if r.delivered > 0 {
+	if r.stream.Delivered() > 0 {
 		return stallTimeout
 	}
 	return time.Until(r.request.deadline) + lateAllowance
@@ -211,8 +239,8 @@
 func (r *run) handle(f *flight, frame *wire.Frame, target *placed) (done *wire.Done, next verdict, failure *Failure, ended bool) {
 	switch body := frame.GetBody().(type) {
 	case *wire.Frame_Chunk:
-		if err := r.chunk(body.Chunk); err != nil {
-			r.cancel(f)
+		if err := r.chunk(f.id, body.Chunk); err != nil {
+			r.leave(f)
 			return nil, verdictFailed, r.hungUp(), true
 		}
 		return nil, 0, nil, false
@@ -222,32 +250,40 @@
 	case *wire.Frame_Refused:
 		next, failure = r.refused(body.Refused, target)
 		return nil, next, failure, true
+	case *wire.Frame_Answer:
+		next, failure, ended = r.answered(f, body.Answer, target)
+		return nil, next, failure, ended
 	default:
 		return nil, 0, nil, false
 	}
 }
 
-// chunk passes a chunk on when it is the next one. Duplicates are dropped.
-func (r *run) chunk(chunk *wire.Chunk) error {
-	if chunk.GetSequence() != r.delivered {
+// chunk passes on the chunks that are next. An error means that the caller is gone.
+func (r *run) chunk(id attempt.ID, chunk *wire.Chunk) error {
+	first := r.stream.Delivered()
+	ready, err := r.stream.Chunk(id, chunk.GetSequence(), chunk.GetData())
+	if err != nil {
+		// The end of the attempt will not match what was delivered: the attempt counts as lost then.
 		return nil
 	}
-	if r.delivered == 0 {
-		r.firstToken = time.Since(r.request.arrived)
-	}
-	if err := r.sink.token(chunk.GetSequence(), chunk.GetData()); err != nil {
-		return err
+	for i, data := range ready {
+		if first == 0 && i == 0 {
+			r.firstToken = time.Since(r.request.arrived)
+		}
+		if err := r.sink.token(first+uint32(i), data); err != nil {
+			return err
+		}
 	}
-	r.delivered++
 	return nil
 }
 
 // done takes the end of an attempt. An end that does not match the delivered chunks is a loss.
 func (r *run) done(done *wire.Done, target *placed) (*wire.Done, verdict, *Failure) {
-	if done.GetOutcome() == wire.Outcome_OUTCOME_DONE && done.GetChunks() == r.delivered {
-		return done, verdictDone, nil
-	}
 	if done.GetOutcome() == wire.Outcome_OUTCOME_DONE {
+		err := r.stream.Done(r.stream.Current(), done.GetChunks())
+		if err == nil && r.stream.Whole() {
+			return done, verdictDone, nil
+		}
 		return r.lost(target)
 	}
 	if r.request.kind.Idempotent {
@@ -261,6 +297,7 @@
 	r.lastReason = refused
 	r.entry.refusedBy(target.instance, refused)
 	proven := refused.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN
+	r.once.proven = proven
 	if !proven && !r.request.kind.Idempotent {
 		return verdictFailed, r.outcomeUnknown(target)
 	}
@@ -278,12 +315,16 @@
 	if r.request.kind.Idempotent {
 		return nil, verdictRetry, nil
 	}
-	return nil, verdictFailed, r.outcomeUnknown(target)
+	return nil, verdictLost, nil
 }
 
 func (r *run) outcomeUnknown(target *placed) *Failure {
-	return unknown(CodeOutcomeUnknown, fasthttp.StatusBadGateway,
+	failure := unknown(CodeOutcomeUnknown, fasthttp.StatusBadGateway,
 		"contact with instance "+quote(target.instance.ID)+" was lost while the request may have run")
+	if r.request.keyed() {
+		failure.RetryAfter = unknownRetryAfter
+	}
+	return failure
 }
 
 // refresh catches up with the configuration that an agent already has, then lets the request go on.
@@ -294,7 +335,7 @@
 		return verdictFailed, retryable(CodeStarting, fasthttp.StatusServiceUnavailable,
 			"a newer configuration is in force and could not be read", busyRetryAfter)
 	}
-	if r.delivered > 0 {
+	if r.stream.Delivered() > 0 {
 		return verdictRetry, nil
 	}
 	if failure := r.request.rebind(r.entry.configuration.Current()); failure != nil {
@@ -303,6 +344,20 @@
 	return verdictRetry, nil
 }
 
+// abandon cancels an attempt that is replaced by another. A non-idempotent one is asked about.
+func (r *run) abandon(f *flight) {
+	if r.request.kind.Idempotent {
+		r.cancel(f)
+	}
+}
+
+// leave cancels an attempt whose caller is gone, unless the caller may ask for its answer again.
+func (r *run) leave(f *flight) {
+	if !r.request.keyed() {
+		r.cancel(f)
+	}
+}
+
 func (r *run) cancel(f *flight) {
 	_ = f.conn.Send(&wire.Frame{Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{AttemptId: f.id[:]}}})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/agent"
+	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -53,9 +55,13 @@
 	return c
 }
 
-// start runs what every role needs until the returned function is called.
-func (c *common) start() context.CancelFunc {
+// start runs what every role needs, and what this one needs besides, until the returned function is
+// called.
+func (c *common) start(besides ...func(context.Context)) context.CancelFunc {
 	background, stop := context.WithCancel(context.Background())
+	for _, run := range besides {
+		go run(background)
+	}
 	go c.peers.run(background)
 	go c.spread.Run(background)
 	return stop
@@ -69,16 +75,18 @@
 // RunEntry runs the entry role until ctx ends.
 func RunEntry(ctx context.Context, s entry.Settings) error {
 	c := newCommon("balsam-entry", s.Identity, s.Control, s.KV, s.InstanceList)
+	claimer := claim.New(c.kv, time.Now)
 	e, err := entry.New(s, entry.Dependencies{
 		Configuration: c.configuration,
 		Instances:     c.instances,
+		Claims:        claimer,
 		Logger:        c.logger,
 		Register:      c.register,
 	})
 	if err != nil {
 		return err
 	}
-	defer c.start()()
+	defer c.start(claimer.Run)()
 	return e.Run(ctx)
 }
 
