--- /dev/null
+++ b/internal/systemtest/atmostonce/caller_test.go
@@ -0,0 +1,124 @@
+package atmostonce
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"balsamyoke.example/balsamyoke/internal/standin/plainserver"
+)
+
+const (
+	organisationKey = "ridge-key"
+	// submitTimeout bounds one submission; a caller takes its end for an unknown outcome.
+	submitTimeout = 15 * time.Second
+	// retryPause is the pause between two submissions of a key.
+	retryPause = 100 * time.Millisecond
+)
+
+// outcome is what a caller knows after one submission.
+type outcome string
+
+const (
+	outcomeDone    outcome = "done"
+	outcomeNotRun  outcome = "not_run"
+	outcomeUnknown outcome = "unknown"
+)
+
+// submission is one request under a key and what came of it.
+type submission struct {
+	key          string
+	caller       int
+	call, end    time.Time
+	outcome      outcome
+	code, detail string
+	reply        plainserver.Reply
+}
+
+// callers send checkouts and record what they see.
+type callers struct {
+	client *http.Client
+
+	mu      sync.Mutex
+	history []submission
+}
+
+func newCallers() *callers {
+	return &callers{client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+}
+
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+// body names the key, so that a plain service counts the runs of each key.
+func body(key string) []byte { return []byte(`{"sheet":"` + key + `"}`) }
+
+// submit sends one request with a key through an entry.
+func (c *callers) submit(ctx context.Context, entry, key string, caller int) submission {
+	done := submission{key: key, caller: caller, call: time.Now()}
+	c.send(ctx, entry, &done)
+	done.end = time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.history = append(c.history, done)
+	return done
+}
+
+func (c *callers) send(ctx context.Context, entry string, s *submission) {
+	s.outcome = outcomeUnknown
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	address := "http://" + entry + "/v1/services/archive/checkout"
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body(s.key)))
+	if err != nil {
+		s.detail = err.Error()
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+organisationKey)
+	request.Header.Set("Idempotency-Key", s.key)
+	reply, err := c.client.Do(request)
+	if err != nil {
+		s.detail = err.Error()
+		return
+	}
+	defer reply.Body.Close()
+	text, err := io.ReadAll(reply.Body)
+	if err != nil {
+		s.detail = err.Error()
+		return
+	}
+	if reply.StatusCode == http.StatusOK {
+		s.outcome = outcomeDone
+		if err := json.Unmarshal(text, &s.reply); err != nil {
+			s.outcome, s.detail = outcomeUnknown, "done with "+string(text)
+		}
+		return
+	}
+	var failure struct {
+		Error struct{ Code, Message, Outcome string }
+	}
+	_ = json.Unmarshal(text, &failure)
+	s.code, s.detail = failure.Error.Code, failure.Error.Message
+	if failure.Error.Outcome == string(outcomeNotRun) {
+		s.outcome = outcomeNotRun
+	}
+}
+
+// insist submits a key through the entries in turn until it is done or tries run out. It returns the
+// last submission.
+func (c *callers) insist(ctx context.Context, entries []string, key string, caller, tries int) submission {
+	var last submission
+	for try := range tries {
+		last = c.submit(ctx, entries[(caller+try)%len(entries)], key, caller)
+		if last.outcome == outcomeDone {
+			break
+		}
+		time.Sleep(retryPause)
+	}
+	return last
+}
--- /dev/null
+++ b/internal/systemtest/atmostonce/keys_test.go
@@ -0,0 +1,80 @@
+package atmostonce
+
+import (
+	"encoding/binary"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"balsamyoke.example/balsamyoke/internal/testbed"
+)
+
+// keyFrom returns a key that was created at a time.
+func keyFrom(created time.Time) string {
+	id := uuid.Must(uuid.NewV7())
+	binary.BigEndian.PutUint64(id[:8], uint64(created.UnixMilli())<<16|uint64(id[6])<<8|uint64(id[7]))
+	return id.String()
+}
+
+// TestKeys sends keys to a fleet without failures but an outage of the key-value service.
+func TestKeys(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBed(c, testbed.Settings{"slots": plainSlots})
+	c.Run("keys that cannot be checked never run", b.sendBadKeys)
+	c.Run("one key from many callers runs once", b.sendOneKeyManyTimes)
+	c.Run("a refusal during an outage does not hide a run", b.sendDuringOutage)
+}
+
+func (b *bed) sendBadKeys(c *qt.C) {
+	for _, test := range []struct {
+		name, key, code string
+		outcome         outcome
+	}{
+		{"not a UUID", "booking-7", "bad_idempotency_key", outcomeNotRun},
+		{"random UUID", uuid.New().String(), "bad_idempotency_key", outcomeNotRun},
+		{"from the future", keyFrom(time.Now().Add(time.Hour)), "bad_idempotency_key", outcomeNotRun},
+		{"expired", keyFrom(time.Now().Add(-25 * time.Hour)), "expired_idempotency_key", outcomeUnknown},
+	} {
+		c.Run(test.name, func(c *qt.C) {
+			got := b.callers.submit(b.ctx, b.entries()[0], test.key, 0)
+			c.Assert(got.code, qt.Equals, test.code, qt.Commentf("%+v", got))
+			c.Assert(got.outcome, qt.Equals, test.outcome)
+			c.Assert(b.runsOf([]string{test.key})[test.key], qt.Equals, 0)
+		})
+	}
+}
+
+// sendOneKeyManyTimes lets many callers send one key through both entries at once.
+func (b *bed) sendOneKeyManyTimes(c *qt.C) {
+	const callers = 20
+	key := newKey()
+	ends := make([]submission, callers)
+	var calling sync.WaitGroup
+	for caller := range callers {
+		calling.Go(func() { ends[caller] = b.callers.insist(b.ctx, b.entries(), key, caller, maxTries) })
+	}
+	calling.Wait()
+	for _, end := range ends {
+		c.Assert(end.outcome, qt.Equals, outcomeDone, qt.Commentf("%+v", end))
+		c.Assert(end.reply, qt.Equals, ends[0].reply)
+	}
+	c.Assert(b.runsOf([]string{key})[key], qt.Equals, 1)
+}
+
+// sendDuringOutage re-sends a key that has run while the key-value service is down: the answer must
+// not say that it was not run.
+func (b *bed) sendDuringOutage(c *qt.C) {
+	b.callers = newCallers()
+	key := newKey()
+	c.Assert(b.callers.insist(b.ctx, b.entries(), key, 0, maxTries).outcome, qt.Equals, outcomeDone)
+	c.Assert(testbed.SetFaults(b.ctx, b.fleet.KVAdmin, testbed.Settings{"down": true}), qt.IsNil)
+	during := b.callers.submit(b.ctx, b.entries()[1], key, 1)
+	c.Assert(during.code, qt.Equals, "idempotency_unavailable", qt.Commentf("%+v", during))
+	c.Assert(testbed.SetFaults(b.ctx, b.fleet.KVAdmin, testbed.Settings{"down": false}), qt.IsNil)
+	c.Assert(b.callers.insist(b.ctx, b.entries(), key, 1, maxTries).outcome, qt.Equals, outcomeDone)
+	c.Assert(linearizable(b.callers.history, b.runsOf([]string{key})), qt.IsTrue)
+}
