Keep NaN out of the queue's corrections

Cause: an actual work of NaN passed the check for values at or below zero and made the correction, and then the work of every later job of that kind, NaN; deficit round robin never finds a deficit that covers NaN and loops. Ruled out: rounding in skipRounds, whose work and share are bounded.

--- a/internal/admission/correction.go
+++ b/internal/admission/correction.go
@@ -25,8 +25,8 @@
 }
 
 func (c *correction) observe(kind string, estimated, actual float64) {
-	if estimated <= 0 || actual <= 0 {
-		return
+	if !(estimated > 0) || !(actual > 0) {
+		return // also for NaN
 	}
 	factor, known := c.factors[kind]
 	if !known {
