--- /dev/null
+++ b/internal/testbed/call.go
@@ -0,0 +1,95 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/httpclient"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+)
+
+const settle = 20 * time.Millisecond // between two looks at a process that is not ready
+
+// Call sends a JSON call to address and decodes the answer into reply unless that is nil.
+func Call(ctx context.Context, method, address, path string, call, reply any) error {
+	client := httpclient.New(address, httpclient.Options{})
+	defer client.Close()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	if call != nil {
+		body, err := json.Marshal(call)
+		if err != nil {
+			return ErrCall.Wrap(err, "%s %s", method, path)
+		}
+		request.Header.SetContentType("application/json")
+		request.SetBody(body)
+	}
+	if err := client.Do(ctx, request, response); err != nil {
+		return ErrCall.Wrap(err, "%s %s", method, path)
+	}
+	if status := response.StatusCode(); status/100 != 2 {
+		return ErrCall.New("%s %s on %s: status %d: %s", method, path, address, status, response.Body())
+	}
+	if reply == nil {
+		return nil
+	}
+	if err := json.Unmarshal(response.Body(), reply); err != nil {
+		return ErrCall.Wrap(err, "%s %s", method, path)
+	}
+	return nil
+}
+
+// SetFaults changes the fault switches of a stand-in at its admin address.
+func SetFaults(ctx context.Context, address string, faults any) error {
+	return Call(ctx, fasthttp.MethodPost, address, "/admin/faults", faults, nil)
+}
+
+// publishInstances puts all instances into the instance list.
+func (f *Fleet) publishInstances() error {
+	var document listhttp.Document
+	for _, instance := range f.Instances {
+		document.Instances = append(document.Instances, instance.Instance)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	return Call(ctx, fasthttp.MethodPut, f.ListAddress, "/admin/instances", document, nil)
+}
+
+// SetState changes the state of an instance in the instance list.
+func (f *Fleet) SetState(ctx context.Context, id string, state platform.InstanceState) error {
+	type change struct {
+		ID    string                 `json:"id"`
+		State platform.InstanceState `json:"state"`
+	}
+	return Call(ctx, fasthttp.MethodPost, f.ListAddress, "/admin/state", change{ID: id, State: state}, nil)
+}
+
+// awaitStatus waits until a path answers with success.
+func awaitStatus(ctx context.Context, address, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		err := Call(ctx, fasthttp.MethodGet, address, path, nil, nil)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ErrStart.Wrap(err, "%s is not ready", address)
+		case <-time.After(settle):
+		}
+	}
+}
+
+// cutProgram parts a program from the kind of stand-in.
+func cutProgram(program string) (binary, kind string, isStandin bool) {
+	return strings.Cut(program, " ")
+}
--- /dev/null
+++ b/internal/testbed/fleet.go
@@ -0,0 +1,329 @@
+package testbed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
+)
+
+// Settings is the content of a settings file.
+type Settings map[string]any
+
+// with returns the settings with others over them.
+func (s Settings) with(others ...Settings) Settings {
+	merged := Settings{}
+	for _, layer := range append([]Settings{s}, others...) {
+		for name, value := range layer {
+			merged[name] = value
+		}
+	}
+	return merged
+}
+
+// Spec is the deployment to start.
+type Spec struct {
+	// Binaries is the folder of the programs, Folder that of settings and logs.
+	Binaries, Folder string
+	// Region and Domains say where instances live; the n-th instance is in the n-th domain, in turn.
+	Region   string
+	Domains  []string
+	Manifest *manifest.Manifest
+	// ModelReplicas and PlainReplicas count the replicas of each model and plain service.
+	ModelReplicas, PlainReplicas int
+	Stores, Entries              int
+	// The settings below are added to those that the fleet chooses.
+	KV, List, Weights, Engine, Plain, Store, Agent, Entry Settings
+}
+
+// Instance is an instance of the system with its processes.
+type Instance struct {
+	platform.Instance
+	// Metrics is ip:port of the metrics and the dump; empty for stores.
+	Metrics string
+	// Process is the entry, agent or store.
+	Process *Process
+	// Backend is the engine or plain service beside an agent, at BackendAddress.
+	Backend        *Process
+	BackendAddress string
+	// AdminAddress is that of a store's fault switches.
+	AdminAddress string
+
+	binary   string
+	settings Settings
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	spec Spec
+
+	KVAddress, KVAdmin, ListAddress, WeightsAddress string
+	// Instances holds entries, agents and stores.
+	Instances []*Instance
+	// Standins holds the processes of the key-value service, the list and the weight store.
+	Standins []*Process
+	started  []*Process
+}
+
+// Start starts a deployment and applies its manifest. After an error it stops what it started.
+func Start(ctx context.Context, spec Spec) (*Fleet, error) {
+	f := &Fleet{spec: spec}
+	if err := f.start(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	steps := []func() error{f.startPlatform, f.startAgents, f.startStores, f.startEntries, f.publishInstances}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	if err := f.apply(ctx); err != nil {
+		return err
+	}
+	return f.awaitHealthy(ctx)
+}
+
+// Stop stops all processes, entries first.
+func (f *Fleet) Stop() {
+	for i := len(f.started) - 1; i >= 0; i-- {
+		f.started[i].Thaw()
+		f.started[i].Terminate()
+	}
+	for _, p := range f.started {
+		_ = p.Stop()
+	}
+}
+
+// Role returns the instances with a role.
+func (f *Fleet) Role(role platform.Role) []*Instance {
+	var found []*Instance
+	for _, instance := range f.Instances {
+		if instance.Role == role {
+			found = append(found, instance)
+		}
+	}
+	return found
+}
+
+// Service returns the agents of a service.
+func (f *Fleet) Service(service string) []*Instance {
+	var found []*Instance
+	for _, instance := range f.Role(platform.RoleAgent) {
+		if instance.Service == service {
+			found = append(found, instance)
+		}
+	}
+	return found
+}
+
+// InDomain returns the instances of a failure domain.
+func (f *Fleet) InDomain(domain string) []*Instance {
+	var found []*Instance
+	for _, instance := range f.Instances {
+		if instance.FailureDomain == domain {
+			found = append(found, instance)
+		}
+	}
+	return found
+}
+
+// Restart starts the instance's own process again, with the same settings, after it has ended.
+func (f *Fleet) Restart(instance *Instance) error {
+	p, err := f.launch(instance.ID, instance.binary, instance.settings, instance.Address)
+	instance.Process = p
+	return err
+}
+
+func (f *Fleet) startPlatform() error {
+	standins := []struct {
+		kind     string
+		settings Settings
+		address  *string
+	}{
+		{"kv", f.spec.KV, &f.KVAddress},
+		{"list", f.spec.List, &f.ListAddress},
+		{"weights", f.spec.Weights, &f.WeightsAddress},
+	}
+	for _, s := range standins {
+		settings := Settings{}
+		if s.kind == "kv" {
+			admin, err := FreeAddress()
+			if err != nil {
+				return err
+			}
+			f.KVAdmin, settings["admin"] = admin, admin
+		}
+		p, address, err := f.startStandin(s.kind, s.kind, settings.with(s.settings))
+		if err != nil {
+			return err
+		}
+		*s.address = address
+		f.Standins = append(f.Standins, p)
+	}
+	return nil
+}
+
+// startStandin starts a stand-in of a kind and returns its address.
+func (f *Fleet) startStandin(name, kind string, settings Settings) (*Process, string, error) {
+	address, err := FreeAddress()
+	if err != nil {
+		return nil, "", err
+	}
+	settings["listen"] = address
+	p, err := f.launch(name, "balsam-standin "+kind, settings, address)
+	return p, address, err
+}
+
+func (f *Fleet) startAgents() error {
+	for _, service := range f.spec.Manifest.Services {
+		count := f.spec.PlainReplicas
+		if service.Type == manifest.ServiceModel {
+			count = f.spec.ModelReplicas
+		}
+		for i := range count {
+			if err := f.startAgent(service, i); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startAgent(service manifest.Service, number int) error {
+	instance := f.place(fmt.Sprintf("%s-%d", service.Name, number), platform.RoleAgent, number)
+	instance.Service = service.Name
+	kind, backend := "plain", f.spec.Plain
+	if service.Type == manifest.ServiceModel {
+		kind = "engine"
+		backend = Settings{
+			"weight_version":  service.WeightVersion,
+			"weights_address": f.WeightsAddress,
+			"adapters":        append([]string{}, service.Adapters...),
+			"checks_fence":    service.ChecksFence,
+		}.with(f.spec.Engine)
+	}
+	var err error
+	instance.Backend, instance.BackendAddress, err = f.startStandin(instance.ID+"-backend", kind, backend.with())
+	if err != nil {
+		return err
+	}
+	own := Settings{
+		"service":      service.Name,
+		"service_type": service.Type,
+		"backend":      instance.BackendAddress,
+	}
+	return f.startOwn(instance, "balsam-agent", own.with(f.spec.Agent))
+}
+
+func (f *Fleet) startStores() error {
+	for i := range f.spec.Stores {
+		instance := f.place(fmt.Sprintf("store-%d", i), platform.RoleStore, i)
+		admin, err := FreeAddress()
+		if err != nil {
+			return err
+		}
+		instance.AdminAddress = admin
+		settings := Settings{"admin": admin}.with(f.spec.Store)
+		instance.Process, instance.Address, err = f.startStandin(instance.ID, "store", settings)
+		if err != nil {
+			return err
+		}
+		instance.binary, instance.settings = "balsam-standin store", settings
+	}
+	return nil
+}
+
+func (f *Fleet) startEntries() error {
+	for i := range f.spec.Entries {
+		instance := f.place(fmt.Sprintf("entry-%d", i), platform.RoleEntry, i)
+		if err := f.startOwn(instance, "balsam-entry", f.spec.Entry); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// place adds an instance in the failure domain whose turn it is.
+func (f *Fleet) place(id string, role platform.Role, number int) *Instance {
+	instance := &Instance{Instance: platform.Instance{
+		ID:            id,
+		Role:          role,
+		Region:        f.spec.Region,
+		FailureDomain: f.spec.Domains[number%len(f.spec.Domains)],
+		State:         platform.InstanceLive,
+	}}
+	f.Instances = append(f.Instances, instance)
+	return instance
+}
+
+// startOwn starts an entry or agent.
+func (f *Fleet) startOwn(instance *Instance, binary string, settings Settings) error {
+	for _, address := range []*string{&instance.Address, &instance.ControlAddress, &instance.Metrics} {
+		var err error
+		if *address, err = FreeAddress(); err != nil {
+			return err
+		}
+	}
+	own := Settings{
+		"instance":       instance.ID,
+		"region":         instance.Region,
+		"failure_domain": instance.FailureDomain,
+		"listen":         instance.Address,
+		"control":        instance.ControlAddress,
+		"metrics":        instance.Metrics,
+		"kv":             f.KVAddress,
+		"instance_list":  f.ListAddress,
+	}
+	instance.binary, instance.settings = binary, own.with(settings)
+	return f.Restart(instance)
+}
+
+// launch starts a program, given with its first arguments, and waits until it listens on address.
+func (f *Fleet) launch(name, program string, settings Settings, address string) (*Process, error) {
+	body, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "settings of %s", name)
+	}
+	file := filepath.Join(f.spec.Folder, name+".json")
+	if err := os.WriteFile(file, body, 0o600); err != nil {
+		return nil, ErrStart.Wrap(err, "settings of %s", name)
+	}
+	var args []string
+	binary, kind, isStandin := cutProgram(program)
+	if isStandin {
+		args = append(args, kind)
+	}
+	p, err := StartProcess(f.spec.Folder, name, filepath.Join(f.spec.Binaries, binary), append(args, "--settings", file)...)
+	if err != nil {
+		return nil, err
+	}
+	f.started = append(f.started, p)
+	return p, p.awaitListening(address)
+}
+
+func (f *Fleet) apply(ctx context.Context) error {
+	kv := etcdhttp.New(f.KVAddress)
+	defer kv.Close()
+	_, err := config.NewStore(kv).Apply(ctx, 0, f.spec.Manifest, "testbed-start")
+	return err
+}
+
+func (f *Fleet) awaitHealthy(ctx context.Context) error {
+	for _, instance := range f.Role(platform.RoleEntry) {
+		if err := awaitStatus(ctx, instance.Address, "/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/testbed/process.go
@@ -0,0 +1,128 @@
+// Package testbed starts a deployment as child processes on loopback, for system tests and for
+// measurements: stand-ins for the platform and the backend servers, agents and entries. It can
+// stop, kill and freeze each of them. The programs themselves never use it.
+package testbed
+
+import (
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+const (
+	stopTimeout  = 15 * time.Second // from SIGTERM until a process is killed
+	readyTimeout = 15 * time.Second
+	pollInterval = 5 * time.Millisecond
+)
+
+// Process is a child process with its log in a file.
+type Process struct {
+	Name string
+	// LogFile has what the process wrote to stdout and stderr.
+	LogFile string
+
+	command *exec.Cmd
+	ended   chan struct{}
+	err     error // of the process; valid after ended is closed
+}
+
+// StartProcess starts binary with args and a log in folder.
+func StartProcess(folder, name, binary string, args ...string) (*Process, error) {
+	logFile := filepath.Join(folder, name+".log")
+	log, err := os.OpenFile(logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "log of %s", name)
+	}
+	defer func() { _ = log.Close() }()
+	command := exec.Command(binary, args...)
+	command.Stdout, command.Stderr = log, log
+	if err := command.Start(); err != nil {
+		return nil, ErrStart.Wrap(err, "process %s", name)
+	}
+	p := &Process{Name: name, LogFile: logFile, command: command, ended: make(chan struct{})}
+	go func() {
+		p.err = command.Wait()
+		close(p.ended)
+	}()
+	return p, nil
+}
+
+// PID returns the process id.
+func (p *Process) PID() int { return p.command.Process.Pid }
+
+// Ended is closed when the process has ended.
+func (p *Process) Ended() <-chan struct{} { return p.ended }
+
+// Terminate asks the process to stop and does not wait.
+func (p *Process) Terminate() { _ = p.command.Process.Signal(syscall.SIGTERM) }
+
+// Stop asks the process to stop and waits. It kills the process after a timeout. The error is that
+// of the process.
+func (p *Process) Stop() error {
+	p.Thaw()
+	p.Terminate()
+	select {
+	case <-p.ended:
+	case <-time.After(stopTimeout):
+		p.Kill()
+	}
+	return p.err
+}
+
+// Kill ends the process at once and waits.
+func (p *Process) Kill() {
+	_ = p.command.Process.Kill()
+	<-p.ended
+}
+
+// Freeze pauses the process.
+func (p *Process) Freeze() { _ = p.command.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets a paused process go on.
+func (p *Process) Thaw() { _ = p.command.Process.Signal(syscall.SIGCONT) }
+
+// awaitListening waits until a TCP connection to address opens.
+func (p *Process) awaitListening(address string) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) {
+		select {
+		case <-p.ended:
+			return ErrStart.New("process %s ended: %v; see %s", p.Name, p.err, p.LogFile)
+		default:
+		}
+		conn, err := net.DialTimeout("tcp4", address, time.Second)
+		if err == nil {
+			_ = conn.Close()
+			return nil
+		}
+		time.Sleep(pollInterval)
+	}
+	return ErrStart.New("process %s does not listen on %s", p.Name, address)
+}
+
+// FreeAddress returns a loopback ip:port that is free for TCP and UDP.
+func FreeAddress() (string, error) {
+	var err error
+	for range 20 {
+		var listener net.Listener
+		listener, err = net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			continue
+		}
+		address := listener.Addr().String()
+		var packets net.PacketConn
+		packets, err = net.ListenPacket("udp4", address)
+		err = errors.Join(err, listener.Close())
+		if packets != nil {
+			err = errors.Join(err, packets.Close())
+		}
+		if err == nil {
+			return address, nil
+		}
+	}
+	return "", ErrStart.Wrap(err, "no free port")
+}
