Add balsam-load: open-loop load with checked answers

The store stand-in can cut every n-th transfer, the plain one counts runs by body as well as by id, since each attempt has an id of its own.

--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/httpclient"
+)
+
+// Options of a run.
+type Options struct {
+	Plan Plan
+	// Entries are the ip:port of the entries; requests go to them in turn.
+	Entries []string
+	// WarmUp is the first part of the run, which is left out of the figures.
+	WarmUp time.Duration
+	// Processes are sampled over the measured part of the run, by name.
+	Processes map[string]int
+}
+
+// runner makes one run.
+type runner struct {
+	options Options
+	callers []*caller
+
+	mu     sync.Mutex
+	report *Report
+}
+
+// Run makes a run and returns its report. It waits for every answer. The end of ctx ends it early.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	if len(options.Entries) == 0 || options.Plan.Rate <= 0 || options.Plan.Duration <= options.WarmUp {
+		return nil, ErrSettings.New("entries, a rate and a duration beyond the warm-up are needed")
+	}
+	r := &runner{options: options, report: newReport(options)}
+	for _, entry := range options.Entries {
+		client := httpclient.New(entry, httpclient.Options{})
+		defer client.Close()
+		r.callers = append(r.callers, &caller{http: client})
+	}
+	arrivals := Schedule(options.Plan)
+	start := time.Now()
+	sampled := r.sampleProcesses(ctx, start)
+	r.offer(ctx, arrivals, start)
+	<-sampled
+	return r.report, ctx.Err()
+}
+
+// offer sends every arrival at its time and waits for the answers.
+func (r *runner) offer(ctx context.Context, arrivals []Arrival, start time.Time) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	for i, a := range arrivals {
+		due := start.Add(a.At)
+		if !sleepUntil(ctx, due) {
+			return
+		}
+		to := r.callers[i%len(r.callers)]
+		running.Go(func() {
+			result := to.send(ctx, a, due)
+			r.record(a, result)
+		})
+	}
+}
+
+func (r *runner) record(a Arrival, result Result) {
+	if a.At < r.options.WarmUp {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.add(a, result)
+}
+
+// sampleProcesses reads what the processes used from the end of the warm-up to the end of the
+// offered load. The returned channel closes afterwards.
+func (r *runner) sampleProcesses(ctx context.Context, start time.Time) <-chan struct{} {
+	sampled := make(chan struct{})
+	go func() {
+		defer close(sampled)
+		if !sleepUntil(ctx, start.Add(r.options.WarmUp)) {
+			return
+		}
+		before := sampleAll(r.options.Processes)
+		if !sleepUntil(ctx, start.Add(r.options.Plan.Duration)) {
+			return
+		}
+		uses := usesBetween(before, sampleAll(r.options.Processes))
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.report.Processes = uses
+	}()
+	return sampled
+}
+
+// sleepUntil returns false when ctx ends first.
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	timer := time.NewTimer(time.Until(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/standin/plainserver/server.go
+++ b/internal/standin/plainserver/server.go
@@ -1,5 +1,5 @@
-// Package plainserver stands in for a plain service. It counts how often each request ran, so
-// that tests can prove that non-idempotent work ran at most once.
+// Package plainserver stands in for a plain service. It counts how often each request ran, by its
+// id and by its body, so that tests can prove that non-idempotent work ran at most once.
 package plainserver
 
 import (
@@ -59,11 +59,12 @@
 	mu         sync.Mutex
 	faults     Faults
 	executions map[string]int
+	bodies     map[string]int
 }
 
 // Start starts a plain service.
 func Start(settings Settings) (*Server, error) {
-	s := &Server{settings: settings, executions: map[string]int{}}
+	s := &Server{settings: settings, executions: map[string]int{}, bodies: map[string]int{}}
 	var err error
 	s.Server, err = httpserver.Start(settings.Listen, s.handle, false)
 	return s, err
@@ -88,10 +89,19 @@
 	return maps.Clone(s.executions)
 }
 
+// Bodies returns how often each call ran, by kind and digest of the body: "kind/digest".
+func (s *Server) Bodies() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.bodies)
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	switch string(ctx.Path()) {
 	case "/admin/executions":
 		httpserver.Reply(ctx, fasthttp.StatusOK, s.Executions())
+	case "/admin/bodies":
+		httpserver.Reply(ctx, fasthttp.StatusOK, s.Bodies())
 	case "/admin/faults":
 		var faults Faults
 		if !httpserver.Decode(ctx, &faults) {
@@ -107,8 +117,11 @@
 
 func (s *Server) work(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek(requestIDHeader))
+	kind := strings.TrimPrefix(string(ctx.Path()), "/")
+	digest := BodyDigest(ctx.Request.Body())
 	s.mu.Lock()
 	s.executions[id]++
+	s.bodies[kind+"/"+digest]++
 	execution := s.executions[id]
 	faults := s.faults
 	s.mu.Unlock()
@@ -119,8 +132,8 @@
 	}
 	httpserver.Reply(ctx, fasthttp.StatusOK, Reply{
 		ID:        id,
-		Kind:      strings.TrimPrefix(string(ctx.Path()), "/"),
-		Digest:    BodyDigest(ctx.Request.Body()),
+		Kind:      kind,
+		Digest:    digest,
 		Execution: execution,
 	})
 }
--- a/internal/standin/storeserver/server.go
+++ b/internal/standin/storeserver/server.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,6 +46,9 @@
 
 const defaultMemoryBytes = 64 << 20
 
+// errCut is the end of a transfer that the fault switches cut.
+var errCut = errors.New("transfer cut")
+
 // Faults are the switches of POST /admin/faults.
 type Faults struct {
 	// Down refuses connections and cuts the open ones. The content stays.
@@ -52,6 +57,8 @@
 	SlowFactor float64 `json:"slow_factor"`
 	// Full refuses every new piece.
 	Full bool `json:"full"`
+	// CutEvery cuts the connection of every n-th transfer after its first chunk; 0 cuts none.
+	CutEvery int64 `json:"cut_every"`
 }
 
 // Server is the store.
@@ -64,6 +71,9 @@
 	ctx      context.Context
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
+
+	cutEvery  atomic.Int64
+	transfers atomic.Int64
 }
 
 // Start starts an empty store.
@@ -116,6 +126,7 @@
 func (s *Server) SetFaults(f Faults) error {
 	s.pieces.setFull(f.Full)
 	s.link.setSlowFactor(f.SlowFactor)
+	s.cutEvery.Store(f.CutEvery)
 	if f.Down {
 		s.Down()
 		return nil
@@ -155,6 +166,13 @@
 	}
 }
 
+// cutsTransfer counts a transfer and reports whether it is one that is cut.
+func (s *Server) cutsTransfer() bool {
+	number := s.transfers.Add(1)
+	every := s.cutEvery.Load()
+	return every > 0 && number%every == 0
+}
+
 // servePut reads a piece over the link. It becomes visible after its last byte, or at once when
 // the settings publish partly written pieces.
 func (s *Server) servePut(ctx *fasthttp.RequestCtx, name string) {
@@ -188,6 +206,7 @@
 
 func (s *Server) receive(ctx *fasthttp.RequestCtx, e *entry, size int) ([]byte, error) {
 	class := s.class(ctx)
+	cut := s.cutsTransfer()
 	body := ctx.RequestBodyStream()
 	if body == nil {
 		body = strings.NewReader(string(ctx.Request.Body()))
@@ -204,6 +223,9 @@
 		s.countBytes(class, end-at)
 		s.pieces.count(func(stats *Stats) { stats.BytesIn += int64(end - at) })
 		at = end
+		if cut {
+			return nil, errCut
+		}
 		if s.settings.PublishPartial {
 			s.pieces.grow(e, content[:at:at])
 		}
@@ -236,6 +258,7 @@
 
 // send writes content over the link, chunk by chunk.
 func (s *Server) send(to io.Writer, content []byte, class int) error {
+	cut := s.cutsTransfer()
 	w := bufio.NewWriterSize(to, linkChunkBytes)
 	for at := 0; at < len(content); {
 		end := min(at+linkChunkBytes, len(content))
@@ -251,6 +274,9 @@
 		s.countBytes(class, end-at)
 		s.pieces.count(func(stats *Stats) { stats.BytesOut += int64(end - at) })
 		at = end
+		if cut {
+			return errCut
+		}
 	}
 	return nil
 }
--- a/internal/standin/storeserver/server_test.go
+++ b/internal/standin/storeserver/server_test.go
@@ -98,6 +98,22 @@
 	c.Assert(c.put("a", 1000), qt.Equals, fasthttp.StatusNoContent)
 }
 
+func TestCutTransferLeavesNoPiece(t *testing.T) {
+	c := start(t, Settings{})
+	c.Assert(c.server.SetFaults(Faults{CutEvery: 2}), qt.IsNil)
+	c.Assert(c.put("a", 2*linkChunkBytes), qt.Equals, fasthttp.StatusNoContent)
+	_, _, _, err := c.call(fasthttp.MethodPut, "b", "", make([]byte, 2*linkChunkBytes))
+	c.Assert(err, qt.IsNotNil)
+	status, _, _, err := c.call(fasthttp.MethodHead, "b", "", nil)
+	c.Assert(err, qt.IsNil)
+	c.Assert(status, qt.Equals, fasthttp.StatusNotFound)
+	_, _, content, err := c.call(fasthttp.MethodGet, "a", "", nil) // the third transfer
+	c.Assert(err, qt.IsNil)
+	c.Assert(content, qt.HasLen, 2*linkChunkBytes)
+	_, _, _, err = c.call(fasthttp.MethodGet, "a", "", nil)
+	c.Assert(err, qt.IsNotNil)
+}
+
 func TestUrgentTransferPassesAnExport(t *testing.T) {
 	const size = 8 * linkChunkBytes
 	c := start(t, Settings{LinkBytesPerSecond: 8 * linkChunkBytes})
