--- /dev/null
+++ b/internal/store/errors.go
@@ -0,0 +1,20 @@
+package store
+
+import "github.com/joomcode/errorx"
+
+// Misses are frequent and expected, so errors carry no stack trace.
+var namespace = errorx.NewNamespace("store").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// Errors of the store client. To a request each of them is a cache miss.
+var (
+	// ErrMiss means that the store doesn't hold the piece.
+	ErrMiss = namespace.NewType("miss", errorx.NotFound())
+	// ErrDamaged means that the store's copy is unfinished, altered or of another piece.
+	ErrDamaged = namespace.NewType("damaged")
+	// ErrFull means that the store has no room for the piece.
+	ErrFull = namespace.NewType("full")
+	// ErrUnavailable means that the store didn't answer, or answered with a server error.
+	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
+	// ErrSuspended means that the store failed lately and wasn't asked.
+	ErrSuspended = namespace.NewType("suspended", errorx.Temporary())
+)
