--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -25,6 +25,11 @@
 // ConnOpened implements transport.FrameHandler.
 func (a *Agent) ConnOpened(conn *transport.Conn) {
 	conn.Tag = &peer{}
+	a.greet(conn)
+	a.loop.Post(func() { a.state.conns[conn] = struct{}{} })
+}
+
+func (a *Agent) greet(conn *transport.Conn) {
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: a.hello()}})
 }
 
@@ -54,6 +59,7 @@
 // and their answers are kept for the question that follows.
 func (a *Agent) connLost(conn *transport.Conn) {
 	now := time.Now()
+	delete(a.state.conns, conn)
 	for id, j := range a.state.jobs {
 		if j.conn != conn {
 			continue
@@ -125,6 +131,8 @@
 		return wire.RefusalReason_REFUSAL_REASON_NOT_SERVED, "the backend server serves " + a.settings.Service
 	case d.GetConfigVersion() < current && d.GetResumeTokens() == 0:
 		return wire.RefusalReason_REFUSAL_REASON_STALE_CONFIGURATION, "a newer configuration is in force"
+	case a.state.engineLost(time.Now()):
+		return wire.RefusalReason_REFUSAL_REASON_ENGINE, "the model engine does not answer"
 	case !a.state.hasVersion(d.GetWeightVersion()):
 		return wire.RefusalReason_REFUSAL_REASON_WRONG_VERSION, "weight version " + d.GetWeightVersion() + " is not loaded"
 	case !a.state.hasAdapter(d.GetAdapter()):
@@ -297,8 +305,12 @@
 	go r.execute(ctx)
 }
 
-// handBack refuses everything that waits, so that its entries place it elsewhere.
+// handBack tells every connected entry that the agent is leaving and refuses everything that
+// waits, so that its entries place it elsewhere.
 func (a *Agent) handBack() {
+	for conn := range a.state.conns {
+		a.greet(conn)
+	}
 	for id, j := range a.state.jobs {
 		if j.cancel != nil {
 			continue
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -20,6 +20,7 @@
 	table     *runtable.Table
 	queue     *admission.Queue
 	jobs      map[attempt.ID]*job
+	conns     map[*transport.Conn]struct{}
 	observed  engine.State
 	readAt    time.Time
 	reserveID admission.ReservationID
@@ -42,6 +43,7 @@
 		table:   runtable.New(runtable.DefaultSettings(incarnation)),
 		queue:   admission.New(admission.DefaultConfig(s.Slots)),
 		jobs:    make(map[attempt.ID]*job),
+		conns:   make(map[*transport.Conn]struct{}),
 	}
 }
 
@@ -51,6 +53,11 @@
 	s.readAt = now
 }
 
+// engineLost says whether the model engine has been silent for too long.
+func (s *state) engineLost(now time.Time) bool {
+	return s.isModel && now.Sub(s.readAt) > engineSilence
+}
+
 // hasVersion says whether the engine can run a weight version.
 func (s *state) hasVersion(version string) bool {
 	return !s.isModel || slices.Contains(s.observed.WeightVersions, version)
