--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -52,18 +53,13 @@
 }
 
 func start(t *testing.T) (*fakeStore, *Client) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
 	fake := &fakeStore{pieces: map[string][]byte{}}
-	server := &fasthttp.Server{Handler: fake.serve}
-	served := make(chan struct{})
-	go func() { _ = server.Serve(listener); close(served) }()
-	client := New("store-1", listener.Addr().String())
+	server, err := httpserver.Start("127.0.0.1:0", fake.serve, false)
+	qt.Assert(t, err, qt.IsNil)
+	client := New("store-1", server.Address())
 	t.Cleanup(func() {
 		client.Close()
-		_ = listener.Close() // Shutdown does nothing before Serve has begun
-		_ = server.Shutdown()
-		<-served
+		server.Stop()
 	})
 	return fake, client
 }
