--- /dev/null
+++ b/internal/transfer/mover_test.go
@@ -0,0 +1,305 @@
+package transfer
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/control"
+	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/httpclient"
+	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const testPieceBytes = 4096
+
+// fakeEngine holds pieces whose right content is contentOf their name.
+type fakeEngine struct {
+	mu       sync.Mutex
+	pieces   map[piece.Name][]byte
+	imports  int
+	damaged  int
+	onExport func()
+}
+
+func contentOf(name piece.Name) []byte { return bytes.Repeat(name[:], testPieceBytes/piece.NameSize) }
+
+func (e *fakeEngine) Export(_ context.Context, raw []byte) ([]byte, error) {
+	if e.onExport != nil {
+		e.onExport()
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, ok := e.pieces[piece.Name(raw)]
+	if !ok {
+		return nil, engine.ErrNotCached.New("piece %x", raw)
+	}
+	return data, nil
+}
+
+func (e *fakeEngine) Import(_ context.Context, raw, content []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.imports++
+	if !bytes.Equal(content, contentOf(piece.Name(raw))) {
+		e.damaged++
+	}
+	e.pieces[piece.Name(raw)] = content
+	return nil
+}
+
+// fakeDirectory names one store for all pieces.
+type fakeDirectory struct{ store string }
+
+func (d fakeDirectory) Lookup(_ context.Context, names []piece.Name, start int) ([]directory.Run, error) {
+	if d.store == "" {
+		return nil, directory.ErrUnavailable.New("no home")
+	}
+	return []directory.Run{{Holder: d.store, Tier: wire.Tier_TIER_STORE_MEMORY, Start: start, End: len(names)}}, nil
+}
+
+// bench is a Mover between a fake engine and a store stand-in.
+type bench struct {
+	*qt.C
+	mover  *Mover
+	loop   *control.Loop
+	engine *fakeEngine
+	store  *storeserver.Server
+	mu     sync.Mutex
+	stored int
+	lost   int
+}
+
+func (b *bench) Imported(piece.Name)         {}
+func (b *bench) NotCached(piece.Name)        {}
+func (b *bench) Stored(Location, piece.Name) { b.mu.Lock(); b.stored++; b.mu.Unlock() }
+func (b *bench) Lost(Location)               { b.mu.Lock(); b.lost++; b.mu.Unlock() }
+
+func newBench(t *testing.T, d Directory, s storeserver.Settings) *bench {
+	b := &bench{C: qt.New(t), loop: control.NewLoop(), engine: &fakeEngine{pieces: map[piece.Name][]byte{}}}
+	s.Listen, s.Admin = "127.0.0.1:0", "127.0.0.1:0"
+	var err error
+	b.store, err = storeserver.Start(s)
+	b.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() { b.loop.Run(ctx); close(stopped) }()
+	b.mover = NewMover(ctx, Settings{FailureDomain: "a", BytesPerSecond: 1 << 30}, Dependencies{
+		Loop: b.loop, Engine: b.engine, Directory: d, Observer: b, Scope: tally.NoopScope,
+	}, 1, time.Now())
+	b.loop.Call(func() {
+		b.mover.SetStores([]platform.Instance{{
+			ID: "store-1", Role: platform.RoleStore, State: platform.InstanceLive, FailureDomain: "a", Address: b.store.Address(),
+		}})
+	})
+	t.Cleanup(func() {
+		b.loop.Call(b.mover.Close)
+		b.store.Stop()
+		cancel()
+		<-stopped
+	})
+	return b
+}
+
+func testPrompt(names []piece.Name) Prompt {
+	return Prompt{Names: names, PiecePrefill: time.Second, PieceTokens: 1000, Deadline: time.Minute}
+}
+
+func testNames(organisation string, count int) []piece.Name {
+	scope := piece.Scope{Organisation: organisation, WeightVersion: "w1"}
+	return piece.Names(scope, bytes.Repeat([]byte("some text "), count*10), 100)[:count]
+}
+
+// fetch fetches a prompt and returns how many pieces the engine then holds.
+func (b *bench) fetch(names []piece.Name) int {
+	var f *Fetch
+	b.loop.Call(func() { f = b.mover.Fetch(testPrompt(names)) })
+	<-f.Done()
+	b.engine.mu.Lock()
+	defer b.engine.mu.Unlock()
+	held := 0
+	for _, name := range names {
+		if _, ok := b.engine.pieces[name]; ok {
+			held++
+		}
+	}
+	return held
+}
+
+// export runs a prompt on the engine and exports its pieces.
+func (b *bench) export(names []piece.Name) {
+	b.engine.mu.Lock()
+	for _, name := range names {
+		b.engine.pieces[name] = contentOf(name)
+	}
+	b.engine.mu.Unlock()
+	b.loop.Call(func() { b.mover.Offer("o", testPrompt(names)) })
+	b.until(func() bool { return b.mover.exporting == 0 && b.mover.exports.Len() == 0 })
+}
+
+// until waits until a condition holds on the control goroutine.
+func (b *bench) until(condition func() bool) {
+	for deadline := time.Now().Add(5 * time.Second); ; time.Sleep(time.Millisecond) {
+		held := false
+		b.loop.Call(func() { held = condition() })
+		if held {
+			return
+		}
+		if time.Now().After(deadline) {
+			b.Fatal("the condition didn't come about")
+		}
+	}
+}
+
+func (b *bench) evictAll() {
+	b.engine.mu.Lock()
+	defer b.engine.mu.Unlock()
+	b.engine.pieces = map[piece.Name][]byte{}
+}
+
+func (b *bench) put(name piece.Name, raw []byte) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	request.Header.SetMethod(fasthttp.MethodPut)
+	request.SetRequestURI("http://" + b.store.Address() + "/pieces/" + name.String())
+	request.SetBody(raw)
+	client := httpclient.New(b.store.Address(), httpclient.Options{})
+	defer client.Close()
+	b.Assert(client.Do(context.Background(), request, response), qt.IsNil)
+}
+
+func TestEvictedPromptComesBackFromTheStore(t *testing.T) {
+	b := newBench(t, fakeDirectory{}, storeserver.Settings{})
+	names := testNames("ridge", 12)
+	b.export(names)
+	b.Assert(b.stored, qt.Equals, 12)
+	b.evictAll()
+	b.Assert(b.fetch(names), qt.Equals, 12)
+	b.Assert(b.engine.damaged, qt.Equals, 0)
+	// Another organisation's pieces of the same text have other names, so nothing is found.
+	b.Assert(b.fetch(testNames("other", 12)), qt.Equals, 0)
+}
+
+func TestPieceCutAtAnyBoundaryIsNeverImported(t *testing.T) {
+	names := testNames("ridge", 1)
+	whole := piece.Seal(names[0], 3, contentOf(names[0]))
+	damaged := map[string][]byte{
+		"nothing":           {},
+		"half a header":     whole[:piece.HeaderSize/2],
+		"header alone":      whole[:piece.HeaderSize],
+		"first byte":        whole[:piece.HeaderSize+1],
+		"all but the last":  whole[:len(whole)-1],
+		"zeroes at the end": append(bytes.Clone(whole[:len(whole)-8]), make([]byte, 8)...),
+		"another piece":     piece.Seal(piece.Name{9}, 3, contentOf(piece.Name{9})),
+		// A slot that is used again: the old header before the new content.
+		"reused slot": append(bytes.Clone(whole[:piece.HeaderSize]), contentOf(piece.Name{9})...),
+	}
+	for label, raw := range damaged {
+		t.Run(label, func(t *testing.T) {
+			b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{})
+			b.put(names[0], raw)
+			b.Assert(b.fetch(names), qt.Equals, 0)
+			b.Assert(b.engine.imports, qt.Equals, 0)
+			b.Assert(b.lost, qt.Equals, 1)
+			b.put(names[0], whole)
+			b.Assert(b.fetch(names), qt.Equals, 1)
+		})
+	}
+}
+
+func TestStoreLostWhileWritingLeavesNoReadablePiece(t *testing.T) {
+	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{
+		PublishPartial: true, LinkBytesPerSecond: 64 << 10,
+	})
+	name := testNames("ridge", 1)[0]
+	big := bytes.Repeat([]byte{7}, 64<<10) // two chunks of the link, half a second each
+	b.engine.pieces[name] = big
+	b.loop.Call(func() { b.mover.Offer("o", testPrompt([]piece.Name{name})) })
+	b.until(func() bool { return b.store.Stats().MemoryPieces == 1 })
+	b.Assert(b.store.SetFaults(storeserver.Faults{Down: true}), qt.IsNil)
+	b.until(func() bool { return b.mover.exporting == 0 })
+	b.Assert(b.stored, qt.Equals, 0)
+	b.evictAll()
+	b.Assert(b.store.SetFaults(storeserver.Faults{}), qt.IsNil)
+	b.Assert(b.store.Stats().MemoryPieces, qt.Equals, 1)
+	b.until(func() bool { return !b.mover.stores["store-1"].client.Suspended(time.Now()) })
+	b.Assert(b.fetch([]piece.Name{name}), qt.Equals, 0)
+	b.Assert(b.engine.imports, qt.Equals, 0)
+}
+
+func TestDeadStoreCostsNoError(t *testing.T) {
+	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{})
+	b.Assert(b.store.SetFaults(storeserver.Faults{Down: true}), qt.IsNil)
+	names := testNames("ridge", 5)
+	b.Assert(b.fetch(names), qt.Equals, 0)
+	began := time.Now()
+	b.Assert(b.fetch(names), qt.Equals, 0)
+	b.Assert(time.Since(began) < minPatience, qt.IsTrue)
+}
+
+func TestSlowFetchIsAbandonedForRecomputing(t *testing.T) {
+	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{LinkBytesPerSecond: 1024})
+	name := testNames("ridge", 1)[0]
+	b.loop.Call(func() {
+		prompt := testPrompt([]piece.Name{name})
+		prompt.PiecePrefill = 30 * time.Millisecond
+		b.mover.learn(prompt.Names, []directory.Run{{Holder: "store-1", Tier: wire.Tier_TIER_STORE_MEMORY, End: 1}})
+		// The store's link is slow, which nothing has shown yet.
+		f := b.mover.Fetch(prompt)
+		go func() { <-f.Done() }()
+	})
+	b.until(func() bool { return len(b.mover.flights) == 0 })
+	b.Assert(b.engine.imports, qt.Equals, 0)
+}
+
+func TestFetchesOfOnePieceAreCoalesced(t *testing.T) {
+	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{})
+	names := testNames("ridge", 4)
+	b.export(names)
+	b.evictAll()
+	var fetches []*Fetch
+	b.loop.Call(func() {
+		for range 5 {
+			fetches = append(fetches, b.mover.Fetch(testPrompt(names)))
+		}
+	})
+	var total uint64
+	for _, f := range fetches {
+		<-f.Done()
+		total += f.Bytes()
+	}
+	b.Assert(b.engine.imports, qt.Equals, 4)
+	b.Assert(total, qt.Equals, uint64(4*testPieceBytes))
+}
+
+func TestPieceEvictedBeforeItsExportIsForgotten(t *testing.T) {
+	b := newBench(t, fakeDirectory{}, storeserver.Settings{})
+	b.engine.onExport = b.evictAll
+	b.export(testNames("ridge", 3))
+	b.Assert(b.stored, qt.Equals, 0)
+	b.Assert(b.store.Stats().MemoryPieces, qt.Equals, 0)
+}
+
+func TestFullStoreGivesUpTheLeastValuablePiece(t *testing.T) {
+	b := newBench(t, fakeDirectory{}, storeserver.Settings{})
+	cheap, dear := testNames("ridge", 1), testNames("other", 1)
+	b.export(cheap)
+	b.Assert(b.store.SetFaults(storeserver.Faults{Full: true}), qt.IsNil)
+	b.engine.pieces[dear[0]] = contentOf(dear[0])
+	b.loop.Call(func() {
+		prompt := testPrompt(dear)
+		prompt.PiecePrefill *= 100
+		b.mover.Offer("p", prompt)
+	})
+	b.until(func() bool { return b.store.Stats().MemoryPieces == 0 })
+	b.Assert(b.lost, qt.Equals, 1)
+}
