--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -14,12 +14,13 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"balsamyoke.example/balsamyoke/internal/platform/memkv"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 // cluster is a set of processes in one test; calls between them are function calls.
 type cluster struct {
-	kv     *fakeKV
+	kv     *memkv.Store
 	nodes  []*node
 	byName map[string]*node
 	random *rand.Rand
@@ -38,7 +39,7 @@
 
 func newCluster(seed uint64, nodes, domains int) *cluster {
 	c := &cluster{
-		kv:          newFakeKV(),
+		kv:          memkv.New(),
 		byName:      make(map[string]*node),
 		random:      rand.New(rand.NewPCG(seed, 1)),
 		unreachable: make(map[string]bool),
@@ -158,7 +159,7 @@
 			cluster.apply(t, 2)
 			cluster.lose = 0.7
 			cluster.nodes[0].spread.readRoot(context.Background())
-			cluster.kv.down.Store(true)
+			setDown(cluster.kv, true)
 			for range rounds {
 				now = now.Add(exchangeInterval)
 				cluster.round(now)
@@ -216,7 +217,7 @@
 	cluster.nodes[0].spread.readRoot(context.Background())
 	c.Assert(cluster.nodes[0].holder.Version(), qt.Equals, uint64(2))
 	c.Assert(cluster.nodes[1].holder.Version(), qt.Equals, uint64(1))
-	cluster.kv.down.Store(true)
+	setDown(cluster.kv, true)
 
 	fresh := cluster.add("fresh", "domain-1")
 	for _, domain := range []string{"domain-0", "domain-1"} {
@@ -239,7 +240,7 @@
 		c.Assert(err, qt.IsNil)
 		n.spread.adopt(context.Background(), root)
 	}
-	cluster.kv.down.Store(true)
+	setDown(cluster.kv, true)
 	for range rounds {
 		cluster.round(time.Unix(0, 0))
 	}
@@ -251,7 +252,7 @@
 	cluster := newCluster(1, 3, 1)
 	cluster.apply(t, 1)
 	cluster.round(time.Unix(0, 0))
-	cluster.kv.down.Store(true)
+	setDown(cluster.kv, true)
 	fresh := cluster.add("fresh", "domain-0")
 	fresh.spread.startUp(context.Background())
 	c.Assert(fresh.holder.Ready(), qt.IsTrue)
@@ -319,8 +320,8 @@
 // Two running processes over gRPC: one watches the service, the other cannot reach it.
 func TestVersionsTravelOverGRPC(t *testing.T) {
 	c := qt.New(t)
-	kv, cut := newFakeKV(), newFakeKV()
-	cut.down.Store(true)
+	kv, cut := memkv.New(), memkv.New()
+	setDown(cut, true)
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -328,7 +329,7 @@
 
 	lists := []*listed{{}, {}}
 	holders := []*Holder{NewHolder(), NewHolder()}
-	for i, service := range []*fakeKV{kv, cut} {
+	for i, service := range []*memkv.Store{kv, cut} {
 		messenger := NewGRPCMessenger()
 		defer messenger.Close()
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -13,12 +13,13 @@
 	"github.com/joomcode/errorx"
 
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/memkv"
 )
 
 func TestApplyLoadAndRollback(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	store := NewStore(newFakeKV())
+	store := NewStore(memkv.New())
 	_, err := store.Root(ctx)
 	c.Assert(errorx.IsOfType(err, ErrNotFound), qt.IsTrue)
 
@@ -49,8 +50,8 @@
 
 func TestApplyReportsAnOutage(t *testing.T) {
 	c := qt.New(t)
-	kv := newFakeKV()
-	kv.down.Store(true)
+	kv := memkv.New()
+	setDown(kv, true)
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_, err := NewStore(kv).Apply(ctx, 0, sample(1), "one")
@@ -58,26 +59,26 @@
 }
 
 // lostAnswers writes every root but never answers.
-type lostAnswers struct{ *fakeKV }
+type lostAnswers struct{ *memkv.Store }
 
 func (l lostAnswers) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
-	result, err := l.fakeKV.CompareAndSwap(ctx, swap)
+	result, err := l.Store.CompareAndSwap(ctx, swap)
 	if swap.Key != rootKey {
 		return result, err
 	}
-	l.down.Store(true)
+	setDown(l.Store, true)
 	return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost answer")
 }
 
 func TestApplySaysUnknownWhenTheAnswerIsLostAndTheServiceStaysDown(t *testing.T) {
 	c := qt.New(t)
-	kv := newFakeKV()
+	kv := memkv.New()
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	_, err := NewStore(lostAnswers{kv}).Apply(ctx, 0, sample(1), "one")
 	c.Assert(errorx.IsOfType(err, ErrOutcomeUnknown), qt.IsTrue)
 
-	kv.down.Store(false)
+	setDown(kv, false)
 	change, err := NewStore(kv).Apply(context.Background(), 0, sample(1), "one")
 	c.Assert(err, qt.IsNil)
 	c.Assert(change.Version, qt.Equals, uint64(1))
@@ -86,7 +87,7 @@
 func TestOldDocumentsAreCollectedAndRememberedOnesStay(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	kv := newFakeKV()
+	kv := memkv.New()
 	store := NewStore(kv)
 	const versions = keptVersions + 20
 	for i := range versions {
@@ -110,7 +111,7 @@
 // collectDuring runs a hook once, after the documents of an apply were written or found and
 // before its root is swapped.
 type collectDuring struct {
-	*fakeKV
+	*memkv.Store
 	hook func()
 }
 
@@ -120,7 +121,7 @@
 		k.hook = nil
 		hook()
 	}
-	return k.fakeKV.CompareAndSwap(ctx, swap)
+	return k.Store.CompareAndSwap(ctx, swap)
 }
 
 // A writer that reuses an old document must not lose it to the collector of the version that
@@ -128,7 +129,7 @@
 func TestCollectorSparesDocumentsOfAnApplyUnderWay(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	kv := newFakeKV()
+	kv := memkv.New()
 	store := NewStore(kv)
 	_, err := store.Apply(ctx, 0, sample(1000), "old")
 	c.Assert(err, qt.IsNil)
@@ -141,7 +142,7 @@
 	c.Assert(err, qt.IsNil)
 	after.Changes = after.Changes[1:]
 
-	late := &collectDuring{fakeKV: kv, hook: func() { store.collect(ctx, before.Root, after) }}
+	late := &collectDuring{Store: kv, hook: func() { store.collect(ctx, before.Root, after) }}
 	_, err = NewStore(late).Apply(ctx, 2, sample(1000), "again")
 	c.Assert(err, qt.IsNil)
 	_, _, err = store.Manifest(ctx, 0)
@@ -249,7 +250,7 @@
 )
 
 func race(t *testing.T, seed uint64) []porcupine.Operation {
-	kv := newFakeKV()
+	kv := memkv.New()
 	var mu sync.Mutex
 	var operations []porcupine.Operation
 	start := time.Now()
@@ -266,7 +267,7 @@
 	for client := range operators {
 		group.Go(func() {
 			random := rand.New(rand.NewPCG(seed, uint64(client)))
-			store := NewStore(&flakyKV{fakeKV: kv, random: random})
+			store := NewStore(&flakyKV{Store: kv, random: random})
 			for i := range changesEach {
 				call := time.Since(start).Nanoseconds()
 				root, err := store.rootOrNew(context.Background())
