--- a/internal/config/messenger.go
+++ b/internal/config/messenger.go
@@ -2,33 +2,27 @@
 
 import (
 	"context"
-	"sync"
-
-	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials/insecure"
 
+	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-const (
-	// maxConnections bounds the connections that a process keeps open to peers.
-	maxConnections = 16
-	// maxReplyBytes bounds one answer to a pull.
-	maxReplyBytes = 32 << 20
-)
+// maxConnections bounds the connections that a process keeps open to peers.
+const maxConnections = 16
 
 // GRPCMessenger is a Messenger over gRPC. It keeps the connections used last.
 type GRPCMessenger struct {
-	mu          sync.Mutex
-	connections map[string]*grpc.ClientConn
-	order       []string // addresses, the one used last at the end
+	pool *grpcpool.Pool
 }
 
 // NewGRPCMessenger returns a messenger without connections.
 func NewGRPCMessenger() *GRPCMessenger {
-	return &GRPCMessenger{connections: make(map[string]*grpc.ClientConn)}
+	return &GRPCMessenger{pool: grpcpool.New(maxConnections)}
 }
 
+// Close closes all connections.
+func (m *GRPCMessenger) Close() { m.pool.Close() }
+
 // Notify implements Messenger.
 func (m *GRPCMessenger) Notify(ctx context.Context, address string, request *wire.NotifyRequest) (*wire.NotifyReply, error) {
 	client, err := m.client(address)
@@ -55,58 +49,10 @@
 	return reply, nil
 }
 
-// Close closes all connections.
-func (m *GRPCMessenger) Close() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, connection := range m.connections {
-		_ = connection.Close()
-	}
-	clear(m.connections)
-	m.order = nil
-}
-
 func (m *GRPCMessenger) client(address string) (wire.ConfigurationClient, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	connection, ok := m.connections[address]
-	if !ok {
-		opened, err := open(address)
-		if err != nil {
-			return nil, err
-		}
-		connection = opened
-		m.connections[address] = connection
-	}
-	m.use(address)
-	return wire.NewConfigurationClient(connection), nil
-}
-
-func open(address string) (*grpc.ClientConn, error) {
-	connection, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReplyBytes)))
+	connection, err := m.pool.Get(address)
 	if err != nil {
-		return nil, ErrUnavailable.Wrap(err, "address %q", address)
-	}
-	return connection, nil
-}
-
-// use moves address to the end of the order and closes the connection used longest ago when there
-// are too many.
-func (m *GRPCMessenger) use(address string) {
-	kept := m.order[:0]
-	for _, other := range m.order {
-		if other != address {
-			kept = append(kept, other)
-		}
+		return nil, ErrUnavailable.Wrap(err, "peer %s", address)
 	}
-	m.order = append(kept, address)
-	if len(m.order) <= maxConnections {
-		return
-	}
-	oldest := m.order[0]
-	m.order = m.order[1:]
-	_ = m.connections[oldest].Close()
-	delete(m.connections, oldest)
+	return wire.NewConfigurationClient(connection), nil
 }
