--- /dev/null
+++ b/internal/rollout/driver.go
@@ -0,0 +1,239 @@
+package rollout
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/rendezvous"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// stepInterval is the time between two steps of a holder.
+	stepInterval = 100 * time.Millisecond
+	// refreshInterval is the time between two readings of the members and publications of the state.
+	refreshInterval = time.Second
+	// campaignInterval is the time between two tries to become the holder.
+	campaignInterval = time.Second
+	// candidates is how many agents of a service campaign.
+	candidates = 3
+	// callTimeout bounds one call to a replica.
+	callTimeout = time.Second
+	// DefaultLongestLoad is the time within which a load that is not observed must have ended.
+	DefaultLongestLoad = 15 * time.Second
+)
+
+// Options are what a Driver works with. All but Logger and LongestLoad are required.
+type Options struct {
+	Service string
+	// Instance and Owner name this process; Owner is unique for each run of it.
+	Instance string
+	Owner    string
+	KV       platform.KV
+	Replicas Replicas
+	// Members returns the live agents of the service, with this process.
+	Members func() []Member
+	// Target returns what the configuration in force wants, false before there is one.
+	Target func() (Target, bool)
+	Logger *zap.Logger
+	// LongestLoad is the time within which a load must have ended; DefaultLongestLoad when 0.
+	LongestLoad time.Duration
+}
+
+// State is what a dump shows about a Driver.
+type State struct {
+	// Holder tells whether this process holds the rollout lease.
+	Holder bool   `json:"holder"`
+	Fence  uint64 `json:"fence,omitempty"`
+	// Report is present at the holder only.
+	Report *Report `json:"report,omitempty"`
+}
+
+// Driver campaigns for the rollout lease of one service and, while it holds it, drives the rollout.
+type Driver struct {
+	options Options
+	lessor  *Lessor
+	answers chan func(*Session)
+	state   atomic.Pointer[State]
+	// refreshed is when the session last took the members.
+	refreshed time.Time
+}
+
+// NewDriver returns a Driver that does nothing until Run is called.
+func NewDriver(options Options) *Driver {
+	if options.Logger == nil {
+		options.Logger = zap.NewNop()
+	}
+	if options.LongestLoad == 0 {
+		options.LongestLoad = DefaultLongestLoad
+	}
+	d := &Driver{
+		options: options,
+		lessor:  NewLessor(options.KV, options.Service, options.Owner),
+	}
+	d.state.Store(&State{})
+	return d
+}
+
+// State returns the state last published.
+func (d *Driver) State() State { return *d.state.Load() }
+
+// Run campaigns and drives until ctx ends.
+func (d *Driver) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if holding, ok := d.campaign(ctx); ok {
+			d.drive(ctx, holding)
+			d.state.Store(&State{})
+		}
+		sleep(ctx, campaignInterval)
+	}
+}
+
+// campaign tries once to become the holder when this process is a candidate.
+func (d *Driver) campaign(ctx context.Context) (Holding, bool) {
+	if !isCandidate(d.options.Service, d.options.Instance, d.options.Members()) {
+		return Holding{}, false
+	}
+	holding, err := d.lessor.Acquire(ctx)
+	if err != nil {
+		if !errorx.IsOfType(err, ErrHeld) {
+			d.options.Logger.Debug("rollout lease not acquired", zap.Error(err))
+		}
+		return Holding{}, false
+	}
+	d.options.Logger.Info("rollout lease acquired", zap.Uint64("fence", holding.Fence))
+	return holding, true
+}
+
+// isCandidate tells whether an instance ranks among the candidates of its service.
+func isCandidate(service, instance string, members []Member) bool {
+	key := rendezvous.Hash(Key(service))
+	own := rendezvous.Weight(key, rendezvous.Hash(instance))
+	ahead := 0
+	for _, member := range members {
+		if member.Instance != instance && rendezvous.Weight(key, rendezvous.Hash(member.Instance)) > own {
+			ahead++
+		}
+	}
+	return ahead < candidates
+}
+
+// drive runs one holding until it is lost or ctx ends.
+func (d *Driver) drive(ctx context.Context, holding Holding) {
+	calls, cancel := context.WithCancel(ctx)
+	defer cancel()
+	session := NewSession(holding.Fence, d.options.LongestLoad, time.Now())
+	d.answers = make(chan func(*Session))
+	d.refreshed = time.Time{}
+	ticker := time.NewTicker(stepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.lessor.Release(context.WithoutCancel(ctx), holding)
+			return
+		case take := <-d.answers:
+			take(session)
+		case <-ticker.C:
+			renewed, err := d.lessor.Renew(ctx, holding)
+			if err != nil {
+				d.options.Logger.Info("rollout lease lost", zap.Uint64("fence", holding.Fence), zap.Error(err))
+				return
+			}
+			holding = renewed
+			d.step(calls, session, holding)
+		}
+	}
+}
+
+// step makes the calls that are due. The lease was valid a moment ago; what has changed since is
+// the business of the replicas' gates.
+func (d *Driver) step(ctx context.Context, session *Session, holding Holding) {
+	now := time.Now()
+	target, ok := d.options.Target()
+	if !ok {
+		return
+	}
+	session.SetTarget(target)
+	if now.Sub(d.refreshed) >= refreshInterval {
+		d.refreshed = now
+		session.SetMembers(d.options.Members(), now)
+		report := session.Report(now)
+		d.state.Store(&State{Holder: true, Fence: holding.Fence, Report: &report})
+	}
+	for _, call := range session.Step(now) {
+		go d.call(ctx, call, d.answers)
+	}
+}
+
+// call makes one call and hands the answer to the goroutine of drive.
+func (d *Driver) call(ctx context.Context, call Call, answers chan<- func(*Session)) {
+	answer := d.ask(ctx, call)
+	select {
+	case answers <- answer:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Driver) ask(ctx context.Context, call Call) func(*Session) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if call.Kind == CallOrder {
+		return d.order(ctx, call)
+	}
+	if call.Kind == CallSurvey {
+		_, err := d.options.Replicas.Order(ctx, call.Member.ControlAddress, d.request(call))
+		if err != nil {
+			return missed(call)
+		}
+	}
+	status, err := d.options.Replicas.Status(ctx, call.Member.ControlAddress)
+	if err != nil || status.GetInstance() != call.Member.Instance {
+		return missed(call)
+	}
+	return func(s *Session) { s.Observed(call, observationOf(status), time.Now()) }
+}
+
+func (d *Driver) order(ctx context.Context, call Call) func(*Session) {
+	reply, err := d.options.Replicas.Order(ctx, call.Member.ControlAddress, d.request(call))
+	switch {
+	case err != nil:
+		d.log("order not answered", call, zap.Error(err))
+		return func(s *Session) { s.Unanswered(call, time.Now()) }
+	case !reply.GetAccepted():
+		d.log("order refused", call, zap.String("reason", reply.GetMessage()))
+		return func(s *Session) { s.Refused(call, time.Now()) }
+	}
+	d.log("order accepted", call)
+	return func(s *Session) { s.Accepted(call, time.Now()) }
+}
+
+func (d *Driver) request(call Call) *wire.OrderRequest {
+	return orderRequest(call, d.options.Instance, d.options.Service)
+}
+
+func (d *Driver) log(text string, call Call, fields ...zap.Field) {
+	d.options.Logger.Info(text, append(fields,
+		zap.String("replica", call.Member.Instance),
+		zap.Uint64("fence", call.Fence),
+		zap.String("weight_version", call.Load.WeightVersion),
+		zap.String("adapter", call.Load.Adapter))...)
+}
+
+func missed(call Call) func(*Session) {
+	return func(s *Session) { s.Missed(call, time.Now()) }
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/rollout/lease_test.go
@@ -0,0 +1,94 @@
+package rollout
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+)
+
+func newLessor(kv platform.KV, owner string, now *time.Time) *Lessor {
+	lessor := NewLessor(kv, "assistant", owner)
+	lessor.clock = func() time.Time { return *now }
+	return lessor
+}
+
+func TestOneHolderAtATimeWithRisingFences(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv := memkv.New()
+	defer kv.Close()
+	now := time.Unix(0, 0)
+	first, second := newLessor(kv, "first", &now), newLessor(kv, "second", &now)
+
+	holding, err := first.Acquire(ctx)
+	c.Assert(err, qt.IsNil)
+	_, err = second.Acquire(ctx)
+	c.Assert(errorx.IsOfType(err, ErrHeld), qt.IsTrue)
+	named, err := ReadHolder(ctx, kv, "assistant")
+	c.Assert(err, qt.IsNil)
+	c.Assert(named, qt.Equals, holding.Fence)
+
+	kv.Expire(holding.lease)
+	named, err = ReadHolder(ctx, kv, "assistant")
+	c.Assert(err, qt.IsNil)
+	c.Assert(named, qt.Equals, uint64(0))
+	now = now.Add(renewInterval)
+	_, err = first.Renew(ctx, holding)
+	c.Assert(errorx.IsOfType(err, ErrLost), qt.IsTrue)
+	next, err := second.Acquire(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(next.Fence > holding.Fence, qt.IsTrue)
+}
+
+func TestAHoldingEndsByTheHoldersClockDuringAnOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	kv := memkv.New()
+	defer kv.Close()
+	now := time.Unix(0, 0)
+	lessor := newLessor(kv, "first", &now)
+	holding, err := lessor.Acquire(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(holding.Until.Sub(now) < leaseTTL, qt.IsTrue)
+
+	now = now.Add(renewInterval)
+	renewed, err := lessor.Renew(ctx, holding)
+	c.Assert(err, qt.IsNil)
+	c.Assert(renewed.Until.After(holding.Until), qt.IsTrue)
+
+	kv.SetFaults(memkv.Faults{Down: true})
+	now = now.Add(renewInterval)
+	kept, err := lessor.Renew(ctx, renewed)
+	c.Assert(err, qt.IsNil)
+	c.Assert(kept.Until, qt.Equals, renewed.Until)
+	now = renewed.Until
+	_, err = lessor.Renew(ctx, kept)
+	c.Assert(errorx.IsOfType(err, ErrLost), qt.IsTrue)
+}
+
+func TestLostAnswerOfTheCreationIsResolvedByReading(t *testing.T) {
+	c := qt.New(t)
+	kv := memkv.New()
+	defer kv.Close()
+	now := time.Unix(0, 0)
+	lessor := newLessor(&loseSwapAnswers{Store: kv}, "first", &now)
+	holding, err := lessor.Acquire(context.Background())
+	c.Assert(err, qt.IsNil)
+	named, err := ReadHolder(context.Background(), kv, "assistant")
+	c.Assert(err, qt.IsNil)
+	c.Assert(named, qt.Equals, holding.Fence)
+}
+
+// loseSwapAnswers writes but never answers writes of keys.
+type loseSwapAnswers struct{ *memkv.Store }
+
+func (l *loseSwapAnswers) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+	_, _ = l.Store.CompareAndSwap(ctx, swap)
+	return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost answer")
+}
--- a/internal/rollout/planner.go
+++ b/internal/rollout/planner.go
@@ -165,6 +165,9 @@
 func (p *Planner) Next(now time.Time) []Load {
 	p.expire(now)
 	room := p.target.MaxConcurrentLoads - p.loading()
+	if room <= 0 || p.target.WeightVersion == "" {
+		return nil
+	}
 	candidates := p.candidates(now)
 	var loads []Load
 	for len(loads) < room && len(candidates) > 0 {
@@ -206,9 +209,6 @@
 
 // candidates returns the loads that are wanted, the most urgent first.
 func (p *Planner) candidates(now time.Time) []Load {
-	if p.target.WeightVersion == "" {
-		return nil
-	}
 	ready := p.ready(now)
 	wanted := p.wanted()
 	var loads []Load
@@ -291,7 +291,13 @@
 	return known.machine.State() == stateSettled &&
 		!known.gone &&
 		!known.observed.Leaving &&
-		!now.Before(known.notBefore)
+		!now.Before(known.notBefore) &&
+		p.lacks(known)
+}
+
+// lacks tells whether a replica lacks something of the target.
+func (p *Planner) lacks(known *replica) bool {
+	return known.observed.WeightVersion != p.target.WeightVersion || len(p.adapterLoads(known)) > 0
 }
 
 // adapterLoads returns the first adapter of the target that a replica lacks.
--- a/internal/rollout/session.go
+++ b/internal/rollout/session.go
@@ -51,6 +51,7 @@
 
 // contact is what a Session knows about its calls to one replica.
 type contact struct {
+	replica *replica
 	raised  bool // the replica's gate has seen this holder's fencing number
 	asking  bool // a survey or status call is under way
 	nextAsk time.Time
@@ -67,8 +68,13 @@
 	fence    uint64
 	planner  *Planner
 	contacts map[string]*contact
-	tokens   float64
-	filledAt time.Time
+	// ring holds the contacts in the order of calls, and the cursors the next one to look at among
+	// the replicas that count as loading and among all.
+	ring          []*contact
+	loadingCursor int
+	cursor        int
+	tokens        float64
+	filledAt      time.Time
 }
 
 // NewSession returns the Session of a holder whose lease key was created at revision fence.
@@ -88,16 +94,20 @@
 // SetMembers takes the instance list.
 func (s *Session) SetMembers(members []Member, now time.Time) {
 	s.planner.SetMembers(members, now)
-	for instance := range s.contacts {
-		if s.planner.replicas[instance] == nil {
+	for instance, contact := range s.contacts {
+		if s.planner.replicas[instance] != contact.replica {
 			delete(s.contacts, instance)
 		}
 	}
-	for instance := range s.planner.replicas {
+	for instance, known := range s.planner.replicas {
 		if s.contacts[instance] == nil {
-			s.contacts[instance] = &contact{}
+			s.contacts[instance] = &contact{replica: known}
 		}
 	}
+	s.ring = s.ring[:0]
+	for _, instance := range slices.Sorted(maps.Keys(s.contacts)) {
+		s.ring = append(s.ring, s.contacts[instance])
+	}
 }
 
 // Step returns the calls to make now. Each must be answered by exactly one of Observed, Missed,
@@ -130,50 +140,55 @@
 }
 
 // asks returns the survey and status calls that are due, as far as the pace allows: replicas that
-// count as loading first, then those not asked for the longest time.
+// count as loading first, then all, each taking turns.
 func (s *Session) asks(now time.Time) []Call {
 	var calls []Call
-	for _, instance := range s.due(now) {
-		contact := s.contacts[instance]
-		kind := CallStatus
-		if !contact.raised {
-			kind = CallSurvey
+	s.loadingCursor = s.turn(s.loadingCursor, func(next *contact) bool {
+		if !countsAsLoading(next.replica.machine.State()) {
+			return true
 		}
-		if s.tokens < kind.cost() {
-			break
-		}
-		s.tokens -= kind.cost()
-		contact.asking = true
-		calls = append(calls, Call{
-			Kind:   kind,
-			Member: s.planner.replicas[instance].member,
-			Fence:  s.fence,
-			epoch:  contact.epoch,
-		})
-	}
+		return s.ask(next, now, &calls)
+	})
+	s.cursor = s.turn(s.cursor, func(next *contact) bool {
+		return s.ask(next, now, &calls)
+	})
 	return calls
 }
 
-func (s *Session) due(now time.Time) []string {
-	var due []string
-	for _, instance := range slices.Sorted(maps.Keys(s.contacts)) {
-		contact := s.contacts[instance]
-		if !contact.asking && !now.Before(contact.nextAsk) {
-			due = append(due, instance)
+// turn visits the ring once from position from, as long as visit returns true, and returns the
+// position to go on from.
+func (s *Session) turn(from int, visit func(*contact) bool) int {
+	for range s.ring {
+		from %= len(s.ring)
+		if !visit(s.ring[from]) {
+			return from
 		}
+		from++
 	}
-	slices.SortStableFunc(due, func(a, b string) int {
-		if first := compareBool(s.countsAsLoading(b), s.countsAsLoading(a)); first != 0 {
-			return first
-		}
-		return s.contacts[a].nextAsk.Compare(s.contacts[b].nextAsk)
-	})
-	return due
+	return from
 }
 
-func (s *Session) countsAsLoading(instance string) bool {
-	known := s.planner.replicas[instance]
-	return known != nil && countsAsLoading(known.machine.State())
+// ask adds the call that is due for a replica. It returns false when the pace does not allow it.
+func (s *Session) ask(next *contact, now time.Time, calls *[]Call) bool {
+	if next.asking || now.Before(next.nextAsk) {
+		return true
+	}
+	kind := CallStatus
+	if !next.raised {
+		kind = CallSurvey
+	}
+	if s.tokens < kind.cost() {
+		return false
+	}
+	s.tokens -= kind.cost()
+	next.asking = true
+	*calls = append(*calls, Call{
+		Kind:   kind,
+		Member: next.replica.member,
+		Fence:  s.fence,
+		epoch:  next.epoch,
+	})
+	return true
 }
 
 // answered ends an ask and plans the next one. It returns false when an order overtook the ask.
@@ -184,7 +199,7 @@
 	}
 	contact.asking = false
 	contact.nextAsk = now.Add(restInterval)
-	if s.countsAsLoading(call.Member.Instance) {
+	if countsAsLoading(contact.replica.machine.State()) {
 		contact.nextAsk = now.Add(loadingInterval)
 	}
 	return contact.epoch == call.epoch
