Add balsamctl: apply, diff, status, rollback, dump, explain, drain

Output is text or JSON, without prompts or colours. status asks every process of the instance list for its version.

--- /dev/null
+++ b/internal/ctl/main.go
@@ -0,0 +1,138 @@
+package ctl
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/joomcode/errorx"
+
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+)
+
+const program = "balsamctl"
+
+const longDescription = "balsamctl changes the configuration of a deployment and looks into its processes.\n\n" +
+	"Exit codes: 0 done; 1 refused, nothing changed; 2 wrong command line; " +
+	"3 another change was made first, nothing changed; " +
+	"4 no answer from the service or process, and after apply or rollback the change may have been made: " +
+	"repeat it with the same --change to learn its outcome."
+
+// options are the flags of all commands.
+type options struct {
+	KV           string        `long:"kv" value-name:"IP:PORT" description:"the platform's key-value service"`
+	InstanceList string        `long:"instance-list" value-name:"IP:PORT" description:"the platform's instance list; status then asks every process for its version"`
+	Output       string        `long:"output" short:"o" choice:"text" choice:"json" default:"text" description:"form of the output"`
+	Timeout      time.Duration `long:"timeout" default:"15s" description:"how long to try while nothing answers"`
+}
+
+// result is what a command shows.
+type result interface {
+	// text returns the result for readers, ending in a newline.
+	text() string
+}
+
+// tool runs one command.
+type tool struct {
+	options options
+	stdout  io.Writer
+	stderr  io.Writer
+	openKV  func(address string) platform.KV
+	list    func(address string) platform.InstanceList
+}
+
+// Main runs balsamctl with the given arguments and returns its exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	t := &tool{
+		stdout: stdout,
+		stderr: stderr,
+		openKV: func(address string) platform.KV { return etcdhttp.New(address) },
+		list:   func(address string) platform.InstanceList { return listhttp.New(address) },
+	}
+	return t.main(args)
+}
+
+func (t *tool) main(args []string) int {
+	err := t.parse(args)
+	t.report(err)
+	return exitCode(err)
+}
+
+func (t *tool) parse(args []string) error {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longDescription
+	parser.CommandHandler = execute
+	if _, err := parser.AddGroup("Options", "", &t.options); err != nil {
+		return ErrUsage.WrapWithNoMessage(err)
+	}
+	for _, c := range t.commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			return ErrUsage.WrapWithNoMessage(err)
+		}
+	}
+	_, err := parser.ParseArgs(args)
+	if err == nil || flags.WroteHelp(err) || errorx.Cast(err) != nil {
+		return err
+	}
+	return ErrUsage.WrapWithNoMessage(err)
+}
+
+// execute runs the parsed command.
+func execute(command flags.Commander, rest []string) error {
+	if len(rest) > 0 {
+		return ErrUsage.New("argument %q is not expected", rest[0])
+	}
+	return command.Execute(nil)
+}
+
+// report writes an error, or the help text, where it belongs.
+func (t *tool) report(err error) {
+	switch {
+	case err == nil:
+	case flags.WroteHelp(err):
+		fmt.Fprintln(t.stdout, err)
+	case t.options.Output == "json":
+		t.writeJSON(t.stdout, newFailure(err))
+	case len(manifest.Problems(err)) > 0:
+		for _, problem := range manifest.Problems(err) {
+			fmt.Fprintln(t.stderr, problem)
+		}
+	default:
+		fmt.Fprintf(t.stderr, "%s: %v\n", program, err)
+	}
+}
+
+// show writes the result of a command.
+func (t *tool) show(r result) error {
+	if t.options.Output == "json" {
+		t.writeJSON(t.stdout, r)
+		return nil
+	}
+	fmt.Fprint(t.stdout, r.text())
+	return nil
+}
+
+func (t *tool) writeJSON(w io.Writer, value any) {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
+func (t *tool) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), t.options.Timeout)
+}
+
+// store returns the configuration store, or ErrUsage without --kv.
+func (t *tool) store() (*config.Store, error) {
+	if t.options.KV == "" {
+		return nil, ErrUsage.New("flag --kv is required")
+	}
+	return config.NewStore(t.openKV(t.options.KV)), nil
+}
