--- a/internal/config/service_reads.go
+++ b/internal/config/service_reads.go
@@ -15,7 +15,7 @@
 	// shortestReadInterval is the time between two reads in a small fleet.
 	shortestReadInterval = 4 * time.Second
 	// adoptTries bounds the tries to load a version while versions change.
-	adoptTries = 3
+	adoptTries = 4
 )
 
 // readDue tells whether the next paced read of the root is due and plans the one after it.
@@ -53,15 +53,16 @@
 	return s.options.Store.Root(ctx)
 }
 
-// adopt puts the version of a root in force when it is above the one in force.
+// adopt puts the version of a root, which the service has named, in force and confirms it.
 func (s *Spread) adopt(ctx context.Context, root Root) {
 	for range adoptTries {
 		if root.Version <= s.options.Holder.Version() {
+			s.confirm(root.Version, "service")
 			return
 		}
 		err := s.load(ctx, root)
 		if err == nil {
-			return
+			continue
 		}
 		s.options.Logger.Debug("configuration not loaded", zap.Uint64("version", root.Version), zap.Error(err))
 		if !errorx.IsOfType(err, ErrIncomplete) {
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -238,7 +238,7 @@
 	for _, n := range cluster.nodes {
 		root, err := n.spread.root(context.Background())
 		c.Assert(err, qt.IsNil)
-		n.spread.adopt(context.Background(), root)
+		c.Assert(n.spread.load(context.Background(), root), qt.IsNil)
 	}
 	setDown(cluster.kv, true)
 	for range rounds {
--- a/internal/config/startup.go
+++ b/internal/config/startup.go
@@ -24,14 +24,13 @@
 	switch {
 	case err == nil:
 		s.adopt(ctx, root)
-		s.confirm(root.Version, "service")
 	case errorx.IsOfType(err, ErrUnavailable):
 		s.confirmFromPeers(ctx)
 	}
 }
 
 func (s *Spread) confirm(version uint64, by string) {
-	if s.options.Holder.Confirm(version) {
+	if !s.options.Holder.Ready() && s.options.Holder.Confirm(version) {
 		s.options.Logger.Info("configuration confirmed", zap.Uint64("version", version), zap.String("by", by))
 	}
 }
--- /dev/null
+++ b/internal/node/rollout.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/agent"
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/rollout"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// rolloutPart is the agent's part in rollouts: the gate before its backend server, and the driver
+// of its service.
+type rolloutPart struct {
+	backend  *engineBackend
+	server   *rollout.Server
+	driver   *rollout.Driver
+	replicas *rollout.GRPCReplicas
+	leaving  func() bool
+
+	cancel     context.CancelFunc
+	background sync.WaitGroup
+}
+
+func newRollout(s agent.Settings, shared *services, logger *zap.Logger) *rolloutPart {
+	run := process.NewIncarnation()
+	r := &rolloutPart{
+		backend:  &engineBackend{client: engine.New(s.Backend)},
+		replicas: rollout.NewGRPCReplicas(),
+	}
+	r.server = rollout.NewServer(rollout.ServerOptions{
+		Instance:      s.Instance,
+		Incarnation:   run,
+		Service:       s.Service,
+		KV:            shared.kv,
+		Backend:       r.backend,
+		Leaving:       func() bool { return r.leaving() },
+		ConfigVersion: shared.holder.Version,
+	})
+	r.driver = rollout.NewDriver(rollout.Options{
+		Service:  s.Service,
+		Instance: s.Instance,
+		Owner:    fmt.Sprintf("%s/%x", s.Instance, run),
+		KV:       shared.kv,
+		Replicas: r.replicas,
+		Members:  func() []rollout.Member { return shared.instances.agentsOf(s.Service) },
+		Target:   func() (rollout.Target, bool) { return targetOf(shared.holder.Current(), s.Service) },
+		Logger:   logger,
+	})
+	return r
+}
+
+// targetOf returns what a confirmed configuration wants of a service.
+func targetOf(snapshot *config.Snapshot, service string) (rollout.Target, bool) {
+	if snapshot == nil || !snapshot.Confirmed {
+		return rollout.Target{}, false
+	}
+	wanted, ok := snapshot.Index.Service(service)
+	if !ok {
+		return rollout.Target{}, false
+	}
+	return rollout.Target{
+		Service:            wanted.Name,
+		WeightVersion:      wanted.WeightVersion,
+		Adapters:           wanted.Adapters,
+		Replicas:           wanted.Replicas,
+		MaxConcurrentLoads: wanted.MaxConcurrentLoads,
+	}, true
+}
+
+// start drives until ctx ends or stop is called; a leaving process gives the lease up at once.
+func (r *rolloutPart) start(ctx context.Context) {
+	ctx, r.cancel = context.WithCancel(ctx)
+	r.background.Go(func() { r.driver.Run(ctx) })
+}
+
+func (r *rolloutPart) stop() {
+	r.cancel()
+	r.background.Wait()
+	r.replicas.Close()
+	r.backend.client.Close()
+}
+
+func (r *rolloutPart) register(server *grpc.Server) { wire.RegisterOrdersServer(server, r.server) }
+
+// engineBackend gives a model engine's state and orders to the gate.
+type engineBackend struct {
+	client *engine.Client
+}
+
+// State implements rollout.Backend.
+func (b *engineBackend) State(ctx context.Context) (rollout.BackendState, error) {
+	state, err := b.client.State(ctx)
+	if err != nil {
+		return rollout.BackendState{}, err
+	}
+	return rollout.BackendState{
+		WeightVersion: state.Serving,
+		Loading:       state.Loading,
+		Adapters:      state.Adapters,
+		Role:          state.Role,
+	}, nil
+}
+
+// Order implements rollout.Backend.
+func (b *engineBackend) Order(ctx context.Context, request *wire.OrderRequest) error {
+	_, err := b.client.Order(ctx, engine.Order{
+		Fence:         request.GetFence(),
+		Kind:          orderKind(request.GetKind()),
+		WeightVersion: request.GetWeightVersion(),
+		Adapter:       request.GetAdapter(),
+		Role:          request.GetRole(),
+	})
+	for _, refusal := range []*errorx.Type{engine.ErrUnreachable, engine.ErrRefused, engine.ErrFenced} {
+		if errorx.IsOfType(err, refusal) {
+			return rollout.ErrRefused.Wrap(err, "engine")
+		}
+	}
+	return err
+}
+
+func orderKind(kind wire.OrderKind) engine.OrderKind {
+	switch kind {
+	case wire.OrderKind_ORDER_KIND_LOAD_ADAPTER:
+		return engine.OrderLoadAdapter
+	case wire.OrderKind_ORDER_KIND_SET_ROLE:
+		return engine.OrderSetRole
+	default:
+		return engine.OrderLoadVersion
+	}
+}
