Let new requests run on replicas that still serve the earlier weight version

A replica admits a new request only for the version that its engine serves; a run that continues may use a version that the engine keeps.

A fresh process waits for the instance list before it watches the root. go test ./internal/entry ./internal/config passes.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -133,8 +133,8 @@
 		return wire.RefusalReason_REFUSAL_REASON_STALE_CONFIGURATION, "a newer configuration is in force"
 	case a.state.engineLost(time.Now()):
 		return wire.RefusalReason_REFUSAL_REASON_ENGINE, "the model engine does not answer"
-	case !a.state.hasVersion(d.GetWeightVersion()):
-		return wire.RefusalReason_REFUSAL_REASON_WRONG_VERSION, "weight version " + d.GetWeightVersion() + " is not loaded"
+	case !a.state.mayRun(d.GetWeightVersion(), d.GetResumeTokens() > 0):
+		return wire.RefusalReason_REFUSAL_REASON_WRONG_VERSION, "weight version " + d.GetWeightVersion() + " is not served"
 	case !a.state.hasAdapter(d.GetAdapter()):
 		return wire.RefusalReason_REFUSAL_REASON_WRONG_VERSION, "adapter " + d.GetAdapter() + " is not loaded"
 	default:
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -58,9 +58,13 @@
 	return s.isModel && now.Sub(s.readAt) > engineSilence
 }
 
-// hasVersion says whether the engine can run a weight version.
-func (s *state) hasVersion(version string) bool {
-	return !s.isModel || slices.Contains(s.observed.WeightVersions, version)
+// mayRun says whether the engine can run a weight version. A run that begins needs the version that
+// the engine serves; one that continues may use a version that the engine keeps for others.
+func (s *state) mayRun(version string, continues bool) bool {
+	if !s.isModel || version == s.observed.Serving {
+		return true
+	}
+	return continues && slices.Contains(s.observed.WeightVersions, version)
 }
 
 func (s *state) hasAdapter(adapter string) bool {
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -20,6 +21,8 @@
 	// Confirmed says that the version was confirmed at start-up, by the service or by peers of
 	// enough failure domains. A process serves only with a confirmed snapshot.
 	Confirmed bool
+
+	earlier map[string][]EarlierVersion
 }
 
 // HolderStats counts what a Holder was offered.
@@ -100,11 +103,13 @@
 	}
 	h.bundle = complete
 	h.stats.Accepted++
+	index := manifest.NewIndex(m, complete.Version)
 	h.publish(&Snapshot{
 		Version:   complete.Version,
 		Digest:    complete.Digest,
-		Index:     manifest.NewIndex(m, complete.Version),
+		Index:     index,
 		Confirmed: serving(state),
+		earlier:   followEarlier(h.current.Load(), index, time.Now()),
 	})
 	return true, nil
 }
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
@@ -110,6 +111,23 @@
 	c.Assert(mustBundle(t, 1, joined).Digest, qt.Equals, bundle.Digest)
 }
 
+func TestEarlierWeightVersionsLastForARollout(t *testing.T) {
+	c := qt.New(t)
+	holder := NewHolder()
+	for version := uint64(1); version <= 6; version++ {
+		_, err := holder.Offer(mustBundle(t, version, sample(int(version))))
+		c.Assert(err, qt.IsNil)
+	}
+	now := time.Now()
+	c.Assert(holder.Current().EarlierVersions("assistant", now), qt.DeepEquals, []string{"w5", "w4", "w3"})
+	// Rolled back to the content of version 5.
+	_, err := holder.Offer(mustBundle(t, 7, sample(5)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(holder.Current().EarlierVersions("assistant", now), qt.DeepEquals, []string{"w6", "w4", "w3"})
+	c.Assert(holder.Current().EarlierVersions("assistant", now.Add(earlierFor+time.Minute)), qt.HasLen, 0)
+	c.Assert(holder.Current().EarlierVersions("archive", now), qt.HasLen, 0)
+}
+
 // A holder offered any versions in any order never goes back and ends at the highest.
 func TestHolderNeverReverts(t *testing.T) {
 	bundles := make([]Bundle, 9)
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -88,7 +88,7 @@
 
 // Run spreads and adopts versions until ctx ends.
 func (s *Spread) Run(ctx context.Context) {
-	watcher := &watcher{spread: s}
+	watcher := &watcher{spread: s, began: time.Now()}
 	defer watcher.stop()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -10,19 +10,29 @@
 	"balsamyoke.example/balsamyoke/internal/platform"
 )
 
-// watchPause is the time before a lost watch is opened again.
-const watchPause = time.Second
+const (
+	// watchPause is the time before a lost watch is opened again.
+	watchPause = time.Second
+	// aloneFor is how long a process without peers waits for the instance list before it watches:
+	// else each fresh process would open a watch.
+	aloneFor = 5 * time.Second
+)
 
 // watcher runs the watch of the root while this process ranks among its domain's watchers.
 type watcher struct {
 	spread *Spread
+	began  time.Time
 	cancel context.CancelFunc
 	done   chan struct{}
 }
 
 // rank starts or stops the watch. It is called from the goroutine of Run.
 func (w *watcher) rank(ctx context.Context) {
-	wanted := watches(w.spread.options.Self, w.spread.options.Peers.Peers(0))
+	peers := w.spread.options.Peers.Peers(0)
+	if len(peers) == 0 && time.Since(w.began) < aloneFor {
+		return
+	}
+	wanted := watches(w.spread.options.Self, peers)
 	if wanted == (w.cancel != nil) {
 		return
 	}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -21,6 +22,7 @@
 	instance    platform.Instance
 	reservation []byte
 	reply       *wire.ProbeReply
+	cost        time.Duration
 }
 
 // place chooses a replica for the next attempt of a run.
@@ -29,14 +31,29 @@
 	if len(candidates) == 0 {
 		return nil, r.noReplica()
 	}
-	replies := r.entry.prober.ask(ctx, r.entry.links, candidates, r.probe(), probeTimeout)
-	best := r.cheapest(candidates, replies)
+	best := r.ask(ctx, candidates)
 	if best == nil {
 		return &placed{instance: candidates[0]}, nil
 	}
 	return best, nil
 }
 
+// ask probes the candidates for each weight version that the request may run on, and binds the
+// request to the version of the cheapest reply.
+func (r *run) ask(ctx context.Context, candidates []platform.Instance) *placed {
+	bindings := r.bindings()
+	offers := make([]*placed, len(bindings))
+	var group sync.WaitGroup
+	for i, binding := range bindings {
+		group.Go(func() {
+			replies := r.entry.prober.ask(ctx, r.entry.links, candidates, r.probe(binding), probeTimeout)
+			offers[i] = r.cheapest(candidates, replies)
+		})
+	}
+	group.Wait()
+	return r.choose(bindings, offers)
+}
+
 func (r *run) noReplica() *Failure {
 	if r.attempts > 0 {
 		return r.exhausted()
@@ -57,16 +74,16 @@
 	return eligible[:min(len(eligible), probeTargets)]
 }
 
-func (r *run) probe() *wire.Probe {
+func (r *run) probe(binding binding) *wire.Probe {
 	req := r.request
 	left := max(time.Until(req.deadline), time.Millisecond)
 	return &wire.Probe{
 		Organisation:  req.organisation.Name,
 		Service:       req.service.Name,
-		WeightVersion: req.service.WeightVersion,
+		WeightVersion: binding.weightVersion,
 		Adapter:       req.adapter,
 		Urgency:       req.urgency(),
-		Pieces:        req.pieceBytes(),
+		Pieces:        binding.pieceBytes(),
 		PromptTokens:  req.promptTokens,
 		MaxTokens:     req.maxTokens,
 		DeadlineMs:    uint32(left.Milliseconds()),
@@ -85,7 +102,7 @@
 		}
 		cost := r.cost(reply)
 		if best == nil || cost < bestCost {
-			best = &placed{instance: instance, reservation: reply.GetReservation(), reply: reply}
+			best = &placed{instance: instance, reservation: reply.GetReservation(), reply: reply, cost: cost}
 			bestCost = cost
 		}
 	}
@@ -131,7 +148,7 @@
 			FailureDomain: target.instance.FailureDomain,
 			QueueMS:       target.reply.GetPredictedStartMs(),
 			CachedPieces:  target.reply.GetCachedPieces(),
-			PromptPieces:  len(req.pieces),
+			PromptPieces:  len(req.binding.pieces),
 		},
 	})
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -11,7 +11,6 @@
 
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -42,9 +41,10 @@
 	payload      []byte
 	stream       bool
 	// text is the canonical prompt, kept to name its pieces again for another weight version.
-	text         []byte
-	askedTokens  uint32
-	pieces       []piece.Name
+	text        []byte
+	askedTokens uint32
+	// binding is the weight version that the request runs on.
+	binding      binding
 	promptTokens uint32
 	maxTokens    uint32
 
@@ -190,14 +190,9 @@
 		"service "+quote(r.service.Name)+" has no adapter "+quote(adapter))
 }
 
-// measure names the prompt's pieces for the bound weight version and estimates its tokens.
+// measure binds the request to the weight version in force and estimates its tokens.
 func (r *request) measure() {
-	scope := piece.Scope{
-		Organisation:  r.organisation.Name,
-		WeightVersion: r.service.WeightVersion,
-		Adapter:       r.adapter,
-	}
-	r.pieces = piece.Names(scope, r.text, r.snapshot.Index.Manifest().PieceBytes)
+	r.binding = r.bind(r.service.WeightVersion)
 	r.promptTokens = uint32(len(r.text) / bytesPerToken)
 	r.maxTokens = answerBound(r.askedTokens, r.kind)
 }
@@ -251,12 +246,4 @@
 	return wire.Urgency_URGENCY_URGENT
 }
 
-func (r *request) pieceBytes() [][]byte {
-	names := make([][]byte, len(r.pieces))
-	for i := range r.pieces {
-		names[i] = r.pieces[i][:]
-	}
-	return names
-}
-
 func quote(name string) string { return `"` + name + `"` }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,57 +1,101 @@
-// Package node puts a role together with the platform's services, the spread of configurations and
-// the rollout, and runs it. The cmd mains call it after their settings are checked.
+// Package node puts a role together with the platform's services and runs it. The cmd mains call
+// it after their settings are checked.
 package node
 
 import (
 	"context"
 
+	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/agent"
+	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
-	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
 	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
+// common is what every role is built on.
+type common struct {
+	logger        *zap.Logger
+	kv            platform.KV
+	instances     platform.InstanceList
+	configuration *configuration
+	spread        *config.Spread
+	peers         *peers
+}
+
+// newCommon connects to the platform's services.
+func newCommon(program string, identity process.Identity, control, kv, list string) *common {
+	c := &common{
+		logger:    process.NewLogger(program, identity.Instance),
+		kv:        etcdhttp.New(kv),
+		instances: listhttp.New(list),
+	}
+	c.peers = newPeers(identity.Instance, c.instances)
+	holder := config.NewHolder()
+	c.spread = config.NewSpread(config.SpreadOptions{
+		Self: config.Peer{
+			Instance:       identity.Instance,
+			ControlAddress: control,
+			FailureDomain:  identity.FailureDomain,
+		},
+		Holder:    holder,
+		Store:     config.NewStore(c.kv),
+		Peers:     c.peers,
+		Messenger: config.NewGRPCMessenger(),
+		Logger:    c.logger,
+	})
+	c.configuration = newConfiguration(holder, c.spread)
+	return c
+}
+
+// start runs what every role needs until the returned function is called.
+func (c *common) start() context.CancelFunc {
+	background, stop := context.WithCancel(context.Background())
+	go c.peers.run(background)
+	go c.spread.Run(background)
+	return stop
+}
+
+// register adds the control services that every role serves.
+func (c *common) register(server *grpc.Server) {
+	wire.RegisterConfigurationServer(server, c.spread.Server())
+}
+
 // RunEntry runs the entry role until ctx ends.
 func RunEntry(ctx context.Context, s entry.Settings) error {
-	logger := process.NewLogger("balsam-entry", s.Instance)
-	shared := newServices(s.Identity, s.Control, s.KV, s.InstanceList, logger)
-	shared.start()
-	defer shared.stop()
+	c := newCommon("balsam-entry", s.Identity, s.Control, s.KV, s.InstanceList)
 	e, err := entry.New(s, entry.Dependencies{
-		Configuration: shared,
-		Instances:     shared.list,
-		Logger:        logger,
-		Register:      shared.register,
+		Configuration: c.configuration,
+		Instances:     c.instances,
+		Logger:        c.logger,
+		Register:      c.register,
 	})
 	if err != nil {
 		return err
 	}
+	defer c.start()()
 	return e.Run(ctx)
 }
 
-// RunAgent runs the agent role until ctx ends. The agent of a model service also gates the orders
-// to its backend server and may drive the rollout of its service.
+// RunAgent runs the agent role until ctx ends.
 func RunAgent(ctx context.Context, s agent.Settings) error {
-	logger := process.NewLogger("balsam-agent", s.Instance)
-	shared := newServices(s.Identity, s.Control, s.KV, s.InstanceList, logger)
-	shared.start()
-	defer shared.stop()
-	var rollout *rolloutPart
-	register := shared.register
-	if s.ServiceType == manifest.ServiceModel {
-		rollout = newRollout(s, shared, logger)
-		register = func(server *grpc.Server) {
-			shared.register(server)
+	c := newCommon("balsam-agent", s.Identity, s.Control, s.KV, s.InstanceList)
+	rollout := newRollout(s, c)
+	a := agent.New(s, agent.Dependencies{
+		Configuration: c.configuration,
+		Logger:        c.logger,
+		Register: func(server *grpc.Server) {
+			c.register(server)
 			rollout.register(server)
-		}
-	}
-	a := agent.New(s, agent.Dependencies{Configuration: shared, Logger: logger, Register: register})
-	if rollout != nil {
-		rollout.leaving = a.IsLeaving
-		rollout.start(ctx)
-		defer rollout.stop()
-	}
+		},
+	})
+	defer c.start()()
+	rollout.start(ctx, a.IsLeaving)
+	defer rollout.stop()
 	return a.Run(ctx)
 }
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -8,6 +8,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/rollout"
 )
 
 // listInterval is how often the instance list is read.
@@ -15,14 +16,16 @@
 
 // peers knows the other processes of the system from the instance list.
 type peers struct {
-	self  string
-	list  platform.InstanceList
-	known atomic.Pointer[[]config.Peer]
+	self   string
+	list   platform.InstanceList
+	known  atomic.Pointer[[]config.Peer]
+	listed atomic.Pointer[[]platform.Instance]
 }
 
 func newPeers(self string, list platform.InstanceList) *peers {
 	p := &peers{self: self, list: list}
 	p.known.Store(&[]config.Peer{})
+	p.listed.Store(&[]platform.Instance{})
 	return p
 }
 
@@ -45,6 +48,7 @@
 	if err != nil {
 		return
 	}
+	p.listed.Store(&instances)
 	known := make([]config.Peer, 0, len(instances))
 	for _, instance := range instances {
 		if instance.ControlAddress == "" || instance.ID == p.self {
@@ -68,3 +72,19 @@
 	}
 	return drawn[:n]
 }
+
+// agentsOf returns the live agents of a service, this process with them.
+func (p *peers) agentsOf(service string) []rollout.Member {
+	var members []rollout.Member
+	for _, instance := range *p.listed.Load() {
+		if instance.Role != platform.RoleAgent || instance.Service != service || instance.State != platform.InstanceLive {
+			continue
+		}
+		members = append(members, rollout.Member{
+			Instance:       instance.ID,
+			ControlAddress: instance.ControlAddress,
+			FailureDomain:  instance.FailureDomain,
+		})
+	}
+	return members
+}
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -6,19 +6,19 @@
 	"sync"
 
 	"github.com/joomcode/errorx"
-	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/agent"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/rollout"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-// rolloutPart is the agent's part in rollouts: the gate before its backend server, and the driver
-// of its service.
+// rolloutPart is the agent's part in rollouts: the gate before its model engine, and the driver of
+// its service. Agents of plain services have none; the methods of a nil rolloutPart do nothing.
 type rolloutPart struct {
 	backend  *engineBackend
 	server   *rollout.Server
@@ -30,8 +30,12 @@
 	background sync.WaitGroup
 }
 
-func newRollout(s agent.Settings, shared *services, logger *zap.Logger) *rolloutPart {
+func newRollout(s agent.Settings, c *common) *rolloutPart {
+	if s.ServiceType != manifest.ServiceModel {
+		return nil
+	}
 	run := process.NewIncarnation()
+	holder := c.configuration.holder
 	r := &rolloutPart{
 		backend:  &engineBackend{client: engine.New(s.Backend)},
 		replicas: rollout.NewGRPCReplicas(),
@@ -40,20 +44,20 @@
 		Instance:      s.Instance,
 		Incarnation:   run,
 		Service:       s.Service,
-		KV:            shared.kv,
+		KV:            c.kv,
 		Backend:       r.backend,
-		Leaving:       func() bool { return r.leaving() },
-		ConfigVersion: shared.holder.Version,
+		Leaving:       func() bool { return r.leaving != nil && r.leaving() },
+		ConfigVersion: holder.Version,
 	})
 	r.driver = rollout.NewDriver(rollout.Options{
 		Service:  s.Service,
 		Instance: s.Instance,
 		Owner:    fmt.Sprintf("%s/%x", s.Instance, run),
-		KV:       shared.kv,
+		KV:       c.kv,
 		Replicas: r.replicas,
-		Members:  func() []rollout.Member { return shared.instances.agentsOf(s.Service) },
-		Target:   func() (rollout.Target, bool) { return targetOf(shared.holder.Current(), s.Service) },
-		Logger:   logger,
+		Members:  func() []rollout.Member { return c.peers.agentsOf(s.Service) },
+		Target:   func() (rollout.Target, bool) { return targetOf(holder.Current(), s.Service) },
+		Logger:   c.logger,
 	})
 	return r
 }
@@ -77,19 +81,30 @@
 }
 
 // start drives until ctx ends or stop is called; a leaving process gives the lease up at once.
-func (r *rolloutPart) start(ctx context.Context) {
+func (r *rolloutPart) start(ctx context.Context, leaving func() bool) {
+	if r == nil {
+		return
+	}
+	r.leaving = leaving
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.background.Go(func() { r.driver.Run(ctx) })
 }
 
 func (r *rolloutPart) stop() {
+	if r == nil {
+		return
+	}
 	r.cancel()
 	r.background.Wait()
 	r.replicas.Close()
 	r.backend.client.Close()
 }
 
-func (r *rolloutPart) register(server *grpc.Server) { wire.RegisterOrdersServer(server, r.server) }
+func (r *rolloutPart) register(server *grpc.Server) {
+	if r != nil {
+		wire.RegisterOrdersServer(server, r.server)
+	}
+}
 
 // engineBackend gives a model engine's state and orders to the gate.
 type engineBackend struct {
