--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -68,7 +68,7 @@
     next_address; metrics=$address
     standin_settings="$run/$id-backend.json"
     if [ "$4" = engine ]; then
-      printf '{"weight_version":"%s","weights_address":"%s"}\n' "$WEIGHT_VERSION" "$weights" >"$standin_settings"
+      printf '{"weight_version":"%s","weights_address":"%s","load_ms":%s}\n' "$WEIGHT_VERSION" "$weights" "${LOAD_MS:-0}" >"$standin_settings"
     else
       printf '{}\n' >"$standin_settings"
     fi
@@ -132,7 +132,7 @@
   next_address; weights=$address
   launch kv bin/balsam-standin kv --listen "$kv"
   launch list bin/balsam-standin list --listen "$list"
-  launch weights bin/balsam-standin weights --listen "$weights"
+  launch weights bin/balsam-standin weights --listen "$weights" --max-parallel "${MAX_PARALLEL_LOADS:-2}"
   printf '{"instances":[' >"$run/instances.json"
   start_agents "$MODEL_SERVICE" model "$MODEL_REPLICAS" engine
   start_agents "$PLAIN_SERVICE" plain "$PLAIN_REPLICAS" plain
