--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,11 +93,17 @@
 // RunAgent runs the agent role until ctx ends.
 func RunAgent(ctx context.Context, s agent.Settings) error {
 	c := newCommon("balsam-agent", s.Identity, s.Control, s.KV, s.InstanceList)
+	rollout := newRollout(s, c)
 	a := agent.New(s, agent.Dependencies{
 		Configuration: c.configuration,
 		Logger:        c.logger,
-		Register:      c.register,
+		Register: func(server *grpc.Server) {
+			c.register(server)
+			rollout.register(server)
+		},
 	})
 	defer c.start()()
+	rollout.start(ctx, a.IsLeaving)
+	defer rollout.stop()
 	return a.Run(ctx)
 }
