--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,10 +14,12 @@
 
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/control"
+	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/metrics"
 	"balsamyoke.example/balsamyoke/internal/plain"
+	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -49,6 +51,7 @@
 // Dependencies are what an Agent is built from.
 type Dependencies struct {
 	Configuration Configuration
+	Instances     platform.InstanceList
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
@@ -67,10 +70,15 @@
 	incarnation   uint64
 	loop          *control.Loop
 	state         *state
-	server        *transport.Server
-	leaving       atomic.Bool
-	leave         chan struct{}
-	register      func(*grpc.Server)
+	// cache is nil for agents of plain services, which only serve the directory from table.
+	cache     *cache
+	table     *directory.Table
+	directory *directory.Client
+	instances platform.InstanceList
+	server    *transport.Server
+	leaving   atomic.Bool
+	leave     chan struct{}
+	register  func(*grpc.Server)
 }
 
 // counters are the agent's metrics.
@@ -114,6 +122,9 @@
 		incarnation:   incarnation,
 		loop:          control.NewLoop(),
 		state:         newState(s, incarnation),
+		table:         directory.NewTable(0),
+		directory:     directory.NewClient(s.FailureDomain),
+		instances:     d.Instances,
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
 	}
@@ -131,6 +142,9 @@
 	if a.isModel() {
 		a.readVersions(background)
 		go a.watchVersions(background)
+		a.startCache(background)
+		defer a.stopCache()
+		go a.watchCache(background)
 	}
 	server, err := transport.Listen(a.settings.Listen, a, a.probed)
 	if err != nil {
@@ -185,6 +199,7 @@
 		Decisions: a.decisions,
 		Leave:     a.Leave,
 	})
+	wire.RegisterDirectoryServer(server, directory.NewServer(a.loop, a.table))
 	if a.register != nil {
 		a.register(server)
 	}
--- /dev/null
+++ b/internal/agent/cache.go
@@ -0,0 +1,235 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/cacheindex"
+	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/transfer"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// cache is the agent's part in placing and moving KV cache: the index of its engine's cache, the
+// mover between engine and stores, and what it tells the location directory. Only the control
+// goroutine touches it.
+type cache struct {
+	instance  string
+	tokens    func() int // of one piece
+	index     *cacheindex.Index
+	announcer *directory.Announcer
+	mover     *transfer.Mover
+	// anchors holds the anchors of pieces that dispatches named.
+	anchors map[piece.Name]piece.Name
+}
+
+// startCache begins to follow the engine's cache and to move pieces. The transfers end with ctx.
+func (a *Agent) startCache(ctx context.Context) {
+	now := time.Now()
+	c := &cache{
+		instance:  a.settings.Instance,
+		tokens:    a.pieceTokens,
+		index:     cacheindex.New(),
+		announcer: directory.NewAnnouncer(directory.NewRing(nil), 0),
+		anchors:   make(map[piece.Name]piece.Name),
+	}
+	c.mover = transfer.NewMover(ctx, transfer.Settings{
+		FailureDomain:  a.settings.FailureDomain,
+		BytesPerSecond: float64(a.settings.LinkBytesPerSecond),
+	}, transfer.Dependencies{
+		Loop:      a.loop,
+		Engine:    a.engine,
+		Directory: a.directory,
+		Observer:  c,
+		Scope:     a.registry.Scope.SubScope("cache"),
+	}, uint64(now.UnixNano()), now)
+	a.loop.Call(func() { a.cache = c })
+}
+
+// stopCache closes the connections to stores and homes.
+func (a *Agent) stopCache() {
+	a.loop.Call(func() {
+		if a.cache != nil {
+			a.cache.mover.Close()
+		}
+	})
+	a.directory.Close()
+}
+
+// pieceTokens returns the estimated tokens of one piece of prompt text.
+func (a *Agent) pieceTokens() int {
+	snapshot := a.configuration.Current()
+	if snapshot == nil {
+		return piece.Tokens(piece.DefaultBytes)
+	}
+	return piece.Tokens(snapshot.Index.Manifest().PieceBytes)
+}
+
+// Imported implements transfer.Observer.
+func (c *cache) Imported(name piece.Name) { c.index.Own(name, time.Now()) }
+
+// NotCached implements transfer.Observer.
+func (c *cache) NotCached(name piece.Name) { c.index.Forget(name) }
+
+// Stored implements transfer.Observer.
+func (c *cache) Stored(location transfer.Location, anchor piece.Name) {
+	c.announcer.Hold(directory.Holding{
+		Piece:      location.Piece,
+		Holder:     location.Store,
+		Tier:       wire.Tier_TIER_STORE_MEMORY,
+		Generation: location.Generation,
+		Bytes:      location.Bytes,
+	}, anchor)
+}
+
+// Lost implements transfer.Observer.
+func (c *cache) Lost(location transfer.Location) { c.announcer.Drop(location.Piece, location.Store) }
+
+// learn remembers the anchors of a prompt's pieces, so that they can be announced.
+func (c *cache) learn(names []piece.Name) {
+	for i, name := range names {
+		c.anchors[name] = names[directory.AnchorIndex(i)]
+	}
+}
+
+// announceChanges tells the announcer which pieces the engine's cache gained and lost. A piece that
+// no dispatch has named, such as after a restart of the agent, is announced under its own name:
+// lookups find it if it is an anchor.
+func (c *cache) announceChanges() {
+	for _, change := range c.index.TakeChanges() {
+		if !change.Present {
+			delete(c.anchors, change.Piece)
+			c.announcer.Drop(change.Piece, c.instance)
+			continue
+		}
+		anchor, known := c.anchors[change.Piece]
+		if !known {
+			anchor = change.Piece
+		}
+		c.announcer.Hold(directory.Holding{
+			Piece:  change.Piece,
+			Holder: c.instance,
+			Tier:   wire.Tier_TIER_REPLICA,
+		}, anchor)
+	}
+}
+
+// cachedPieces returns how many leading pieces of a dispatch the engine is believed to hold.
+func (a *Agent) cachedPieces(d *wire.Dispatch, now time.Time) int {
+	if a.cache == nil {
+		return 0
+	}
+	names, err := piece.NamesFromBytes(d.GetPieces())
+	if err != nil {
+		return 0
+	}
+	return a.cache.index.Prefix(names, now)
+}
+
+// prompt describes a dispatch to the mover. The queue is the time until the run could start.
+func (a *Agent) prompt(d *wire.Dispatch, queue time.Duration, now time.Time) (transfer.Prompt, bool) {
+	names, err := piece.NamesFromBytes(d.GetPieces())
+	if err != nil || a.cache == nil || len(names) == 0 {
+		return transfer.Prompt{}, false
+	}
+	perToken := time.Duration(a.settings.PrefillMicrosPerToken) * time.Microsecond
+	tokens := a.cache.tokens()
+	rest := max(0, int(d.GetPromptTokens())-len(names)*tokens)
+	return transfer.Prompt{
+		Names:        names,
+		Cached:       a.cache.index.Prefix(names, now),
+		Patient:      d.GetUrgency() == wire.Urgency_URGENCY_PATIENT,
+		Queue:        queue,
+		PiecePrefill: time.Duration(tokens) * perToken,
+		RestPrefill:  time.Duration(rest) * perToken,
+		Deadline:     time.Duration(d.GetDeadlineMs()) * time.Millisecond,
+		PieceTokens:  tokens,
+	}, true
+}
+
+// answerCache adds to a probe reply what the engine holds and what could be fetched.
+func (a *Agent) answerCache(answer *wire.ProbeReply, asked *wire.Dispatch, now time.Time) {
+	queue := time.Duration(answer.GetPredictedStartMs()) * time.Millisecond
+	prompt, ok := a.prompt(asked, queue, now)
+	if !ok {
+		return
+	}
+	answer.CachedPieces = uint32(prompt.Cached)
+	choice := a.cache.mover.Estimate(prompt, now)
+	answer.FetchablePieces = uint32(choice.Pieces)
+	answer.FetchMs = uint32(choice.Fetch.Milliseconds())
+	answer.FetchBytes = uint64(choice.Bytes)
+}
+
+// prefetch begins to fetch the missing pieces of a queued job, while it waits for its turn.
+func (a *Agent) prefetch(j *job, queue time.Duration, now time.Time) {
+	prompt, ok := a.prompt(j.dispatch, queue, now)
+	if !ok {
+		return
+	}
+	a.cache.learn(prompt.Names)
+	j.prompt = prompt
+	j.fetch = a.cache.mover.Fetch(prompt)
+}
+
+// dropFetch ends the fetch of a job that will not run.
+func (a *Agent) dropFetch(j *job) {
+	if j != nil && j.fetch != nil {
+		a.cache.mover.Cancel(j.fetch)
+	}
+}
+
+// awaitFetch waits for the pieces on their way to the engine and returns the bytes that were moved.
+func (r *run) awaitFetch(ctx context.Context) uint64 {
+	if r.job.fetch == nil {
+		return 0
+	}
+	select {
+	case <-r.job.fetch.Done():
+		return r.job.fetch.Bytes()
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// ran records that the engine now holds the pieces of a job's prompt, and offers them for export.
+func (a *Agent) ran(j *job, now time.Time) {
+	if a.cache == nil || j.fetch == nil {
+		return
+	}
+	for _, name := range j.prompt.Names {
+		a.cache.index.Own(name, now)
+	}
+	a.cache.mover.Offer(j.dispatch.GetOrganisation(), j.prompt)
+}
+
+// CacheState is the part of a dump about the cache.
+type CacheState struct {
+	Index         cacheindex.State     `json:"index"`
+	Mover         transfer.State       `json:"mover"`
+	Announced     int                  `json:"announced"`
+	Unannounced   int                  `json:"unannounced"`
+	DirectoryHome directory.TableState `json:"directory_home"`
+}
+
+// showCache returns the state of the cache; nil for agents of plain services.
+func (a *Agent) showCache(now time.Time) *CacheState {
+	if a.cache == nil {
+		return nil
+	}
+	return &CacheState{
+		Index:         a.cache.index.State(now),
+		Mover:         a.cache.mover.State(now),
+		Announced:     a.cache.announcer.Len() - a.cache.announcer.Pending(),
+		Unannounced:   a.cache.announcer.Pending(),
+		DirectoryHome: a.table.State(),
+	}
+}
+
+// nextAnnouncements returns what to tell homes now.
+func (c *cache) nextAnnouncements(now time.Time) []directory.Batch {
+	c.announceChanges()
+	return slices.Clip(c.announcer.Next(now))
+}
--- /dev/null
+++ b/internal/agent/cachewatch.go
@@ -0,0 +1,135 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/cacheindex"
+	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/platform"
+)
+
+const (
+	// cacheEventsInterval is how often the engine's cache events are read.
+	cacheEventsInterval = 200 * time.Millisecond
+	// announceInterval is how often new holdings are told to their homes.
+	announceInterval = 250 * time.Millisecond
+	// membersInterval is how often stores and homes are taken from the instance list.
+	membersInterval = time.Second
+	// callTimeout bounds one call about the cache.
+	callTimeout = time.Second
+)
+
+// watchCache follows the engine's cache, the stores and the homes until ctx ends.
+func (a *Agent) watchCache(ctx context.Context) {
+	go every(ctx, membersInterval, a.readMembers)
+	go every(ctx, announceInterval, a.announce)
+	every(ctx, cacheEventsInterval, a.readCacheEvents)
+}
+
+// every calls f at once and then at each interval until ctx ends.
+func every(ctx context.Context, interval time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		f(callCtx)
+		cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// readCacheEvents applies the engine's new cache events and resyncs after a loss.
+func (a *Agent) readCacheEvents(ctx context.Context) {
+	var since uint64
+	if !a.loop.Call(func() { since = a.cache.index.Sequence() }) {
+		return
+	}
+	raw, latest, err := a.engine.CacheEvents(ctx, since)
+	if err != nil {
+		return
+	}
+	events := cacheEvents(raw)
+	suspect := false
+	a.loop.Call(func() {
+		a.cache.index.Apply(events, latest, time.Now())
+		suspect = a.cache.index.NeedsResync()
+	})
+	if suspect {
+		a.resyncCache(ctx)
+	}
+}
+
+// resyncCache reads the exact content of the engine's cache.
+func (a *Agent) resyncCache(ctx context.Context) {
+	state, err := a.engine.CacheState(ctx)
+	if err != nil {
+		return
+	}
+	names, err := piece.NamesFromBytes(state.Pieces)
+	if err != nil {
+		return
+	}
+	a.loop.Call(func() { a.cache.index.Resync(names, state.Sequence, time.Now()) })
+}
+
+// cacheEvents converts events of the engine and passes over malformed names.
+func cacheEvents(raw []engine.CacheEvent) []cacheindex.Event {
+	events := make([]cacheindex.Event, 0, len(raw))
+	for _, r := range raw {
+		name, err := piece.NameFromBytes(r.Piece)
+		if err != nil {
+			continue
+		}
+		event := cacheindex.Event{Sequence: r.Sequence, Kind: cacheindex.Stored, Piece: name}
+		if r.Kind == engine.CacheRemoved {
+			event.Kind = cacheindex.Removed
+		}
+		events = append(events, event)
+	}
+	return events
+}
+
+// readMembers takes the stores and the homes of the region from the instance list.
+func (a *Agent) readMembers(ctx context.Context) {
+	instances, err := a.instances.Instances(ctx)
+	if err != nil {
+		return
+	}
+	ring := directory.NewRing(directory.Homes(instances, a.settings.Region))
+	a.directory.SetRing(ring)
+	a.loop.Call(func() {
+		a.cache.mover.SetStores(inRegion(instances, a.settings.Region))
+		if !ring.Equal(a.cache.announcer.Ring()) {
+			a.cache.announcer.SetRing(ring)
+		}
+	})
+}
+
+// inRegion returns the instances of a region.
+func inRegion(instances []platform.Instance, region string) []platform.Instance {
+	var found []platform.Instance
+	for _, instance := range instances {
+		if instance.Region == region {
+			found = append(found, instance)
+		}
+	}
+	return found
+}
+
+// announce tells homes about new and withdrawn holdings.
+func (a *Agent) announce(ctx context.Context) {
+	var batches []directory.Batch
+	a.loop.Call(func() { batches = a.cache.nextAnnouncements(time.Now()) })
+	for _, batch := range batches {
+		if err := a.directory.Announce(ctx, a.settings.Instance, a.incarnation, batch); err != nil {
+			a.loop.Post(func() { a.cache.announcer.Failed(batch) })
+		}
+	}
+}
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -78,6 +78,7 @@
 
 func (a *Agent) dropQueued(id attempt.ID) {
 	a.state.queue.Remove(admission.AttemptID(id))
+	a.dropFetch(a.state.jobs[id])
 	delete(a.state.jobs, id)
 }
 
@@ -183,7 +184,9 @@
 		return
 	}
 	a.counters.accepted.Inc(1)
-	a.state.jobs[id] = &job{id: id, dispatch: d, conn: conn, watchers: []*transport.Conn{conn}, admitted: now}
+	j := &job{id: id, dispatch: d, conn: conn, watchers: []*transport.Conn{conn}, admitted: now}
+	a.state.jobs[id] = j
+	a.prefetch(j, verdict.Wait, now)
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{
 		AttemptId:        id[:],
 		PredictedStartMs: uint32(verdict.Wait.Milliseconds()),
@@ -269,6 +272,7 @@
 		return
 	}
 	delete(a.state.jobs, id)
+	a.dropFetch(j)
 	a.refuseJob(j, refusal{
 		reason:     wire.RefusalReason_REFUSAL_REASON_DEADLINE,
 		message:    "the deadline can't be met any more",
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -48,6 +48,7 @@
 	}
 	job := a.queueJob(attempt.ID{}, asked, now)
 	answer.PredictedStartMs = uint32(a.state.queue.Predict(now, job).Milliseconds())
+	a.answerCache(answer, asked, now)
 	if probe.GetReserve() {
 		answer.Reservation = a.reserve(now, job)
 	}
@@ -62,6 +63,7 @@
 		WeightVersion: probe.GetWeightVersion(),
 		Adapter:       probe.GetAdapter(),
 		Urgency:       probe.GetUrgency(),
+		Pieces:        probe.GetPieces(),
 		PromptTokens:  probe.GetPromptTokens(),
 		MaxTokens:     probe.GetMaxTokens(),
 		DeadlineMs:    probe.GetDeadlineMs(),
@@ -80,7 +82,7 @@
 
 // queueJob estimates the work of a dispatch for the queue.
 func (a *Agent) queueJob(id attempt.ID, d *wire.Dispatch, now time.Time) admission.Job {
-	firstToken, work := a.estimate(d)
+	firstToken, work := a.estimate(d, now)
 	job := admission.Job{
 		Attempt:      admission.AttemptID(id),
 		Organisation: d.GetOrganisation(),
@@ -101,14 +103,15 @@
 const reservationBytes = 8
 
 // estimate returns the time to the first token and the time that a run holds its slot.
-func (a *Agent) estimate(d *wire.Dispatch) (firstToken, work time.Duration) {
+func (a *Agent) estimate(d *wire.Dispatch, now time.Time) (firstToken, work time.Duration) {
 	if !a.isModel() {
 		work = time.Duration(a.settings.PlainWorkMillis) * time.Millisecond
 		return work, work
 	}
 	prefill := time.Duration(a.settings.PrefillMicrosPerToken) * time.Microsecond
 	decode := time.Duration(a.settings.DecodeMicrosPerToken) * time.Microsecond
-	firstToken = time.Duration(d.GetPromptTokens()) * prefill
+	cached := min(d.GetPromptTokens(), uint32(a.cachedPieces(d, now)*a.pieceTokens()))
+	firstToken = time.Duration(d.GetPromptTokens()-cached) * prefill
 	left := d.GetMaxTokens() - min(d.GetMaxTokens(), d.GetResumeTokens())
 	return firstToken, firstToken + time.Duration(left)*decode
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -49,6 +49,7 @@
 
 func (r *run) runModel(ctx context.Context) {
 	d := r.job.dispatch
+	moved := r.awaitFetch(ctx)
 	usage, err := r.agent.engine.Run(ctx, engine.RunRequest{
 		RequestID:     r.job.id.String(),
 		Body:          d.GetPayload(),
@@ -72,6 +73,7 @@
 		FinishReason:   usage.FinishReason,
 		CachedTokens:   usage.CachedTokens,
 		ComputedTokens: usage.PromptTokens - min(usage.CachedTokens, usage.PromptTokens),
+		LinkBytes:      moved,
 	})
 }
 
@@ -183,6 +185,7 @@
 	held := now.Sub(j.started)
 	if done.GetOutcome() == wire.Outcome_OUTCOME_DONE {
 		a.counters.finished.Inc(1)
+		a.ran(j, now)
 	} else {
 		a.counters.failed.Inc(1)
 		held = 0
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -27,7 +27,9 @@
 	DecodeMicrosPerToken  int `json:"decode_us_per_token" long:"decode-us-per-token" description:"microseconds to generate a token"`
 	// PlainWorkMillis estimates the work of a call to a plain service.
 	PlainWorkMillis int `json:"plain_work_ms" long:"plain-work-ms" description:"milliseconds of a call to a plain service"`
-	GraceSeconds    int `json:"grace_seconds" long:"grace-seconds" description:"seconds that runs may finish after SIGTERM"`
+	// LinkBytesPerSecond is the share of the link to the stores that the agent may use.
+	LinkBytesPerSecond int `json:"link_bytes_per_second" long:"link-bytes-per-second" description:"bytes a second to and from stores"`
+	GraceSeconds       int `json:"grace_seconds" long:"grace-seconds" description:"seconds that runs may finish after SIGTERM"`
 }
 
 // DefaultSettings returns the settings that a file or flags override.
@@ -38,6 +40,7 @@
 		PrefillMicrosPerToken: 125,
 		DecodeMicrosPerToken:  20000,
 		PlainWorkMillis:       20,
+		LinkBytesPerSecond:    125_000_000,
 		GraceSeconds:          30,
 	}
 }
@@ -62,6 +65,9 @@
 	if s.ServiceType != manifest.ServiceModel && s.ServiceType != manifest.ServicePlain {
 		return settings.ErrValue.New("setting %q: %q is neither %q nor %q", "service_type", s.ServiceType, manifest.ServiceModel, manifest.ServicePlain)
 	}
+	if s.LinkBytesPerSecond < 1 {
+		return settings.ErrValue.New("setting %q: %d is below 1", "link_bytes_per_second", s.LinkBytesPerSecond)
+	}
 	if s.Slots < 1 {
 		return settings.ErrValue.New("setting %q: %d is below 1", "slots", s.Slots)
 	}
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -10,6 +10,7 @@
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/runtable"
+	"balsamyoke.example/balsamyoke/internal/transfer"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -36,6 +37,9 @@
 	watchers []*transport.Conn
 	admitted time.Time
 	started  time.Time
+	// prompt and fetch are set for model requests with at least one whole piece.
+	prompt transfer.Prompt
+	fetch  *transfer.Fetch
 	// cancel stops the run; nil while the job is queued.
 	cancel context.CancelFunc
 }
@@ -90,6 +94,8 @@
 	// EngineAgeMS is how old the engine's state is.
 	EngineAgeMS int64      `json:"engine_age_ms"`
 	Jobs        []JobState `json:"jobs"`
+	// Cache is absent for agents of plain services.
+	Cache *CacheState `json:"cache,omitempty"`
 }
 
 // JobState is one queued or running attempt.
@@ -111,7 +117,10 @@
 		Leaving:       a.leaving.Load(),
 		ConfigVersion: a.configVersion(),
 	}
-	a.loop.Call(func() { a.state.show(&shown, time.Now()) })
+	a.loop.Call(func() {
+		a.state.show(&shown, time.Now())
+		shown.Cache = a.showCache(time.Now())
+	})
 	return shown
 }
 
--- a/internal/directory/announcer.go
+++ b/internal/directory/announcer.go
@@ -148,6 +148,9 @@
 	}
 }
 
+// Ring returns the homes in use.
+func (a *Announcer) Ring() *Ring { return a.ring }
+
 // Len returns the number of holdings.
 func (a *Announcer) Len() int { return len(a.holdings) }
 
--- a/internal/directory/ring.go
+++ b/internal/directory/ring.go
@@ -9,9 +9,11 @@
 package directory
 
 import (
+	"slices"
 	"sort"
 
 	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 )
 
@@ -134,3 +136,22 @@
 	}
 	return segments
 }
+
+// Homes returns the live agents of a region, which serve the directory.
+func Homes(instances []platform.Instance, region string) []Member {
+	var members []Member
+	for _, instance := range instances {
+		if instance.Role != platform.RoleAgent || instance.State != platform.InstanceLive || instance.Region != region {
+			continue
+		}
+		members = append(members, Member{
+			Instance:      instance.ID,
+			FailureDomain: instance.FailureDomain,
+			Address:       instance.ControlAddress,
+		})
+	}
+	return members
+}
+
+// Equal reports whether two rings have the same homes at the same addresses.
+func (r *Ring) Equal(other *Ring) bool { return slices.Equal(r.members, other.members) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	rollout := newRollout(s, c)
 	a := agent.New(s, agent.Dependencies{
 		Configuration: c.configuration,
+		Instances:     c.instances,
 		Logger:        c.logger,
 		Register: func(server *grpc.Server) {
 			c.register(server)
