Place requests by policy in the entry, with hints of the directory

The entry's own choice among four random replicas gives way to the policies of package placement (setting placement_policy, default cost): believed holders from the directory, the replica that ranks highest for the prompt's first piece, and two random ones.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,8 +15,10 @@
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/settings"
@@ -45,6 +47,8 @@
 	Metrics      string `json:"metrics" long:"metrics" description:"ip:port for metrics and dump over HTTP"`
 	KV           string `json:"kv" long:"kv" description:"ip:port of the platform's key-value service"`
 	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
+	// PlacementPolicy is the name of a policy of package placement; empty means cost.
+	PlacementPolicy string `json:"placement_policy" long:"placement-policy" description:"cost, two-choices, random, round-robin, least-in-flight or rendezvous"`
 	// GraceSeconds bounds how long streams may finish after a stop is asked for.
 	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams may finish after SIGTERM"`
 }
@@ -103,6 +107,8 @@
 	prober        *prober
 	links         *links
 	replicas      *replicas
+	policy        placement.Policy
+	directory     *directory.Client
 	incarnation   uint64
 	leaving       atomic.Bool
 	active        atomic.Int64
@@ -132,11 +138,18 @@
 		decisions:     explain.NewRing(decisionsKept),
 		flights:       newFlights(),
 		prober:        newProber(),
-		replicas:      newReplicas(d.Instances, d.Logger),
+		replicas:      newReplicas(s.Identity, d.Instances, d.Logger),
+		directory:     directory.NewClient(s.FailureDomain),
 		incarnation:   process.NewIncarnation(),
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
 	}
+	policy, err := placement.New(s.PlacementPolicy, placement.Settings{})
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "no placement policy")
+	}
+	e.policy = policy
+	e.replicas.onList = e.useHomes
 	e.counters = newCounters(e.registry.Scope)
 	links, err := newLinks(e.flights, e.prober, e.hello, e.greeted)
 	if err != nil {
@@ -163,6 +176,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer e.links.close()
+	defer e.directory.Close()
 	defer e.registry.Close()
 	listener, err := net.Listen("tcp4", e.settings.Listen)
 	if err != nil {
@@ -179,6 +193,9 @@
 	}
 	defer func() { _ = metricsServer.Shutdown() }()
 	go e.replicas.poll(background)
+	if e.needsLoads() {
+		go e.pollLoads(background)
+	}
 	server := e.server()
 	go func() { _ = server.Serve(listener) }()
 	e.logger.Info("serving", zap.String("listen", e.settings.Listen), zap.Uint64("incarnation", e.incarnation))
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -112,7 +112,7 @@
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
 	s.Service, s.ServiceType, s.Backend = service, serviceType, backend
 	s.GraceSeconds = 1
-	a := agent.New(s, agent.Dependencies{Configuration: inForce{holder}, Logger: zap.NewNop()})
+	a := agent.New(s, agent.Dependencies{Configuration: inForce{holder}, Instances: fixedList{}, Logger: zap.NewNop()})
 	runRole(c, a.Run)
 	return platform.Instance{
 		ID: name, Role: platform.RoleAgent, Service: service, Region: "r", FailureDomain: "north",
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -4,54 +4,146 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-// probeTargets is how many replicas a placement asks.
-const probeTargets = 4
+// maxSelections bounds how often one placement selects other candidates after all agents refused.
+const maxSelections = 3
 
 // placed is the replica that a placement chose, with the reservation it holds there.
 type placed struct {
 	instance    platform.Instance
 	reservation []byte
-	reply       *wire.ProbeReply
-	cost        time.Duration
+	decision    *placement.Decision
+	// score ranks offers for different weight versions; the lowest wins.
+	score float64
+	// sent counts this entry's attempts at the replica; nil when it isn't counted.
+	sent *atomic.Int64
 }
 
-// place chooses a replica for the next attempt of a run.
+// place chooses a replica for the next attempt of a run. The request may be bound to one of several
+// weight versions; it takes the one with the best offer.
 func (r *run) place(ctx context.Context) (*placed, *Failure) {
-	candidates := r.candidates()
-	if len(candidates) == 0 {
-		return nil, r.noReplica()
+	snapshot := r.entry.replicas.snapshot.Load()
+	bindings := r.bindings()
+	offers := make([]*placed, len(bindings))
+	var group sync.WaitGroup
+	for i, binding := range bindings {
+		group.Go(func() { offers[i] = r.offer(ctx, snapshot, binding) })
 	}
-	best := r.ask(ctx, candidates)
+	group.Wait()
+	best := r.choose(bindings, offers)
 	if best == nil {
-		return &placed{instance: candidates[0]}, nil
+		return nil, r.noReplica()
 	}
 	return best, nil
 }
 
-// ask probes the candidates for each weight version that the request may run on, and binds the
-// request to the version of the cheapest reply.
-func (r *run) ask(ctx context.Context, candidates []platform.Instance) *placed {
-	bindings := r.bindings()
-	offers := make([]*placed, len(bindings))
-	var group sync.WaitGroup
-	for i, binding := range bindings {
-		group.Go(func() {
-			replies := r.entry.prober.ask(ctx, r.entry.links, candidates, r.probe(binding), probeTimeout)
-			offers[i] = r.cheapest(candidates, replies)
-		})
+// offer returns the best replica for one weight version, or nil.
+func (r *run) offer(ctx context.Context, snapshot *placement.Snapshot, binding binding) *placed {
+	policy := r.entry.policy
+	features := r.features(binding)
+	hints := r.entry.hints(ctx, policy, binding.pieces)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	decision := &placement.Decision{}
+	for range maxSelections {
+		policy.Select(&features, snapshot, hints, rng, decision)
+		var replies []*wire.ProbeReply
+		if policy.NeedsProbes() {
+			replies = r.probeCandidates(ctx, snapshot, binding, decision)
+		}
+		policy.Pick(&features, snapshot, decision)
+		if picked := decision.PickedCandidate(); picked != nil {
+			return r.placedAt(snapshot, decision, picked, replies)
+		}
+		if len(decision.Candidates) == 0 {
+			return nil
+		}
+		for i := range decision.Candidates {
+			features.Tried = append(features.Tried, decision.Candidates[i].Instance)
+		}
+	}
+	return nil
+}
+
+// features describes the request to the placement policy. Agents check weight version and adapter
+// themselves, since the instance list doesn't tell them.
+func (r *run) features(binding binding) placement.Request {
+	req := r.request
+	features := placement.Request{
+		ID:           req.id,
+		Organisation: req.organisation.Name,
+		Service:      req.service.Name,
+		Urgency:      req.urgency(),
+		Deadline:     time.Until(req.deadline),
+		PromptTokens: req.promptTokens,
+		PieceTokens:  uint32(piece.Tokens(req.snapshot.Index.Manifest().PieceBytes)),
+		MaxTokens:    req.maxTokens,
+	}
+	if len(binding.pieces) > 0 {
+		features.Affinity = binding.pieces[0].Hash()
+	}
+	for instance := range r.tried {
+		features.Tried = append(features.Tried, instance)
+	}
+	return features
+}
+
+// probeCandidates asks the candidates and stores their replies in the decision.
+func (r *run) probeCandidates(ctx context.Context, snapshot *placement.Snapshot, binding binding, decision *placement.Decision) []*wire.ProbeReply {
+	targets := make([]platform.Instance, len(decision.Candidates))
+	for i := range decision.Candidates {
+		targets[i] = instanceOf(snapshot.Replica(decision.Candidates[i].Index))
+	}
+	replies := r.entry.prober.ask(ctx, r.entry.links, targets, r.probe(binding), probeTimeout)
+	for _, reply := range replies {
+		for i := range decision.Candidates {
+			if decision.Candidates[i].Instance == reply.GetInstance() {
+				decision.Candidates[i].SetReply(reply)
+			}
+		}
+	}
+	return replies
+}
+
+// placedAt returns the chosen replica with its reservation.
+func (r *run) placedAt(snapshot *placement.Snapshot, decision *placement.Decision, picked *placement.Candidate, replies []*wire.ProbeReply) *placed {
+	replica := snapshot.Replica(picked.Index)
+	target := &placed{
+		instance: instanceOf(replica),
+		decision: decision,
+		score:    picked.Terms.Score,
+		sent:     replica.Load.Sent,
+	}
+	for _, reply := range replies {
+		if reply.GetInstance() == picked.Instance {
+			target.reservation = reply.GetReservation()
+		}
+	}
+	return target
+}
+
+func instanceOf(replica *placement.Replica) platform.Instance {
+	return platform.Instance{
+		ID:             replica.Instance,
+		Role:           platform.RoleAgent,
+		Service:        replica.Service,
+		Region:         replica.Region,
+		FailureDomain:  replica.FailureDomain,
+		Address:        replica.Address,
+		ControlAddress: replica.ControlAddress,
+		State:          platform.InstanceLive,
 	}
-	group.Wait()
-	return r.choose(bindings, offers)
 }
 
 func (r *run) noReplica() *Failure {
@@ -62,18 +154,6 @@
 		"service "+quote(r.request.service.Name)+" has no live replica", busyRetryAfter)
 }
 
-// candidates returns a few random replicas of the service that were not tried yet.
-func (r *run) candidates() []platform.Instance {
-	var eligible []platform.Instance
-	for _, instance := range r.entry.replicas.of(r.request.service.Name, time.Now()) {
-		if !r.tried[instance.ID] {
-			eligible = append(eligible, instance)
-		}
-	}
-	rand.Shuffle(len(eligible), func(i, j int) { eligible[i], eligible[j] = eligible[j], eligible[i] })
-	return eligible[:min(len(eligible), probeTargets)]
-}
-
 func (r *run) probe(binding binding) *wire.Probe {
 	req := r.request
 	left := max(time.Until(req.deadline), time.Millisecond)
@@ -91,64 +171,32 @@
 	}
 }
 
-// cheapest returns the eligible replica with the least predicted time to the first token.
-func (r *run) cheapest(candidates []platform.Instance, replies []*wire.ProbeReply) *placed {
-	var best *placed
-	var bestCost time.Duration
-	for _, reply := range replies {
-		instance, known := find(candidates, reply.GetInstance())
-		if !known || !reply.GetEligible() {
-			continue
-		}
-		cost := r.cost(reply)
-		if best == nil || cost < bestCost {
-			best = &placed{instance: instance, reservation: reply.GetReservation(), reply: reply, cost: cost}
-			bestCost = cost
-		}
-	}
-	return best
-}
-
-func (r *run) cost(reply *wire.ProbeReply) time.Duration {
-	queue := time.Duration(reply.GetPredictedStartMs()) * time.Millisecond
-	cached := min(reply.GetCachedPieces()*piecesTokens, r.request.promptTokens)
-	prefill := time.Duration(reply.GetPrefillUsPerToken()) * time.Microsecond
-	return queue + time.Duration(r.request.promptTokens-cached)*prefill
-}
-
-// piecesTokens is the number of tokens in a piece.
-const piecesTokens = 1000
-
-func find(instances []platform.Instance, id string) (platform.Instance, bool) {
-	for _, instance := range instances {
-		if instance.ID == id {
-			return instance, true
-		}
-	}
-	return platform.Instance{}, false
-}
-
 // placementDetail is what explain shows about a dispatch.
 type placementDetail struct {
 	Replica       string `json:"replica"`
 	FailureDomain string `json:"failure_domain"`
-	QueueMS       uint32 `json:"predicted_queue_ms"`
-	CachedPieces  uint32 `json:"cached_pieces"`
 	PromptPieces  int    `json:"prompt_pieces"`
+	// Policy and Candidates tell how the replica was chosen; they are absent when an earlier
+	// attempt bound the request to the replica.
+	Policy     string                `json:"policy,omitempty"`
+	Relaxed    bool                  `json:"relaxed,omitempty"`
+	Candidates []placement.Candidate `json:"candidates,omitempty"`
 }
 
 func (e *Entry) explainDispatch(req *request, id attempt.ID, target *placed) {
+	detail := placementDetail{
+		Replica:       target.instance.ID,
+		FailureDomain: target.instance.FailureDomain,
+		PromptPieces:  len(req.binding.pieces),
+	}
+	if d := target.decision; d != nil {
+		detail.Policy, detail.Relaxed, detail.Candidates = d.Policy, d.Relaxed, d.Candidates
+	}
 	e.decisions.Add(explain.Decision{
 		Time:    time.Now(),
 		Request: req.id.String(),
 		Attempt: id.String(),
 		Step:    "dispatch",
-		Detail: placementDetail{
-			Replica:       target.instance.ID,
-			FailureDomain: target.instance.FailureDomain,
-			QueueMS:       target.reply.GetPredictedStartMs(),
-			CachedPieces:  target.reply.GetCachedPieces(),
-			PromptPieces:  len(req.binding.pieces),
-		},
+		Detail:  detail,
 	})
 }
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -20,8 +23,13 @@
 
 // replicas holds what the entry believes about agents.
 type replicas struct {
-	list   platform.InstanceList
-	logger *zap.Logger
+	identity process.Identity
+	list     platform.InstanceList
+	logger   *zap.Logger
+	// onList is called with each list that was read.
+	onList func([]platform.Instance)
+	// snapshot is what placements use; it is never nil.
+	snapshot atomic.Pointer[placement.Snapshot]
 
 	mu        sync.RWMutex
 	byService map[string][]platform.Instance
@@ -30,10 +38,21 @@
 	// leaving holds the incarnations that said that they are leaving. What an agent says of
 	// itself wins over the lagging list.
 	leaving map[string]uint64
+	loads   map[string]*placement.Load
 }
 
-func newReplicas(list platform.InstanceList, logger *zap.Logger) *replicas {
-	return &replicas{list: list, logger: logger, avoid: make(map[string]time.Time), leaving: make(map[string]uint64)}
+func newReplicas(identity process.Identity, list platform.InstanceList, logger *zap.Logger) *replicas {
+	r := &replicas{
+		identity: identity,
+		list:     list,
+		logger:   logger,
+		onList:   func([]platform.Instance) {},
+		avoid:    make(map[string]time.Time),
+		leaving:  make(map[string]uint64),
+		loads:    make(map[string]*placement.Load),
+	}
+	r.rebuild(time.Now())
+	return r
 }
 
 // poll reads the instance list until ctx ends. It keeps the last list during an outage.
@@ -62,35 +81,19 @@
 			byService[instance.Service] = append(byService[instance.Service], instance)
 		}
 	}
+	r.onList(instances)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.byService = byService
 	r.readAt = time.Now()
-}
-
-// of returns the replicas of a service that did not fail lately; all of them when all failed.
-func (r *replicas) of(service string, now time.Time) []platform.Instance {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	var healthy []platform.Instance
-	for _, instance := range r.byService[service] {
-		if _, leaving := r.leaving[instance.ID]; leaving {
-			continue
-		}
-		if now.After(r.avoid[instance.ID]) {
-			healthy = append(healthy, instance)
-		}
-	}
-	if len(healthy) == 0 {
-		return append(healthy, r.byService[service]...)
-	}
-	return healthy
+	r.rebuild(r.readAt)
 }
 
 func (r *replicas) failed(instance platform.Instance, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.avoid[instance.ID] = now.Add(avoidFor)
+	r.rebuild(now)
 }
 
 // heard takes an agent's own word on whether it is leaving.
@@ -99,10 +102,13 @@
 	defer r.mu.Unlock()
 	if hello.GetLeaving() {
 		r.leaving[hello.GetInstance()] = hello.GetIncarnation()
+		r.rebuild(time.Now())
 		return
 	}
-	if r.leaving[hello.GetInstance()] != hello.GetIncarnation() {
+	left, known := r.leaving[hello.GetInstance()]
+	if known && left != hello.GetIncarnation() {
 		delete(r.leaving, hello.GetInstance())
+		r.rebuild(time.Now())
 	}
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -154,6 +154,7 @@
 	resumeAt := r.stream.Supersede(id)
 	registered := r.entry.flights.register(id, conn)
 	defer r.entry.flights.forget(registered)
+	defer target.count()()
 	dispatch := r.dispatch(id, incarnation, resumeAt, target)
 	if err := conn.Send(&wire.Frame{Body: &wire.Frame_Dispatch{Dispatch: dispatch}}); err != nil {
 		return r.lost(target)
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -39,7 +39,7 @@
 // replica that still serves an earlier version; one that has begun keeps its version.
 func (r *run) bindings() []binding {
 	req := r.request
-	if r.delivered > 0 || req.service.WeightVersion == "" {
+	if r.stream.Delivered() > 0 || req.service.WeightVersion == "" {
 		return []binding{req.binding}
 	}
 	bindings := []binding{req.binding}
@@ -57,7 +57,7 @@
 func (r *run) choose(bindings []binding, offers []*placed) *placed {
 	best := -1
 	for i, offer := range offers {
-		if offer != nil && (best < 0 || offer.cost < offers[best].cost) {
+		if offer != nil && (best < 0 || offer.score < offers[best].score) {
 			best = i
 		}
 	}
--- /dev/null
+++ b/internal/entry/view.go
@@ -0,0 +1,173 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/placement"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// lookupTimeout bounds how long a placement waits for the location directory.
+	lookupTimeout = 10 * time.Millisecond
+	// loadsInterval is how often policies that rest on load reports read them.
+	loadsInterval = 500 * time.Millisecond
+	// sameRegionMS and otherRegionMS are round trips to other failure domains, in milliseconds.
+	sameRegionMS  = 3
+	otherRegionMS = 50
+)
+
+// rebuild publishes a new snapshot for placements. The caller holds r.mu.
+func (r *replicas) rebuild(now time.Time) {
+	var known []placement.Replica
+	live := make(map[string]*placement.Load)
+	for _, instances := range r.byService {
+		for _, instance := range r.nearest(instances) {
+			load := r.loads[instance.ID]
+			if load == nil {
+				load = &placement.Load{Sent: new(atomic.Int64)}
+			}
+			live[instance.ID] = load
+			known = append(known, r.replica(instance, *load, now))
+		}
+	}
+	r.loads = live
+	r.snapshot.Store(placement.NewSnapshot(r.identity.Instance, known, 0))
+}
+
+// nearest returns the instances of the entry's own region, or all when it has none.
+func (r *replicas) nearest(instances []platform.Instance) []platform.Instance {
+	var near []platform.Instance
+	for _, instance := range instances {
+		if instance.Region == r.identity.Region {
+			near = append(near, instance)
+		}
+	}
+	if len(near) == 0 {
+		return instances
+	}
+	return near
+}
+
+// replica describes an instance to the placement policies.
+func (r *replicas) replica(instance platform.Instance, load placement.Load, now time.Time) placement.Replica {
+	_, leaving := r.leaving[instance.ID]
+	return placement.Replica{
+		Instance:       instance.ID,
+		Address:        instance.Address,
+		ControlAddress: instance.ControlAddress,
+		Region:         instance.Region,
+		FailureDomain:  instance.FailureDomain,
+		Service:        instance.Service,
+		Leaving:        leaving,
+		Ejected:        now.Before(r.avoid[instance.ID]),
+		DistanceMS:     r.distanceMS(instance),
+		Load:           load,
+	}
+}
+
+func (r *replicas) distanceMS(instance platform.Instance) float64 {
+	switch {
+	case instance.Region != r.identity.Region:
+		return otherRegionMS
+	case instance.FailureDomain != r.identity.FailureDomain:
+		return sameRegionMS
+	}
+	return 0
+}
+
+// reported takes load reports.
+func (r *replicas) reported(replies []*wire.ProbeReply, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, reply := range replies {
+		if load := r.loads[reply.GetInstance()]; load != nil {
+			load.InFlight = reply.GetInFlight()
+			load.ReportedAt = now
+			load.SentAtReport = load.Sent.Load()
+		}
+	}
+	r.rebuild(now)
+}
+
+// needsLoads says whether the policy rests on load reports instead of probes.
+func (e *Entry) needsLoads() bool {
+	return e.policy.Name() == placement.PolicyTwoChoices || e.policy.Name() == placement.PolicyLeastInFlight
+}
+
+// pollLoads reads the load of all replicas until ctx ends.
+func (e *Entry) pollLoads(ctx context.Context) {
+	ticker := time.NewTicker(loadsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			targets := e.replicas.all()
+			replies := e.prober.ask(ctx, e.links, targets, &wire.Probe{}, probeTimeout)
+			e.replicas.reported(replies, time.Now())
+		}
+	}
+}
+
+// all returns the replicas of all services.
+func (r *replicas) all() []platform.Instance {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var all []platform.Instance
+	for _, instances := range r.byService {
+		all = append(all, r.nearest(instances)...)
+	}
+	return all
+}
+
+// useHomes takes the homes of the location directory from the instance list.
+func (e *Entry) useHomes(instances []platform.Instance) {
+	e.directory.SetRing(directory.NewRing(directory.Homes(instances, e.settings.Region)))
+}
+
+// hints asks the location directory which replicas hold the prompt's pieces. No answer is no hint.
+func (e *Entry) hints(ctx context.Context, policy placement.Policy, names []piece.Name) []placement.Hint {
+	if len(names) == 0 || !policy.NeedsProbes() {
+		return nil
+	}
+	lookupCtx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	runs, err := e.directory.Lookup(lookupCtx, names, 0)
+	if err != nil {
+		return nil
+	}
+	var hints []placement.Hint
+	for _, run := range runs {
+		if run.Tier == wire.Tier_TIER_REPLICA {
+			hints = addHint(hints, run)
+		}
+	}
+	return hints
+}
+
+// addHint keeps the deepest position of each holder.
+func addHint(hints []placement.Hint, run directory.Run) []placement.Hint {
+	for i := range hints {
+		if hints[i].Instance == run.Holder {
+			hints[i].Pieces = max(hints[i].Pieces, uint32(run.End))
+			return hints
+		}
+	}
+	return append(hints, placement.Hint{Instance: run.Holder, Pieces: uint32(run.End)})
+}
+
+// count counts an attempt at the replica until the returned function is called.
+func (p *placed) count() (done func()) {
+	if p.sent == nil {
+		return func() {}
+	}
+	p.sent.Add(1)
+	return func() { p.sent.Add(-1) }
+}
--- a/internal/placement/snapshot.go
+++ b/internal/placement/snapshot.go
@@ -38,15 +38,17 @@
 
 // Replica is what an entry knows of one agent and its backend server without asking.
 type Replica struct {
-	Instance      string
-	Incarnation   uint64
-	Address       string
-	Region        string
-	FailureDomain string
-	Service       string
-	WeightVersion string
-	Adapters      []string
-	Leaving       bool
+	Instance    string
+	Incarnation uint64
+	Address     string
+	// ControlAddress is ip:port of the control port.
+	ControlAddress string
+	Region         string
+	FailureDomain  string
+	Service        string
+	WeightVersion  string
+	Adapters       []string
+	Leaving        bool
 	// Ejected says that recent attempts failed there.
 	Ejected bool
 	// DomainUnhealthy says that the replica's failure domain is held to be unreachable.
