Never write a datagram to a closed socket's number

Cause: a dead agent's host refuses datagrams, gnet then closes the entry's UDP socket, but the entry kept it and went on sending. gnet writes datagrams at once to the number of the socket, which by then belonged to a caller's connection: probes, with the organisation's name in them, were written into other callers' answers, which broke off.

Found by killing agents under load: callers lost 5 to 23 of some 55 answers in each later run of internal/systemtest, until the entries were restarted. Ruled out: the entry's stream code and the HTTP library (the bytes in the broken answers are a Probe message).

Now a send holds a lock against the close, a closed socket says so, and entries open another.

Not run: the tests of internal/entry.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -122,7 +122,7 @@
 	peer := l.at(address)
 	peer.mu.Lock()
 	defer peer.mu.Unlock()
-	if peer.socket != nil {
+	if peer.socket != nil && !peer.socket.Closed() {
 		return peer.socket, nil
 	}
 	socket, err := l.client.DialDatagram(address)
--- /dev/null
+++ b/internal/systemtest/doc.go
@@ -0,0 +1,3 @@
+// Package systemtest holds tests of a whole deployment of processes under faults. It has no code
+// besides its tests.
+package systemtest
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 
 	"github.com/panjf2000/gnet/v2"
 	"go.uber.org/zap"
@@ -70,18 +71,27 @@
 	_ = conn.Close()
 }
 
-// DatagramConn sends datagrams to one peer.
+// DatagramConn sends datagrams to one peer. A peer that refuses datagrams may close it.
 type DatagramConn struct {
 	raw gnet.Conn
+
+	// mu orders sends before the close of the socket: gnet writes datagrams at once, on the calling
+	// goroutine, to the number of the socket, which belongs to another connection after the close.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // DialDatagram opens a UDP socket towards address.
 func (c *Client) DialDatagram(address string) (*DatagramConn, error) {
-	raw, err := c.client.Dial("udp", address)
+	conn := &DatagramConn{}
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	raw, err := c.client.DialContext("udp", address, conn)
 	if err != nil {
 		return nil, ErrDial.Wrap(err, "cannot open a datagram socket to %s", address)
 	}
-	return &DatagramConn{raw: raw}, nil
+	conn.raw = raw
+	return conn, nil
 }
 
 // Send sends one datagram, which may be lost.
@@ -90,12 +100,31 @@
 	if err != nil {
 		return ErrMalformed.WrapWithNoMessage(err)
 	}
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if d.closed {
+		return ErrClosed.New("datagram socket is closed")
+	}
 	if err := d.raw.AsyncWrite(buf, nil); err != nil {
-		return ErrClosed.Wrap(err, "datagram socket is closed")
+		return ErrClosed.Wrap(err, "datagram was not sent")
 	}
 	return nil
 }
 
+// Closed says whether the socket has ended and must be opened again.
+func (d *DatagramConn) Closed() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.closed
+}
+
+// ended is called before the socket is closed; no send is under way when it returns.
+func (d *DatagramConn) ended() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+}
+
 // Close closes the socket.
 func (d *DatagramConn) Close() { _ = d.raw.Close() }
 
@@ -124,6 +153,10 @@
 
 // OnClose implements gnet.EventHandler.
 func (c *Client) OnClose(raw gnet.Conn, err error) gnet.Action {
+	if socket, ok := raw.Context().(*DatagramConn); ok {
+		socket.ended()
+		return gnet.None
+	}
 	connClosed(raw, err, c.frames)
 	return gnet.None
 }
