--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -29,11 +29,11 @@
 	avoid     map[string]time.Time
 	// leaving holds the incarnations that said that they are leaving. What an agent says of
 	// itself wins over the lagging list.
-	leaving map[string]uint64
+	leaving map[string]leavingMark
 }
 
 func newReplicas(list platform.InstanceList, logger *zap.Logger) *replicas {
-	return &replicas{list: list, logger: logger, avoid: make(map[string]time.Time), leaving: make(map[string]uint64)}
+	return &replicas{list: list, logger: logger, avoid: make(map[string]time.Time), leaving: make(map[string]leavingMark)}
 }
 
 // poll reads the instance list until ctx ends. It keeps the last list during an outage.
@@ -66,6 +66,7 @@
 	defer r.mu.Unlock()
 	r.byService = byService
 	r.readAt = time.Now()
+	r.forgetLeaving(r.readAt)
 }
 
 // of returns the replicas of a service that did not fail lately; all of them when all failed.
@@ -98,10 +99,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if hello.GetLeaving() {
-		r.leaving[hello.GetInstance()] = hello.GetIncarnation()
+		r.leaving[hello.GetInstance()] = leavingMark{incarnation: hello.GetIncarnation(), at: time.Now()}
 		return
 	}
-	if r.leaving[hello.GetInstance()] != hello.GetIncarnation() {
+	if r.leaving[hello.GetInstance()].incarnation != hello.GetIncarnation() {
 		delete(r.leaving, hello.GetInstance())
 	}
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -167,14 +167,14 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s, seed %d, %.3g requests/s for %.3g s, mean gap %d ms\n",
 		r.Profile, r.Seed, r.Rate, r.Seconds, r.GapMS)
-	fmt.Fprintf(&b, "%-11s %6s %6s %6s %7s %7s %6s %5s %8s %8s %8s %8s %8s %10s\n",
-		"kind", "sent", "right", "wrong", "refused", "unknown", "broken", "lost",
+	fmt.Fprintf(&b, "%-11s %6s %6s %6s %7s %7s %6s %5s %7s %8s %8s %8s %8s %8s %10s\n",
+		"kind", "sent", "right", "wrong", "refused", "unknown", "broken", "lost", "retried",
 		"p50 ms", "p95 ms", "p99 ms", "comp.", "comp.ret", "link bytes")
 	for _, k := range r.Kinds {
 		all, returning := k.Recomputed()
-		fmt.Fprintf(&b, "%-11s %6d %6d %6d %7d %7d %6d %5d %8.1f %8.1f %8.1f %8.3f %8.3f %10d\n",
+		fmt.Fprintf(&b, "%-11s %6d %6d %6d %7d %7d %6d %5d %7d %8.1f %8.1f %8.1f %8.3f %8.3f %10d\n",
 			k.Kind, k.Requests, k.Verdicts[VerdictRight], k.Verdicts[VerdictWrong], k.Verdicts[VerdictRefused],
-			k.Verdicts[VerdictUnknown], k.Verdicts[VerdictBroken], k.Verdicts[VerdictLost],
+			k.Verdicts[VerdictUnknown], k.Verdicts[VerdictBroken], k.Verdicts[VerdictLost], k.Retried,
 			k.FirstTokenP50MS, k.FirstTokenP95MS, k.FirstTokenP99MS, all, returning, k.LinkBytes)
 	}
 	for _, code := range sortedCodes(r.Codes) {
--- a/internal/testbed/call.go
+++ b/internal/testbed/call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"time"
 
@@ -47,6 +48,25 @@
 	return nil
 }
 
+// Metric returns the value of a counter or gauge without labels at a metrics address.
+func Metric(ctx context.Context, address, name string) (float64, error) {
+	client := httpclient.New(address, httpclient.Options{})
+	defer client.Close()
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + "/metrics")
+	if err := client.Do(ctx, request, response); err != nil {
+		return 0, ErrCall.Wrap(err, "metrics of %s", address)
+	}
+	for line := range strings.Lines(string(response.Body())) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, ErrCall.New("%s has no metric %q", address, name)
+}
+
 // SetFaults changes the fault switches of a stand-in at its admin address.
 func SetFaults(ctx context.Context, address string, faults any) error {
 	return Call(ctx, fasthttp.MethodPost, address, "/admin/faults", faults, nil)
--- a/internal/systemtest/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -1,8 +1,7 @@
-package systemtest
+package testbed_test
 
 import (
 	"context"
-	"os"
 	"testing"
 	"time"
 
@@ -23,8 +22,6 @@
 	extraSeeds  = 1000 // between the seeds of further runs of two faults
 )
 
-func TestMain(m *testing.M) { os.Exit(testbed.Main(m)) }
-
 func startFleet(c *qt.C, profile load.Profile) *testbed.Fleet {
 	binaries, err := testbed.Binaries()
 	c.Assert(err, qt.IsNil)
