Add the agent's admission queue

Organisations share a backend server by deficit round robin weighted in estimated work; urgent attempts go first until a patient one comes of age, then both levels get equal work. Refusals come before any work and carry a RetryAfter from the queue. Probes hold short reservations.

--- /dev/null
+++ b/internal/admission/admission.go
@@ -0,0 +1,302 @@
+// Package admission owns the queue of attempts before one backend server. It decides which attempt
+// runs next, which is refused before any work, and how long a new one would wait. The agent's
+// control goroutine calls it; the package starts no goroutines and takes no locks.
+//
+// Organisations share the backend server by deficit round robin (Shreedhar and Varghese, "Efficient
+// fair queuing using deficit round-robin", 1996), weighted in estimated milliseconds of work.
+// Urgent attempts go ahead of patient ones until a patient one has waited for Config.PatientAgeing;
+// from then on the two levels get equal work until no patient attempt is that old.
+package admission
+
+import (
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// Bounds of the RetryAfter in a refusal.
+const (
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// AttemptID names one dispatch.
+type AttemptID [16]byte
+
+// Config sets the size of a Queue.
+type Config struct {
+	// Slots is how many attempts the backend server runs at once.
+	Slots int
+	// MaxQueued bounds waiting attempts.
+	MaxQueued int
+	// MaxQueuedPerOrganisation bounds waiting attempts of one organisation. Offer also holds an
+	// organisation to its share of the free places, so that a few cannot fill the queue.
+	MaxQueuedPerOrganisation int
+	// Quantum is the work in milliseconds that an organisation of share 1 gets in one round.
+	Quantum float64
+	// PatientAgeing is how long urgent work may go ahead of a patient attempt.
+	PatientAgeing time.Duration
+}
+
+// DefaultConfig returns the sizes for a backend server that runs slots attempts at once.
+func DefaultConfig(slots int) Config {
+	return Config{
+		Slots:                    slots,
+		MaxQueued:                32 * slots,
+		MaxQueuedPerOrganisation: 8 * slots,
+		Quantum:                  500,
+		PatientAgeing:            5 * time.Second,
+	}
+}
+
+// Job is one attempt with what the queue needs to know about it.
+type Job struct {
+	Attempt      AttemptID
+	Organisation string
+	// Share weighs the organisation; zero or less counts as 1.
+	Share float64
+	// Kind groups attempts whose estimates are corrected together.
+	Kind    string
+	Urgency wire.Urgency
+	// Work is the estimated time in milliseconds that the attempt holds a slot.
+	Work float64
+	// FirstToken is the estimated time from the start of the run to its first token.
+	FirstToken time.Duration
+	// Deadline is the latest time for the first token; zero means none.
+	Deadline time.Time
+	// Enqueued is set by Offer.
+	Enqueued time.Time
+	// Reservation is the reservation that the attempt uses up; zero means none.
+	Reservation ReservationID
+}
+
+// latestStart returns the last time at which a run can still meet the deadline.
+func (j *Job) latestStart() time.Time {
+	return j.Deadline.Add(-j.FirstToken)
+}
+
+// Bounds that keep the arithmetic of rounds finite.
+const (
+	minWork  = 1.0   // milliseconds
+	maxWork  = 3.6e6 // milliseconds
+	minShare = 1.0e-3
+	maxShare = 1.0e3
+)
+
+// normalised returns the job with its work and share within their bounds.
+func (j Job) normalised() Job {
+	if !(j.Share > 0) {
+		j.Share = 1
+	}
+	if !(j.Work > 0) {
+		j.Work = minWork
+	}
+	j.Share = min(max(j.Share, minShare), maxShare)
+	j.Work = min(max(j.Work, minWork), maxWork)
+	return j
+}
+
+// Verdict is the answer to an offered job.
+type Verdict struct {
+	Accepted bool
+	// Wait is the predicted time until the start of the run.
+	Wait time.Duration
+	// Reason says why the job was refused. A refused job has not run.
+	Reason wire.RefusalReason
+	// RetryAfter is when the caller may try again.
+	RetryAfter time.Duration
+}
+
+// Queue holds the waiting and running attempts of one backend server.
+type Queue struct {
+	config        Config
+	urgent        level
+	patient       level
+	entries       map[AttemptID]*entry
+	organisations map[string]*organisation
+	queued        int
+	running       int
+	// patientAge lists waiting patient entries, oldest first.
+	patientAge   ageList
+	deadlines    timeHeap
+	ends         timeHeap
+	reservations reservations
+	correction   correction
+	// agedBalance is the work in milliseconds that the urgent level got more than the patient
+	// level since a patient attempt came of age.
+	agedBalance float64
+	freeEntries *entry
+	freeOrgs    *organisation
+}
+
+// New returns an empty Queue.
+func New(config Config) *Queue {
+	q := &Queue{
+		config:        config,
+		entries:       make(map[AttemptID]*entry),
+		organisations: make(map[string]*organisation),
+		reservations:  newReservations(),
+		correction:    newCorrection(),
+	}
+	q.urgent.quantum = config.Quantum
+	q.patient.quantum = config.Quantum
+	return q
+}
+
+// Len returns how many attempts wait.
+func (q *Queue) Len() int { return q.queued }
+
+// Running returns how many attempts run.
+func (q *Queue) Running() int { return q.running }
+
+// SetSlots changes how many attempts run at once. Running attempts are not stopped.
+func (q *Queue) SetSlots(slots int) { q.config.Slots = slots }
+
+// Offer puts job into the queue or refuses it. A job that is already known keeps its place.
+func (q *Queue) Offer(now time.Time, job Job) Verdict {
+	job = job.normalised()
+	q.reservations.use(job.Reservation)
+	wait := q.wait(now, job)
+	if _, known := q.entries[job.Attempt]; known {
+		return Verdict{Accepted: true, Wait: wait}
+	}
+	if !job.Deadline.IsZero() {
+		if late := now.Add(wait).Sub(job.latestStart()); late > 0 {
+			return refuse(wire.RefusalReason_REFUSAL_REASON_DEADLINE, late)
+		}
+	}
+	if q.full(job) {
+		return refuse(wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL, wait)
+	}
+	job.Enqueued = now
+	q.enqueue(job)
+	return Verdict{Accepted: true, Wait: wait}
+}
+
+func refuse(reason wire.RefusalReason, retryAfter time.Duration) Verdict {
+	return Verdict{Reason: reason, RetryAfter: min(max(retryAfter, minRetryAfter), maxRetryAfter)}
+}
+
+// full reports whether the queue has no place for job. The share of the free places that an
+// organisation may hold follows Choudhury and Hahne, "Dynamic queue length thresholds for
+// shared-memory packet switches", 1998, with alpha equal to the organisation's share.
+func (q *Queue) full(job Job) bool {
+	free := q.config.MaxQueued - q.queued
+	if free <= 0 {
+		return true
+	}
+	org := q.organisations[job.Organisation]
+	if org == nil {
+		return false
+	}
+	return org.queued >= q.config.MaxQueuedPerOrganisation ||
+		float64(org.queued) >= job.Share*float64(free)
+}
+
+// Next returns the job to run now and marks it as running. It returns false when no slot is free
+// or nothing waits. The caller takes Expired first.
+func (q *Queue) Next(now time.Time) (Job, bool) {
+	if q.running >= q.config.Slots || q.queued == 0 {
+		return Job{}, false
+	}
+	e := q.pick(now)
+	q.detach(e)
+	e.running = true
+	e.at = now.Add(milliseconds(e.work))
+	q.ends.push(e)
+	q.running++
+	return e.job, true
+}
+
+// pick chooses the level and lets it choose the entry.
+func (q *Queue) pick(now time.Time) *entry {
+	if q.patient.active == 0 {
+		return q.urgent.pick()
+	}
+	if q.urgent.active == 0 {
+		return q.patient.pick()
+	}
+	if !q.aged(now) {
+		q.agedBalance = 0
+		return q.urgent.pick()
+	}
+	if q.agedBalance < 0 {
+		e := q.urgent.pick()
+		q.agedBalance += e.work
+		return e
+	}
+	e := q.patient.pick()
+	q.agedBalance -= e.work
+	return e
+}
+
+// aged reports whether a patient attempt has waited for the ageing bound.
+func (q *Queue) aged(now time.Time) bool {
+	oldest := q.patientAge.head
+	return oldest != nil && now.Sub(oldest.job.Enqueued) >= q.config.PatientAgeing
+}
+
+// Remove takes a waiting attempt out of the queue. It returns false when the attempt does not wait.
+func (q *Queue) Remove(attempt AttemptID) bool {
+	e := q.entries[attempt]
+	if e == nil || e.running {
+		return false
+	}
+	q.drop(e)
+	return true
+}
+
+// Done frees the slot of a running attempt. Actual is the time in milliseconds that the run held
+// the slot; it corrects later estimates of the job's kind. Zero, for a run that was cut short,
+// corrects nothing. It returns false when the attempt does not run.
+func (q *Queue) Done(attempt AttemptID, actual float64) bool {
+	e := q.entries[attempt]
+	if e == nil || !e.running {
+		return false
+	}
+	q.correction.observe(e.job.Kind, e.job.Work, actual)
+	q.ends.remove(e)
+	q.running--
+	delete(q.entries, attempt)
+	q.release(e)
+	return true
+}
+
+// Expired takes out the waiting jobs whose deadline can no longer be met, earliest first. None of
+// them has run.
+func (q *Queue) Expired(now time.Time) []Job {
+	var expired []Job
+	for q.deadlines.Len() > 0 && q.deadlines.top().at.Before(now) {
+		e := q.deadlines.top()
+		expired = append(expired, e.job)
+		q.drop(e)
+	}
+	return expired
+}
+
+// NextExpiry returns when Expired has to be called next; false when no waiting job has a deadline.
+func (q *Queue) NextExpiry() (time.Time, bool) {
+	if q.deadlines.Len() == 0 {
+		return time.Time{}, false
+	}
+	return q.deadlines.top().at, true
+}
+
+// drop forgets a waiting entry.
+func (q *Queue) drop(e *entry) {
+	q.level(e.job.Urgency).remove(e)
+	q.detach(e)
+	delete(q.entries, e.job.Attempt)
+	q.release(e)
+}
+
+func (q *Queue) level(urgency wire.Urgency) *level {
+	if urgency == wire.Urgency_URGENCY_PATIENT {
+		return &q.patient
+	}
+	return &q.urgent
+}
+
+func milliseconds(ms float64) time.Duration {
+	return time.Duration(ms * float64(time.Millisecond))
+}
--- /dev/null
+++ b/internal/admission/entries.go
@@ -0,0 +1,130 @@
+package admission
+
+import "time"
+
+// entry is one waiting or running job.
+type entry struct {
+	job Job
+	// work is the corrected estimate in milliseconds.
+	work    float64
+	running bool
+	org     *organisation
+	flow    *flow
+	// prev and next link the entries of one flow; next also links free entries.
+	prev, next *entry
+	// older and younger link waiting patient entries.
+	older, younger *entry
+	// at is the latest start of a waiting entry or the predicted end of a running one, and
+	// index is its place in the heap that is ordered by it; -1 outside.
+	at    time.Time
+	index int
+}
+
+// organisation holds the waiting entries of one organisation.
+type organisation struct {
+	name    string
+	queued  int
+	urgent  flow
+	patient flow
+	free    *organisation
+}
+
+// enqueue adds a job to the tail of its organisation's flow.
+func (q *Queue) enqueue(job Job) {
+	org := q.organisation(job.Organisation)
+	org.queued++
+	q.queued++
+	e := q.newEntry()
+	e.job = job
+	e.work = q.correction.correct(job.Kind, job.Work)
+	e.org = org
+	e.flow = &org.urgent
+	lvl := q.level(job.Urgency)
+	if lvl == &q.patient {
+		e.flow = &org.patient
+		q.patientAge.push(e)
+	}
+	e.flow.share = job.Share
+	lvl.push(e)
+	if !job.Deadline.IsZero() {
+		e.at = job.latestStart()
+		q.deadlines.push(e)
+	}
+	q.entries[job.Attempt] = e
+}
+
+// detach ends the waiting of an entry that has left its flow.
+func (q *Queue) detach(e *entry) {
+	if e.flow == &e.org.patient {
+		q.patientAge.remove(e)
+	}
+	q.deadlines.remove(e)
+	q.queued--
+	e.org.queued--
+	if e.org.queued == 0 {
+		delete(q.organisations, e.org.name)
+		*e.org = organisation{free: q.freeOrgs}
+		q.freeOrgs = e.org
+	}
+	e.org, e.flow = nil, nil
+}
+
+func (q *Queue) organisation(name string) *organisation {
+	org := q.organisations[name]
+	if org != nil {
+		return org
+	}
+	org = q.freeOrgs
+	if org == nil {
+		org = &organisation{}
+	} else {
+		q.freeOrgs = org.free
+	}
+	*org = organisation{name: name}
+	q.organisations[name] = org
+	return org
+}
+
+func (q *Queue) newEntry() *entry {
+	e := q.freeEntries
+	if e == nil {
+		return &entry{index: -1}
+	}
+	q.freeEntries = e.next
+	e.next = nil
+	return e
+}
+
+func (q *Queue) release(e *entry) {
+	*e = entry{index: -1, next: q.freeEntries}
+	q.freeEntries = e
+}
+
+// ageList links entries in the order in which they were enqueued.
+type ageList struct {
+	head, tail *entry
+}
+
+func (l *ageList) push(e *entry) {
+	e.older = l.tail
+	if l.tail == nil {
+		l.head = e
+	} else {
+		l.tail.younger = e
+	}
+	l.tail = e
+}
+
+func (l *ageList) remove(e *entry) {
+	if e.older == nil {
+		l.head = e.younger
+	} else {
+		e.older.younger = e.younger
+	}
+	if e.younger == nil {
+		l.tail = e.older
+	} else {
+		e.younger.older = e.older
+	}
+	e.older, e.younger = nil, nil
+}
--- /dev/null
+++ b/internal/admission/fairness_test.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// openConfig has no caps that matter.
+func openConfig() Config {
+	return Config{Slots: 1, MaxQueued: 1 << 20, MaxQueuedPerOrganisation: 1 << 19, Quantum: 500, PatientAgeing: time.Hour}
+}
+
+// backlog offers count jobs of the organisation with drawn work of at most 2,000 ms.
+func backlog(t *rapid.T, q *Queue, next *uint64, organisation string, share float64, count int) {
+	for range count {
+		*next++
+		q.Offer(start, Job{
+			Attempt:      attempt(*next),
+			Organisation: organisation,
+			Share:        share,
+			Work:         rapid.Float64Range(1, 2000).Draw(t, "work"),
+		})
+	}
+}
+
+// TestGreedyOrganisationMovesOthersByOneRound checks the latency bound of deficit round robin: while
+// a newcomer waits whose work fits into one quantum, another organisation starts at most its own
+// quantum and one more job, however much it has waiting.
+func TestGreedyOrganisationMovesOthersByOneRound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(openConfig())
+		var next uint64
+		greedyShare := rapid.SampledFrom([]float64{0.5, 1, 2}).Draw(t, "share")
+		backlog(t, q, &next, "greedy", greedyShare, rapid.IntRange(10, 60).Draw(t, "count"))
+		for range rapid.IntRange(0, 8).Draw(t, "earlier") {
+			job, _ := q.Next(start)
+			q.Done(job.Attempt, 0)
+		}
+		q.Offer(start, Job{Attempt: attempt(1 << 40), Organisation: "small", Work: rapid.Float64Range(1, 500).Draw(t, "small")})
+		passed := 0.0
+		for {
+			job, _ := q.Next(start)
+			q.Done(job.Attempt, 0)
+			if job.Organisation == "small" {
+				break
+			}
+			passed += job.Work
+		}
+		if bound := 500*greedyShare + 2000; passed > bound {
+			t.Fatalf("the greedy organisation ran %.0f ms ahead of a newcomer, bound %.0f", passed, bound)
+		}
+	})
+}
+
+// TestBackloggedOrganisationsShareWork checks Shreedhar and Varghese's fairness theorem: over any
+// time in which two organisations have work waiting, their work per share differs by at most one
+// quantum and one job each.
+func TestBackloggedOrganisationsShareWork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(openConfig())
+		var next uint64
+		shares := map[string]float64{"a": 1, "b": rapid.SampledFrom([]float64{0.25, 1, 4}).Draw(t, "share"), "c": 2}
+		for _, name := range []string{"a", "b", "c"} {
+			backlog(t, q, &next, name, shares[name], 200)
+		}
+		served := make(map[string]float64)
+		for range 200 {
+			job, _ := q.Next(start)
+			q.Done(job.Attempt, 0)
+			served[job.Organisation] += job.Work / shares[job.Organisation]
+			if q.organisations[job.Organisation] == nil {
+				return
+			}
+		}
+		for _, name := range []string{"b", "c"} {
+			bound := 500 + 2000/shares["a"] + 2000/shares[name]
+			if gap := math.Abs(served["a"] - served[name]); gap > bound {
+				t.Fatalf("work per share of a and %s differs by %.0f ms, bound %.0f", name, gap, bound)
+			}
+		}
+	})
+}
+
+// TestPatientWorkAgesThroughUrgentFlood keeps the urgent level full and checks that a patient job
+// starts within the ageing bound, the job in service and one urgent turn.
+func TestPatientWorkAgesThroughUrgentFlood(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := openConfig()
+		config.PatientAgeing = 5 * time.Second
+		q := New(config)
+		var next uint64
+		now := start
+		patient := Job{Attempt: attempt(1 << 40), Organisation: "patient", Urgency: wire.Urgency_URGENCY_PATIENT, Work: 3000}
+		q.Offer(now, patient)
+		for {
+			for q.Len() < 20 {
+				next++
+				work := rapid.Float64Range(1, 2000).Draw(t, "work")
+				q.Offer(now, Job{Attempt: attempt(next), Organisation: fmt.Sprint(next % 7), Work: work})
+			}
+			job, _ := q.Next(now)
+			q.Done(job.Attempt, 0)
+			if job.Attempt == patient.Attempt {
+				break
+			}
+			now = now.Add(milliseconds(job.Work))
+		}
+		if waited := now.Sub(start); waited > config.PatientAgeing+2*2000*time.Millisecond {
+			t.Fatalf("patient job waited %v", waited)
+		}
+	})
+}
+
+// TestAgedPatientWorkLeavesHalfToUrgent checks that a flood of aged patient work does not starve
+// urgent work.
+func TestAgedPatientWorkLeavesHalfToUrgent(t *testing.T) {
+	c := qt.New(t)
+	q := New(openConfig())
+	for i := range uint64(400) {
+		urgency, work := wire.Urgency_URGENCY_URGENT, 100.0
+		if i%2 == 0 {
+			urgency, work = wire.Urgency_URGENCY_PATIENT, 1000.0
+		}
+		q.Offer(start, Job{Attempt: attempt(i + 1), Organisation: fmt.Sprint(i % 3), Urgency: urgency, Work: work})
+	}
+	now := start.Add(2 * time.Hour)
+	var urgent, patient float64
+	for range 110 {
+		job, _ := q.Next(now)
+		q.Done(job.Attempt, 0)
+		if job.Urgency == wire.Urgency_URGENCY_PATIENT {
+			patient += job.Work
+		} else {
+			urgent += job.Work
+		}
+	}
+	c.Assert(math.Abs(urgent-patient) <= 1100, qt.IsTrue, qt.Commentf("urgent %.0f ms, patient %.0f ms", urgent, patient))
+}
--- /dev/null
+++ b/internal/admission/model_test.go
@@ -0,0 +1,226 @@
+package admission
+
+import (
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func attempt(n uint64) AttemptID {
+	var id AttemptID
+	binary.BigEndian.PutUint64(id[8:], n)
+	return id
+}
+
+// machine drives a Queue beside a reference that keeps plain lists.
+type machine struct {
+	queue   *Queue
+	config  Config
+	now     time.Time
+	next    uint64
+	waiting []Job
+	running []Job
+}
+
+func (m *machine) offer(t *rapid.T) {
+	m.next++
+	job := Job{
+		Attempt:      attempt(m.next),
+		Organisation: fmt.Sprintf("org-%d", rapid.IntRange(0, 4).Draw(t, "organisation")),
+		Share:        rapid.SampledFrom([]float64{0, 0.5, 1, 3}).Draw(t, "share"),
+		Kind:         rapid.SampledFrom([]string{"trace", "draft"}).Draw(t, "kind"),
+		Urgency:      rapid.SampledFrom([]wire.Urgency{wire.Urgency_URGENCY_URGENT, wire.Urgency_URGENCY_PATIENT}).Draw(t, "urgency"),
+		Work:         rapid.Float64Range(0, 5000).Draw(t, "work"),
+		Reservation:  ReservationID(rapid.IntRange(0, 3).Draw(t, "reservation")),
+	}
+	if rapid.Bool().Draw(t, "deadline") {
+		job.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "ms")) * time.Millisecond)
+	}
+	verdict := m.queue.Offer(m.now, job)
+	if !verdict.Accepted {
+		m.checkRefusal(t, job, verdict)
+		return
+	}
+	if !job.Deadline.IsZero() && m.now.Add(verdict.Wait).After(job.Deadline) {
+		t.Fatalf("accepted a job that is predicted to miss its deadline")
+	}
+	job.Enqueued = m.now
+	m.waiting = append(m.waiting, job)
+}
+
+func (m *machine) checkRefusal(t *rapid.T, job Job, verdict Verdict) {
+	if verdict.RetryAfter <= 0 {
+		t.Fatalf("refusal without RetryAfter: %+v", verdict)
+	}
+	queued := 0
+	for _, w := range m.waiting {
+		if w.Organisation == job.Organisation {
+			queued++
+		}
+	}
+	if verdict.Reason == wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL && queued == 0 && len(m.waiting) < m.config.MaxQueued {
+		t.Fatalf("refused an organisation with nothing waiting while there is room")
+	}
+	if verdict.Reason == wire.RefusalReason_REFUSAL_REASON_DEADLINE && job.Deadline.IsZero() {
+		t.Fatalf("deadline refusal without a deadline")
+	}
+}
+
+func (m *machine) offerAgain(t *rapid.T) {
+	if len(m.waiting) == 0 {
+		return
+	}
+	if !m.queue.Offer(m.now, m.waiting[0]).Accepted {
+		t.Fatalf("refused an attempt that waits")
+	}
+}
+
+func (m *machine) dispatch(t *rapid.T) {
+	m.expire(t)
+	job, ok := m.queue.Next(m.now)
+	if want := len(m.running) < m.config.Slots && len(m.waiting) > 0; ok != want {
+		t.Fatalf("Next returned %v with %d of %d slots busy and %d waiting", ok, len(m.running), m.config.Slots, len(m.waiting))
+	}
+	if !ok {
+		return
+	}
+	i := m.find(job)
+	if i < 0 {
+		t.Fatalf("attempt %x does not wait", job.Attempt)
+	}
+	m.checkOrder(t, i)
+	m.running = append(m.running, job)
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+}
+
+// checkOrder checks that the chosen job is the first of its flow and that it did not pass an
+// urgent one without an aged patient job.
+func (m *machine) checkOrder(t *rapid.T, chosen int) {
+	job := m.waiting[chosen]
+	aged, urgentWaits := false, false
+	for i, w := range m.waiting {
+		if i < chosen && w.Organisation == job.Organisation && w.Urgency == job.Urgency {
+			t.Fatalf("attempt %x passed %x of its own flow", job.Attempt, w.Attempt)
+		}
+		patient := w.Urgency == wire.Urgency_URGENCY_PATIENT
+		aged = aged || patient && m.now.Sub(w.Enqueued) >= m.config.PatientAgeing
+		urgentWaits = urgentWaits || !patient
+	}
+	if job.Urgency == wire.Urgency_URGENCY_PATIENT && urgentWaits && !aged {
+		t.Fatalf("patient attempt passed urgent ones before its time")
+	}
+}
+
+func (m *machine) find(job Job) int {
+	return slices.IndexFunc(m.waiting, func(w Job) bool { return w.Attempt == job.Attempt })
+}
+
+func (m *machine) finish(t *rapid.T) {
+	if len(m.running) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.running)-1).Draw(t, "run")
+	actual := rapid.Float64Range(0, 50000).Draw(t, "actual")
+	if !m.queue.Done(m.running[i].Attempt, actual) {
+		t.Fatalf("running attempt is unknown")
+	}
+	if m.queue.Done(m.running[i].Attempt, actual) {
+		t.Fatalf("attempt was done twice")
+	}
+	m.running = slices.Delete(m.running, i, i+1)
+}
+
+func (m *machine) remove(t *rapid.T) {
+	if len(m.running) > 0 && m.queue.Remove(m.running[0].Attempt) {
+		t.Fatalf("removed a running attempt")
+	}
+	if len(m.waiting) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.waiting)-1).Draw(t, "waiting")
+	if !m.queue.Remove(m.waiting[i].Attempt) {
+		t.Fatalf("waiting attempt is unknown")
+	}
+	m.waiting = slices.Delete(m.waiting, i, i+1)
+}
+
+func (m *machine) expire(t *rapid.T) {
+	for _, job := range m.queue.Expired(m.now) {
+		i := m.find(job)
+		if i < 0 {
+			t.Fatalf("expired attempt %x did not wait", job.Attempt)
+		}
+		if !m.waiting[i].Deadline.Before(m.now) {
+			t.Fatalf("expired attempt %x could still start", job.Attempt)
+		}
+		m.waiting = slices.Delete(m.waiting, i, i+1)
+	}
+	for _, w := range m.waiting {
+		if !w.Deadline.IsZero() && w.Deadline.Before(m.now) {
+			t.Fatalf("attempt %x past its deadline still waits", w.Attempt)
+		}
+	}
+}
+
+func (m *machine) reserve(t *rapid.T) {
+	id := ReservationID(rapid.IntRange(0, 3).Draw(t, "id"))
+	work := rapid.Float64Range(1, 1000).Draw(t, "work")
+	m.queue.Reserve(m.now, id, Job{Organisation: "org-0", Work: work}, time.Second)
+}
+
+func (m *machine) advance(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) check(t *rapid.T) {
+	if m.queue.Len() != len(m.waiting) || m.queue.Running() != len(m.running) {
+		t.Fatalf("queue holds %d waiting and %d running, want %d and %d",
+			m.queue.Len(), m.queue.Running(), len(m.waiting), len(m.running))
+	}
+	if len(m.waiting) > m.config.MaxQueued {
+		t.Fatalf("%d waiting exceed the cap %d", len(m.waiting), m.config.MaxQueued)
+	}
+	counts := make(map[string]int)
+	for _, w := range m.waiting {
+		counts[w.Organisation]++
+	}
+	for name, count := range counts {
+		if count > m.config.MaxQueuedPerOrganisation {
+			t.Fatalf("%s has %d waiting, cap %d", name, count, m.config.MaxQueuedPerOrganisation)
+		}
+	}
+}
+
+// TestQueueAgainstReference checks that no attempt is lost, doubled or run after a refusal, that a
+// free slot never stays idle, that flows are first in first out and that caps and ageing hold.
+func TestQueueAgainstReference(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		config := Config{
+			Slots:                    rapid.IntRange(1, 3).Draw(t, "slots"),
+			MaxQueued:                12,
+			MaxQueuedPerOrganisation: 5,
+			Quantum:                  500,
+			PatientAgeing:            4 * time.Second,
+		}
+		m := &machine{queue: New(config), config: config, now: start}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer":      m.offer,
+			"offerAgain": m.offerAgain,
+			"dispatch":   m.dispatch,
+			"finish":     m.finish,
+			"remove":     m.remove,
+			"expire":     m.expire,
+			"reserve":    m.reserve,
+			"advance":    m.advance,
+			"":           m.check,
+		})
+	})
+}
