--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -37,7 +37,7 @@
 	avoid     map[string]time.Time
 	// leaving holds the incarnations that said that they are leaving. What an agent says of
 	// itself wins over the lagging list.
-	leaving map[string]uint64
+	leaving map[string]leavingMark
 	loads   map[string]*placement.Load
 }
 
@@ -48,7 +48,7 @@
 		logger:   logger,
 		onList:   func([]platform.Instance) {},
 		avoid:    make(map[string]time.Time),
-		leaving:  make(map[string]uint64),
+		leaving:  make(map[string]leavingMark),
 		loads:    make(map[string]*placement.Load),
 	}
 	r.rebuild(time.Now())
@@ -86,6 +86,7 @@
 	defer r.mu.Unlock()
 	r.byService = byService
 	r.readAt = time.Now()
+	r.forgetLeaving(r.readAt)
 	r.rebuild(r.readAt)
 }
 
@@ -101,12 +102,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if hello.GetLeaving() {
-		r.leaving[hello.GetInstance()] = hello.GetIncarnation()
+		r.leaving[hello.GetInstance()] = leavingMark{incarnation: hello.GetIncarnation(), at: time.Now()}
 		r.rebuild(time.Now())
 		return
 	}
 	left, known := r.leaving[hello.GetInstance()]
-	if known && left != hello.GetIncarnation() {
+	if known && left.incarnation != hello.GetIncarnation() {
 		delete(r.leaving, hello.GetInstance())
 		r.rebuild(time.Now())
 	}
