Bring evicted prompts back from the stores, checked on whole deployments

Found by the first of these tests: a second run of a prompt renewed the index's trust in its own knowledge, although the engine had confirmed the pieces, so a removal within five seconds was not believed and the agent fetched only the end of the prefix (seen: 100% recomputed after 49,152 link bytes). The engine's word now counts from its first confirmation on.

--- a/internal/cacheindex/cacheindex.go
+++ b/internal/cacheindex/cacheindex.go
@@ -134,8 +134,12 @@
 }
 
 // Own records that the agent has just imported a piece or seen a run store it. It counts for a few
-// seconds, until an event or resync confirms it.
+// seconds, until an event or resync confirms it. A piece that the engine confirmed before needs no
+// such trust.
 func (x *Index) Own(name piece.Name, now time.Time) {
+	if _, ok := x.stored[name]; ok {
+		return
+	}
 	if !x.Has(name, now) {
 		x.note(name, true)
 	}
@@ -203,6 +207,8 @@
 	if _, ok := x.own[name]; !ok {
 		x.note(name, true)
 	}
+	// Confirmed: from now on the engine's word counts, also that the piece is gone.
+	delete(x.own, name)
 }
 
 func (x *Index) unstore(name piece.Name) {
--- a/internal/cacheindex/cacheindex_test.go
+++ b/internal/cacheindex/cacheindex_test.go
@@ -100,6 +100,17 @@
 	c.Assert(x.TakeChanges(), qt.HasLen, 0)
 }
 
+func TestConfirmedPieceIsGoneAsSoonAsTheEngineSaysSo(t *testing.T) {
+	c := qt.New(t)
+	x := synced()
+	x.Own(name(1), start)
+	x.Apply([]Event{{11, Stored, name(1)}}, 11, start)
+	x.Own(name(1), start) // a second run of the same prompt
+	x.Apply([]Event{{12, Removed, name(1)}}, 12, start)
+	c.Assert(x.Has(name(1), start), qt.IsFalse)
+	c.Assert(x.TakeChanges(), qt.DeepEquals, []Change{{name(1), true}, {name(1), false}})
+}
+
 // After any loss of events, an index that resyncs when it is suspect equals the cache, and its
 // changes add up to its content.
 func TestIndexFollowsTheCacheThroughLosses(t *testing.T) {
--- /dev/null
+++ b/internal/systemtest/returning/returning_test.go
@@ -0,0 +1,241 @@
+// Package returning_test runs whole deployments as child processes and checks prompts that return
+// after their replica has evicted them.
+package returning_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/agent"
+	"balsamyoke.example/balsamyoke/internal/cacheindex"
+	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
+	"balsamyoke.example/balsamyoke/internal/testbed"
+)
+
+const (
+	promptPieces = 8
+	pieceBytes   = 4096
+	cachePieces  = 20
+	// prefillTokensPerSecond makes the first turn take about 0.8 s.
+	prefillTokensPerSecond = 10000
+	organisationA          = "ridge"
+	organisationB          = "flue"
+)
+
+func TestMain(m *testing.M) { os.Exit(testbed.Main(m)) }
+
+func organisation(name string) manifest.Organisation {
+	digest := sha256.Sum256([]byte(name + "-key"))
+	return manifest.Organisation{Name: name, KeyDigests: []string{hex.EncodeToString(digest[:])}}
+}
+
+// deployment is a fleet with one entry.
+type deployment struct {
+	*qt.C
+	ctx   context.Context
+	fleet *testbed.Fleet
+	entry string
+}
+
+func start(t *testing.T, replicas, stores int, store testbed.Settings) *deployment {
+	c := qt.New(t)
+	binaries, err := testbed.Binaries()
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	fleet, err := testbed.Start(ctx, testbed.Spec{
+		Binaries: binaries, Folder: c.TempDir(), Region: "lakes", Domains: []string{"erie", "huron"},
+		Manifest: &manifest.Manifest{
+			Deployment:    "returning",
+			Organisations: []manifest.Organisation{organisation(organisationA), organisation(organisationB)},
+			Services:      []manifest.Service{{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: "v1"}},
+			Kinds: []manifest.Kind{{
+				Name: "trace", Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 10000, MaxTokens: 4,
+			}},
+			PieceBytes: pieceBytes,
+		},
+		ModelReplicas: replicas, Stores: stores, Entries: 1,
+		Engine: testbed.Settings{
+			"prefill_tokens_per_second": prefillTokensPerSecond, "decode_ms": 1, "cache_pieces": cachePieces,
+			"event_lag_ms": 100, "drop_every": 7, "piece_tokens": 1000,
+		},
+		Agent: testbed.Settings{"prefill_us_per_token": 1_000_000 / prefillTokensPerSecond},
+		Store: store,
+	})
+	c.Assert(err, qt.IsNil)
+	t.Cleanup(fleet.Stop)
+	return &deployment{C: c, ctx: ctx, fleet: fleet, entry: fleet.Role(platform.RoleEntry)[0].Address}
+}
+
+// answer is the part of a reply that tells how the request was served.
+type answer struct {
+	Usage struct {
+		PromptTokens int `json:"prompt_tokens"`
+		Details      struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+	Accounting struct {
+		Replica        string `json:"replica"`
+		ComputedTokens int    `json:"computed_tokens"`
+		LinkBytes      int    `json:"link_bytes"`
+		FirstTokenMS   int    `json:"first_token_ms"`
+	} `json:"balsamyoke"`
+}
+
+// text returns a prompt of whole pieces that differs from others in its first piece.
+func text(label string, pieces int) string {
+	line := fmt.Sprintf("%s: harness 14, connector %s, sheet 3. ", label, label)
+	return strings.Repeat(line, pieces*pieceBytes/len(line)+4)[:pieces*pieceBytes+100]
+}
+
+// ask sends a prompt, again after a refusal that says when to come back.
+func (d *deployment) ask(organisation, prompt string) answer {
+	for {
+		status, content := d.send(organisation, prompt)
+		if status == http.StatusServiceUnavailable && strings.Contains(content, "not_run") {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		d.Assert(status, qt.Equals, http.StatusOK, qt.Commentf("%s", content))
+		var a answer
+		d.Assert(json.Unmarshal([]byte(content), &a), qt.IsNil)
+		return a
+	}
+}
+
+func (d *deployment) send(organisation, prompt string) (status int, content string) {
+	body, err := json.Marshal(map[string]any{
+		"model":    "assistant",
+		"messages": []map[string]string{{"role": "user", "content": prompt}},
+	})
+	d.Assert(err, qt.IsNil)
+	request, err := http.NewRequestWithContext(d.ctx, http.MethodPost, "http://"+d.entry+"/v1/chat/completions", strings.NewReader(string(body)))
+	d.Assert(err, qt.IsNil)
+	request.Header.Set("Authorization", "Bearer "+organisation+"-key")
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	d.Assert(err, qt.IsNil)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	d.Assert(err, qt.IsNil)
+	return response.StatusCode, string(raw)
+}
+
+// awaitExports waits until the stores hold at least count pieces.
+func (d *deployment) awaitExports(count int) {
+	for {
+		held := 0
+		for _, store := range d.fleet.Role(platform.RoleStore) {
+			var stats storeserver.Stats
+			d.Assert(testbed.Call(d.ctx, http.MethodGet, store.AdminAddress, "/admin/stats", nil, &stats), qt.IsNil)
+			held += stats.MemoryPieces + stats.DiskPieces
+		}
+		if held >= count {
+			return
+		}
+		d.Assert(d.ctx.Err(), qt.IsNil, qt.Commentf("the stores hold %d of %d pieces", held, count))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// evictFrom fills the cache of a replica's engine with other pieces and waits until its agent knows.
+func (d *deployment) evictFrom(replica string) {
+	for _, agent := range d.fleet.Role(platform.RoleAgent) {
+		if agent.ID != replica {
+			continue
+		}
+		for i := range cachePieces {
+			path := fmt.Sprintf("/v1/kv/import?piece=%032x", i+1)
+			d.Assert(testbed.Call(d.ctx, http.MethodPost, agent.BackendAddress, path, "filler", nil), qt.IsNil)
+		}
+		exact, err := engine.New(agent.BackendAddress).CacheState(d.ctx)
+		d.Assert(err, qt.IsNil)
+		for d.indexOf(agent).Sequence < exact.Sequence {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// indexOf returns an agent's view of its engine's cache.
+func (d *deployment) indexOf(instance *testbed.Instance) cacheindex.State {
+	var state agent.State
+	d.Assert(testbed.Call(d.ctx, http.MethodGet, instance.Metrics, "/dump", nil, &state), qt.IsNil)
+	return state.Cache.Index
+}
+
+func (d *deployment) log(label string, a answer) {
+	recomputed := 100 * a.Accounting.ComputedTokens / max(1, a.Usage.PromptTokens)
+	d.Logf("%-28s first token %4d ms, recomputed %3d%%, link %6d bytes, replica %s",
+		label, a.Accounting.FirstTokenMS, recomputed, a.Accounting.LinkBytes, a.Accounting.Replica)
+}
+
+func TestEvictedPromptReturnsFromTheStores(t *testing.T) {
+	d := start(t, 3, 2, nil)
+	prompt := text("fourteen", promptPieces)
+	first := d.ask(organisationA, prompt)
+	d.log("first turn", first)
+	d.Assert(first.Usage.Details.CachedTokens, qt.Equals, 0)
+	warm := d.ask(organisationA, prompt)
+	d.log("return at once", warm)
+	d.Assert(warm.Accounting.Replica, qt.Equals, first.Accounting.Replica)
+	d.awaitExports(promptPieces)
+	d.evictFrom(first.Accounting.Replica)
+	back := d.ask(organisationA, prompt)
+	d.log("return after eviction", back)
+	d.Assert(back.Usage.Details.CachedTokens >= promptPieces*1000, qt.IsTrue)
+	d.Assert(back.Accounting.LinkBytes > 0, qt.IsTrue)
+	d.Assert(back.Accounting.FirstTokenMS < first.Accounting.FirstTokenMS/2, qt.IsTrue)
+
+	other := d.ask(organisationB, prompt)
+	d.log("another organisation", other)
+	d.Assert(other.Usage.Details.CachedTokens, qt.Equals, 0)
+	d.Assert(other.Accounting.LinkBytes, qt.Equals, 0)
+}
+
+func TestPromptReturnsElsewhereAfterItsReplicaDied(t *testing.T) {
+	d := start(t, 3, 2, nil)
+	prompt := text("fifteen", promptPieces)
+	first := d.ask(organisationA, prompt)
+	d.log("first turn", first)
+	d.awaitExports(promptPieces)
+	time.Sleep(time.Second) // announcements reach their homes
+	for _, agent := range d.fleet.Role(platform.RoleAgent) {
+		if agent.ID == first.Accounting.Replica {
+			agent.Process.Kill()
+		}
+	}
+	back := d.ask(organisationA, prompt)
+	d.log("return to another replica", back)
+	d.Assert(back.Accounting.Replica, qt.Not(qt.Equals), first.Accounting.Replica)
+	d.Assert(back.Usage.Details.CachedTokens >= promptPieces*1000, qt.IsTrue)
+}
+
+func TestReturnWithoutStoresIsRecomputed(t *testing.T) {
+	d := start(t, 1, 1, nil)
+	prompt := text("sixteen", promptPieces)
+	first := d.ask(organisationA, prompt)
+	d.log("first turn", first)
+	d.awaitExports(promptPieces)
+	store := d.fleet.Role(platform.RoleStore)[0]
+	d.Assert(testbed.SetFaults(d.ctx, store.AdminAddress, storeserver.Faults{Down: true}), qt.IsNil)
+	d.evictFrom(first.Accounting.Replica)
+	back := d.ask(organisationA, prompt)
+	d.log("return with the store down", back)
+	d.Assert(back.Usage.Details.CachedTokens, qt.Equals, 0)
+	d.Assert(back.Accounting.FirstTokenMS < first.Accounting.FirstTokenMS+500, qt.IsTrue)
+}
