--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -10,6 +10,7 @@
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/runtable"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/transfer"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -86,6 +87,7 @@
 	Incarnation    uint64          `json:"incarnation"`
 	Leaving        bool            `json:"leaving"`
 	ConfigVersion  uint64          `json:"config_version"`
+	Control        traffic.Totals  `json:"control_traffic"`
 	Queued         int             `json:"queued"`
 	Running        int             `json:"running"`
 	Table          runtable.Counts `json:"run_table"`
@@ -116,6 +118,7 @@
 		Incarnation:   a.incarnation,
 		Leaving:       a.leaving.Load(),
 		ConfigVersion: a.configVersion(),
+		Control:       traffic.Control.Totals(),
 	}
 	a.loop.Call(func() {
 		a.state.show(&shown, time.Now())
--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"balsamyoke.example/balsamyoke/internal/piece"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -207,6 +208,7 @@
 func connect(address string) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(traffic.Control.Dial),
 		grpc.WithReadBufferSize(connectionBufferBytes),
 		grpc.WithWriteBufferSize(connectionBufferBytes),
 		grpc.WithIdleTimeout(connectionIdleTimeout),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/settings"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -270,14 +271,15 @@
 
 // State is what dump shows.
 type State struct {
-	Instance      string        `json:"instance"`
-	FailureDomain string        `json:"failure_domain"`
-	Incarnation   uint64        `json:"incarnation"`
-	Leaving       bool          `json:"leaving"`
-	ConfigVersion uint64        `json:"config_version"`
-	Active        int64         `json:"active_requests"`
-	Attempts      int           `json:"attempts"`
-	Replicas      replicasState `json:"replicas"`
+	Instance      string         `json:"instance"`
+	FailureDomain string         `json:"failure_domain"`
+	Incarnation   uint64         `json:"incarnation"`
+	Leaving       bool           `json:"leaving"`
+	ConfigVersion uint64         `json:"config_version"`
+	Control       traffic.Totals `json:"control_traffic"`
+	Active        int64          `json:"active_requests"`
+	Attempts      int            `json:"attempts"`
+	Replicas      replicasState  `json:"replicas"`
 }
 
 // State returns the entry's whole state.
@@ -287,6 +289,7 @@
 		FailureDomain: e.settings.FailureDomain,
 		Incarnation:   e.incarnation,
 		Leaving:       e.leaving.Load(),
+		Control:       traffic.Control.Totals(),
 		Active:        e.active.Load(),
 		Attempts:      e.flights.count(),
 		Replicas:      e.replicas.state(),
--- a/internal/grpcpool/pool.go
+++ b/internal/grpcpool/pool.go
@@ -9,6 +9,8 @@
 	"github.com/joomcode/errorx"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
+
+	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
 var namespace = errorx.NewNamespace("grpcpool")
@@ -67,6 +69,7 @@
 func dial(address string) (*grpc.ClientConn, error) {
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(traffic.Control.Dial),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReplyBytes)))
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
 const (
@@ -29,6 +31,8 @@
 	DialTimeout time.Duration
 	// MaxIdle bounds how many unused connections are kept.
 	MaxIdle int
+	// Traffic counts the bytes of the calls; nil counts nothing.
+	Traffic *traffic.Counter
 }
 
 // Client sends requests to one address. It is safe for concurrent use.
@@ -44,8 +48,10 @@
 // connection is one TCP connection with its read buffer.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
-	idleAt time.Time
+	// counted is Conn, with its bytes counted when the Client counts.
+	counted net.Conn
+	reader  *bufio.Reader
+	idleAt  time.Time
 }
 
 // New returns a Client for address, given as ip:port.
@@ -142,7 +148,11 @@
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "dial %s", c.address)
 	}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, bufferBytes)}, nil
+	counted := conn
+	if c.options.Traffic != nil {
+		counted = c.options.Traffic.Conn(conn)
+	}
+	return &connection{Conn: conn, counted: counted, reader: bufio.NewReaderSize(counted, bufferBytes)}, nil
 }
 
 func (c *Client) takeIdle() *connection {
@@ -178,7 +188,7 @@
 }
 
 func exchange(conn *connection, request *fasthttp.Request, response *fasthttp.Response) error {
-	writer := bufio.NewWriterSize(conn, bufferBytes)
+	writer := bufio.NewWriterSize(conn.counted, bufferBytes)
 	if err := request.Write(writer); err != nil {
 		return err
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -11,6 +11,8 @@
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
 // reportInterval is how often tally moves values to the Prometheus reporter.
@@ -25,6 +27,9 @@
 	Scope   tally.Scope
 	handler fasthttp.RequestHandler
 	closer  io.Closer
+	// controlSent and controlReceived show the process's control bytes since its start.
+	controlSent     tally.Gauge
+	controlReceived tally.Gauge
 }
 
 // NewRegistry returns a Registry whose metric names start with prefix.
@@ -39,14 +44,21 @@
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{
-		Scope:   scope,
-		handler: fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
-		closer:  closer,
+		Scope:           scope,
+		handler:         fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()),
+		closer:          closer,
+		controlSent:     scope.Gauge("control_sent_bytes"),
+		controlReceived: scope.Gauge("control_received_bytes"),
 	}
 }
 
 // Handler answers a scrape.
-func (r *Registry) Handler(ctx *fasthttp.RequestCtx) { r.handler(ctx) }
+func (r *Registry) Handler(ctx *fasthttp.RequestCtx) {
+	totals := traffic.Control.Totals()
+	r.controlSent.Update(float64(totals.SentBytes))
+	r.controlReceived.Update(float64(totals.ReceivedBytes))
+	r.handler(ctx)
+}
 
 // Close stops reporting.
 func (r *Registry) Close() { _ = r.closer.Close() }
--- a/internal/platform/etcdhttp/client.go
+++ b/internal/platform/etcdhttp/client.go
@@ -15,6 +15,7 @@
 	"balsamyoke.example/balsamyoke/internal/httpclient"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp/gateway"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
 const (
@@ -35,7 +36,7 @@
 func New(addresses ...string) *Client {
 	c := &Client{}
 	for _, address := range addresses {
-		c.gateways = append(c.gateways, httpclient.New(address, httpclient.Options{}))
+		c.gateways = append(c.gateways, httpclient.New(address, httpclient.Options{Traffic: &traffic.Control}))
 	}
 	return c
 }
--- a/internal/platform/listhttp/client.go
+++ b/internal/platform/listhttp/client.go
@@ -11,6 +11,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/httpclient"
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
 // Path is where the list is read.
@@ -32,7 +33,7 @@
 
 // New returns a Client for the list at address, given as ip:port.
 func New(address string) *Client {
-	return &Client{http: httpclient.New(address, httpclient.Options{})}
+	return &Client{http: httpclient.New(address, httpclient.Options{Traffic: &traffic.Control})}
 }
 
 // Close closes the unused connections.
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -21,6 +21,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -124,7 +125,7 @@
 	}
 	server := grpc.NewServer()
 	register(server)
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(traffic.Control.Listener(listener)) }()
 	return server, nil
 }
 
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -108,6 +109,7 @@
 	if err := d.raw.AsyncWrite(buf, nil); err != nil {
 		return ErrClosed.Wrap(err, "datagram was not sent")
 	}
+	traffic.Control.Sent(len(buf))
 	return nil
 }
 
@@ -145,6 +147,7 @@
 	if err != nil {
 		return gnet.None
 	}
+	traffic.Control.Received(len(body))
 	if datagram, err := decodeDatagram(body); err == nil {
 		c.datagrams(datagram)
 	}
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -114,6 +115,7 @@
 	if err != nil {
 		return
 	}
+	traffic.Control.Received(len(body))
 	datagram, err := decodeDatagram(body)
 	if err != nil {
 		return
@@ -127,6 +129,7 @@
 	if err != nil {
 		return
 	}
+	traffic.Control.Sent(len(buf))
 	_, _ = s.replies.WriteTo(buf, remote)
 }
 
