--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -7,12 +7,13 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 func TestLeavingAgentIsAskedAgainLater(t *testing.T) {
 	c := qt.New(t)
-	r := newReplicas(nil, zap.NewNop())
+	r := newReplicas(process.Identity{}, nil, zap.NewNop())
 	leaving := func() bool {
 		_, found := r.leaving["a"]
 		return found
--- a/internal/entry/versions.go
+++ b/internal/entry/versions.go
@@ -57,7 +57,7 @@
 func (r *run) choose(bindings []binding, offers []*placed) *placed {
 	best := -1
 	for i, offer := range offers {
-		if offer != nil && (best < 0 || offer.cost < offers[best].cost) {
+		if offer != nil && (best < 0 || offer.score < offers[best].score) {
 			best = i
 		}
 	}
