Read the instance list once a process, at a pace that the control budget allows

Cause: three parts of a process each read the whole list every second. One copy serves all parts now, read each second while the list is short and otherwise at a mean of 8 KB/s (a reading each 350 s at 11,000 rows). Ruled out: reading by few processes and spreading rows, as the configuration does: it needs the same bytes at those few.

--- /dev/null
+++ b/internal/node/instances.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/rollout"
+)
+
+const (
+	// listInterval is the shortest time between two readings of the instance list.
+	listInterval = time.Second
+	// listBytesPerSecond bounds what readings of the list cost on the mean. Long lists are read
+	// less often: what processes say of themselves is newer than the list anyway.
+	listBytesPerSecond = 8 << 10
+	// rowBytes estimates one row of the list on the wire.
+	rowBytes = 256
+)
+
+// instances is the process's one copy of the platform's instance list. It implements
+// platform.InstanceList and config.Peers for the parts of a role, so that none reads the list itself.
+type instances struct {
+	self   string
+	list   platform.InstanceList
+	listed atomic.Pointer[[]platform.Instance]
+}
+
+func newInstances(self string, list platform.InstanceList) *instances {
+	i := &instances{self: self, list: list}
+	i.listed.Store(&[]platform.Instance{})
+	return i
+}
+
+// run reads the instance list until ctx ends and keeps the last one during an outage.
+func (i *instances) run(ctx context.Context) {
+	for {
+		i.read(ctx)
+		timer := time.NewTimer(readInterval(len(*i.listed.Load())))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// readInterval returns the time until the next reading of a list of the given length, with a
+// quarter of jitter so that processes that started together spread out.
+func readInterval(rows int) time.Duration {
+	paced := time.Duration(rows) * rowBytes * time.Second / listBytesPerSecond
+	interval := max(listInterval, paced)
+	return interval*3/4 + rand.N(interval/2)
+}
+
+func (i *instances) read(ctx context.Context) {
+	listed, err := i.list.Instances(ctx)
+	if err != nil {
+		return
+	}
+	i.listed.Store(&listed)
+}
+
+// Instances implements platform.InstanceList with the last reading.
+func (i *instances) Instances(context.Context) ([]platform.Instance, error) {
+	return *i.listed.Load(), nil
+}
+
+// Peers implements config.Peers.
+func (i *instances) Peers(n int) []config.Peer {
+	listed := *i.listed.Load()
+	if n == 0 {
+		n = len(listed)
+	}
+	peers := make([]config.Peer, 0, min(n, len(listed)))
+	for _, at := range rand.Perm(len(listed)) {
+		if len(peers) == n {
+			break
+		}
+		if peer, ok := i.peer(listed[at]); ok {
+			peers = append(peers, peer)
+		}
+	}
+	return peers
+}
+
+// peer returns another process of the system; stores and this process are none.
+func (i *instances) peer(instance platform.Instance) (config.Peer, bool) {
+	if instance.ControlAddress == "" || instance.ID == i.self {
+		return config.Peer{}, false
+	}
+	return config.Peer{
+		Instance:       instance.ID,
+		ControlAddress: instance.ControlAddress,
+		FailureDomain:  instance.FailureDomain,
+	}, true
+}
+
+// agentsOf returns the live agents of a service, this process with them.
+func (i *instances) agentsOf(service string) []rollout.Member {
+	var members []rollout.Member
+	for _, instance := range *i.listed.Load() {
+		if instance.Role != platform.RoleAgent || instance.Service != service || instance.State != platform.InstanceLive {
+			continue
+		}
+		members = append(members, rollout.Member{
+			Instance:       instance.ID,
+			ControlAddress: instance.ControlAddress,
+			FailureDomain:  instance.FailureDomain,
+		})
+	}
+	return members
+}
--- /dev/null
+++ b/internal/node/instances_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/platform/memlist"
+)
+
+// listed are rows of agents and one store.
+func listed(agents int) []platform.Instance {
+	rows := []platform.Instance{{ID: "store", Role: platform.RoleStore, State: platform.InstanceLive}}
+	for n := range agents {
+		name := fmt.Sprintf("agent-%d", n)
+		rows = append(rows, platform.Instance{
+			ID: name, Role: platform.RoleAgent, Service: "assistant",
+			ControlAddress: name, State: platform.InstanceLive,
+		})
+	}
+	return rows
+}
+
+func TestPeersAreOtherProcesses(t *testing.T) {
+	c := qt.New(t)
+	list := memlist.New(0)
+	list.Replace(listed(5))
+	i := newInstances("agent-0", list)
+	c.Assert(i.Peers(0), qt.HasLen, 0)
+	i.read(context.Background())
+	c.Assert(i.Peers(0), qt.HasLen, 4)
+	c.Assert(i.Peers(3), qt.HasLen, 3)
+	for _, peer := range i.Peers(0) {
+		c.Assert(peer.Instance, qt.Not(qt.Equals), "agent-0")
+	}
+	c.Assert(i.agentsOf("assistant"), qt.HasLen, 5)
+}
+
+func TestReadingsOfTheListKeepToTheControlBudget(t *testing.T) {
+	c := qt.New(t)
+	const processesAtTheDesignSize = 11000
+	for _, rows := range []int{30, 1000, processesAtTheDesignSize} {
+		for range 100 {
+			interval := readInterval(rows)
+			c.Assert(interval >= listInterval*3/4, qt.IsTrue)
+			bytesPerSecond := float64(rows*rowBytes) / interval.Seconds()
+			c.Assert(bytesPerSecond <= listBytesPerSecond*4/3+1, qt.IsTrue, qt.Commentf("%d rows: %.0f B/s", rows, bytesPerSecond))
+		}
+	}
+	c.Assert(readInterval(20) <= 2*time.Second, qt.IsTrue)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,10 +24,9 @@
 type common struct {
 	logger        *zap.Logger
 	kv            platform.KV
-	instances     platform.InstanceList
+	instances     *instances
 	configuration *configuration
 	spread        *config.Spread
-	peers         *peers
 }
 
 // newCommon connects to the platform's services.
@@ -35,9 +34,8 @@
 	c := &common{
 		logger:    process.NewLogger(program, identity.Instance),
 		kv:        etcdhttp.New(kv),
-		instances: listhttp.New(list),
+		instances: newInstances(identity.Instance, listhttp.New(list)),
 	}
-	c.peers = newPeers(identity.Instance, c.instances)
 	holder := config.NewHolder()
 	c.spread = config.NewSpread(config.SpreadOptions{
 		Self: config.Peer{
@@ -47,7 +45,7 @@
 		},
 		Holder:    holder,
 		Store:     config.NewStore(c.kv),
-		Peers:     c.peers,
+		Peers:     c.instances,
 		Messenger: config.NewGRPCMessenger(),
 		Logger:    c.logger,
 	})
@@ -62,7 +60,7 @@
 	for _, run := range besides {
 		go run(background)
 	}
-	go c.peers.run(background)
+	go c.instances.run(background)
 	go c.spread.Run(background)
 	return stop
 }
--- a/internal/node/rollout.go
+++ b/internal/node/rollout.go
@@ -55,7 +55,7 @@
 		Owner:    fmt.Sprintf("%s/%x", s.Instance, run),
 		KV:       c.kv,
 		Replicas: r.replicas,
-		Members:  func() []rollout.Member { return c.peers.agentsOf(s.Service) },
+		Members:  func() []rollout.Member { return c.instances.agentsOf(s.Service) },
 		Target:   func() (rollout.Target, bool) { return targetOf(holder.Current(), s.Service) },
 		Logger:   c.logger,
 	})
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -123,6 +123,7 @@
 
 start_all() {
   . "deploy/$name/local.env"
+  MODEL_REPLICAS=${MODEL_REPLICAS_OVERRIDE:-$MODEL_REPLICAS}
   mkdir -p "$run"
   stop_all
   entries=''
