--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -154,6 +154,7 @@
 	resumeAt := r.stream.Supersede(id)
 	registered := r.entry.flights.register(id, conn)
 	defer r.entry.flights.forget(registered)
+	defer target.count()()
 	dispatch := r.dispatch(id, incarnation, resumeAt, target)
 	if err := conn.Send(&wire.Frame{Body: &wire.Frame_Dispatch{Dispatch: dispatch}}); err != nil {
 		return r.lost(target)
@@ -172,13 +173,13 @@
 		ConfigVersion: req.snapshot.Version,
 		Organisation:  req.organisation.Name,
 		Service:       req.service.Name,
-		WeightVersion: req.service.WeightVersion,
+		WeightVersion: req.binding.weightVersion,
 		Adapter:       req.adapter,
 		Kind:          req.kind.Name,
 		Urgency:       req.urgency(),
 		Idempotent:    req.kind.Idempotent,
 		DeadlineMs:    uint32(left.Milliseconds()),
-		Pieces:        req.pieceBytes(),
+		Pieces:        req.binding.pieceBytes(),
 		PromptTokens:  req.promptTokens,
 		MaxTokens:     req.maxTokens,
 		ResumeTokens:  resumeAt,
