--- a/internal/manifest/manifest.go
+++ b/internal/manifest/manifest.go
@@ -70,7 +70,7 @@
 	Organisations []Organisation `json:"organisations"`
 	Services      []Service      `json:"services"`
 	Kinds         []Kind         `json:"kinds"`
-	// ClaimTTLSeconds is how long an idempotency key is remembered.
+	// ClaimTTLSeconds is how old an idempotency key may be; at most the 24 hours that claims last.
 	ClaimTTLSeconds int `json:"claim_ttl_seconds,omitempty"`
 	// GraceSeconds is how long a leaving process lets streams finish.
 	GraceSeconds int `json:"grace_seconds,omitempty"`
