--- a/internal/transfer/mover_test.go
+++ b/internal/transfer/mover_test.go
@@ -18,6 +18,7 @@
 	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
+	"balsamyoke.example/balsamyoke/internal/store"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -236,6 +237,40 @@
 	b.Assert(b.engine.imports, qt.Equals, 0)
 }
 
+func TestReadCutByTheStoreIsAMiss(t *testing.T) {
+	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{LinkBytesPerSecond: 1 << 20})
+	name := testNames("ridge", 1)[0]
+	big := bytes.Repeat(name[:], 16<<10) // a quarter of a second on the link
+	b.put(name, piece.Seal(name, 1, big))
+	var f *Fetch
+	b.loop.Call(func() { f = b.mover.Fetch(testPrompt([]piece.Name{name})) })
+	b.until(func() bool { return b.store.Stats().BytesOut > 0 })
+	b.Assert(b.store.SetFaults(storeserver.Faults{Down: true}), qt.IsNil)
+	<-f.Done()
+	b.Assert(b.engine.imports, qt.Equals, 0)
+}
+
+// A store that evicts a piece while it is read may finish or cut the read; either way the engine
+// gets the whole piece or none.
+func TestEvictionRacingAReadLeavesAWholePieceOrNone(t *testing.T) {
+	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{LinkBytesPerSecond: 1 << 20})
+	name := testNames("ridge", 1)[0]
+	b.put(name, piece.Seal(name, 1, contentOf(name)))
+	for range 20 {
+		var f *Fetch
+		b.loop.Call(func() { f = b.mover.Fetch(testPrompt([]piece.Name{name})) })
+		removed := make(chan error, 1)
+		client := b.mover.stores["store-1"].client
+		go func() { removed <- client.Delete(context.Background(), name, store.Export) }()
+		<-f.Done()
+		b.Assert(<-removed, qt.IsNil)
+		b.put(name, piece.Seal(name, 2, contentOf(name)))
+	}
+	b.engine.mu.Lock()
+	defer b.engine.mu.Unlock()
+	b.Assert(b.engine.damaged, qt.Equals, 0)
+}
+
 func TestDeadStoreCostsNoError(t *testing.T) {
 	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{})
 	b.Assert(b.store.SetFaults(storeserver.Faults{Down: true}), qt.IsNil)
