Hold limits and a retry budget in the entry

Retries of a service draw on its budget; before, each request could make six dispatches whatever the state of the fleet. Organisations over their limit are refused at once with 429, not run and Retry-After.

A fault is mended on the way: a request whose runs were all cut before the first token was answered not run, though it had run in part. The answer now says not run only when every attempt is proven not run. TestRunsThatWereCutAreNotCalledNotRun and TestOrganisationLimitRefusesAtOnce failed before the change.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,10 +17,12 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/limits"
 	"balsamyoke.example/balsamyoke/internal/metrics"
 	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/settings"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -109,6 +111,8 @@
 	replicas      *replicas
 	policy        placement.Policy
 	directory     *directory.Client
+	retries       *retries
+	limiting      *limiting
 	incarnation   uint64
 	leaving       atomic.Bool
 	active        atomic.Int64
@@ -144,12 +148,14 @@
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
 	}
+	e.retries = newRetries(e.incarnation)
+	e.limiting = newLimiting(s.Instance, d.Configuration)
 	policy, err := placement.New(s.PlacementPolicy, placement.Settings{})
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "no placement policy")
 	}
 	e.policy = policy
-	e.replicas.onList = e.useHomes
+	e.replicas.onList = e.listed
 	e.counters = newCounters(e.registry.Scope)
 	links, err := newLinks(e.flights, e.prober, e.hello, e.greeted)
 	if err != nil {
@@ -193,6 +199,7 @@
 	}
 	defer func() { _ = metricsServer.Shutdown() }()
 	go e.replicas.poll(background)
+	go e.limiting.run(background)
 	if e.needsLoads() {
 		go e.pollLoads(background)
 	}
@@ -229,6 +236,7 @@
 		Decisions: e.decisions,
 		Leave:     e.Leave,
 	})
+	e.limiting.register(server)
 	if e.register != nil {
 		e.register(server)
 	}
@@ -256,6 +264,12 @@
 	return hello
 }
 
+// listed takes the instance list as it was read.
+func (e *Entry) listed(instances []platform.Instance) {
+	e.useHomes(instances)
+	e.limiting.useEntries(instances)
+}
+
 // greeted takes direct evidence about an agent.
 func (e *Entry) greeted(_ string, hello *wire.Hello) {
 	e.replicas.heard(hello)
@@ -278,6 +292,9 @@
 	Active        int64         `json:"active_requests"`
 	Attempts      int           `json:"attempts"`
 	Replicas      replicasState `json:"replicas"`
+	// Retries are the retry budgets by service.
+	Retries map[string]retry.BudgetState `json:"retries"`
+	Limits  limits.State                 `json:"limits"`
 }
 
 // State returns the entry's whole state.
@@ -290,6 +307,8 @@
 		Active:        e.active.Load(),
 		Attempts:      e.flights.count(),
 		Replicas:      e.replicas.state(),
+		Retries:       e.retries.state(),
+		Limits:        e.limiting.limiter.State(),
 	}
 	if snapshot := e.configuration.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -110,6 +110,10 @@
 		e.fail(ctx, failure, req)
 		return
 	}
+	if failure := e.limiting.admit(req); failure != nil {
+		e.fail(ctx, failure, req)
+		return
+	}
 	e.active.Add(1)
 	run(ctx, req)
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -10,6 +10,7 @@
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -173,6 +174,7 @@
 	switch answer.GetOutcome() {
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		r.once.proven = true
+		r.end = retry.Attempt{Outcome: wire.Outcome_OUTCOME_NOT_RUN}
 		r.tried[target.instance.ID] = true
 		return verdictRetry, nil, true
 	case wire.Outcome_OUTCOME_RUNNING, wire.Outcome_OUTCOME_DONE, wire.Outcome_OUTCOME_FAILED:
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -30,6 +30,8 @@
 const (
 	ridgeKey = "ridge-key"
 	lakeKey  = "lake-key"
+	// limitedKey belongs to an organisation with a limit of two requests a second.
+	limitedKey = "limited-key"
 )
 
 // inForce is a configuration that never changes.
@@ -52,6 +54,7 @@
 		Organisations: []manifest.Organisation{
 			{Name: "ridge", KeyDigests: []string{digest(ridgeKey)}},
 			{Name: "lake", KeyDigests: []string{digest(lakeKey)}, Services: []string{"archive"}},
+			{Name: "limited", KeyDigests: []string{digest(limitedKey)}, RequestsPerSecond: 2},
 		},
 		Services: []manifest.Service{
 			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: "v1"},
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -148,7 +148,7 @@
 
 func (r *run) noReplica() *Failure {
 	if r.attempts > 0 {
-		return r.exhausted()
+		return r.gaveUp(r.retryAfter())
 	}
 	return retryable(CodeNoReplica, fasthttp.StatusServiceUnavailable,
 		"service "+quote(r.request.service.Name)+" has no live replica", busyRetryAfter)
--- /dev/null
+++ b/internal/entry/refusal_test.go
@@ -0,0 +1,56 @@
+package entry_test
+
+import (
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/standin/engineserver"
+)
+
+// TestRunsThatWereCutAreNotCalledNotRun cuts the engines while the prompt is being computed, when
+// no token has been delivered. The request has run in part.
+func TestRunsThatWereCutAreNotCalledNotRun(t *testing.T) {
+	c := qt.New(t)
+	p := startPath(c, engineserver.Settings{DecodeMS: 1, PrefillTokensPerSecond: 1})
+	type answer struct {
+		status int
+		text   string
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		status, _, text := p.post(c, "/v1/chat/completions", ridgeKey, chatRequest(true, "trace circuit 14 from the helm to the bilge"))
+		answered <- answer{status, text}
+	}()
+	awaitRunning(c, p, 1)
+	for _, engine := range p.engines {
+		c.Assert(engine.SetFaults(engineserver.Faults{Down: true}), qt.IsNil)
+	}
+	got := <-answered
+	c.Assert(got.status >= http.StatusInternalServerError, qt.IsTrue, qt.Commentf("%s", got.text))
+	c.Assert(got.text, qt.Contains, `"outcome":"unknown"`)
+}
+
+// TestOrganisationLimitRefusesAtOnce sends more than the limit allows and expects refusals that
+// are not run and say when to come back.
+func TestOrganisationLimitRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	p := startPath(c, engineserver.Settings{DecodeMS: 1})
+	refused := 0
+	for range 10 {
+		status, header, text := p.post(c, "/v1/services/archive/browse", limitedKey, `{}`)
+		if status == http.StatusOK {
+			continue
+		}
+		refused++
+		c.Assert(status, qt.Equals, http.StatusTooManyRequests, qt.Commentf("%s", text))
+		c.Assert(header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		c.Assert(text, qt.Contains, `"code":"organisation_limit"`)
+		c.Assert(text, qt.Contains, `"outcome":"not_run"`)
+	}
+	c.Assert(refused >= 5, qt.IsTrue, qt.Commentf("%d of 10 refused", refused))
+	c.Assert(p.plain.Executions(), qt.HasLen, 10-refused)
+	status, _, _ := p.post(c, "/v1/services/archive/browse", ridgeKey, `{}`)
+	c.Assert(status, qt.Equals, http.StatusOK)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,14 +8,13 @@
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/stream"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 const (
-	// maxAttempts bounds the dispatches of one request.
-	maxAttempts = 6
 	// dialTimeout bounds connecting to an agent, its greeting included.
 	dialTimeout = 500 * time.Millisecond
 	// stallTimeout is the silence within a stream after which its replica is taken as lost.
@@ -42,6 +41,10 @@
 	// tried holds replicas that are not asked again.
 	tried      map[string]bool
 	lastReason *wire.Refused
+	// end is the end of the latest attempt and ends those of all before that may be followed by
+	// another.
+	end        retry.Attempt
+	ends       []retry.Attempt
 	firstToken time.Duration
 	once       once
 }
@@ -70,6 +73,7 @@
 // execute runs the request to its end. A nil Failure means that result holds the whole answer.
 func (r *run) execute(ctx context.Context) (*result, *Failure) {
 	result, failure := r.tryAll(ctx)
+	r.entry.limiting.settle(r.request, result, failure)
 	if failure != nil && r.once.bound && r.once.proven {
 		failure.settled = true
 	}
@@ -77,7 +81,7 @@
 }
 
 func (r *run) tryAll(ctx context.Context) (*result, *Failure) {
-	for r.attempts < maxAttempts {
+	for {
 		if ctx.Err() != nil {
 			return nil, r.hungUp()
 		}
@@ -89,13 +93,16 @@
 		done, next, failure := r.attempt(ctx, target)
 		switch next {
 		case verdictDone:
+			r.entry.retries.succeeded(r.request.service.Name)
 			return r.finish(done, target.instance), nil
 		case verdictFailed:
 			return nil, failure
 		case verdictRetry:
 		}
+		if failure := r.again(ctx); failure != nil {
+			return nil, failure
+		}
 	}
-	return nil, r.exhausted()
 }
 
 func (r *run) finish(done *wire.Done, instance platform.Instance) *result {
@@ -113,22 +120,6 @@
 	return unknown(CodeInterrupted, fasthttp.StatusRequestTimeout, "the caller hung up")
 }
 
-// exhausted is the failure of a request that no replica took.
-func (r *run) exhausted() *Failure {
-	after := busyRetryAfter
-	message := "no replica of service " + quote(r.request.service.Name) + " took the request"
-	if r.lastReason != nil {
-		if ms := r.lastReason.GetRetryAfterMs(); ms > 0 {
-			after = time.Duration(ms) * time.Millisecond
-		}
-		message += ": " + r.lastReason.GetMessage()
-	}
-	if r.stream.Delivered() > 0 {
-		return unknown(CodeInterrupted, fasthttp.StatusBadGateway, message)
-	}
-	return retryable(CodeBusy, fasthttp.StatusServiceUnavailable, message, after)
-}
-
 // attempt dispatches to one replica and follows it to its end.
 func (r *run) attempt(ctx context.Context, target *placed) (*wire.Done, verdict, *Failure) {
 	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -137,6 +128,7 @@
 	if err != nil {
 		r.tried[target.instance.ID] = true
 		r.entry.unreachable(target.instance)
+		r.end = retry.Attempt{Outcome: wire.Outcome_OUTCOME_NOT_RUN}
 		return nil, verdictRetry, nil
 	}
 	id, err := attempt.NewID()
@@ -296,6 +288,7 @@
 // refused takes a refusal. Only a proven not run lets a non-idempotent request go elsewhere.
 func (r *run) refused(refused *wire.Refused, target *placed) (verdict, *Failure) {
 	r.lastReason = refused
+	r.end = attemptOf(refused)
 	r.entry.refusedBy(target.instance, refused)
 	proven := refused.GetOutcome() == wire.Outcome_OUTCOME_NOT_RUN
 	r.once.proven = proven
@@ -312,6 +305,7 @@
 // lost takes an attempt whose end can't be known from its connection.
 func (r *run) lost(target *placed) (*wire.Done, verdict, *Failure) {
 	r.tried[target.instance.ID] = true
+	r.end = retry.Attempt{Outcome: wire.Outcome_OUTCOME_UNKNOWN}
 	r.entry.unreachable(target.instance)
 	if r.request.kind.Idempotent {
 		return nil, verdictRetry, nil
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -169,7 +169,7 @@
 // takeTrial lets a trial request through. Trials whose end is never recorded are replaced after
 // another ejection time.
 func (t *Tracker) takeTrial(now time.Time, r *replica) bool {
-	if now.Sub(r.since) >= t.config.BaseEjection {
+	if t.trialsStale(now, r) {
 		r.since = now
 		r.trials = r.passed
 	}
@@ -180,10 +180,25 @@
 	return true
 }
 
-// Usable reports whether Allow could let a request through, without counting one.
+// Usable reports whether Allow would let a request through, without counting one.
 func (t *Tracker) Usable(now time.Time, id string) bool {
 	r := t.replicas[id]
-	return r == nil || replicaChart.Label(r.state) != labelClosed || !now.Before(r.until)
+	if r == nil {
+		return true
+	}
+	switch replicaChart.Label(r.state) {
+	case labelOpen:
+		return true
+	case labelLimited:
+		return r.trials < t.config.TrialRequests || t.trialsStale(now, r)
+	default:
+		return !now.Before(r.until)
+	}
+}
+
+// trialsStale reports whether the ends of trial requests are overdue.
+func (t *Tracker) trialsStale(now time.Time, r *replica) bool {
+	return now.Sub(r.since) >= t.config.BaseEjection
 }
 
 // DomainCut reports whether a failure domain fails as a whole for a service.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,9 +13,10 @@
 	Burst float64
 }
 
-// DefaultBudgetConfig allows one retry for ten successes.
+// DefaultBudgetConfig allows one retry for five successes, and as many at once as an entry has in
+// flight at the replicas of a failure domain.
 func DefaultBudgetConfig() BudgetConfig {
-	return BudgetConfig{Ratio: 0.1, PerSecond: 0.5, Burst: 10}
+	return BudgetConfig{Ratio: 0.2, PerSecond: 0.5, Burst: 100}
 }
 
 // Budget is the retry allowance of one service in one process.
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -112,11 +112,11 @@
 
 // repeatable reports whether another dispatch cannot run the request a second time, or may.
 func (r *Request) repeatable() bool {
-	return r.Idempotent || r.outcome() == wire.Outcome_OUTCOME_NOT_RUN
+	return r.Idempotent || r.Outcome() == wire.Outcome_OUTCOME_NOT_RUN
 }
 
-// outcome returns what is known about the request as a whole.
-func (r *Request) outcome() wire.Outcome {
+// Outcome returns what is known about the request as a whole: NOT_RUN only when no attempt has run.
+func (r *Request) Outcome() wire.Outcome {
 	worst := wire.Outcome_OUTCOME_NOT_RUN
 	for _, a := range r.History {
 		switch a.Outcome {
@@ -134,7 +134,7 @@
 
 // giveUp returns the final answer of a request.
 func (p *Policy) giveUp(now time.Time, r Request) Decision {
-	outcome := r.outcome()
+	outcome := r.Outcome()
 	last := r.History[len(r.History)-1]
 	if !r.Idempotent && outcome != wire.Outcome_OUTCOME_NOT_RUN || last.Reason == wire.RefusalReason_REFUSAL_REASON_NOT_SERVED {
 		return Decision{Outcome: outcome}
