--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -7,6 +7,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/cacheindex"
 	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/transfer"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -186,14 +187,45 @@
 	if r.job.fetch == nil {
 		return 0
 	}
+	began := time.Now()
 	select {
 	case <-r.job.fetch.Done():
+		r.explainFetch(time.Since(began))
 		return r.job.fetch.Bytes()
 	case <-ctx.Done():
 		return 0
 	}
 }
 
+// fetchDetail is what explain shows about the pieces of a prompt.
+type fetchDetail struct {
+	Pieces  int    `json:"pieces"`
+	Cached  int    `json:"cached"`
+	Wanted  int    `json:"wanted"`
+	Fetched int    `json:"fetched"`
+	Bytes   uint64 `json:"bytes"`
+	// WaitedMS is how long the run waited for the fetch after its turn had come.
+	WaitedMS int64 `json:"waited_ms"`
+}
+
+func (r *run) explainFetch(waited time.Duration) {
+	fetch, prompt := r.job.fetch, r.job.prompt
+	r.agent.decisions.Add(explain.Decision{
+		Time:    time.Now(),
+		Request: requestName(r.job.dispatch),
+		Attempt: r.job.id.String(),
+		Step:    "fetch",
+		Detail: fetchDetail{
+			Pieces:   len(prompt.Names),
+			Cached:   prompt.Cached,
+			Wanted:   fetch.Wanted(),
+			Fetched:  fetch.Fetched(),
+			Bytes:    fetch.Bytes(),
+			WaitedMS: waited.Milliseconds(),
+		},
+	})
+}
+
 // ran records that the engine now holds the pieces of a job's prompt, and offers them for export.
 func (a *Agent) ran(j *job, now time.Time) {
 	if a.cache == nil || j.fetch == nil {
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -56,6 +56,19 @@
 // Done is closed when no more pieces will arrive.
 func (f *Fetch) Done() <-chan struct{} { return f.done }
 
+// Wanted returns how many pieces were worth fetching. It may be called after Done.
+func (f *Fetch) Wanted() int { return len(f.wanted) }
+
+// Fetched returns how many leading pieces of the wanted ones arrived. It may be called after Done.
+func (f *Fetch) Fetched() int {
+	for i, ok := range f.arrived {
+		if !ok {
+			return i
+		}
+	}
+	return len(f.arrived)
+}
+
 // Bytes returns the bytes that were moved for this fetch. It may be called after Done.
 func (f *Fetch) Bytes() uint64 { return f.bytes }
 
