Leave outliers out of placement

A run that fails or stalls at a live agent no longer keeps the replica out for two seconds at once, which under overload would have emptied the choice; only a lost agent does.

--- /dev/null
+++ b/internal/entry/outliers.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/health"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// Weights of a run's parts in its expected service time. Replicas are compared with each other,
+// so only their proportion matters.
+const (
+	computedTokenTime  = 50 * time.Microsecond
+	generatedTokenTime = 20 * time.Millisecond
+	callTime           = 5 * time.Millisecond
+)
+
+// track tells the outlier detection which replicas there are. The mutex is held.
+func (r *replicas) track() {
+	known := make(map[string]bool)
+	for _, instances := range r.byService {
+		for _, instance := range r.nearest(instances) {
+			known[instance.ID] = true
+			r.health.Add(health.Replica{ID: instance.ID, Service: instance.Service, FailureDomain: instance.FailureDomain})
+		}
+	}
+	for id := range r.tracked {
+		if !known[id] {
+			r.health.Remove(id)
+		}
+	}
+	r.tracked = known
+}
+
+// judge ejects outliers and logs what changed.
+func (r *replicas) judge(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes := r.health.Evaluate(now)
+	for _, change := range changes {
+		r.logger.Info("replica health", zap.String("instance", change.ID), zap.String("service", change.Service),
+			zap.String("failure_domain", change.FailureDomain), zap.String("state", change.State))
+	}
+	if len(changes) > 0 {
+		r.rebuild(now)
+	}
+}
+
+// sending notes a dispatch. A replica that was ejected gets only a few until they succeed.
+func (r *replicas) sending(instance string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.health.Usable(now, instance)
+	r.health.Allow(now, instance)
+	if r.health.Usable(now, instance) != before {
+		r.rebuild(now)
+	}
+}
+
+// ended notes the end of an attempt.
+func (r *replicas) ended(instance string, sample health.Sample, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before := r.health.Usable(now, instance)
+	r.health.Record(now, instance, sample)
+	if r.health.Usable(now, instance) != before {
+		r.rebuild(now)
+	}
+}
+
+// ejected says whether a replica is left out for now. The mutex is held.
+func (r *replicas) ejected(instance platform.Instance, now time.Time) bool {
+	return now.Before(r.avoid[instance.ID]) || !r.health.Usable(now, instance.ID)
+}
+
+// serviceRatio compares the service time of a whole run, queueing excluded, with what its tokens
+// should take.
+func serviceRatio(done *wire.Done, took time.Duration, delivered uint32) float64 {
+	service := took - time.Duration(done.GetQueueMs())*time.Millisecond
+	expected := callTime +
+		time.Duration(done.GetComputedTokens())*computedTokenTime +
+		time.Duration(delivered)*generatedTokenTime
+	return max(service.Seconds()/expected.Seconds(), 0)
+}
+
+// succeeded notes a whole run at a replica.
+func (r *run) succeeded(done *wire.Done, target *placed) {
+	r.entry.retries.succeeded(r.request.service.Name)
+	sample := health.Sample{Ratio: serviceRatio(done, time.Since(r.began), r.stream.Delivered())}
+	r.entry.replicas.ended(target.instance.ID, sample, time.Now())
+}
+
+// faulty notes an attempt that failed or stalled at a replica whose agent is alive.
+func (r *run) faulty(target *placed, outcome wire.Outcome) (*wire.Done, verdict, *Failure) {
+	r.tried[target.instance.ID] = true
+	r.end.Outcome = outcome
+	r.entry.counters.lostAttempts.Inc(1)
+	r.entry.replicas.ended(target.instance.ID, health.Sample{Failed: true}, time.Now())
+	if r.request.kind.Idempotent {
+		return nil, verdictRetry, nil
+	}
+	return nil, verdictLost, nil
+}
--- /dev/null
+++ b/internal/entry/outliers_test.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/health"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/process"
+)
+
+type listOf []platform.Instance
+
+func (l listOf) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+
+// sixReplicas returns what an entry believes about two replicas in each of three domains.
+func sixReplicas() (*replicas, []string) {
+	var list listOf
+	var ids []string
+	for i := range 6 {
+		id := fmt.Sprintf("assistant-%d", i)
+		ids = append(ids, id)
+		list = append(list, platform.Instance{
+			ID: id, Role: platform.RoleAgent, Service: "assistant", State: platform.InstanceLive,
+			FailureDomain: fmt.Sprintf("lake-%d", i%3),
+		})
+	}
+	r := newReplicas(process.Identity{Instance: "entry-0"}, list, zap.NewNop())
+	r.read(context.Background())
+	return r, ids
+}
+
+// feed records ten attempts at each replica, of which those of the failing ones fail.
+func feed(r *replicas, ids []string, now time.Time, failing func(i int) bool) {
+	for range 10 {
+		for i, id := range ids {
+			r.ended(id, health.Sample{Failed: failing(i), Ratio: 1}, now)
+		}
+	}
+	r.judge(now)
+}
+
+func TestFailingReplicaIsLeftOutOfPlacementAndComesBack(t *testing.T) {
+	c := qt.New(t)
+	r, ids := sixReplicas()
+	now := time.Now()
+	feed(r, ids, now, func(i int) bool { return i == 4 })
+	for i, id := range ids {
+		c.Assert(r.snapshot.Load().Lookup(id).Ejected, qt.Equals, i == 4)
+	}
+	back := now.Add(health.DefaultConfig().BaseEjection)
+	r.read(context.Background())
+	for range health.DefaultConfig().TrialRequests {
+		r.sending(ids[4], back)
+	}
+	c.Assert(r.snapshot.Load().Lookup(ids[4]).Ejected, qt.IsTrue)
+	for range health.DefaultConfig().TrialRequests {
+		r.ended(ids[4], health.Sample{Ratio: 1}, back)
+	}
+	c.Assert(r.snapshot.Load().Lookup(ids[4]).Ejected, qt.IsFalse)
+}
+
+func TestFaultOfAllReplicasLeavesNoneOut(t *testing.T) {
+	c := qt.New(t)
+	r, ids := sixReplicas()
+	feed(r, ids, time.Now(), func(int) bool { return true })
+	for _, id := range ids {
+		c.Assert(r.snapshot.Load().Lookup(id).Ejected, qt.IsFalse)
+	}
+}
+
+func TestCutDomainIsMarkedForPlacement(t *testing.T) {
+	c := qt.New(t)
+	r, ids := sixReplicas()
+	feed(r, ids, time.Now(), func(i int) bool { return i%3 == 1 })
+	for i, id := range ids {
+		c.Assert(r.snapshot.Load().Lookup(id).DomainUnhealthy, qt.Equals, i%3 == 1)
+		c.Assert(r.snapshot.Load().Lookup(id).Ejected, qt.IsFalse)
+	}
+}
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/health"
 	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
@@ -39,6 +40,9 @@
 	// itself wins over the lagging list.
 	leaving map[string]leavingMark
 	loads   map[string]*placement.Load
+	// health finds replicas that do worse than their peers; tracked are those it knows.
+	health  *health.Tracker
+	tracked map[string]bool
 }
 
 func newReplicas(identity process.Identity, list platform.InstanceList, logger *zap.Logger) *replicas {
@@ -50,6 +54,7 @@
 		avoid:    make(map[string]time.Time),
 		leaving:  make(map[string]leavingMark),
 		loads:    make(map[string]*placement.Load),
+		health:   health.New(health.DefaultConfig()),
 	}
 	r.rebuild(time.Now())
 	return r
@@ -66,6 +71,7 @@
 			return
 		case <-ticker.C:
 			r.read(ctx)
+			r.judge(time.Now())
 		}
 	}
 }
@@ -87,6 +93,7 @@
 	r.byService = byService
 	r.readAt = time.Now()
 	r.forgetLeaving(r.readAt)
+	r.track()
 	r.rebuild(r.readAt)
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
+	"balsamyoke.example/balsamyoke/internal/health"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/stream"
@@ -43,8 +44,10 @@
 	lastReason *wire.Refused
 	// end is the end of the latest attempt and ends those of all before that may be followed by
 	// another.
-	end        retry.Attempt
-	ends       []retry.Attempt
+	end  retry.Attempt
+	ends []retry.Attempt
+	// began is the start of the latest attempt.
+	began      time.Time
 	firstToken time.Duration
 	once       once
 }
@@ -90,10 +93,13 @@
 			return nil, failure
 		}
 		r.attempts++
+		r.began = time.Now()
+		r.end = retry.Attempt{}
+		r.entry.replicas.sending(target.instance.ID, r.began)
 		done, next, failure := r.attempt(ctx, target)
 		switch next {
 		case verdictDone:
-			r.entry.retries.succeeded(r.request.service.Name)
+			r.succeeded(done, target)
 			return r.finish(done, target.instance), nil
 		case verdictFailed:
 			return nil, failure
@@ -196,7 +202,7 @@
 			return nil, verdictFailed, r.hungUp()
 		case <-progress.C:
 			r.abandon(f)
-			return r.lost(target)
+			return r.faulty(target, wire.Outcome_OUTCOME_UNKNOWN)
 		case <-heartbeat.ticks():
 			if heartbeat.silent(time.Now()) {
 				r.abandon(f)
@@ -280,8 +286,9 @@
 		return r.lost(target)
 	}
 	if r.request.kind.Idempotent {
-		return r.lost(target)
+		return r.faulty(target, wire.Outcome_OUTCOME_FAILED)
 	}
+	r.entry.replicas.ended(target.instance.ID, health.Sample{Failed: true}, time.Now())
 	return nil, verdictFailed, unknown(CodeRunFailed, fasthttp.StatusBadGateway, done.GetMessage())
 }
 
@@ -360,5 +367,7 @@
 // unreachable notes that an agent could not be reached or went silent.
 func (e *Entry) unreachable(instance platform.Instance) {
 	e.counters.lostAttempts.Inc(1)
-	e.replicas.failed(instance, time.Now())
+	now := time.Now()
+	e.replicas.ended(instance.ID, health.Sample{Failed: true}, now)
+	e.replicas.failed(instance, now)
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -65,9 +65,11 @@
 		FailureDomain:  instance.FailureDomain,
 		Service:        instance.Service,
 		Leaving:        leaving,
-		Ejected:        now.Before(r.avoid[instance.ID]),
-		DistanceMS:     r.distanceMS(instance),
-		Load:           load,
+		Ejected:        r.ejected(instance, now),
+
+		DomainUnhealthy: r.health.DomainCut(instance.Service, instance.FailureDomain),
+		DistanceMS:      r.distanceMS(instance),
+		Load:            load,
 	}
 }
 
