--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/settings"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -284,14 +285,15 @@
 
 // State is what dump shows.
 type State struct {
-	Instance      string        `json:"instance"`
-	FailureDomain string        `json:"failure_domain"`
-	Incarnation   uint64        `json:"incarnation"`
-	Leaving       bool          `json:"leaving"`
-	ConfigVersion uint64        `json:"config_version"`
-	Active        int64         `json:"active_requests"`
-	Attempts      int           `json:"attempts"`
-	Replicas      replicasState `json:"replicas"`
+	Instance      string         `json:"instance"`
+	FailureDomain string         `json:"failure_domain"`
+	Incarnation   uint64         `json:"incarnation"`
+	Leaving       bool           `json:"leaving"`
+	ConfigVersion uint64         `json:"config_version"`
+	Control       traffic.Totals `json:"control_traffic"`
+	Active        int64          `json:"active_requests"`
+	Attempts      int            `json:"attempts"`
+	Replicas      replicasState  `json:"replicas"`
 	// Retries are the retry budgets by service.
 	Retries map[string]retry.BudgetState `json:"retries"`
 	Limits  limits.State                 `json:"limits"`
@@ -304,6 +306,7 @@
 		FailureDomain: e.settings.FailureDomain,
 		Incarnation:   e.incarnation,
 		Leaving:       e.leaving.Load(),
+		Control:       traffic.Control.Totals(),
 		Active:        e.active.Load(),
 		Attempts:      e.flights.count(),
 		Replicas:      e.replicas.state(),
