--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -13,6 +13,13 @@
 stop_all() {
   [ -f "$run/pids" ] || return 0
   for pid in $(sort -rn "$run/pids"); do kill "$pid" 2>/dev/null || true; done
+  for pid in $(cat "$run/pids"); do
+    tries=0
+    while kill -0 "$pid" 2>/dev/null && [ "$tries" -lt 100 ]; do
+      tries=$((tries + 1))
+      sleep 0.05
+    done
+  done
   rm -f "$run/pids"
 }
 
@@ -126,6 +133,7 @@
   MODEL_REPLICAS=${MODEL_REPLICAS_OVERRIDE:-$MODEL_REPLICAS}
   mkdir -p "$run"
   stop_all
+  rm -f "$run"/*.json "$run"/*.log
   entries=''
   comma=''
   next_address; kv=$address
