--- /dev/null
+++ b/internal/systemtest/atmostonce/cuts_test.go
@@ -0,0 +1,59 @@
+package atmostonce
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/testbed"
+)
+
+// TestEachKeyRunsOnceWhenConnectionsAreCut cuts the connections between entries and agents again and
+// again. Agents remember what ran, so every caller must get its answer.
+func TestEachKeyRunsOnceWhenConnectionsAreCut(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBed(c, testbed.Settings{"slots": plainSlots})
+	relays := b.relayAgents(c, "archive", func(entry string) { b.callers.submit(b.ctx, entry, newKey(), 0) })
+	b.under(c, fault{
+		name:   "connections cut",
+		strike: func(*bed) error { cutAgain(relays); return nil },
+		heal:   nothing,
+	})
+}
+
+// TestAnswersAreWholeWhenConnectionsAreCut cuts connections in the midst of streams.
+func TestAnswersAreWholeWhenConnectionsAreCut(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBed(c, testbed.Settings{"slots": 8})
+	relays := b.relayAgents(c, "assistant", b.streamTogether)
+	continued := 0
+	for number, s := range b.strikeStreams(c, func() { relays[b.fleet.Service("assistant")[0].ID].cut() }) {
+		c.Check(s.whole, qt.IsTrue, qt.Commentf("answer %d ends after %q", number, s.text))
+		c.Check(s.text, qt.Equals, undisturbed(number))
+		if s.attempts > 1 {
+			continued++
+		}
+	}
+	c.Check(continued > 0, qt.IsTrue, qt.Commentf("the cut met no stream"))
+}
+
+// streamTogether runs a few streams at once, so that they use several replicas.
+func (b *bed) streamTogether(entry string) {
+	var reading sync.WaitGroup
+	for number := range streams {
+		reading.Go(func() { _, _ = b.stream(entry, number, func() {}) })
+	}
+	reading.Wait()
+}
+
+func cutAgain(relays map[string]*relay) {
+	for end := time.Now().Add(cutFor); time.Now().Before(end); time.Sleep(cutEvery) {
+		for _, r := range relays {
+			r.cut()
+		}
+	}
+}
