Report an entry healthy only once it knows replicas

Cause: /healthz was 200 as soon as the configuration was confirmed, before the first reading of the instance list; a request in between got no_replica. Seen as TestHangUpStopsTheEngine reading an error reply under load (0 runs, not 1). Ruled out: the engine's lagging load report, the first suspect. TestEntryIsNotHealthyBeforeItKnowsReplicas fails without the check (200 for 503). Run: go test -race -count=1 ./internal/node ./internal/entry, ok.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -140,7 +140,7 @@
 // health answers the platform's balancer.
 func (e *Entry) health(ctx *fasthttp.RequestCtx) {
 	snapshot := e.configuration.Current()
-	if e.leaving.Load() || snapshot == nil || !snapshot.Confirmed {
+	if e.leaving.Load() || snapshot == nil || !snapshot.Confirmed || !e.replicas.known() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.SetBodyString("not serving\n")
 		return
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -134,7 +134,8 @@
 	})
 }
 
-func (p *path) startEntry(c *qt.C, holder *config.Holder, list fixedList) {
+// newEntry builds the entry of the path; the caller runs it.
+func (p *path) newEntry(c *qt.C, holder *config.Holder, list platform.InstanceList) *entry.Entry {
 	s := entry.DefaultSettings()
 	s.Identity = process.Identity{Instance: "entry-0", Region: "r", FailureDomain: "north"}
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
@@ -145,7 +146,11 @@
 	c.Assert(err, qt.IsNil)
 	p.entry = e
 	p.address = s.Listen
-	runRole(c, e.Run)
+	return e
+}
+
+func (p *path) startEntry(c *qt.C, holder *config.Holder, list fixedList) {
+	runRole(c, p.newEntry(c, holder, list).Run)
 	for range 200 {
 		reply, err := http.Get("http://" + p.address + "/healthz")
 		if err == nil && reply.Body.Close() == nil && reply.StatusCode == http.StatusOK {
@@ -226,6 +231,34 @@
 	c.Assert(p.plain.Executions(), qt.HasLen, 1)
 }
 
+// unreadable is an instance list that never answers.
+type unreadable struct{}
+
+func (unreadable) Instances(context.Context) ([]platform.Instance, error) {
+	return nil, platform.ErrUnavailable.New("down")
+}
+
+func TestEntryIsNotHealthyBeforeItKnowsReplicas(t *testing.T) {
+	c := qt.New(t)
+	holder := config.NewHolder()
+	bundle, err := config.NewBundle(1, testManifest())
+	c.Assert(err, qt.IsNil)
+	_, err = holder.Offer(bundle)
+	c.Assert(err, qt.IsNil)
+	holder.Confirm(1)
+	p := &path{}
+	e := p.newEntry(c, holder, unreadable{})
+	runRole(c, e.Run)
+	for range 50 {
+		reply, err := http.Get("http://" + p.address + "/healthz")
+		if err == nil {
+			c.Assert(reply.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			c.Assert(reply.Body.Close(), qt.IsNil)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func TestErrorsNameWhatIsAtFault(t *testing.T) {
 	c := qt.New(t)
 	p := startPath(c, engineserver.Settings{DecodeMS: 1})
@@ -270,8 +303,9 @@
 	_, err = conn.Write(request.Bytes())
 	c.Assert(err, qt.IsNil)
 	buf := make([]byte, 512)
-	_, err = conn.Read(buf)
+	n, err := conn.Read(buf)
 	c.Assert(err, qt.IsNil)
+	c.Assert(string(buf[:n]), qt.Contains, "200 OK")
 	awaitRunning(c, p, 1)
 	c.Assert(conn.Close(), qt.IsNil)
 	awaitRunning(c, p, 0)
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -97,6 +97,13 @@
 	r.rebuild(r.readAt)
 }
 
+// known says whether the instance list was ever read: before that no request can be placed.
+func (r *replicas) known() bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return !r.readAt.IsZero()
+}
+
 func (r *replicas) failed(instance platform.Instance, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -27,6 +27,8 @@
 	self   string
 	list   platform.InstanceList
 	listed atomic.Pointer[[]platform.Instance]
+	// known says that listed holds a reading.
+	known atomic.Bool
 }
 
 func newInstances(self string, list platform.InstanceList) *instances {
@@ -63,10 +65,15 @@
 		return
 	}
 	i.listed.Store(&listed)
+	i.known.Store(true)
 }
 
-// Instances implements platform.InstanceList with the last reading.
+// Instances implements platform.InstanceList with the last reading. It returns ErrUnavailable
+// before the first one.
 func (i *instances) Instances(context.Context) ([]platform.Instance, error) {
+	if !i.known.Load() {
+		return nil, platform.ErrUnavailable.New("the instance list was not read yet")
+	}
 	return *i.listed.Load(), nil
 }
 
--- a/internal/node/instances_test.go
+++ b/internal/node/instances_test.go
@@ -31,6 +31,8 @@
 	list.Replace(listed(5))
 	i := newInstances("agent-0", list)
 	c.Assert(i.Peers(0), qt.HasLen, 0)
+	_, err := i.Instances(context.Background())
+	c.Assert(err, qt.ErrorMatches, ".*was not read yet")
 	i.read(context.Background())
 	c.Assert(i.Peers(0), qt.HasLen, 4)
 	c.Assert(i.Peers(3), qt.HasLen, 3)
