--- /dev/null
+++ b/internal/membership/table_test.go
@@ -0,0 +1,175 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func agents(count int, state platform.InstanceState) []platform.Instance {
+	list := make([]platform.Instance, count)
+	for i := range list {
+		list[i] = platform.Instance{
+			ID: fmt.Sprintf("assistant-%05d", i), Role: platform.RoleAgent, Service: "assistant",
+			Region: "kigali", FailureDomain: fmt.Sprintf("kigali-%d", i%3), State: state,
+			Address: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256), ControlAddress: fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256),
+		}
+	}
+	return list
+}
+
+// one returns a table with one live agent.
+func one() (*Table, string) {
+	table := New(platform.RoleAgent)
+	list := agents(1, platform.InstanceLive)
+	table.Listed(start, list)
+	return table, list[0].ID
+}
+
+func open(t *Table, id string) bool {
+	m, _ := t.Lookup(id)
+	return m.Open
+}
+
+func TestOwnWordWinsOverTheList(t *testing.T) {
+	c := qt.New(t)
+	table, id := one()
+	c.Assert(open(table, id), qt.IsTrue)
+	c.Assert(table.Heard(start, Evidence{Instance: id, Incarnation: 1, Leaving: true}), qt.IsTrue)
+
+	// The lagging list and an older frame of the same process change nothing.
+	table.Listed(start.Add(time.Second), agents(1, platform.InstanceLive))
+	table.Heard(start.Add(time.Second), Evidence{Instance: id, Incarnation: 1})
+	table.Tick(start.Add(LeavingFor - 1))
+	c.Assert(open(table, id), qt.IsFalse)
+
+	// Later another process may have taken its place.
+	c.Assert(table.Tick(start.Add(LeavingFor)), qt.IsTrue)
+	c.Assert(open(table, id), qt.IsTrue)
+
+	// A process that has taken its place says so itself.
+	table.Heard(start, Evidence{Instance: id, Incarnation: 1, Leaving: true})
+	c.Assert(table.Heard(start, Evidence{Instance: id, Incarnation: 2, ConfigVersion: 7}), qt.IsTrue)
+	c.Assert(open(table, id), qt.IsTrue)
+	m, _ := table.Lookup(id)
+	c.Assert(m.ConfigVersion, qt.Equals, uint64(7))
+}
+
+func TestListedAsLeavingHoldsUntilReplaced(t *testing.T) {
+	c := qt.New(t)
+	table, id := one()
+	table.Listed(start, agents(1, platform.InstanceLeaving))
+	table.Tick(start.Add(time.Hour))
+	c.Assert(open(table, id), qt.IsFalse)
+	table.Heard(start, Evidence{Instance: id, Incarnation: 1})
+	c.Assert(open(table, id), qt.IsFalse)
+	table.Heard(start, Evidence{Instance: id, Incarnation: 2})
+	c.Assert(open(table, id), qt.IsTrue)
+}
+
+func TestLostInstanceIsInDoubtForAWhile(t *testing.T) {
+	c := qt.New(t)
+	table, id := one()
+	c.Assert(table.Failed(start, id), qt.IsTrue)
+	m, _ := table.Lookup(id)
+	c.Assert(m.Open, qt.IsFalse)
+	c.Assert(m.Doubtful, qt.IsTrue)
+	table.Failed(start.Add(time.Second), id)
+	table.Tick(start.Add(SuspectFor))
+	c.Assert(open(table, id), qt.IsFalse)
+	table.Tick(start.Add(time.Second + SuspectFor))
+	c.Assert(open(table, id), qt.IsTrue)
+	table.Failed(start, id)
+	table.Heard(start, Evidence{Instance: id, Incarnation: 1})
+	c.Assert(open(table, id), qt.IsTrue)
+}
+
+func TestListThatForgetsEverybodyIsNoEvidence(t *testing.T) {
+	c := qt.New(t)
+	table, id := one()
+	table.Heard(start, Evidence{Instance: id, Incarnation: 1})
+	table.Listed(start.Add(time.Second), nil)
+	c.Assert(open(table, id), qt.IsTrue)
+	c.Assert(table.ReadAt(), qt.Equals, start.Add(time.Second))
+
+	// An instance that is neither listed nor heard is forgotten.
+	table.Listed(start.Add(UnlistedFor), nil)
+	c.Assert(table.Len(), qt.Equals, 0)
+}
+
+func TestShortenedListKeepsWhoIsHeard(t *testing.T) {
+	c := qt.New(t)
+	table := New(platform.RoleAgent)
+	list := agents(3, platform.InstanceLive)
+	table.Listed(start, list)
+	table.Heard(start.Add(time.Minute), Evidence{Instance: list[2].ID, Incarnation: 1})
+	table.Listed(start.Add(time.Minute), list[:1])
+	c.Assert(table.Len(), qt.Equals, 2)
+	c.Assert(open(table, list[2].ID), qt.IsTrue)
+}
+
+// TestLeavingIsNeverOpenTooSoon runs random evidence and checks the table's invariant.
+func TestLeavingIsNeverOpenTooSoon(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, id := one()
+		now := start
+		var saidLeaving time.Time
+		incarnation, left := uint64(1), uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				table.Tick(now)
+			},
+			"leaving": func(*rapid.T) {
+				table.Heard(now, Evidence{Instance: id, Incarnation: incarnation, Leaving: true})
+				saidLeaving, left = now, incarnation
+			},
+			"heard": func(*rapid.T) { table.Heard(now, Evidence{Instance: id, Incarnation: incarnation}) },
+			"restart": func(*rapid.T) {
+				incarnation++
+				table.Heard(now, Evidence{Instance: id, Incarnation: incarnation})
+			},
+			"failed": func(*rapid.T) { table.Failed(now, id) },
+			"listed": func(*rapid.T) { table.Listed(now, agents(1, platform.InstanceLive)) },
+			"": func(t *rapid.T) {
+				if left == incarnation && now.Sub(saidLeaving) < LeavingFor && open(table, id) {
+					t.Fatalf("open %v after it said that it is leaving", now.Sub(saidLeaving))
+				}
+			},
+		})
+	})
+}
+
+// BenchmarkBytesPerInstance reports what one known instance costs.
+func BenchmarkBytesPerInstance(b *testing.B) {
+	const count = 10000
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		table := New(platform.RoleAgent)
+		table.Listed(start, agents(count, platform.InstanceLive))
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "bytes/instance")
+		runtime.KeepAlive(table)
+	}
+}
+
+func BenchmarkListed(b *testing.B) {
+	table := New(platform.RoleAgent)
+	list := agents(11000, platform.InstanceLive)
+	now := start
+	for b.Loop() {
+		now = now.Add(time.Second)
+		table.Listed(now, list)
+	}
+}
