Let direct evidence about agents win over the list in the entry

The entry keeps its agents in internal/membership: greetings, probe replies and refusals say who is leaving or was replaced, failed dials put in doubt, and a list that has just started and shows nobody empties no choice.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/limits"
+	"balsamyoke.example/balsamyoke/internal/membership"
 	"balsamyoke.example/balsamyoke/internal/metrics"
 	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -273,13 +274,19 @@
 
 // greeted takes direct evidence about an agent.
 func (e *Entry) greeted(_ string, hello *wire.Hello) {
-	e.replicas.heard(hello)
+	e.replicas.heard(membership.Evidence{
+		Instance:      hello.GetInstance(),
+		Incarnation:   hello.GetIncarnation(),
+		ConfigVersion: hello.GetConfigVersion(),
+		WeightVersion: hello.GetWeightVersion(),
+		Leaving:       hello.GetLeaving(),
+	}, time.Now())
 }
 
 // refusedBy takes a refusal as evidence about an agent.
 func (e *Entry) refusedBy(instance platform.Instance, refused *wire.Refused) {
 	if refused.GetReason() == wire.RefusalReason_REFUSAL_REASON_LEAVING {
-		e.replicas.failed(instance, time.Now())
+		e.replicas.refusedAsLeaving(instance.ID, time.Now())
 	}
 }
 
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -1,33 +1,48 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/membership"
+	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
-	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 func TestLeavingAgentIsAskedAgainLater(t *testing.T) {
 	c := qt.New(t)
-	r := newReplicas(process.Identity{}, nil, zap.NewNop())
-	leaving := func() bool {
-		_, found := r.leaving["a"]
-		return found
+	list := listOf{{ID: "a", Role: platform.RoleAgent, Service: "assistant", State: platform.InstanceLive}}
+	r := newReplicas(process.Identity{}, list, zap.NewNop())
+	r.read(context.Background())
+	leaving := func() bool { return r.snapshot.Load().Lookup("a").Leaving }
+	at := time.Now()
+	say := func(incarnation uint64, leaves bool) {
+		r.heard(membership.Evidence{Instance: "a", Incarnation: incarnation, Leaving: leaves}, at)
 	}
-	r.heard(&wire.Hello{Instance: "a", Incarnation: 1, Leaving: true})
-	r.heard(&wire.Hello{Instance: "a", Incarnation: 1}) // an older frame of the leaving process
+	tick := func(now time.Time) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.members.Tick(now)
+		r.rebuild(now)
+	}
+	say(1, true)
+	say(1, false) // an older frame of the leaving process
+	c.Assert(leaving(), qt.IsTrue)
+	r.read(context.Background()) // the lagging list still shows it as live
 	c.Assert(leaving(), qt.IsTrue)
-	at := r.leaving["a"].at
-	r.forgetLeaving(at.Add(leavingFor - time.Millisecond))
+	tick(at.Add(membership.LeavingFor - time.Millisecond))
 	c.Assert(leaving(), qt.IsTrue)
-	r.forgetLeaving(at.Add(leavingFor))
+	tick(at.Add(membership.LeavingFor))
 	c.Assert(leaving(), qt.IsFalse)
 
-	r.heard(&wire.Hello{Instance: "a", Incarnation: 1, Leaving: true})
-	r.heard(&wire.Hello{Instance: "a", Incarnation: 2})
+	say(1, true)
+	say(2, false)
 	c.Assert(leaving(), qt.IsFalse)
+
+	r.refusedAsLeaving("a", at)
+	c.Assert(leaving(), qt.IsTrue)
 }
--- a/internal/entry/outliers.go
+++ b/internal/entry/outliers.go
@@ -6,7 +6,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/health"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/membership"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -21,11 +21,9 @@
 // track tells the outlier detection which replicas there are. The mutex is held.
 func (r *replicas) track() {
 	known := make(map[string]bool)
-	for _, instances := range r.byService {
-		for _, instance := range r.nearest(instances) {
-			known[instance.ID] = true
-			r.health.Add(health.Replica{ID: instance.ID, Service: instance.Service, FailureDomain: instance.FailureDomain})
-		}
+	for _, m := range r.near() {
+		known[m.ID] = true
+		r.health.Add(health.Replica{ID: m.ID, Service: m.Service, FailureDomain: m.FailureDomain})
 	}
 	for id := range r.tracked {
 		if !known[id] {
@@ -72,8 +70,8 @@
 }
 
 // ejected says whether a replica is left out for now. The mutex is held.
-func (r *replicas) ejected(instance platform.Instance, now time.Time) bool {
-	return now.Before(r.avoid[instance.ID]) || !r.health.Usable(now, instance.ID)
+func (r *replicas) ejected(m membership.Member, now time.Time) bool {
+	return m.Doubtful || !r.health.Usable(now, m.ID)
 }
 
 // serviceRatio compares the service time of a whole run, queueing excluded, with what its tokens
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/health"
+	"balsamyoke.example/balsamyoke/internal/membership"
 	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
@@ -18,8 +20,6 @@
 const (
 	// listInterval is how often the instance list is read.
 	listInterval = time.Second
-	// avoidFor is how long a replica that failed is not chosen.
-	avoidFor = 2 * time.Second
 )
 
 // replicas holds what the entry believes about agents.
@@ -32,13 +32,8 @@
 	// snapshot is what placements use; it is never nil.
 	snapshot atomic.Pointer[placement.Snapshot]
 
-	mu        sync.RWMutex
-	byService map[string][]platform.Instance
-	readAt    time.Time
-	avoid     map[string]time.Time
-	// leaving holds the incarnations that said that they are leaving. What an agent says of
-	// itself wins over the lagging list.
-	leaving map[string]leavingMark
+	mu      sync.RWMutex
+	members *membership.Table
 	loads   map[string]*placement.Load
 	// health finds replicas that do worse than their peers; tracked are those it knows.
 	health  *health.Tracker
@@ -51,8 +46,7 @@
 		list:     list,
 		logger:   logger,
 		onList:   func([]platform.Instance) {},
-		avoid:    make(map[string]time.Time),
-		leaving:  make(map[string]leavingMark),
+		members:  membership.New(platform.RoleAgent),
 		loads:    make(map[string]*placement.Load),
 		health:   health.New(health.DefaultConfig()),
 	}
@@ -78,56 +72,88 @@
 
 func (r *replicas) read(ctx context.Context) {
 	instances, err := r.list.Instances(ctx)
-	if err != nil {
-		return
+	if err == nil {
+		r.onList(instances)
 	}
-	byService := make(map[string][]platform.Instance)
-	for _, instance := range instances {
-		if instance.Role == platform.RoleAgent && instance.State == platform.InstanceLive {
-			byService[instance.Service] = append(byService[instance.Service], instance)
-		}
-	}
-	r.onList(instances)
+	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.byService = byService
-	r.readAt = time.Now()
-	r.forgetLeaving(r.readAt)
+	if err == nil {
+		r.members.Listed(now, instances)
+	}
+	r.members.Tick(now)
 	r.track()
-	r.rebuild(r.readAt)
+	r.rebuild(now)
 }
 
-func (r *replicas) failed(instance platform.Instance, now time.Time) {
+// failed notes that contact with an agent was lost.
+func (r *replicas) failed(instance string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.avoid[instance.ID] = now.Add(avoidFor)
-	r.rebuild(now)
+	if r.members.Failed(now, instance) {
+		r.rebuild(now)
+	}
+}
+
+// heard takes an agent's own word, which wins over the list.
+func (r *replicas) heard(evidence membership.Evidence, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.members.Heard(now, evidence) {
+		r.rebuild(now)
+	}
+}
+
+// answered takes probe replies as the agents' own word.
+func (r *replicas) answered(replies []*wire.ProbeReply, now time.Time) {
+	for _, reply := range replies {
+		r.heard(membership.Evidence{
+			Instance:      reply.GetInstance(),
+			Incarnation:   reply.GetIncarnation(),
+			ConfigVersion: reply.GetConfigVersion(),
+			Leaving:       reply.GetReason() == wire.RefusalReason_REFUSAL_REASON_LEAVING,
+		}, now)
+	}
 }
 
-// heard takes an agent's own word on whether it is leaving.
-func (r *replicas) heard(hello *wire.Hello) {
+// refusedAsLeaving takes a refusal in which an agent said that it is leaving.
+func (r *replicas) refusedAsLeaving(instance string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if hello.GetLeaving() {
-		r.leaving[hello.GetInstance()] = leavingMark{incarnation: hello.GetIncarnation(), at: time.Now()}
-		r.rebuild(time.Now())
-		return
+	known, _ := r.members.Lookup(instance)
+	evidence := membership.Evidence{Instance: instance, Incarnation: known.Incarnation, Leaving: true}
+	if r.members.Heard(now, evidence) {
+		r.rebuild(now)
 	}
-	left, known := r.leaving[hello.GetInstance()]
-	if known && left.incarnation != hello.GetIncarnation() {
-		delete(r.leaving, hello.GetInstance())
-		r.rebuild(time.Now())
+}
+
+// near returns the agents of the entry's own region, and all agents of services that no open one
+// there serves.
+func (r *replicas) near() []membership.Member {
+	members := r.members.Members()
+	served := make(map[string]bool)
+	for i := range members {
+		if members[i].Open && members[i].Region == r.identity.Region {
+			served[members[i].Service] = true
+		}
 	}
+	return slices.DeleteFunc(members, func(m membership.Member) bool {
+		return served[m.Service] && m.Region != r.identity.Region
+	})
 }
 
 // replicasState is what dump shows.
 type replicasState struct {
-	Services  map[string][]platform.Instance `json:"services"`
+	Services  map[string][]membership.Member `json:"services"`
 	ListAgeMS int64                          `json:"list_age_ms"`
 }
 
 func (r *replicas) state() replicasState {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
-	return replicasState{Services: r.byService, ListAgeMS: time.Since(r.readAt).Milliseconds()}
+	services := make(map[string][]membership.Member)
+	for _, m := range r.members.Members() {
+		services[m.Service] = append(services[m.Service], m)
+	}
+	return replicasState{Services: services, ListAgeMS: time.Since(r.members.ReadAt()).Milliseconds()}
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -369,5 +369,5 @@
 	e.counters.lostAttempts.Inc(1)
 	now := time.Now()
 	e.replicas.ended(instance.ID, health.Sample{Failed: true}, now)
-	e.replicas.failed(instance, now)
+	e.replicas.failed(instance.ID, now)
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/membership"
 	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -24,51 +25,35 @@
 
 // rebuild publishes a new snapshot for placements. The caller holds r.mu.
 func (r *replicas) rebuild(now time.Time) {
-	var known []placement.Replica
-	live := make(map[string]*placement.Load)
-	for _, instances := range r.byService {
-		for _, instance := range r.nearest(instances) {
-			load := r.loads[instance.ID]
-			if load == nil {
-				load = &placement.Load{Sent: new(atomic.Int64)}
-			}
-			live[instance.ID] = load
-			known = append(known, r.replica(instance, *load, now))
+	members := r.near()
+	known := make([]placement.Replica, 0, len(members))
+	live := make(map[string]*placement.Load, len(members))
+	for _, m := range members {
+		load := r.loads[m.ID]
+		if load == nil {
+			load = &placement.Load{Sent: new(atomic.Int64)}
 		}
+		live[m.ID] = load
+		known = append(known, r.replica(m, *load, now))
 	}
 	r.loads = live
 	r.snapshot.Store(placement.NewSnapshot(r.identity.Instance, known, 0))
 }
 
-// nearest returns the instances of the entry's own region, or all when it has none.
-func (r *replicas) nearest(instances []platform.Instance) []platform.Instance {
-	var near []platform.Instance
-	for _, instance := range instances {
-		if instance.Region == r.identity.Region {
-			near = append(near, instance)
-		}
-	}
-	if len(near) == 0 {
-		return instances
-	}
-	return near
-}
-
 // replica describes an instance to the placement policies.
-func (r *replicas) replica(instance platform.Instance, load placement.Load, now time.Time) placement.Replica {
-	_, leaving := r.leaving[instance.ID]
+func (r *replicas) replica(m membership.Member, load placement.Load, now time.Time) placement.Replica {
 	return placement.Replica{
-		Instance:       instance.ID,
-		Address:        instance.Address,
-		ControlAddress: instance.ControlAddress,
-		Region:         instance.Region,
-		FailureDomain:  instance.FailureDomain,
-		Service:        instance.Service,
-		Leaving:        leaving,
-		Ejected:        r.ejected(instance, now),
-
-		DomainUnhealthy: r.health.DomainCut(instance.Service, instance.FailureDomain),
-		DistanceMS:      r.distanceMS(instance),
+		Instance:       m.ID,
+		Address:        m.Address,
+		ControlAddress: m.ControlAddress,
+		Region:         m.Region,
+		FailureDomain:  m.FailureDomain,
+		Service:        m.Service,
+		Leaving:        !m.Open && !m.Doubtful,
+		Ejected:        r.ejected(m, now),
+
+		DomainUnhealthy: r.health.DomainCut(m.Service, m.FailureDomain),
+		DistanceMS:      r.distanceMS(m.Instance),
 		Load:            load,
 	}
 }
@@ -118,13 +103,15 @@
 	}
 }
 
-// all returns the replicas of all services.
+// all returns the replicas of all services that may be asked.
 func (r *replicas) all() []platform.Instance {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	var all []platform.Instance
-	for _, instances := range r.byService {
-		all = append(all, r.nearest(instances)...)
+	for _, m := range r.near() {
+		if m.Open || m.Doubtful {
+			all = append(all, m.Instance)
+		}
 	}
 	return all
 }
