--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -20,6 +20,9 @@
 	maxAsks = 4
 	// askPause is the pause before an agent that could not be reached is asked again.
 	askPause = 200 * time.Millisecond
+	// dispatchTime is the age of an attempt below which its dispatch may still be on its way; a question
+	// that overtakes the dispatch poisons the attempt.
+	dispatchTime = 200 * time.Millisecond
 	// claimTimeout bounds a claim with the repeats that resolve a lost answer.
 	claimTimeout = 2500 * time.Millisecond
 	// unknownRetryAfter is when a caller may ask again, with the same key, what became of its request.
@@ -63,6 +66,8 @@
 	next := verdictLost
 	if binding.Mine {
 		done, next, failure = r.send(ctx, conn, executor.Attempt, executor.Incarnation, target)
+	} else if !wait(ctx, dispatchTime-time.Since(binding.Attempt.Time())) {
+		return nil, verdictFailed, r.hungUp()
 	}
 	for asks := 0; next == verdictLost && asks < maxAsks; asks++ {
 		done, next, failure = r.ask(ctx, binding.Executor)
@@ -156,13 +161,24 @@
 }
 
 func (r *run) askLater(ctx context.Context) (*wire.Done, verdict, *Failure) {
-	timer := time.NewTimer(askPause)
+	if !wait(ctx, askPause) {
+		return nil, verdictFailed, r.hungUp()
+	}
+	return nil, verdictLost, nil
+}
+
+// wait pauses for a time, at most dispatchTime or askPause, and returns false when ctx ended first.
+func wait(ctx context.Context, pause time.Duration) bool {
+	if pause <= 0 {
+		return true
+	}
+	timer := time.NewTimer(min(pause, max(dispatchTime, askPause)))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-		return nil, verdictFailed, r.hungUp()
+		return false
 	case <-timer.C:
-		return nil, verdictLost, nil
+		return true
 	}
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -305,7 +305,9 @@
 	if refused.GetReason() == wire.RefusalReason_REFUSAL_REASON_STALE_CONFIGURATION {
 		return r.refresh(refused.GetConfigVersion(), target)
 	}
-	r.tried[target.instance.ID] = true
+	if refused.GetReason() != wire.RefusalReason_REFUSAL_REASON_POISONED {
+		r.tried[target.instance.ID] = true
+	}
 	return verdictRetry, nil
 }
 
--- a/internal/systemtest/atmostonce/faults_test.go
+++ b/internal/systemtest/atmostonce/faults_test.go
@@ -29,6 +29,7 @@
 	// keys keep five slots in six busy, so that a fault meets attempts at every stage.
 	workMS     = 100
 	plainSlots = 4
+	replicas   = 3
 	// freezeTime is longer than every timeout by which a silent process is given up.
 	freezeTime = 3 * time.Second
 	// outageTime is how long the key-value service is down.
@@ -64,7 +65,9 @@
 	callers *callers
 }
 
-func startBed(c *qt.C, agent testbed.Settings) *bed {
+func startBed(c *qt.C, agent testbed.Settings) *bed { return startBedOf(c, replicas, agent) }
+
+func startBedOf(c *qt.C, plainReplicas int, agent testbed.Settings) *bed {
 	agent["plain_work_ms"] = workMS
 	binaries, err := testbed.Binaries()
 	c.Assert(err, qt.IsNil)
@@ -76,8 +79,8 @@
 		Region:        "lakes",
 		Domains:       []string{"erie", "huron"},
 		Manifest:      testManifest(),
-		ModelReplicas: 3,
-		PlainReplicas: 3,
+		ModelReplicas: replicas,
+		PlainReplicas: plainReplicas,
 		Entries:       2,
 		Engine:        testbed.Settings{"decode_ms": 30},
 		Plain:         testbed.Settings{"work_ms": workMS},
--- a/internal/systemtest/atmostonce/keys_test.go
+++ b/internal/systemtest/atmostonce/keys_test.go
@@ -23,10 +23,26 @@
 func TestKeys(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	b := startBed(c, testbed.Settings{"slots": plainSlots})
+	b := startBedOf(c, 1, testbed.Settings{"slots": plainSlots})
 	c.Run("keys that cannot be checked never run", b.sendBadKeys)
 	c.Run("one key from many callers runs once", b.sendOneKeyManyTimes)
 	c.Run("a refusal during an outage does not hide a run", b.sendDuringOutage)
+	c.Run("a key whose claim nobody used runs on the only replica", b.sendAfterUnusedClaim)
+}
+
+// sendAfterUnusedClaim loses every answer to a claim, so that its entry gives up a claim that is
+// stored, and sends the key again.
+func (b *bed) sendAfterUnusedClaim(c *qt.C) {
+	b.callers = newCallers()
+	c.Assert(b.callers.insist(b.ctx, b.entries(), newKey(), 0, maxTries).outcome, qt.Equals, outcomeDone)
+	key := newKey()
+	c.Assert(testbed.SetFaults(b.ctx, b.fleet.KVAdmin, testbed.Settings{"lose_answers": 3}), qt.IsNil)
+	first := b.callers.submit(b.ctx, b.entries()[0], key, 0)
+	c.Assert(first.code, qt.Equals, "idempotency_unavailable", qt.Commentf("%+v", first))
+	c.Assert(testbed.SetFaults(b.ctx, b.fleet.KVAdmin, testbed.Settings{"lose_answers": 0}), qt.IsNil)
+	again := b.callers.submit(b.ctx, b.entries()[1], key, 0)
+	c.Assert(again.outcome, qt.Equals, outcomeDone, qt.Commentf("%+v", again))
+	c.Assert(linearizable(b.callers.history, b.runsOf([]string{key})), qt.IsTrue)
 }
 
 func (b *bed) sendBadKeys(c *qt.C) {
