Predict the wait for the engine's prompt work, not for its slots alone

Cause: an agent predicted no wait while a slot was free, but an engine computes one prompt after the other while its other slots generate. So placement by cost kept sending prompts to the holders of their pieces, however many prompts waited there: worse than random placement.

Now the agent keeps the prompts that it has started and whose first token has not come, and the work reserved by probes, adds them to the predicted start in urgent-first order, and measures the engine's speed from the times between first tokens.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -174,7 +174,9 @@
 }
 
 func (a *Agent) enqueue(conn *transport.Conn, id attempt.ID, d *wire.Dispatch, now time.Time) {
-	verdict := a.state.queue.Offer(now, a.queueJob(id, d, now))
+	queued := a.queueJob(id, d, now)
+	a.state.prompts.use(queued.Reservation)
+	verdict := a.state.queue.Offer(now, queued)
 	if !verdict.Accepted {
 		a.refuse(conn, id, d, refusal{
 			reason:     verdict.Reason,
@@ -186,7 +188,7 @@
 	a.counters.accepted.Inc(1)
 	j := &job{id: id, dispatch: d, conn: conn, watchers: []*transport.Conn{conn}, admitted: now}
 	a.state.jobs[id] = j
-	a.prefetch(j, verdict.Wait, now)
+	a.prefetch(j, verdict.Wait+a.state.prompts.wait(d.GetUrgency(), now), now)
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{
 		AttemptId:        id[:],
 		PredictedStartMs: uint32(verdict.Wait.Milliseconds()),
@@ -294,6 +296,7 @@
 	j.cancel = cancel
 	a.counters.started.Inc(1)
 	a.counters.queueWait.RecordDuration(now.Sub(j.admitted))
+	a.beginPrompt(j, now)
 	r := &run{agent: a, job: j, queued: now.Sub(j.admitted)}
 	go r.execute(ctx)
 }
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -32,7 +32,7 @@
 		Instance:          a.settings.Instance,
 		Incarnation:       a.incarnation,
 		ConfigVersion:     a.configVersion(),
-		PrefillUsPerToken: uint32(a.settings.PrefillMicrosPerToken),
+		PrefillUsPerToken: uint32(a.state.prompts.slowness * float64(a.settings.PrefillMicrosPerToken)),
 		InFlight:          uint32(a.state.queue.Len() + a.state.queue.Running()),
 		LoadAgeMs:         uint32(now.Sub(a.state.readAt).Milliseconds()),
 		PredictedStartMs:  0,
@@ -47,10 +47,11 @@
 		return answer
 	}
 	job := a.queueJob(attempt.ID{}, asked, now)
-	answer.PredictedStartMs = uint32(a.state.queue.Predict(now, job).Milliseconds())
+	start := a.state.queue.Predict(now, job) + a.state.prompts.wait(probe.GetUrgency(), now)
+	answer.PredictedStartMs = uint32(start.Milliseconds())
 	a.answerCache(answer, asked, now)
 	if probe.GetReserve() {
-		answer.Reservation = a.reserve(now, job)
+		answer.Reservation = a.reserve(now, job, probe.GetUrgency())
 	}
 	return answer
 }
@@ -71,12 +72,15 @@
 	}
 }
 
-func (a *Agent) reserve(now time.Time, job admission.Job) []byte {
+func (a *Agent) reserve(now time.Time, job admission.Job, urgency wire.Urgency) []byte {
 	a.state.reserveID++
 	id := a.state.reserveID
 	if !a.state.queue.Reserve(now, id, job, reservationTTL) {
 		return nil
 	}
+	if a.isModel() {
+		a.state.prompts.reserve(id, job.FirstToken, urgency, now.Add(reservationTTL))
+	}
 	return binary.BigEndian.AppendUint64(nil, uint64(id))
 }
 
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -50,6 +50,7 @@
 func (r *run) runModel(ctx context.Context) {
 	d := r.job.dispatch
 	moved := r.awaitFetch(ctx)
+	r.agent.loop.Post(func() { r.agent.beginPrompt(r.job, time.Now()) })
 	usage, err := r.agent.engine.Run(ctx, engine.RunRequest{
 		RequestID:     r.job.id.String(),
 		Body:          d.GetPayload(),
@@ -87,6 +88,8 @@
 // token passes one token of the engine on.
 func (r *run) token(_ uint32, text []byte) error {
 	if r.stall == nil {
+		now := time.Now()
+		r.agent.loop.Post(func() { r.agent.state.prompts.end(r.job.id, true, now) })
 		r.stall = time.AfterFunc(engineStall, r.job.cancel)
 	}
 	r.stall.Reset(engineStall)
@@ -97,6 +100,16 @@
 	return nil
 }
 
+// beginPrompt counts a run's prompt as work of the engine. It is called at the start of the run and
+// again when the pieces that it waited for are imported.
+func (a *Agent) beginPrompt(j *job, now time.Time) {
+	if a.state.jobs[j.id] != j || !a.isModel() {
+		return
+	}
+	firstToken, _ := a.estimate(j.dispatch, now)
+	a.state.prompts.begin(j.id, firstToken, j.dispatch.GetUrgency(), now)
+}
+
 // chunk sends the next part of the answer and records it where callers may ask for it again.
 func (r *run) chunk(data []byte) error {
 	sequence := r.sent
@@ -193,6 +206,7 @@
 	_ = a.state.table.Finish(now, j.id, done)
 	a.state.queue.Done(admission.AttemptID(j.id), float64(held.Milliseconds()))
 	delete(a.state.jobs, j.id)
+	a.state.prompts.end(j.id, false, now)
 	j.tell(&wire.Frame{Body: &wire.Frame_Done{Done: done}})
 	a.schedule(now)
 }
@@ -206,6 +220,7 @@
 	}
 	a.state.queue.Done(admission.AttemptID(j.id), 0)
 	delete(a.state.jobs, j.id)
+	a.state.prompts.end(j.id, false, now)
 	for _, conn := range j.watchers {
 		a.sendRefused(conn, j.id, outcome, refusal{
 			reason:  wire.RefusalReason_REFUSAL_REASON_ENGINE,
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -26,6 +26,7 @@
 	observed  engine.State
 	readAt    time.Time
 	reserveID admission.ReservationID
+	prompts   *prompts
 }
 
 // job is one attempt that is queued or running.
@@ -52,6 +53,7 @@
 		queue:   admission.New(admission.DefaultConfig(s.Slots)),
 		jobs:    make(map[attempt.ID]*job),
 		conns:   make(map[*transport.Conn]struct{}),
+		prompts: newPrompts(),
 	}
 }
 
