--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -25,6 +25,15 @@
 	bufferBytes        = 16 << 10
 )
 
+// keepAlive ends a connection whose peer has vanished within about ten seconds; watches of the
+// key-value service would wait on it for minutes otherwise.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     4 * time.Second,
+	Interval: 2 * time.Second,
+	Count:    3,
+}
+
 // Options adjusts a Client. Zero values mean the defaults.
 type Options struct {
 	// DialTimeout bounds how long a connection may take to open.
@@ -143,7 +152,7 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*connection, error) {
-	dialer := net.Dialer{Timeout: c.options.DialTimeout}
+	dialer := net.Dialer{Timeout: c.options.DialTimeout, KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "dial %s", c.address)
