Give tests addresses that outgoing connections can't take

Cause: tests listened on 127.0.0.1:0, closed, and listened on the same port later; under load an outgoing connection of another process took the port in between (TestDrain: bind: address already in use, once in a run beside five workers). Ruled out: trying again, which hides a test's own double use. Run: go test -race -count=1 ./internal/entry ./internal/transport ./internal/loopback, ok.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -19,6 +19,7 @@
 	"balsamyoke.example/balsamyoke/internal/agent"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
+	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
@@ -77,10 +78,9 @@
 }
 
 func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func startPath(c *qt.C, engine engineserver.Settings) *path {
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 
 	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
@@ -158,7 +159,7 @@
 	for _, s := range standins {
 		settings := Settings{}
 		if s.kind == "kv" {
-			admin, err := FreeAddress()
+			admin, err := loopback.FreeAddress()
 			if err != nil {
 				return err
 			}
@@ -176,7 +177,7 @@
 
 // startStandin starts a stand-in of a kind and returns its address.
 func (f *Fleet) startStandin(name, kind string, settings Settings) (*Process, string, error) {
-	address, err := FreeAddress()
+	address, err := loopback.FreeAddress()
 	if err != nil {
 		return nil, "", err
 	}
@@ -229,7 +230,7 @@
 func (f *Fleet) startStores() error {
 	for i := range f.spec.Stores {
 		instance := f.place(fmt.Sprintf("store-%d", i), platform.RoleStore, i)
-		admin, err := FreeAddress()
+		admin, err := loopback.FreeAddress()
 		if err != nil {
 			return err
 		}
@@ -271,7 +272,7 @@
 func (f *Fleet) startOwn(instance *Instance, binary string, settings Settings) error {
 	for _, address := range []*string{&instance.Address, &instance.ControlAddress, &instance.Metrics} {
 		var err error
-		if *address, err = FreeAddress(); err != nil {
+		if *address, err = loopback.FreeAddress(); err != nil {
 			return err
 		}
 	}
--- a/internal/testbed/process.go
+++ b/internal/testbed/process.go
@@ -4,7 +4,6 @@
 package testbed
 
 import (
-	"errors"
 	"net"
 	"os"
 	"os/exec"
@@ -103,26 +102,3 @@
 	}
 	return ErrStart.New("process %s does not listen on %s", p.Name, address)
 }
-
-// FreeAddress returns a loopback ip:port that is free for TCP and UDP.
-func FreeAddress() (string, error) {
-	var err error
-	for range 20 {
-		var listener net.Listener
-		listener, err = net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			continue
-		}
-		address := listener.Addr().String()
-		var packets net.PacketConn
-		packets, err = net.ListenPacket("udp4", address)
-		err = errors.Join(err, listener.Close())
-		if packets != nil {
-			err = errors.Join(err, packets.Close())
-		}
-		if err == nil {
-			return address, nil
-		}
-	}
-	return "", ErrStart.Wrap(err, "no free port")
-}
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -37,10 +38,9 @@
 
 // freeAddress returns a loopback ip:port that nothing listens on.
 func freeAddress(c *qt.C) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	return listener.Addr().String()
+	return address
 }
 
 func startEcho(c *qt.C) string {
