Let exports wait for a store instead of dropping them

Cause: a piece whose store had failed was dropped, and with all stores suspended the whole queue was drained without an export. Now a piece waits while its store is suspended; other failures still end the export, since nothing would pace its repetition. A store on trial counts as suspended: a first try without that dropped the pieces that met the trial.

--- a/internal/store/breaker.go
+++ b/internal/store/breaker.go
@@ -47,5 +47,5 @@
 	b.until = now.Add(b.suspension)
 }
 
-// Suspended reports whether the store is out of use.
-func (b *Breaker) Suspended(now time.Time) bool { return now.Before(b.until) }
+// Suspended reports whether the store is out of use, be it but for a trial under way.
+func (b *Breaker) Suspended(now time.Time) bool { return b.trial || now.Before(b.until) }
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -156,7 +156,9 @@
 	for range 10 {
 		c.Assert(b.Allow(now.Add(wait-1)), qt.IsFalse)
 		now = now.Add(wait)
+		c.Assert(b.Suspended(now), qt.IsFalse)
 		c.Assert(b.Allow(now), qt.IsTrue)
+		c.Assert(b.Suspended(now), qt.IsTrue)
 		c.Assert(b.Allow(now), qt.IsFalse)
 		b.Failure(now)
 		wait = min(2*wait, maxSuspension)
--- a/internal/transfer/export.go
+++ b/internal/transfer/export.go
@@ -42,12 +42,9 @@
 // pumpExports puts the most valuable waiting exports into the link's queue.
 func (m *Mover) pumpExports() {
 	now := time.Now()
-	for m.exporting < maxExporting && m.exports.Len() > 0 {
+	for m.exporting < maxExporting && m.exports.Len() > 0 && m.anyStore(now) {
 		candidate, _ := m.exports.Next()
 		member := m.storeFor(candidate.Anchor, now)
-		if member == nil {
-			continue
-		}
 		m.exporting++
 		m.link.Enqueue(&Transfer{
 			Class: Export,
@@ -97,10 +94,19 @@
 		m.makeRoom(c, member)
 	default:
 		m.counters.exportFailed.Inc(1)
+		m.tryLater(c, member)
 	}
 	m.pumpExports()
 }
 
+// tryLater lets a piece wait for another store, or for the end of the suspension of the one that
+// failed. After any other failure the export is given up, since nothing would pace its repetition.
+func (m *Mover) tryLater(c Candidate, member *storeMember) {
+	if member.client.Suspended(time.Now()) {
+		m.exports.Offer(c)
+	}
+}
+
 // keep remembers an exported piece.
 func (m *Mover) keep(c Candidate, member *storeMember, generation uint64, bytes int) {
 	m.moved(bytes)
--- a/internal/transfer/mover.go
+++ b/internal/transfer/mover.go
@@ -175,6 +175,7 @@
 			delete(m.stores, id)
 		}
 	}
+	m.pumpExports()
 }
 
 // Close closes the connections to the stores.
@@ -203,6 +204,16 @@
 	return best
 }
 
+// anyStore reports whether there is a store that is not suspended.
+func (m *Mover) anyStore(now time.Time) bool {
+	for _, member := range m.stores {
+		if !member.client.Suspended(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Mover) nearer(a, b *storeMember, key uint64) bool {
 	aLocal, bLocal := a.failureDomain == m.settings.FailureDomain, b.failureDomain == m.settings.FailureDomain
 	if aLocal != bLocal {
--- a/internal/transfer/mover_test.go
+++ b/internal/transfer/mover_test.go
@@ -76,6 +76,7 @@
 	loop   *control.Loop
 	engine *fakeEngine
 	store  *storeserver.Server
+	stores []platform.Instance
 	mu     sync.Mutex
 	stored int
 	lost   int
@@ -98,11 +99,10 @@
 	b.mover = NewMover(ctx, Settings{FailureDomain: "a", BytesPerSecond: 1 << 30}, Dependencies{
 		Loop: b.loop, Engine: b.engine, Directory: d, Observer: b, Scope: tally.NoopScope,
 	}, 1, time.Now())
-	b.loop.Call(func() {
-		b.mover.SetStores([]platform.Instance{{
-			ID: "store-1", Role: platform.RoleStore, State: platform.InstanceLive, FailureDomain: "a", Address: b.store.Address(),
-		}})
-	})
+	b.stores = []platform.Instance{{
+		ID: "store-1", Role: platform.RoleStore, State: platform.InstanceLive, FailureDomain: "a", Address: b.store.Address(),
+	}}
+	b.loop.Call(func() { b.mover.SetStores(b.stores) })
 	t.Cleanup(func() {
 		b.loop.Call(b.mover.Close)
 		b.store.Stop()
@@ -271,6 +271,22 @@
 	b.Assert(b.engine.damaged, qt.Equals, 0)
 }
 
+func TestExportsWaitOutADeadStore(t *testing.T) {
+	b := newBench(t, fakeDirectory{}, storeserver.Settings{})
+	names := testNames("ridge", 6)
+	for _, name := range names {
+		b.engine.pieces[name] = contentOf(name)
+	}
+	b.Assert(b.store.SetFaults(storeserver.Faults{Down: true}), qt.IsNil)
+	b.loop.Call(func() { b.mover.Offer("o", testPrompt(names)) })
+	b.until(func() bool { return b.mover.exporting == 0 })
+	b.Assert(b.store.SetFaults(storeserver.Faults{}), qt.IsNil)
+	b.until(func() bool {
+		b.mover.SetStores(b.stores)
+		return b.store.Stats().MemoryPieces == len(names)
+	})
+}
+
 func TestDeadStoreCostsNoError(t *testing.T) {
 	b := newBench(t, fakeDirectory{store: "store-1"}, storeserver.Settings{})
 	b.Assert(b.store.SetFaults(storeserver.Faults{Down: true}), qt.IsNil)
