--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -10,6 +10,8 @@
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/runtable"
+	"balsamyoke.example/balsamyoke/internal/traffic"
+	"balsamyoke.example/balsamyoke/internal/transfer"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -30,9 +32,15 @@
 type job struct {
 	id       attempt.ID
 	dispatch *wire.Dispatch
-	conn     *transport.Conn
+	// conn is the connection that dispatched the job.
+	conn *transport.Conn
+	// watchers receive the job's frames; only the control goroutine touches them.
+	watchers []*transport.Conn
 	admitted time.Time
 	started  time.Time
+	// prompt and fetch are set for model requests with at least one whole piece.
+	prompt transfer.Prompt
+	fetch  *transfer.Fetch
 	// cancel stops the run; nil while the job is queued.
 	cancel context.CancelFunc
 }
@@ -79,6 +87,7 @@
 	Incarnation    uint64          `json:"incarnation"`
 	Leaving        bool            `json:"leaving"`
 	ConfigVersion  uint64          `json:"config_version"`
+	Control        traffic.Totals  `json:"control_traffic"`
 	Queued         int             `json:"queued"`
 	Running        int             `json:"running"`
 	Table          runtable.Counts `json:"run_table"`
@@ -87,6 +96,8 @@
 	// EngineAgeMS is how old the engine's state is.
 	EngineAgeMS int64      `json:"engine_age_ms"`
 	Jobs        []JobState `json:"jobs"`
+	// Cache is absent for agents of plain services.
+	Cache *CacheState `json:"cache,omitempty"`
 }
 
 // JobState is one queued or running attempt.
@@ -107,8 +118,12 @@
 		Incarnation:   a.incarnation,
 		Leaving:       a.leaving.Load(),
 		ConfigVersion: a.configVersion(),
+		Control:       traffic.Control.Totals(),
 	}
-	a.loop.Call(func() { a.state.show(&shown, time.Now()) })
+	a.loop.Call(func() {
+		a.state.show(&shown, time.Now())
+		shown.Cache = a.showCache(time.Now())
+	})
 	return shown
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,11 +15,17 @@
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/limits"
+	"balsamyoke.example/balsamyoke/internal/membership"
 	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/settings"
+	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -45,6 +51,8 @@
 	Metrics      string `json:"metrics" long:"metrics" description:"ip:port for metrics and dump over HTTP"`
 	KV           string `json:"kv" long:"kv" description:"ip:port of the platform's key-value service"`
 	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
+	// PlacementPolicy is the name of a policy of package placement; empty means cost.
+	PlacementPolicy string `json:"placement_policy" long:"placement-policy" description:"cost, two-choices, random, round-robin, least-in-flight or rendezvous"`
 	// GraceSeconds bounds how long streams may finish after a stop is asked for.
 	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams may finish after SIGTERM"`
 }
@@ -84,6 +92,7 @@
 type Dependencies struct {
 	Configuration Configuration
 	Instances     platform.InstanceList
+	Claims        Claims
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
@@ -93,6 +102,7 @@
 type Entry struct {
 	settings      Settings
 	configuration Configuration
+	claims        Claims
 	logger        *zap.Logger
 	registry      *metrics.Registry
 	counters      counters
@@ -101,6 +111,10 @@
 	prober        *prober
 	links         *links
 	replicas      *replicas
+	policy        placement.Policy
+	directory     *directory.Client
+	retries       *retries
+	limiting      *limiting
 	incarnation   uint64
 	leaving       atomic.Bool
 	active        atomic.Int64
@@ -124,16 +138,26 @@
 	e := &Entry{
 		settings:      s,
 		configuration: d.Configuration,
+		claims:        d.Claims,
 		logger:        d.Logger,
 		registry:      metrics.NewRegistry("entry"),
 		decisions:     explain.NewRing(decisionsKept),
 		flights:       newFlights(),
 		prober:        newProber(),
-		replicas:      newReplicas(d.Instances, d.Logger),
+		replicas:      newReplicas(s.Identity, d.Instances, d.Logger),
+		directory:     directory.NewClient(s.FailureDomain),
 		incarnation:   process.NewIncarnation(),
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
 	}
+	e.retries = newRetries(e.incarnation)
+	e.limiting = newLimiting(s.Instance, d.Configuration)
+	policy, err := placement.New(s.PlacementPolicy, placement.Settings{})
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "no placement policy")
+	}
+	e.policy = policy
+	e.replicas.onList = e.listed
 	e.counters = newCounters(e.registry.Scope)
 	links, err := newLinks(e.flights, e.prober, e.hello, e.greeted)
 	if err != nil {
@@ -160,6 +184,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	defer e.links.close()
+	defer e.directory.Close()
 	defer e.registry.Close()
 	listener, err := net.Listen("tcp4", e.settings.Listen)
 	if err != nil {
@@ -176,6 +201,10 @@
 	}
 	defer func() { _ = metricsServer.Shutdown() }()
 	go e.replicas.poll(background)
+	go e.limiting.run(background)
+	if e.needsLoads() {
+		go e.pollLoads(background)
+	}
 	server := e.server()
 	go func() { _ = server.Serve(listener) }()
 	e.logger.Info("serving", zap.String("listen", e.settings.Listen), zap.Uint64("incarnation", e.incarnation))
@@ -209,6 +238,7 @@
 		Decisions: e.decisions,
 		Leave:     e.Leave,
 	})
+	e.limiting.register(server)
 	if e.register != nil {
 		e.register(server)
 	}
@@ -236,28 +266,44 @@
 	return hello
 }
 
+// listed takes the instance list as it was read.
+func (e *Entry) listed(instances []platform.Instance) {
+	e.useHomes(instances)
+	e.limiting.useEntries(instances)
+}
+
 // greeted takes direct evidence about an agent.
 func (e *Entry) greeted(_ string, hello *wire.Hello) {
-	e.replicas.heard(hello)
+	e.replicas.heard(membership.Evidence{
+		Instance:      hello.GetInstance(),
+		Incarnation:   hello.GetIncarnation(),
+		ConfigVersion: hello.GetConfigVersion(),
+		WeightVersion: hello.GetWeightVersion(),
+		Leaving:       hello.GetLeaving(),
+	}, time.Now())
 }
 
 // refusedBy takes a refusal as evidence about an agent.
 func (e *Entry) refusedBy(instance platform.Instance, refused *wire.Refused) {
 	if refused.GetReason() == wire.RefusalReason_REFUSAL_REASON_LEAVING {
-		e.replicas.failed(instance, time.Now())
+		e.replicas.refusedAsLeaving(instance.ID, time.Now())
 	}
 }
 
 // State is what dump shows.
 type State struct {
-	Instance      string        `json:"instance"`
-	FailureDomain string        `json:"failure_domain"`
-	Incarnation   uint64        `json:"incarnation"`
-	Leaving       bool          `json:"leaving"`
-	ConfigVersion uint64        `json:"config_version"`
-	Active        int64         `json:"active_requests"`
-	Attempts      int           `json:"attempts"`
-	Replicas      replicasState `json:"replicas"`
+	Instance      string         `json:"instance"`
+	FailureDomain string         `json:"failure_domain"`
+	Incarnation   uint64         `json:"incarnation"`
+	Leaving       bool           `json:"leaving"`
+	ConfigVersion uint64         `json:"config_version"`
+	Control       traffic.Totals `json:"control_traffic"`
+	Active        int64          `json:"active_requests"`
+	Attempts      int            `json:"attempts"`
+	Replicas      replicasState  `json:"replicas"`
+	// Retries are the retry budgets by service.
+	Retries map[string]retry.BudgetState `json:"retries"`
+	Limits  limits.State                 `json:"limits"`
 }
 
 // State returns the entry's whole state.
@@ -267,9 +313,12 @@
 		FailureDomain: e.settings.FailureDomain,
 		Incarnation:   e.incarnation,
 		Leaving:       e.leaving.Load(),
+		Control:       traffic.Control.Totals(),
 		Active:        e.active.Load(),
 		Attempts:      e.flights.count(),
 		Replicas:      e.replicas.state(),
+		Retries:       e.retries.state(),
+		Limits:        e.limiting.limiter.State(),
 	}
 	if snapshot := e.configuration.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -103,16 +103,24 @@
 		return
 	}
 	req, failure := read(ctx)
+	if failure == nil {
+		failure = req.useKey(time.Now())
+	}
 	if failure != nil {
 		e.fail(ctx, failure, req)
 		return
 	}
+	if failure := e.limiting.admit(req); failure != nil {
+		e.fail(ctx, failure, req)
+		return
+	}
 	e.active.Add(1)
 	run(ctx, req)
 }
 
 // fail answers a request that has no answer on its way yet and counts it.
 func (e *Entry) fail(ctx *fasthttp.RequestCtx, failure *Failure, req *request) {
+	failure = e.truthful(ctx, failure, req)
 	e.countFailure(failure)
 	id := ""
 	if req != nil {
@@ -132,7 +140,7 @@
 // health answers the platform's balancer.
 func (e *Entry) health(ctx *fasthttp.RequestCtx) {
 	snapshot := e.configuration.Current()
-	if e.leaving.Load() || snapshot == nil || !snapshot.Confirmed {
+	if e.leaving.Load() || snapshot == nil || !snapshot.Confirmed || !e.replicas.known.Load() {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		ctx.SetBodyString("not serving\n")
 		return
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -30,6 +30,8 @@
 const (
 	ridgeKey = "ridge-key"
 	lakeKey  = "lake-key"
+	// limitedKey belongs to an organisation with a limit of two requests a second.
+	limitedKey = "limited-key"
 )
 
 // inForce is a configuration that never changes.
@@ -52,6 +54,7 @@
 		Organisations: []manifest.Organisation{
 			{Name: "ridge", KeyDigests: []string{digest(ridgeKey)}},
 			{Name: "lake", KeyDigests: []string{digest(lakeKey)}, Services: []string{"archive"}},
+			{Name: "limited", KeyDigests: []string{digest(limitedKey)}, RequestsPerSecond: 2},
 		},
 		Services: []manifest.Service{
 			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: "v1"},
@@ -112,7 +115,7 @@
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
 	s.Service, s.ServiceType, s.Backend = service, serviceType, backend
 	s.GraceSeconds = 1
-	a := agent.New(s, agent.Dependencies{Configuration: inForce{holder}, Logger: zap.NewNop()})
+	a := agent.New(s, agent.Dependencies{Configuration: inForce{holder}, Instances: fixedList{}, Logger: zap.NewNop()})
 	runRole(c, a.Run)
 	return platform.Instance{
 		ID: name, Role: platform.RoleAgent, Service: service, Region: "r", FailureDomain: "north",
@@ -131,7 +134,8 @@
 	})
 }
 
-func (p *path) startEntry(c *qt.C, holder *config.Holder, list fixedList) {
+// newEntry builds the entry of the path; the caller runs it.
+func (p *path) newEntry(c *qt.C, holder *config.Holder, list platform.InstanceList) *entry.Entry {
 	s := entry.DefaultSettings()
 	s.Identity = process.Identity{Instance: "entry-0", Region: "r", FailureDomain: "north"}
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
@@ -142,7 +146,11 @@
 	c.Assert(err, qt.IsNil)
 	p.entry = e
 	p.address = s.Listen
-	runRole(c, e.Run)
+	return e
+}
+
+func (p *path) startEntry(c *qt.C, holder *config.Holder, list fixedList) {
+	runRole(c, p.newEntry(c, holder, list).Run)
 	for range 200 {
 		reply, err := http.Get("http://" + p.address + "/healthz")
 		if err == nil && reply.Body.Close() == nil && reply.StatusCode == http.StatusOK {
@@ -223,6 +231,34 @@
 	c.Assert(p.plain.Executions(), qt.HasLen, 1)
 }
 
+// unreadable is an instance list that never answers.
+type unreadable struct{}
+
+func (unreadable) Instances(context.Context) ([]platform.Instance, error) {
+	return nil, platform.ErrUnavailable.New("down")
+}
+
+func TestEntryIsNotHealthyBeforeItKnowsReplicas(t *testing.T) {
+	c := qt.New(t)
+	holder := config.NewHolder()
+	bundle, err := config.NewBundle(1, testManifest())
+	c.Assert(err, qt.IsNil)
+	_, err = holder.Offer(bundle)
+	c.Assert(err, qt.IsNil)
+	holder.Confirm(1)
+	p := &path{}
+	e := p.newEntry(c, holder, unreadable{})
+	runRole(c, e.Run)
+	for range 50 {
+		reply, err := http.Get("http://" + p.address + "/healthz")
+		if err == nil {
+			c.Assert(reply.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+			c.Assert(reply.Body.Close(), qt.IsNil)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
 func TestErrorsNameWhatIsAtFault(t *testing.T) {
 	c := qt.New(t)
 	p := startPath(c, engineserver.Settings{DecodeMS: 1})
@@ -267,19 +303,26 @@
 	_, err = conn.Write(request.Bytes())
 	c.Assert(err, qt.IsNil)
 	buf := make([]byte, 512)
-	_, err = conn.Read(buf)
+	n, err := conn.Read(buf)
 	c.Assert(err, qt.IsNil)
-	c.Assert(running(c, p), qt.Equals, 1)
+	c.Assert(string(buf[:n]), qt.Contains, "200 OK")
+	awaitRunning(c, p, 1)
 	c.Assert(conn.Close(), qt.IsNil)
+	awaitRunning(c, p, 0)
+	c.Assert(p.entry.State().Active, qt.Equals, int64(0))
+}
+
+// awaitRunning waits until the engines' load reports, which lag, show a number of runs; the answer
+// itself would take longer than the wait.
+func awaitRunning(c *qt.C, p *path, want int) {
 	deadline := time.Now().Add(1500 * time.Millisecond)
-	for running(c, p) > 0 {
-		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("the engine still runs"))
+	for running(c, p) != want {
+		c.Assert(time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%d runs, not %d", running(c, p), want))
 		time.Sleep(10 * time.Millisecond)
 	}
-	c.Assert(p.entry.State().Active, qt.Equals, int64(0))
 }
 
-// running counts the runs of all engines by their own exact report.
+// running counts the runs of all engines by their load reports.
 func running(c *qt.C, p *path) int {
 	total := 0
 	for _, engine := range p.engines {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"time"
 
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/agent"
+	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -22,10 +24,9 @@
 type common struct {
 	logger        *zap.Logger
 	kv            platform.KV
-	instances     platform.InstanceList
+	instances     *instances
 	configuration *configuration
 	spread        *config.Spread
-	peers         *peers
 }
 
 // newCommon connects to the platform's services.
@@ -33,9 +34,8 @@
 	c := &common{
 		logger:    process.NewLogger(program, identity.Instance),
 		kv:        etcdhttp.New(kv),
-		instances: listhttp.New(list),
+		instances: newInstances(identity.Instance, listhttp.New(list)),
 	}
-	c.peers = newPeers(identity.Instance, c.instances)
 	holder := config.NewHolder()
 	c.spread = config.NewSpread(config.SpreadOptions{
 		Self: config.Peer{
@@ -45,7 +45,7 @@
 		},
 		Holder:    holder,
 		Store:     config.NewStore(c.kv),
-		Peers:     c.peers,
+		Peers:     c.instances,
 		Messenger: config.NewGRPCMessenger(),
 		Logger:    c.logger,
 	})
@@ -53,10 +53,14 @@
 	return c
 }
 
-// start runs what every role needs until the returned function is called.
-func (c *common) start() context.CancelFunc {
+// start runs what every role needs, and what this one needs besides, until the returned function is
+// called.
+func (c *common) start(besides ...func(context.Context)) context.CancelFunc {
 	background, stop := context.WithCancel(context.Background())
-	go c.peers.run(background)
+	for _, run := range besides {
+		go run(background)
+	}
+	go c.instances.run(background)
 	go c.spread.Run(background)
 	return stop
 }
@@ -69,16 +73,18 @@
 // RunEntry runs the entry role until ctx ends.
 func RunEntry(ctx context.Context, s entry.Settings) error {
 	c := newCommon("balsam-entry", s.Identity, s.Control, s.KV, s.InstanceList)
+	claimer := claim.New(c.kv, time.Now)
 	e, err := entry.New(s, entry.Dependencies{
 		Configuration: c.configuration,
 		Instances:     c.instances,
+		Claims:        claimer,
 		Logger:        c.logger,
 		Register:      c.register,
 	})
 	if err != nil {
 		return err
 	}
-	defer c.start()()
+	defer c.start(claimer.Run)()
 	return e.Run(ctx)
 }
 
@@ -88,6 +94,7 @@
 	rollout := newRollout(s, c)
 	a := agent.New(s, agent.Dependencies{
 		Configuration: c.configuration,
+		Instances:     c.instances,
 		Logger:        c.logger,
 		Register: func(server *grpc.Server) {
 			c.register(server)
