--- a/internal/systemtest/atmostonce/relay_test.go
+++ b/internal/systemtest/atmostonce/relay_test.go
@@ -11,6 +11,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -35,7 +36,7 @@
 }
 
 func startRelay(c *qt.C, target string) *relay {
-	address, err := testbed.FreeAddress()
+	address, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	r := &relay{target: target, conns: make(map[net.Conn]bool), upstream: make(map[string]net.Conn)}
 	r.listener, err = net.Listen("tcp4", address)
