--- a/internal/systemtest/atmostonce/relay_test.go
+++ b/internal/systemtest/atmostonce/relay_test.go
@@ -9,9 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
-	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
