Count the engine's prompt backlog in predictions; rank by a conversation's own piece

Agents predicted no wait while they had a free slot, although an engine computes one prompt at a time; and the first piece, by which replicas rank, is a document that all conversations of an organisation share, so that they met at one replica.

Now a prediction counts the prompt work of started runs without a first token, and the rank goes by the fifth piece, or the last of shorter prompts.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -186,7 +186,7 @@
 	a.counters.accepted.Inc(1)
 	j := &job{id: id, dispatch: d, conn: conn, watchers: []*transport.Conn{conn}, admitted: now}
 	a.state.jobs[id] = j
-	a.prefetch(j, verdict.Wait, now)
+	a.prefetch(j, verdict.Wait+a.prefillWait(d, now), now)
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{
 		AttemptId:        id[:],
 		PredictedStartMs: uint32(verdict.Wait.Milliseconds()),
@@ -295,6 +295,7 @@
 	a.counters.started.Inc(1)
 	a.counters.queueWait.RecordDuration(now.Sub(j.admitted))
 	r := &run{agent: a, job: j, queued: now.Sub(j.admitted)}
+	a.state.backlog.begin(id, a.prefillOf(j, now), now)
 	go r.execute(ctx)
 }
 
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -47,7 +47,8 @@
 		return answer
 	}
 	job := a.queueJob(attempt.ID{}, asked, now)
-	answer.PredictedStartMs = uint32(a.state.queue.Predict(now, job).Milliseconds())
+	start := a.state.queue.Predict(now, job) + a.prefillWait(asked, now)
+	answer.PredictedStartMs = uint32(start.Milliseconds())
 	a.answerCache(answer, asked, now)
 	if probe.GetReserve() {
 		answer.Reservation = a.reserve(now, job)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -87,6 +87,7 @@
 // token passes one token of the engine on.
 func (r *run) token(_ uint32, text []byte) error {
 	if r.stall == nil {
+		r.agent.loop.Post(func() { r.agent.state.backlog.end(r.job.id, time.Now()) })
 		r.stall = time.AfterFunc(engineStall, r.job.cancel)
 	}
 	r.stall.Reset(engineStall)
@@ -190,6 +191,7 @@
 		a.counters.failed.Inc(1)
 		held = 0
 	}
+	a.state.backlog.end(j.id, now)
 	_ = a.state.table.Finish(now, j.id, done)
 	a.state.queue.Done(admission.AttemptID(j.id), float64(held.Milliseconds()))
 	delete(a.state.jobs, j.id)
@@ -204,6 +206,7 @@
 	if a.state.table.Unsent(now, j.id) == nil {
 		outcome = wire.Outcome_OUTCOME_NOT_RUN
 	}
+	a.state.backlog.end(j.id, now)
 	a.state.queue.Done(admission.AttemptID(j.id), 0)
 	delete(a.state.jobs, j.id)
 	for _, conn := range j.watchers {
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -22,6 +22,7 @@
 	table     *runtable.Table
 	queue     *admission.Queue
 	jobs      map[attempt.ID]*job
+	backlog   *prefillBacklog
 	conns     map[*transport.Conn]struct{}
 	observed  engine.State
 	readAt    time.Time
@@ -51,6 +52,7 @@
 		table:   runtable.New(runtable.DefaultSettings(incarnation)),
 		queue:   admission.New(admission.DefaultConfig(s.Slots)),
 		jobs:    make(map[attempt.ID]*job),
+		backlog: newPrefillBacklog(),
 		conns:   make(map[*transport.Conn]struct{}),
 	}
 }
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -20,6 +20,10 @@
 // maxSelections bounds how often one placement selects other candidates after all agents refused.
 const maxSelections = 3
 
+// affinityPosition is the piece of a prompt that chooses its replica of highest rank. The first
+// pieces are often a document that all conversations of an organisation share.
+const affinityPosition = 4
+
 // placed is the replica that a placement chose, with the reservation it holds there.
 type placed struct {
 	instance    platform.Instance
@@ -90,8 +94,8 @@
 		PieceTokens:  uint32(piece.Tokens(req.snapshot.Index.Manifest().PieceBytes)),
 		MaxTokens:    req.maxTokens,
 	}
-	if len(binding.pieces) > 0 {
-		features.Affinity = binding.pieces[0].Hash()
+	if last := len(binding.pieces) - 1; last >= 0 {
+		features.Affinity = binding.pieces[min(last, affinityPosition)].Hash()
 	}
 	for instance := range r.tried {
 		features.Tried = append(features.Tried, instance)
