--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -22,11 +22,11 @@
 	table     *runtable.Table
 	queue     *admission.Queue
 	jobs      map[attempt.ID]*job
-	backlog   *prefillBacklog
 	conns     map[*transport.Conn]struct{}
 	observed  engine.State
 	readAt    time.Time
 	reserveID admission.ReservationID
+	prompts   *prompts
 }
 
 // job is one attempt that is queued or running.
@@ -52,8 +52,8 @@
 		table:   runtable.New(runtable.DefaultSettings(incarnation)),
 		queue:   admission.New(admission.DefaultConfig(s.Slots)),
 		jobs:    make(map[attempt.ID]*job),
-		backlog: newPrefillBacklog(),
 		conns:   make(map[*transport.Conn]struct{}),
+		prompts: newPrompts(),
 	}
 }
 
