Announce new holdings before refreshes; bound what an agent remembers

Refreshes now use only the budget that new, withdrawn and re-homed holdings leave.

Anchors of pieces that never reached the engine's cache, and announcements of pieces whose location had given way to others, were kept for ever; both are bounded now.

--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -22,10 +22,15 @@
 	index     *cacheindex.Index
 	announcer *directory.Announcer
 	mover     *transfer.Mover
-	// anchors holds the anchors of pieces that dispatches named.
+	// anchors holds the anchors of pieces that dispatches named lately, earlier those of the time
+	// before. Together they are bounded by twice maxAnchors.
 	anchors map[piece.Name]piece.Name
+	earlier map[piece.Name]piece.Name
 }
 
+// maxAnchors bounds the pieces in one of the two maps of anchors.
+const maxAnchors = 1 << 15
+
 // startCache begins to follow the engine's cache and to move pieces. The transfers end with ctx.
 func (a *Agent) startCache(ctx context.Context) {
 	now := time.Now()
@@ -90,30 +95,39 @@
 
 // learn remembers the anchors of a prompt's pieces, so that they can be announced.
 func (c *cache) learn(names []piece.Name) {
+	if len(c.anchors) >= maxAnchors {
+		c.earlier = c.anchors
+		c.anchors = make(map[piece.Name]piece.Name)
+	}
 	for i, name := range names {
 		c.anchors[name] = names[directory.AnchorIndex(i)]
 	}
 }
 
-// announceChanges tells the announcer which pieces the engine's cache gained and lost. A piece that
-// no dispatch has named, such as after a restart of the agent, is announced under its own name:
-// lookups find it if it is an anchor.
+// anchorOf returns the anchor of a piece. For one that no dispatch has named, such as after a
+// restart of the agent, that is its own name: lookups find it if it is an anchor.
+func (c *cache) anchorOf(name piece.Name) piece.Name {
+	if anchor, ok := c.anchors[name]; ok {
+		return anchor
+	}
+	if anchor, ok := c.earlier[name]; ok {
+		return anchor
+	}
+	return name
+}
+
+// announceChanges tells the announcer which pieces the engine's cache gained and lost.
 func (c *cache) announceChanges() {
 	for _, change := range c.index.TakeChanges() {
 		if !change.Present {
-			delete(c.anchors, change.Piece)
 			c.announcer.Drop(change.Piece, c.instance)
 			continue
 		}
-		anchor, known := c.anchors[change.Piece]
-		if !known {
-			anchor = change.Piece
-		}
 		c.announcer.Hold(directory.Holding{
 			Piece:  change.Piece,
 			Holder: c.instance,
 			Tier:   wire.Tier_TIER_REPLICA,
-		}, anchor)
+		}, c.anchorOf(change.Piece))
 	}
 }
 
--- a/internal/directory/announcer.go
+++ b/internal/directory/announcer.go
@@ -123,10 +123,12 @@
 // nothing to send.
 func (a *Announcer) Next(now time.Time) []Batch {
 	a.refill(now)
-	a.queueRefreshes(now)
 	var batches []Batch
-	for a.budget >= 1 && a.pending.Len() > 0 {
-		entry := a.pending.Front().Value.(*announced)
+	for a.budget >= 1 {
+		entry := a.next(now)
+		if entry == nil {
+			return batches
+		}
 		homes := a.ring.Homes(entry.anchor)
 		if len(homes) == 0 {
 			return batches
@@ -138,6 +140,23 @@
 	return batches
 }
 
+// next returns the first pending holding, or else the one that was announced longest ago if it is
+// time to announce it again.
+func (a *Announcer) next(now time.Time) *announced {
+	if front := a.pending.Front(); front != nil {
+		return front.Value.(*announced)
+	}
+	front := a.sent.Front()
+	if front == nil {
+		return nil
+	}
+	entry := front.Value.(*announced)
+	if now.Sub(entry.sentAt) < refreshInterval {
+		return nil
+	}
+	return entry
+}
+
 // Failed makes the rows of a batch pending again after its home didn't take them.
 func (a *Announcer) Failed(batch Batch) {
 	for _, r := range batch.Rows {
@@ -168,17 +187,6 @@
 	a.refilled = now
 }
 
-// queueRefreshes makes holdings pending that were announced too long ago.
-func (a *Announcer) queueRefreshes(now time.Time) {
-	for front := a.sent.Front(); front != nil; front = a.sent.Front() {
-		entry := front.Value.(*announced)
-		if now.Sub(entry.sentAt) < refreshInterval {
-			return
-		}
-		a.markPending(entry)
-	}
-}
-
 func (a *Announcer) markPending(entry *announced) {
 	if entry.pending {
 		return
@@ -192,7 +200,11 @@
 
 // markSent moves an entry to the sent list, or forgets it when it was a withdrawal.
 func (a *Announcer) markSent(entry *announced, homes []Member, now time.Time) {
-	a.pending.Remove(entry.element)
+	if entry.pending {
+		a.pending.Remove(entry.element)
+	} else {
+		a.sent.Remove(entry.element)
+	}
 	entry.pending = false
 	if entry.removed {
 		delete(a.holdings, holdingKey{entry.holding.Piece, entry.holding.Holder})
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -173,6 +173,23 @@
 	c.Assert(len(a.Next(now.Add(refreshInterval))) > 0, qt.IsTrue)
 }
 
+func TestNewHoldingsGoBeforeRefreshes(t *testing.T) {
+	c := qt.New(t)
+	a := NewAnnouncer(NewRing(testMembers(9)), 100)
+	for i := range 500 {
+		a.Hold(replicaHolding(testName(i), "me"), testName(i))
+	}
+	now := start
+	for a.Pending() > 0 {
+		a.Next(now)
+		now = now.Add(time.Second)
+	}
+	now = now.Add(refreshInterval)
+	a.Next(now) // the refreshes of 500 holdings begin
+	a.Hold(replicaHolding(testName(999), "me"), testName(999))
+	c.Assert(a.Next(now.Add(100 * time.Millisecond))[0].Rows[0].Holding.Piece, qt.Equals, testName(999))
+}
+
 func TestAnnouncerTellsNewHomesOnly(t *testing.T) {
 	c := qt.New(t)
 	members := testMembers(30)
--- a/internal/transfer/export.go
+++ b/internal/transfer/export.go
@@ -115,7 +115,7 @@
 	location := Location{
 		Piece: c.Piece, Store: member.client.Instance(), Generation: generation, Bytes: uint32(bytes), Own: true,
 	}
-	m.locations.Add(location, c.Value, time.Now())
+	m.remember(location, c.Value, time.Now())
 	m.observer.Stored(location, c.Anchor)
 }
 
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -149,7 +149,7 @@
 			if location, ok := m.locations.Find(name); ok && m.usable(location, now) {
 				continue
 			}
-			m.locations.Add(Location{
+			m.remember(Location{
 				Piece: name, Store: run.Holder, Generation: run.Generation, Bytes: run.Bytes,
 			}, hintValue, now)
 		}
--- a/internal/transfer/locations.go
+++ b/internal/transfer/locations.go
@@ -42,16 +42,18 @@
 	return &Locations{epoch: now, byPiece: make(map[piece.Name]*Location)}
 }
 
-// Add remembers a location of the given value.
-func (l *Locations) Add(location Location, value float64, now time.Time) {
+// Add remembers a location of the given value. It returns the location that gave way to it, if any.
+func (l *Locations) Add(location Location, value float64, now time.Time) (dropped Location, ok bool) {
 	l.Remove(location.Piece)
 	if len(l.byPiece) >= maxLocations {
-		l.Remove(l.lowest[0].Piece)
+		dropped, ok = *l.lowest[0], true
+		l.Remove(dropped.Piece)
 	}
 	added := location
 	added.rank = l.rank(value, now)
 	l.byPiece[added.Piece] = &added
 	heap.Push(&l.lowest, &added)
+	return dropped, ok
 }
 
 // Remove forgets the location of a piece.
--- a/internal/transfer/mover.go
+++ b/internal/transfer/mover.go
@@ -222,6 +222,13 @@
 	return rendezvous.Weight(key, a.hash) > rendezvous.Weight(key, b.hash)
 }
 
+// remember adds a location. The agent stops vouching for one that gives way to it.
+func (m *Mover) remember(location Location, value float64, now time.Time) {
+	if dropped, ok := m.locations.Add(location, value, now); ok && dropped.Own {
+		m.observer.Lost(dropped)
+	}
+}
+
 // usable reports whether a location's store is live and not suspended.
 func (m *Mover) usable(location Location, now time.Time) bool {
 	member := m.stores[location.Store]
--- a/internal/transfer/policy_test.go
+++ b/internal/transfer/policy_test.go
@@ -171,4 +171,13 @@
 	l.Remove(piece.Name{1})
 	c.Assert(l.Run(names), qt.Equals, 0)
 	c.Assert(l.Len(), qt.Equals, 3)
+	for i := range maxLocations {
+		name := piece.Name{0xff, byte(i), byte(i >> 8), byte(i >> 16)}
+		dropped, ok := l.Add(Location{Piece: name}, 100, epoch)
+		c.Assert(ok, qt.Equals, i >= maxLocations-3)
+		if i == maxLocations-3 {
+			c.Assert(dropped.Piece == piece.Name{3} || dropped.Piece == piece.Name{4}, qt.IsTrue)
+		}
+	}
+	c.Assert(l.Len(), qt.Equals, maxLocations)
 }
