Ask on while the agent of a lost attempt has news

A non-idempotent stream whose connection was cut again and again ended with outcome unknown after four questions, though each had brought more of the answer. Only questions that bring no news are counted now; a run that makes no progress within its patience counts as no news.

TestDraftsRunOnceAndWholeWhenConnectionsAreCut failed before (answers ended after a few tokens) and passed after; it also sends each key again through the other entry and counts the runs started.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxAsks bounds the questions about one attempt.
-	maxAsks = 4
+	// maxUnanswered bounds the questions about one attempt that bring no news.
+	maxUnanswered = 4
 	// askPause is the pause before an agent that could not be reached is asked again.
 	askPause = 200 * time.Millisecond
 	// dispatchTime is the age of an attempt below which its dispatch may still be on its way; a question
@@ -42,6 +42,8 @@
 	bound   bool
 	// proven says that the bound attempt has not run and never will.
 	proven bool
+	// heard says that the agent of the bound attempt sent something since it was last asked.
+	heard bool
 }
 
 func (r *run) executor(id attempt.ID, hello *wire.Hello, target *placed) claim.Executor {
@@ -69,8 +71,12 @@
 	} else if !wait(ctx, min(dispatchTime, dispatchTime-time.Since(binding.Attempt.Time()))) {
 		return nil, verdictFailed, r.hungUp()
 	}
-	for asks := 0; next == verdictLost && asks < maxAsks; asks++ {
+	for unanswered := 0; next == verdictLost && unanswered < maxUnanswered; unanswered++ {
+		r.once.heard = false
 		done, next, failure = r.ask(ctx, binding.Executor)
+		if r.once.heard {
+			unanswered = 0
+		}
 	}
 	if next == verdictLost {
 		return nil, verdictFailed, r.outcomeUnknown(&placed{instance: executorInstance(binding.Executor)})
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -201,6 +201,7 @@
 			r.leave(f)
 			return nil, verdictFailed, r.hungUp()
 		case <-progress.C:
+			r.once.heard = false
 			r.abandon(f)
 			return r.faulty(target, wire.Outcome_OUTCOME_UNKNOWN)
 		case <-heartbeat.ticks():
@@ -236,6 +237,7 @@
 
 // handle takes one frame. ended is true when the attempt is over.
 func (r *run) handle(f *flight, frame *wire.Frame, target *placed) (done *wire.Done, next verdict, failure *Failure, ended bool) {
+	r.once.heard = true
 	switch body := frame.GetBody().(type) {
 	case *wire.Frame_Chunk:
 		if err := r.chunk(f.id, body.Chunk); err != nil {
--- a/internal/systemtest/atmostonce/cuts_test.go
+++ b/internal/systemtest/atmostonce/cuts_test.go
@@ -41,6 +41,43 @@
 	c.Check(continued > 0, qt.IsTrue, qt.Commentf("the cut met no stream"))
 }
 
+// TestDraftsRunOnceAndWholeWhenConnectionsAreCut cuts connections in the midst of streams that may not
+// be repeated, then sends each key again through the other entry. The first callers get the rest from
+// the run that goes on, the second ones the same answer from the agent's record.
+func TestDraftsRunOnceAndWholeWhenConnectionsAreCut(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	b := startBed(c, testbed.Settings{"slots": 8})
+	relays := b.relayAgents(c, "assistant", b.streamTogether)
+	before := b.started(c)
+	keys := make([]string, streams)
+	for number := range keys {
+		keys[number] = newKey()
+	}
+	for number, s := range b.strikeKind(c, "draft", keys, func() { cutAgain(relays) }) {
+		c.Check(s.whole, qt.IsTrue, qt.Commentf("answer %d ends after %q", number, s.text))
+		c.Check(s.text, qt.Equals, undisturbed(number))
+	}
+	for number, key := range keys {
+		again, err := b.streamKind(b.entries()[(number+1)%2], "draft", key, number, func() {})
+		c.Check(err, qt.IsNil)
+		c.Check(again.whole, qt.IsTrue, qt.Commentf("replay %d ends after %q", number, again.text))
+		c.Check(again.text, qt.Equals, undisturbed(number))
+	}
+	c.Check(b.started(c)-before, qt.Equals, float64(streams))
+}
+
+// started counts the runs that model agents have started.
+func (b *bed) started(c *qt.C) float64 {
+	total := 0.0
+	for _, agent := range b.fleet.Service("assistant") {
+		count, err := testbed.Metric(b.ctx, agent.Metrics, "agent_started")
+		c.Assert(err, qt.IsNil)
+		total += count
+	}
+	return total
+}
+
 // streamTogether runs a few streams at once, so that they use several replicas.
 func (b *bed) streamTogether(entry string) {
 	var reading sync.WaitGroup
--- a/internal/systemtest/atmostonce/faults_test.go
+++ b/internal/systemtest/atmostonce/faults_test.go
@@ -52,6 +52,7 @@
 		},
 		Kinds: []manifest.Kind{
 			{Name: "trace", Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 5000, MaxTokens: 64},
+			{Name: "draft", Service: "assistant", Urgency: manifest.Patient, DeadlineMS: 5000, MaxTokens: 64},
 			{Name: "checkout", Service: "archive", Urgency: manifest.Urgent, DeadlineMS: 3000},
 		},
 	}
--- a/internal/systemtest/atmostonce/stream_test.go
+++ b/internal/systemtest/atmostonce/stream_test.go
@@ -51,8 +51,13 @@
 	return answer.New(answer.Request{Messages: prompt(number), WeightVersion: "v1", MaxTokens: streamTokens}).Text()
 }
 
-// stream reads one answer and reports on begun when it has tokensBefore tokens.
+// stream reads one idempotent answer and reports on begun when it has tokensBefore tokens.
 func (b *bed) stream(entry string, number int, begun func()) (streamed, error) {
+	return b.streamKind(entry, "trace", "", number, begun)
+}
+
+// streamKind reads one answer to a request of a kind, under a key unless that is empty.
+func (b *bed) streamKind(entry, kind, key string, number int, begun func()) (streamed, error) {
 	text, err := json.Marshal(map[string]any{
 		"model": "assistant", "stream": true, "max_tokens": streamTokens, "messages": prompt(number),
 	})
@@ -64,6 +69,10 @@
 		return streamed{}, err
 	}
 	request.Header.Set("Authorization", "Bearer "+organisationKey)
+	request.Header.Set("X-Request-Kind", kind)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
 	reply, err := b.callers.client.Do(request)
 	if err != nil {
 		return streamed{}, err
@@ -160,15 +169,20 @@
 	return nil
 }
 
-// strikeStreams starts streams, strikes when all have begun and returns what the callers got.
+// strikeStreams starts idempotent streams, strikes when all have begun and returns what the callers got.
 func (b *bed) strikeStreams(c *qt.C, strike func()) []streamed {
+	return b.strikeKind(c, "trace", make([]string, streams), strike)
+}
+
+// strikeKind is strikeStreams for requests of a kind under keys.
+func (b *bed) strikeKind(c *qt.C, kind string, keys []string, strike func()) []streamed {
 	got := make([]streamed, streams)
 	var reading, begun sync.WaitGroup
 	begun.Add(streams)
 	for number := range streams {
 		reading.Go(func() {
 			var err error
-			got[number], err = b.stream(b.entries()[number%2], number, begun.Done)
+			got[number], err = b.streamKind(b.entries()[number%2], kind, keys[number], number, begun.Done)
 			c.Check(err, qt.IsNil)
 		})
 	}
