Look at one reading of the instance list; an entry is healthy once the list names an agent

An empty list is read again after 100 ms now, and a list without agents does not make an entry healthy. Parts look at the process's copy each 200 ms and pass over a reading that they have.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -79,6 +79,8 @@
 	leaving   atomic.Bool
 	leave     chan struct{}
 	register  func(*grpc.Server)
+	// lastMembers is the reading of the instance list that the cache uses; only readMembers touches it.
+	lastMembers []platform.Instance
 }
 
 // counters are the agent's metrics.
--- a/internal/agent/cachewatch.go
+++ b/internal/agent/cachewatch.go
@@ -16,8 +16,8 @@
 	cacheEventsInterval = 200 * time.Millisecond
 	// announceInterval is how often new holdings are told to their homes.
 	announceInterval = 250 * time.Millisecond
-	// membersInterval is how often stores and homes are taken from the instance list.
-	membersInterval = time.Second
+	// membersInterval is how often the process's copy of the instance list is looked at.
+	membersInterval = 200 * time.Millisecond
 	// callTimeout bounds one call about the cache.
 	callTimeout = time.Second
 )
@@ -99,9 +99,10 @@
 // readMembers takes the stores and the homes of the region from the instance list.
 func (a *Agent) readMembers(ctx context.Context) {
 	instances, err := a.instances.Instances(ctx)
-	if err != nil {
+	if err != nil || platform.SameReading(instances, a.lastMembers) {
 		return
 	}
+	a.lastMembers = instances
 	ring := directory.NewRing(directory.Homes(instances, a.settings.Region))
 	a.directory.SetRing(ring)
 	a.loop.Call(func() {
--- a/internal/entry/outliers.go
+++ b/internal/entry/outliers.go
@@ -42,7 +42,8 @@
 		r.logger.Info("replica health", zap.String("instance", change.ID), zap.String("service", change.Service),
 			zap.String("failure_domain", change.FailureDomain), zap.String("state", change.State))
 	}
-	if len(changes) > 0 {
+	elapsed := r.members.Tick(now)
+	if elapsed || len(changes) > 0 {
 		r.rebuild(now)
 	}
 }
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -18,8 +18,10 @@
 )
 
 const (
-	// listInterval is how often the instance list is read.
-	listInterval = time.Second
+	// listInterval is how often the process's copy of the instance list is looked at.
+	listInterval = 200 * time.Millisecond
+	// judgeInterval is how often replicas are compared with their peers.
+	judgeInterval = time.Second
 )
 
 // replicas holds what the entry believes about agents.
@@ -31,8 +33,10 @@
 	onList func([]platform.Instance)
 	// snapshot is what placements use; it is never nil.
 	snapshot atomic.Pointer[placement.Snapshot]
-	// known says that the list was read once: before that no request can be placed.
+	// known says that the list named an agent: before that no request can be placed.
 	known atomic.Bool
+	// last is the reading that members hold; only poll touches it.
+	last []platform.Instance
 
 	mu      sync.RWMutex
 	members *membership.Table
@@ -58,37 +62,43 @@
 
 // poll reads the instance list until ctx ends. It keeps the last list during an outage.
 func (r *replicas) poll(ctx context.Context) {
-	ticker := time.NewTicker(listInterval)
-	defer ticker.Stop()
+	look := time.NewTicker(listInterval)
+	defer look.Stop()
+	judge := time.NewTicker(judgeInterval)
+	defer judge.Stop()
 	r.read(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-look.C:
 			r.read(ctx)
-			r.judge(time.Now())
+		case now := <-judge.C:
+			r.judge(now)
 		}
 	}
 }
 
 func (r *replicas) read(ctx context.Context) {
 	instances, err := r.list.Instances(ctx)
-	if err == nil {
-		r.onList(instances)
+	if err != nil || platform.SameReading(instances, r.last) {
+		return
 	}
+	r.last = instances
+	r.onList(instances)
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err == nil {
-		r.members.Listed(now, instances)
-		r.known.Store(true)
-	}
-	r.members.Tick(now)
+	r.members.Listed(now, instances)
+	r.known.Store(hasAgent(instances))
 	r.track()
 	r.rebuild(now)
 }
 
+func hasAgent(instances []platform.Instance) bool {
+	return slices.ContainsFunc(instances, func(i platform.Instance) bool { return i.Role == platform.RoleAgent })
+}
+
 // failed notes that contact with an agent was lost.
 func (r *replicas) failed(instance string, now time.Time) {
 	r.mu.Lock()
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -14,6 +14,8 @@
 const (
 	// listInterval is the shortest time between two readings of the instance list.
 	listInterval = time.Second
+	// emptyInterval is the time until the next reading of a list without rows.
+	emptyInterval = 100 * time.Millisecond
 	// listBytesPerSecond bounds what readings of the list cost on the mean. Long lists are read
 	// less often: what processes say of themselves is newer than the list anyway.
 	listBytesPerSecond = 8 << 10
@@ -54,6 +56,9 @@
 // readInterval returns the time until the next reading of a list of the given length, with a
 // quarter of jitter so that processes that started together spread out.
 func readInterval(rows int) time.Duration {
+	if rows == 0 {
+		return emptyInterval
+	}
 	paced := time.Duration(rows) * rowBytes * time.Second / listBytesPerSecond
 	interval := max(listInterval, paced)
 	return interval*3/4 + rand.N(interval/2)
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -105,6 +105,12 @@
 	State          InstanceState `json:"state"`
 }
 
+// SameReading tells whether two results of Instances are one reading, which a caching list returns
+// again and again.
+func SameReading(a, b []Instance) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // InstanceList is the platform's lagging list of instances.
 type InstanceList interface {
 	// Instances returns all live and leaving instances in ID order.
