Leave half of a lookup's time for the second home

Cause: a home that is silent, such as a frozen agent, used up the whole time of a lookup, so the other home was never asked (seen by the new test: the call to the second home ran into its deadline). Each home now gets an equal share of the time left.

--- a/internal/directory/client.go
+++ b/internal/directory/client.go
@@ -108,13 +108,16 @@
 	return runs, nil
 }
 
-// lookupSegment asks the homes of one segment in turn until one answers.
+// lookupSegment asks the homes of one segment in turn until one answers. A home that is silent
+// leaves the other half of the time to the next.
 func (c *Client) lookupSegment(ctx context.Context, segment Segment) ([]Run, error) {
 	homes := c.nearestFirst(c.ring.Load().Homes(segment.Anchor))
 	err := error(ErrNoHome.New("no live agent serves the directory"))
-	for _, home := range homes {
+	for i, home := range homes {
 		var runs []Run
-		runs, err = c.lookupAt(ctx, home, segment)
+		homeCtx, cancel := shareOf(ctx, len(homes)-i)
+		runs, err = c.lookupAt(homeCtx, home, segment)
+		cancel()
 		if err == nil {
 			return runs, nil
 		}
@@ -122,6 +125,15 @@
 	return nil, err
 }
 
+// shareOf returns a context with an equal share of the time left for each of the given calls.
+func shareOf(ctx context.Context, calls int) (context.Context, context.CancelFunc) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(deadline)/time.Duration(calls))
+}
+
 // nearestFirst puts a home in the client's failure domain first.
 func (c *Client) nearestFirst(homes []Member) []Member {
 	for i := 1; i < len(homes); i++ {
--- a/internal/directory/errors.go
+++ b/internal/directory/errors.go
@@ -2,7 +2,8 @@
 
 import "github.com/joomcode/errorx"
 
-var namespace = errorx.NewNamespace("directory")
+// Unanswered lookups are frequent in an outage, so errors carry no stack trace.
+var namespace = errorx.NewNamespace("directory").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 // Errors of the directory's client. Callers treat each as an empty answer.
 var (
--- a/internal/directory/server_test.go
+++ b/internal/directory/server_test.go
@@ -81,6 +81,25 @@
 	c.Assert(errorx.IsOfType(err, ErrUnavailable), qt.IsTrue)
 }
 
+func TestSilentHomeLeavesTimeForTheOther(t *testing.T) {
+	c := qt.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts and never answers
+	c.Assert(err, qt.IsNil)
+	defer silent.Close()
+	alive, stop := startHome(t)
+	defer stop()
+	client := NewClient("a")
+	defer client.Close()
+	client.SetRing(NewRing([]Member{
+		{Instance: "agent-1", FailureDomain: "a", Address: silent.Addr().String()},
+		{Instance: "agent-2", FailureDomain: "b", Address: alive},
+	}))
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	_, err = client.Lookup(ctx, testNames(1), 0)
+	c.Assert(err, qt.IsNil)
+}
+
 func TestMalformedCallsAreRefused(t *testing.T) {
 	c := qt.New(t)
 	server := NewServer(control.NewLoop(), NewTable(0))
