Report an entry healthy only once the list has shown an agent

Cause: a list that had no agents yet counted as known, so the balancer sent callers to an entry that could only refuse them with no_replica: 17 of 63 in the first 1.5 s of a fresh fleet.

--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -31,7 +31,7 @@
 	onList func([]platform.Instance)
 	// snapshot is what placements use; it is never nil.
 	snapshot atomic.Pointer[placement.Snapshot]
-	// known says that the list was read once: before that no request can be placed.
+	// known says that the list has shown an agent: before that no request can be placed.
 	known atomic.Bool
 
 	mu      sync.RWMutex
@@ -82,13 +82,17 @@
 	defer r.mu.Unlock()
 	if err == nil {
 		r.members.Listed(now, instances)
-		r.known.Store(true)
+		if slices.ContainsFunc(instances, isAgent) {
+			r.known.Store(true)
+		}
 	}
 	r.members.Tick(now)
 	r.track()
 	r.rebuild(now)
 }
 
+func isAgent(instance platform.Instance) bool { return instance.Role == platform.RoleAgent }
+
 // failed notes that contact with an agent was lost.
 func (r *replicas) failed(instance string, now time.Time) {
 	r.mu.Lock()
