--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
@@ -304,6 +305,7 @@
 	// Retries are the retry budgets by service.
 	Retries map[string]retry.BudgetState `json:"retries"`
 	Limits  limits.State                 `json:"limits"`
+	Claims  claim.Stats                  `json:"claims"`
 }
 
 // State returns the entry's whole state.
@@ -323,5 +325,8 @@
 	if snapshot := e.configuration.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version
 	}
+	if e.claims != nil {
+		state.Claims = e.claims.Stats()
+	}
 	return state
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -34,6 +34,7 @@
 	Claim(ctx context.Context, request claim.Request) (claim.Binding, error)
 	Rebind(ctx context.Context, request claim.Request, proven claim.Binding) (claim.Binding, error)
 	Exists(ctx context.Context, organisation string, key claim.Key) (bool, error)
+	Stats() claim.Stats
 }
 
 // once is what a run of a non-idempotent request knows about the attempt that it is bound to.
@@ -106,6 +107,7 @@
 	if err != nil {
 		return claim.Binding{}, claimFailure(err)
 	}
+	r.entry.explainClaim(r.request, binding, r.once.bound)
 	return binding, nil
 }
 
@@ -190,6 +192,7 @@
 	if !f.asked {
 		return 0, nil, false
 	}
+	r.entry.explainAnswer(r.request, f, answer, target.instance.ID)
 	switch answer.GetOutcome() {
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		// The replica may be tried again: the question overtook the dispatch, or nobody sent one.
--- /dev/null
+++ b/internal/stream/bench_test.go
@@ -0,0 +1,15 @@
+package stream
+
+import "testing"
+
+// BenchmarkChunk passes chunks in order, as they come on one connection.
+func BenchmarkChunk(b *testing.B) {
+	a := NewAssembler(firstAttempt)
+	data := []byte("token")
+	b.ReportAllocs()
+	for sequence := uint32(0); b.Loop(); sequence++ {
+		if ready, err := a.Chunk(firstAttempt, sequence, data); err != nil || len(ready) != 1 {
+			b.Fatal("not delivered")
+		}
+	}
+}
