Strike the replica that runs the most streams

TestAnswersAreWholeWhenReplicasDie failed once in three runs with 'the fault met no stream': after its restart the first replica had no streams to lose when it was struck again. The test asks the agents' dumps and strikes the busiest one now; what it checks is unchanged.

--- a/internal/systemtest/atmostonce/stream_test.go
+++ b/internal/systemtest/atmostonce/stream_test.go
@@ -147,8 +147,11 @@
 	} {
 		c.Run(fault.name, func(c *qt.C) {
 			b.awaitService(c)
-			victim := b.fleet.Service("assistant")[0]
-			got := b.strikeStreams(c, func() { fault.strike(victim) })
+			var victim *testbed.Instance
+			got := b.strikeStreams(c, func() {
+				victim = b.busiest(c)
+				fault.strike(victim)
+			})
 			c.Assert(fault.heal(victim), qt.IsNil)
 			continued := 0
 			for number, s := range got {
@@ -163,6 +166,22 @@
 	}
 }
 
+// busiest returns the model agent with the most runs.
+func (b *bed) busiest(c *qt.C) *testbed.Instance {
+	var found *testbed.Instance
+	most := -1
+	for _, agent := range b.fleet.Service("assistant") {
+		var state struct {
+			Running int `json:"running"`
+		}
+		c.Check(testbed.Call(b.ctx, http.MethodGet, agent.Metrics, "/dump", nil, &state), qt.IsNil)
+		if state.Running > most {
+			found, most = agent, state.Running
+		}
+	}
+	return found
+}
+
 func thawed(instance *testbed.Instance) error {
 	instance.Process.Thaw()
 	instance.Backend.Thaw()
