Refuse at once what the engine's prompt work makes late; test half-written pieces

Cause: admission compared the deadline with the wait for a slot and the prompt's own work. While slots were free it accepted any number of prompts, each computed after the others; at the extreme idempotent requests were given up 5 s past their deadline as 'interrupted', outcome unknown.

Now the time to the first token that admission checks holds the prompts before it in the engine.

TestHalfWrittenPiecesAreNeverUsed: stores show unfinished pieces and cut one transfer in three; no answer is wrong. It fails when nothing was fetched.

--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -174,9 +174,8 @@
 }
 
 func (a *Agent) enqueue(conn *transport.Conn, id attempt.ID, d *wire.Dispatch, now time.Time) {
-	queued := a.queueJob(id, d, now)
-	a.state.prompts.use(queued.Reservation)
-	verdict := a.state.queue.Offer(now, queued)
+	a.state.prompts.use(reservationOf(d))
+	verdict := a.state.queue.Offer(now, a.queueJob(id, d, now))
 	if !verdict.Accepted {
 		a.refuse(conn, id, d, refusal{
 			reason:     verdict.Reason,
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -51,7 +51,8 @@
 	answer.PredictedStartMs = uint32(start.Milliseconds())
 	a.answerCache(answer, asked, now)
 	if probe.GetReserve() {
-		answer.Reservation = a.reserve(now, job, probe.GetUrgency())
+		firstToken, _ := a.estimate(asked, now)
+		answer.Reservation = a.reserve(now, job, firstToken, probe.GetUrgency())
 	}
 	return answer
 }
@@ -72,14 +73,15 @@
 	}
 }
 
-func (a *Agent) reserve(now time.Time, job admission.Job, urgency wire.Urgency) []byte {
+// reserve holds a place in the queue and in the engine for the dispatch that may follow a probe.
+func (a *Agent) reserve(now time.Time, job admission.Job, firstToken time.Duration, urgency wire.Urgency) []byte {
 	a.state.reserveID++
 	id := a.state.reserveID
 	if !a.state.queue.Reserve(now, id, job, reservationTTL) {
 		return nil
 	}
 	if a.isModel() {
-		a.state.prompts.reserve(id, job.FirstToken, urgency, now.Add(reservationTTL))
+		a.state.prompts.reserve(id, firstToken, urgency, now.Add(reservationTTL))
 	}
 	return binary.BigEndian.AppendUint64(nil, uint64(id))
 }
@@ -94,15 +96,22 @@
 		Kind:         d.GetKind(),
 		Urgency:      d.GetUrgency(),
 		Work:         float64(work.Milliseconds()),
-		FirstToken:   firstToken,
+		FirstToken:   firstToken + a.state.prompts.wait(d.GetUrgency(), now),
 		Deadline:     now.Add(time.Duration(d.GetDeadlineMs()) * time.Millisecond),
 	}
-	if raw := d.GetReservation(); len(raw) == reservationBytes {
-		job.Reservation = admission.ReservationID(binary.BigEndian.Uint64(raw))
-	}
+	job.Reservation = reservationOf(d)
 	return job
 }
 
+// reservationOf returns the reservation that a dispatch uses up; zero when it has none.
+func reservationOf(d *wire.Dispatch) admission.ReservationID {
+	raw := d.GetReservation()
+	if len(raw) != reservationBytes {
+		return 0
+	}
+	return admission.ReservationID(binary.BigEndian.Uint64(raw))
+}
+
 // reservationBytes is the length of a reservation on the wire.
 const reservationBytes = 8
 
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -13,21 +13,23 @@
 )
 
 const (
-	runTime     = 1500 * time.Millisecond
-	faultAt     = 600 * time.Millisecond
-	frozenTime  = 700 * time.Millisecond
-	rate        = 40               // requests a second
-	backTimeout = 12 * time.Second // from a restart until an agent must have work again
-	testTimeout = 2 * time.Minute
-	extraSeeds  = 1000 // between the seeds of further runs of two faults
+	runTime = 1500 * time.Millisecond
+	// overloadTime is long enough for the engines' queues to outgrow the deadlines.
+	overloadTime = 4 * time.Second
+	fetchRate    = 12              // requests a second
+	fetchTime    = 6 * time.Second // until pieces were exported, evicted and fetched again
+	faultAt      = 600 * time.Millisecond
+	frozenTime   = 700 * time.Millisecond
+	rate         = 40               // requests a second
+	backTimeout  = 12 * time.Second // from a restart until an agent must have work again
+	testTimeout  = 2 * time.Minute
+	extraSeeds   = 1000 // between the seeds of further runs of two faults
 )
 
-func startFleet(c *qt.C, profile load.Profile) *testbed.Fleet {
+func testSpec(c *qt.C, profile load.Profile) testbed.Spec {
 	binaries, err := testbed.Binaries()
 	c.Assert(err, qt.IsNil)
-	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
-	defer cancel()
-	fleet, err := testbed.Start(ctx, testbed.Spec{
+	return testbed.Spec{
 		Binaries:      binaries,
 		Folder:        c.TempDir(),
 		Region:        "lakes",
@@ -40,12 +42,74 @@
 		Engine:        testbed.Settings{"prefill_tokens_per_second": 200_000, "decode_ms": 8, "slots": 32},
 		Plain:         testbed.Settings{"work_ms": 5},
 		Agent:         testbed.Settings{"slots": 32, "prefill_us_per_token": 5, "decode_us_per_token": 8000},
-	})
+	}
+}
+
+func startFleet(c *qt.C, spec testbed.Spec) *testbed.Fleet {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	fleet, err := testbed.Start(ctx, spec)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(fleet.Stop)
 	return fleet
 }
 
+// Stores show pieces before their last byte has come and cut transfers half-way. An engine that
+// computes with such a piece answers wrongly.
+func TestHalfWrittenPiecesAreNeverUsed(t *testing.T) {
+	c := qt.New(t)
+	profile := load.Ridgeline()
+	spec := testSpec(c, profile)
+	spec.Engine["cache_pieces"] = 8
+	spec.Engine["prefill_tokens_per_second"] = 8000
+	spec.Agent["prefill_us_per_token"] = 125
+	spec.Store = testbed.Settings{"publish_partial": true, "link_bytes_per_second": 8 << 20}
+	fleet := startFleet(c, spec)
+	cut := fault{strike: func(ctx context.Context, f *testbed.Fleet) error {
+		for _, store := range f.Role(platform.RoleStore) {
+			if err := testbed.SetFaults(ctx, store.AdminAddress, testbed.Settings{"cut_every": 3}); err != nil {
+				return err
+			}
+		}
+		return nil
+	}, heal: noFault}
+	report := runPlan(c, fleet, cut, load.Plan{
+		Profile:  profile,
+		Seed:     1,
+		Rate:     fetchRate,
+		Duration: fetchTime,
+		MeanGap:  time.Second,
+	})
+	c.Logf("%s", report.Text())
+	checkAnswers(c, report)
+	fetched := report.Total().LinkBytes
+	c.Assert(fetched > 0, qt.IsTrue, qt.Commentf("no piece was fetched, so the test shows nothing"))
+}
+
+// Callers offer more prompt work than the engines can do. What can't meet its deadline is refused as
+// not run; nothing that may be repeated ends as unknown.
+func TestOverloadIsRefusedAsNotRun(t *testing.T) {
+	c := qt.New(t)
+	profile := load.Ridgeline()
+	for i := range profile.Kinds {
+		profile.Kinds[i].DeadlineMS = 1500
+	}
+	spec := testSpec(c, profile)
+	spec.Engine["prefill_tokens_per_second"] = 8000
+	spec.Agent["prefill_us_per_token"] = 125
+	fleet := startFleet(c, spec)
+	report := runPlan(c, fleet, faults[0], load.Plan{
+		Profile:  profile,
+		Seed:     1,
+		Rate:     rate,
+		Duration: overloadTime,
+		MeanGap:  time.Second,
+	})
+	c.Logf("%s", report.Text())
+	checkAnswers(c, report)
+	c.Assert(report.Total().Verdicts[load.VerdictRefused] > 0, qt.IsTrue)
+}
+
 // fault is one failure while callers use the fleet.
 type fault struct {
 	name string
@@ -122,7 +186,7 @@
 func TestCallersGetWholeAnswersUnderFaults(t *testing.T) {
 	c := qt.New(t)
 	profile := load.Ridgeline()
-	fleet := startFleet(c, profile)
+	fleet := startFleet(c, testSpec(c, profile))
 	for i, f := range faults {
 		c.Run(f.name, func(c *qt.C) {
 			report := runUnder(c, fleet, profile, f, uint64(i+1))
@@ -156,8 +220,18 @@
 	c.Fatalf("agent %s gets no work %s after its restart", agent.ID, backTimeout)
 }
 
-// runUnder offers load and strikes in the midst of it.
+// runUnder offers load for a short time and strikes in the midst of it.
 func runUnder(c *qt.C, fleet *testbed.Fleet, profile load.Profile, f fault, seed uint64) *load.Report {
+	return runPlan(c, fleet, f, load.Plan{
+		Profile:  profile,
+		Seed:     seed,
+		Rate:     rate,
+		Duration: runTime,
+		MeanGap:  500 * time.Millisecond,
+	})
+}
+
+func runPlan(c *qt.C, fleet *testbed.Fleet, f fault, plan load.Plan) *load.Report {
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	struck := make(chan error, 1)
@@ -169,16 +243,7 @@
 	for _, instance := range fleet.Role(platform.RoleEntry) {
 		entries = append(entries, instance.Address)
 	}
-	report, err := load.Run(ctx, load.Options{
-		Plan: load.Plan{
-			Profile:  profile,
-			Seed:     seed,
-			Rate:     rate,
-			Duration: runTime,
-			MeanGap:  500 * time.Millisecond,
-		},
-		Entries: entries,
-	})
+	report, err := load.Run(ctx, load.Options{Plan: plan, Entries: entries})
 	c.Assert(err, qt.IsNil)
 	c.Assert(<-struck, qt.IsNil)
 	c.Assert(f.heal(ctx, fleet), qt.IsNil)
