--- a/internal/measure/table.go
+++ b/internal/measure/table.go
@@ -50,15 +50,15 @@
 // Tables returns the figures as Markdown tables: one line a run.
 func Tables(outcomes []Outcome) string {
 	var b strings.Builder
-	b.WriteString("| row | policy | seed | sent | right | wrong | refused | unknown | broken | lost | doubled | " +
+	b.WriteString("| row | policy | seed | machine | sent | right | wrong | refused | unknown | broken | lost | doubled | " +
 		"first token p50 / p95 / p99 (ms) | computed | computed of returns | link KB per request |\n")
-	b.WriteString("|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|--:|--:|--:|\n")
+	b.WriteString("|---|---|--:|---|--:|--:|--:|--:|--:|--:|--:|--:|---|--:|--:|--:|\n")
 	for _, o := range outcomes {
 		model, total := o.modelKind(), o.total()
 		all, returning := model.Recomputed()
 		v := total.Verdicts
-		fmt.Fprintf(&b, "| %s | %s | %d | %d | %d | %d | %d | %d | %d | %d | %d | %.0f / %.0f / %.0f | %.3f | %.3f | %.1f |\n",
-			o.Row, o.Policy, o.Report.Seed, total.Requests, v[load.VerdictRight], v[load.VerdictWrong],
+		fmt.Fprintf(&b, "| %s | %s | %d | %s, %s | %d | %d | %d | %d | %d | %d | %d | %d | %.0f / %.0f / %.0f | %.3f | %.3f | %.1f |\n",
+			o.Row, o.Policy, o.Report.Seed, o.Load1[0], o.Load1[1], total.Requests, v[load.VerdictRight], v[load.VerdictWrong],
 			v[load.VerdictRefused], v[load.VerdictUnknown], v[load.VerdictBroken], v[load.VerdictLost], o.Doubled,
 			model.FirstTokenP50MS, model.FirstTokenP95MS, model.FirstTokenP99MS, all, returning, o.linkKB())
 	}
--- a/scripts/measure/main.go
+++ b/scripts/measure/main.go
@@ -104,6 +104,8 @@
 		return err
 	}
 	fmt.Print(measure.Tables(outcomes))
+	fmt.Println()
+	fmt.Print(measure.ProcessTable(outcomes))
 	if s.Chart == "" {
 		return nil
 	}
