Keep the fetch of pieces out of the engine's measured speed

Cause: a prompt counted as computed from the start of its run, also while the run waited for pieces from a store.

TestWaitingForPiecesDoesNotCountAsSlowness passes: go test -race ./internal/agent.

--- a/internal/agent/prompts.go
+++ b/internal/agent/prompts.go
@@ -24,7 +24,7 @@
 type prompts struct {
 	// begun holds the runs whose first token has not come, in the order of their start.
 	begun []promptWork
-	// computing is when the engine went on to the present prompt.
+	// computing is when the last first token came: the engine then went on to the next prompt.
 	computing time.Time
 	// reserved holds the work of probes that may still be dispatched.
 	reserved map[admission.ReservationID]promptWork
@@ -37,6 +37,7 @@
 	attempt attempt.ID
 	work    time.Duration
 	patient bool
+	sent    time.Time // to the engine; zero before
 	until   time.Time // of a reservation
 }
 
@@ -44,18 +45,18 @@
 	return &prompts{reserved: make(map[admission.ReservationID]promptWork), slowness: 1}
 }
 
-// begin takes a run that was started, or a new estimate of its work.
-func (p *prompts) begin(id attempt.ID, work time.Duration, urgency wire.Urgency, now time.Time) {
+// begin takes a run that was started and may still wait for pieces.
+func (p *prompts) begin(id attempt.ID, work time.Duration, urgency wire.Urgency) {
+	p.begun = append(p.begun, promptWork{attempt: id, work: work, patient: isPatient(urgency)})
+}
+
+// sent takes a run that goes to the engine now, with the estimate of what is left to compute.
+func (p *prompts) sent(id attempt.ID, work time.Duration, now time.Time) {
 	for i := range p.begun {
 		if p.begun[i].attempt == id {
-			p.begun[i].work = work
-			return
+			p.begun[i].work, p.begun[i].sent = work, now
 		}
 	}
-	if len(p.begun) == 0 {
-		p.computing = now
-	}
-	p.begun = append(p.begun, promptWork{attempt: id, work: work, patient: isPatient(urgency)})
 }
 
 // end takes the first token of a run, or its end without one. Tokens measure the engine's speed.
@@ -65,7 +66,7 @@
 			continue
 		}
 		if token {
-			p.measure(run, now.Sub(p.computing))
+			p.measure(run, p.elapsed(run, now))
 			p.computing = now
 		}
 		p.begun = append(p.begun[:i], p.begun[i+1:]...)
@@ -111,9 +112,21 @@
 	left := time.Duration(float64(ahead) * p.slowness)
 	if len(p.begun) > 0 {
 		first := time.Duration(float64(p.begun[0].work) * p.slowness)
-		left -= min(first, max(0, now.Sub(p.computing)))
+		left -= min(first, p.elapsed(p.begun[0], now))
 	}
 	return left
 }
 
+// elapsed returns how long the engine may have computed a run.
+func (p *prompts) elapsed(run promptWork, now time.Time) time.Duration {
+	if run.sent.IsZero() {
+		return 0
+	}
+	began := run.sent
+	if p.computing.After(began) {
+		began = p.computing
+	}
+	return max(0, now.Sub(began))
+}
+
 func isPatient(urgency wire.Urgency) bool { return urgency == wire.Urgency_URGENCY_PATIENT }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -50,7 +50,7 @@
 func (r *run) runModel(ctx context.Context) {
 	d := r.job.dispatch
 	moved := r.awaitFetch(ctx)
-	r.agent.loop.Post(func() { r.agent.beginPrompt(r.job, time.Now()) })
+	r.agent.loop.Post(func() { r.agent.promptSent(r.job, time.Now()) })
 	usage, err := r.agent.engine.Run(ctx, engine.RunRequest{
 		RequestID:     r.job.id.String(),
 		Body:          d.GetPayload(),
@@ -100,14 +100,19 @@
 	return nil
 }
 
-// beginPrompt counts a run's prompt as work of the engine. It is called at the start of the run and
-// again when the pieces that it waited for are imported.
+// beginPrompt counts the prompt of a run that starts as work of the engine.
 func (a *Agent) beginPrompt(j *job, now time.Time) {
-	if a.state.jobs[j.id] != j || !a.isModel() {
+	if !a.isModel() {
 		return
 	}
 	firstToken, _ := a.estimate(j.dispatch, now)
-	a.state.prompts.begin(j.id, firstToken, j.dispatch.GetUrgency(), now)
+	a.state.prompts.begin(j.id, firstToken, j.dispatch.GetUrgency())
+}
+
+// promptSent estimates the prompt's work again when the pieces that it waited for are imported.
+func (a *Agent) promptSent(j *job, now time.Time) {
+	firstToken, _ := a.estimate(j.dispatch, now)
+	a.state.prompts.sent(j.id, firstToken, now)
 }
 
 // chunk sends the next part of the answer and records it where callers may ask for it again.
