Count the stores' pieces for replicas that never saw a prompt

Agents name only the stores that they know of, so a replica without the prompt looked as costly as a full recomputation and requests queued at its holder. The entry now adds what the directory believes of the stores, at the mean fetch time that agents predict.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,6 +113,7 @@
 	replicas      *replicas
 	policy        placement.Policy
 	directory     *directory.Client
+	fetchTime     *fetchTime
 	retries       *retries
 	limiting      *limiting
 	incarnation   uint64
@@ -146,6 +147,7 @@
 		prober:        newProber(),
 		replicas:      newReplicas(s.Identity, d.Instances, d.Logger),
 		directory:     directory.NewClient(s.FailureDomain),
+		fetchTime:     newFetchTime(),
 		incarnation:   process.NewIncarnation(),
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -57,14 +57,15 @@
 func (r *run) offer(ctx context.Context, snapshot *placement.Snapshot, binding binding) *placed {
 	policy := r.entry.policy
 	features := r.features(binding)
-	hints := r.entry.hints(ctx, policy, binding.pieces)
+	located := r.entry.locate(ctx, policy, binding.pieces)
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	decision := &placement.Decision{}
 	for range maxSelections {
-		policy.Select(&features, snapshot, hints, rng, decision)
+		policy.Select(&features, snapshot, located.hints, rng, decision)
 		var replies []*wire.ProbeReply
 		if policy.NeedsProbes() {
 			replies = r.probeCandidates(ctx, snapshot, binding, decision)
+			r.entry.creditStores(decision, located)
 		}
 		policy.Pick(&features, snapshot, decision)
 		if picked := decision.PickedCandidate(); picked != nil {
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -7,15 +7,12 @@
 
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/membership"
-	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/placement"
 	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 const (
-	// lookupTimeout bounds how long a placement waits for the location directory.
-	lookupTimeout = 10 * time.Millisecond
 	// loadsInterval is how often policies that rest on load reports read them.
 	loadsInterval = 500 * time.Millisecond
 	// sameRegionMS and otherRegionMS are round trips to other failure domains, in milliseconds.
@@ -121,37 +118,6 @@
 	e.directory.SetRing(directory.NewRing(directory.Homes(instances, e.settings.Region)))
 }
 
-// hints asks the location directory which replicas hold the prompt's pieces. No answer is no hint.
-func (e *Entry) hints(ctx context.Context, policy placement.Policy, names []piece.Name) []placement.Hint {
-	if len(names) == 0 || !policy.NeedsProbes() {
-		return nil
-	}
-	lookupCtx, cancel := context.WithTimeout(ctx, lookupTimeout)
-	defer cancel()
-	runs, err := e.directory.Lookup(lookupCtx, names, 0)
-	if err != nil {
-		return nil
-	}
-	var hints []placement.Hint
-	for _, run := range runs {
-		if run.Tier == wire.Tier_TIER_REPLICA {
-			hints = addHint(hints, run)
-		}
-	}
-	return hints
-}
-
-// addHint keeps the deepest position of each holder.
-func addHint(hints []placement.Hint, run directory.Run) []placement.Hint {
-	for i := range hints {
-		if hints[i].Instance == run.Holder {
-			hints[i].Pieces = max(hints[i].Pieces, uint32(run.End))
-			return hints
-		}
-	}
-	return append(hints, placement.Hint{Instance: run.Holder, Pieces: uint32(run.End)})
-}
-
 // count counts an attempt at the replica until the returned function is called.
 func (p *placed) count() (done func()) {
 	if p.sent == nil {
--- a/internal/placement/cost_test.go
+++ b/internal/placement/cost_test.go
@@ -65,6 +65,22 @@
 	}
 }
 
+func TestReplicaThatNeverSawThePromptCountsTheStores(t *testing.T) {
+	c := qt.New(t)
+	busy, idle := Candidate{}, Candidate{}
+	busy.SetReply(reply(900, 8))
+	idle.SetReply(reply(0, 2))
+	busy.Estimate.CreditStores(8, 10, 100)
+	idle.Estimate.CreditStores(8, 10, 100)
+	c.Assert(busy.Estimate.Credited, qt.IsFalse)
+	c.Assert(idle.Estimate.FetchablePieces, qt.Equals, uint32(6))
+	c.Assert(idle.Estimate.FetchMS, qt.Equals, uint32(60))
+	c.Assert(idle.Estimate.FetchBytes, qt.Equals, uint64(600))
+	var silent Estimate
+	silent.CreditStores(8, 10, 100)
+	c.Assert(silent, qt.DeepEquals, Estimate{})
+}
+
 func TestFetchRunsWhileTheRequestQueues(t *testing.T) {
 	c := qt.New(t)
 	r := reply(500, 0)
--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -11,13 +11,15 @@
 
 // Estimate is what a replica's agent answered to a probe. Times are in milliseconds.
 type Estimate struct {
-	Known             bool   `json:"known"`
-	Incarnation       uint64 `json:"incarnation"`
-	QueueMS           uint32 `json:"queue_ms"`
-	CachedPieces      uint32 `json:"cached_pieces"`
-	FetchablePieces   uint32 `json:"fetchable_pieces"`
-	FetchMS           uint32 `json:"fetch_ms"`
-	FetchBytes        uint64 `json:"fetch_bytes"`
+	Known           bool   `json:"known"`
+	Incarnation     uint64 `json:"incarnation"`
+	QueueMS         uint32 `json:"queue_ms"`
+	CachedPieces    uint32 `json:"cached_pieces"`
+	FetchablePieces uint32 `json:"fetchable_pieces"`
+	FetchMS         uint32 `json:"fetch_ms"`
+	FetchBytes      uint64 `json:"fetch_bytes"`
+	// Credited says that the entry added the fetch from what the directory believes.
+	Credited          bool   `json:"credited,omitempty"`
 	PrefillUSPerToken uint32 `json:"prefill_us_per_token"`
 	InFlight          uint32 `json:"in_flight"`
 	LoadAgeMS         uint32 `json:"load_age_ms"`
@@ -25,6 +27,18 @@
 	ConfigVersion     uint64 `json:"config_version,omitempty"`
 }
 
+// CreditStores counts leading pieces that stores hold as fetchable when the replica's agent named
+// none. The time is in milliseconds and the size in bytes, both for one piece.
+func (e *Estimate) CreditStores(storePieces uint32, pieceMS float64, pieceBytes uint32) {
+	if !e.Known || e.FetchablePieces > 0 || storePieces <= e.CachedPieces {
+		return
+	}
+	e.FetchablePieces = storePieces - e.CachedPieces
+	e.FetchMS = uint32(float64(e.FetchablePieces) * pieceMS)
+	e.FetchBytes = uint64(e.FetchablePieces) * uint64(pieceBytes)
+	e.Credited = true
+}
+
 // Terms are the parts of a candidate's cost, so that a decision can be explained.
 type Terms struct {
 	// TTFTMS is the predicted time to the first token, the sum of the terms below.
