Keep one organisation's tenfold load from moving the others' first tokens

Cause: with deficit round robin one organisation at ten times its share held every slot that was idle for a moment, and runs are not preempted, so the others waited for its runs to end. Now: start-time fair queuing; an organisation above its share over 30 s leaves free as many slots as the others' demand varies by (two standard deviations of a Poisson count, at most half). Without such demand it uses all slots. Its wait is predicted from the slots it has had, so that nine in ten of its refusals come at once.

Refusals of expired attempts carry a RetryAfter from the queue instead of one second.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,8 +2,8 @@
 // runs next, which is refused before any work, and how long a new one would wait. The agent's
 // control goroutine calls it; the package starts no goroutines and takes no locks.
 //
-// Organisations share the backend server by deficit round robin (Shreedhar and Varghese, "Efficient
-// fair queuing using deficit round-robin", 1996), weighted in estimated milliseconds of work.
+// Organisations share the backend server by start-time fair queuing (Goyal, Vin and Cheng, 1996),
+// weighted in estimated milliseconds of work.
 // Urgent attempts go ahead of patient ones until a patient one has waited for Config.PatientAgeing;
 // from then on the two levels get equal work until no patient attempt is that old.
 package admission
@@ -20,6 +20,9 @@
 	maxRetryAfter = 30 * time.Second
 )
 
+// headroomPart is the part of the slots that DefaultConfig keeps as headroom, as a divisor.
+const headroomPart = 2
+
 // AttemptID names one dispatch.
 type AttemptID [16]byte
 
@@ -32,8 +35,9 @@
 	// MaxQueuedPerOrganisation bounds waiting attempts of one organisation. Offer also holds an
 	// organisation to its share of the free places, so that a few cannot fill the queue.
 	MaxQueuedPerOrganisation int
-	// Quantum is the work in milliseconds that an organisation of share 1 gets in one round.
-	Quantum float64
+	// Headroom bounds the slots that organisations which hold more than their share leave free for
+	// those within theirs.
+	Headroom int
 	// PatientAgeing is how long urgent work may go ahead of a patient attempt.
 	PatientAgeing time.Duration
 }
@@ -44,7 +48,7 @@
 		Slots:                    slots,
 		MaxQueued:                32 * slots,
 		MaxQueuedPerOrganisation: 8 * slots,
-		Quantum:                  500,
+		Headroom:                 slots / headroomPart,
 		PatientAgeing:            5 * time.Second,
 	}
 }
@@ -117,9 +121,15 @@
 	queued        int
 	running       int
 	// patientAge lists waiting patient entries, oldest first.
-	patientAge   ageList
-	deadlines    timeHeap
-	ends         timeHeap
+	patientAge ageList
+	deadlines  timeHeap
+	ends       timeHeap
+	recent     recent
+	// now is the time of the latest call.
+	now time.Time
+	// demand is the mean number of slots that organisations within their share hold, as of demandAt.
+	demand       float64
+	demandAt     time.Time
 	reservations reservations
 	correction   correction
 	// agedBalance is the work in milliseconds that the urgent level got more than the patient
@@ -138,8 +148,10 @@
 		reservations:  newReservations(),
 		correction:    newCorrection(),
 	}
-	q.urgent.quantum = config.Quantum
-	q.patient.quantum = config.Quantum
+	for _, l := range []*level{&q.urgent, &q.patient} {
+		l.held = q.held
+		l.forget = q.flowForgotten
+	}
 	return q
 }
 
@@ -155,6 +167,8 @@
 // Offer puts job into the queue or refuses it. A job that is already known keeps its place.
 func (q *Queue) Offer(now time.Time, job Job) Verdict {
 	job = job.normalised()
+	q.now = now
+	q.lapse(now)
 	q.reservations.use(job.Reservation)
 	wait := q.wait(now, job)
 	if _, known := q.entries[job.Attempt]; known {
@@ -169,7 +183,7 @@
 		return refuse(wire.RefusalReason_REFUSAL_REASON_QUEUE_FULL, wait)
 	}
 	job.Enqueued = now
-	q.enqueue(job)
+	q.enqueue(now, job)
 	return Verdict{Accepted: true, Wait: wait}
 }
 
@@ -193,13 +207,20 @@
 		float64(org.queued) >= job.Share*float64(free)
 }
 
-// Next returns the job to run now and marks it as running. It returns false when no slot is free
-// or nothing waits. The caller takes Expired first.
+// Next returns the job to run now and marks it as running. It returns false when no slot is free,
+// nothing waits, or the slots left are headroom that those who wait may not use. The caller takes
+// Expired first.
 func (q *Queue) Next(now time.Time) (Job, bool) {
 	if q.running >= q.config.Slots || q.queued == 0 {
 		return Job{}, false
 	}
+	q.now = now
 	e := q.pick(now)
+	if e == nil {
+		return Job{}, false
+	}
+	e.org.observe(now)
+	e.org.running++
 	q.detach(e)
 	e.running = true
 	e.at = now.Add(milliseconds(e.work))
@@ -208,28 +229,40 @@
 	return e.job, true
 }
 
-// pick chooses the level and lets it choose the entry.
+// pick takes out the next entry; nil when all that wait are held.
 func (q *Queue) pick(now time.Time) *entry {
-	if q.patient.active == 0 {
-		return q.urgent.pick()
-	}
-	if q.urgent.active == 0 {
-		return q.patient.pick()
-	}
 	if !q.aged(now) {
 		q.agedBalance = 0
-		return q.urgent.pick()
+		return firstOf(&q.urgent, &q.patient)
 	}
+	contended := len(q.urgent.active) > 0 && len(q.patient.active) > 0
+	first, second := &q.patient, &q.urgent
 	if q.agedBalance < 0 {
-		e := q.urgent.pick()
-		q.agedBalance += e.work
-		return e
+		first, second = second, first
+	}
+	e := firstOf(first, second)
+	if e != nil && contended {
+		q.balance(e)
 	}
-	e := q.patient.pick()
-	q.agedBalance -= e.work
 	return e
 }
 
+func firstOf(first, second *level) *entry {
+	if e := first.pick(); e != nil {
+		return e
+	}
+	return second.pick()
+}
+
+// balance accounts for an entry that was picked while both levels waited.
+func (q *Queue) balance(e *entry) {
+	if q.level(e.job.Urgency) == &q.patient {
+		q.agedBalance -= e.work
+	} else {
+		q.agedBalance += e.work
+	}
+}
+
 // aged reports whether a patient attempt has waited for the ageing bound.
 func (q *Queue) aged(now time.Time) bool {
 	oldest := q.patientAge.head
@@ -257,6 +290,9 @@
 	q.correction.observe(e.job.Kind, e.job.Work, actual)
 	q.ends.remove(e)
 	q.running--
+	e.org.observe(q.now)
+	e.org.running--
+	q.releaseOrganisation(e.org)
 	delete(q.entries, attempt)
 	q.release(e)
 	return true
--- a/internal/admission/entries.go
+++ b/internal/admission/entries.go
@@ -20,18 +20,28 @@
 	index int
 }
 
-// organisation holds the waiting entries of one organisation.
+// organisation is one organisation that has entries or sent a job lately.
 type organisation struct {
 	name    string
 	queued  int
-	urgent  flow
-	patient flow
-	free    *organisation
+	running int
+	share   float64
+	// seen is the time of its last job, by which listed organisations are linked.
+	seen           time.Time
+	listed         bool
+	earlier, later *organisation
+	// usage is the mean number of slots held lately, as of observed.
+	usage    float64
+	observed time.Time
+	urgent   flow
+	patient  flow
+	free     *organisation
 }
 
 // enqueue adds a job to the tail of its organisation's flow.
-func (q *Queue) enqueue(job Job) {
+func (q *Queue) enqueue(now time.Time, job Job) {
 	org := q.organisation(job.Organisation)
+	q.recent.touch(org, job.Share, now)
 	org.queued++
 	q.queued++
 	e := q.newEntry()
@@ -61,12 +71,25 @@
 	q.deadlines.remove(e)
 	q.queued--
 	e.org.queued--
-	if e.org.queued == 0 {
-		delete(q.organisations, e.org.name)
-		*e.org = organisation{free: q.freeOrgs}
-		q.freeOrgs = e.org
+	e.flow = nil
+	q.releaseOrganisation(e.org)
+}
+
+// flowForgotten takes a flow that its level no longer remembers.
+func (q *Queue) flowForgotten(f *flow) {
+	f.tag = 0
+	q.releaseOrganisation(f.org)
+}
+
+// releaseOrganisation forgets an organisation that has no entries, sent nothing lately and has no
+// remembered flow.
+func (q *Queue) releaseOrganisation(org *organisation) {
+	if org.queued+org.running > 0 || org.listed || org.urgent.index >= 0 || org.patient.index >= 0 {
+		return
 	}
-	e.org, e.flow = nil, nil
+	delete(q.organisations, org.name)
+	*org = organisation{free: q.freeOrgs}
+	q.freeOrgs = org
 }
 
 func (q *Queue) organisation(name string) *organisation {
@@ -81,6 +104,8 @@
 		q.freeOrgs = org.free
 	}
 	*org = organisation{name: name}
+	org.urgent = flow{org: org, index: -1}
+	org.patient = flow{org: org, index: -1}
 	q.organisations[name] = org
 	return org
 }
--- /dev/null
+++ b/internal/admission/isolation_test.go
@@ -0,0 +1,178 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// The simulated backend server and its load.
+const (
+	simSlots         = 16
+	simOrganisations = 10
+	simLength        = 10 * time.Minute
+	prefillMS        = 300.0
+	decodeMS         = 500.0
+)
+
+// arrival is one job of the trace.
+type arrival struct {
+	at           time.Time
+	organisation string
+}
+
+// trace returns Poisson arrivals of ten organisations of equal share, of which the first sends
+// factor times its share. Load is the part of the capacity that they use when all send their share.
+// The other arrivals are the same for every factor.
+func trace(seed uint64, load, factor float64) []arrival {
+	var all []arrival
+	perSecond := load * simSlots * 1000 / (prefillMS + decodeMS) / simOrganisations
+	for i := range simOrganisations {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		rate := perSecond
+		if i == 0 {
+			rate *= factor
+		}
+		for at := start; at.Sub(start) < simLength; {
+			at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second)))
+			all = append(all, arrival{at: at, organisation: fmt.Sprintf("org-%d", i)})
+		}
+	}
+	slices.SortFunc(all, func(a, b arrival) int { return a.at.Compare(b.at) })
+	return all
+}
+
+// runEnd is the end of a simulated run.
+type runEnd struct {
+	at  time.Time
+	job Job
+}
+
+type runEnds []runEnd
+
+func (r runEnds) Len() int           { return len(r) }
+func (r runEnds) Less(i, j int) bool { return r[i].at.Before(r[j].at) }
+func (r runEnds) Swap(i, j int)      { r[i], r[j] = r[j], r[i] }
+func (r *runEnds) Push(x any)        { *r = append(*r, x.(runEnd)) }
+
+func (r *runEnds) Pop() any {
+	last := (*r)[len(*r)-1]
+	*r = (*r)[:len(*r)-1]
+	return last
+}
+
+// result is what a simulation shows of one organisation.
+type result struct {
+	ttft    []float64 // milliseconds
+	refused int       // at once
+	expired int       // after waiting
+}
+
+// simulate runs a trace in virtual time and returns the results by organisation.
+func simulate(arrivals []arrival) map[string]*result {
+	results := make(map[string]*result)
+	for i := range simOrganisations {
+		results[fmt.Sprintf("org-%d", i)] = &result{}
+	}
+	q := New(DefaultConfig(simSlots))
+	ends := &runEnds{}
+	begin := func(now time.Time) {
+		for _, job := range q.Expired(now) {
+			results[job.Organisation].expired++
+		}
+		for job, ok := q.Next(now); ok; job, ok = q.Next(now) {
+			r := results[job.Organisation]
+			r.ttft = append(r.ttft, now.Sub(job.Enqueued).Seconds()*1000+prefillMS)
+			heap.Push(ends, runEnd{at: now.Add(milliseconds(job.Work)), job: job})
+		}
+	}
+	for i, a := range arrivals {
+		for len(*ends) > 0 && !(*ends)[0].at.After(a.at) {
+			end := heap.Pop(ends).(runEnd)
+			q.Done(end.job.Attempt, end.job.Work)
+			begin(end.at)
+		}
+		verdict := q.Offer(a.at, Job{
+			Attempt: attempt(uint64(i + 1)), Organisation: a.organisation, Kind: "trace",
+			Urgency: wire.Urgency_URGENCY_URGENT, Work: prefillMS + decodeMS,
+			FirstToken: milliseconds(prefillMS), Deadline: a.at.Add(5 * time.Second),
+		})
+		if !verdict.Accepted {
+			results[a.organisation].refused++
+		}
+		begin(a.at)
+	}
+	return results
+}
+
+func percentile(values []float64, share float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[int(share*float64(len(sorted)-1))]
+}
+
+// TestTenfoldOrganisationLeavesOthersTheirP95 lets one organisation send ten times its share and
+// compares the p95 time to the first token of the others with that at its share.
+func TestTenfoldOrganisationLeavesOthersTheirP95(t *testing.T) {
+	for _, load := range []float64{0.5, 0.65, 0.8} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			c := qt.New(t)
+			ordinary := simulate(trace(11, load, 1))
+			greedy := simulate(trace(11, load, 10))
+			worst := -1.0
+			for i := 1; i < simOrganisations; i++ {
+				name := fmt.Sprintf("org-%d", i)
+				moved := percentile(greedy[name].ttft, 0.95)/percentile(ordinary[name].ttft, 0.95) - 1
+				worst = max(worst, moved)
+				c.Check(moved <= 0.1, qt.IsTrue, qt.Commentf("%s: p95 moved by %+.1f%%", name, 100*moved))
+				c.Check(greedy[name].refused+greedy[name].expired, qt.Equals, 0)
+			}
+			large := greedy["org-0"]
+			t.Logf("p95 moved by %+.1f%% at most; the greedy organisation had %d runs, %d refused at once, %d after waiting",
+				100*worst, len(large.ttft), large.refused, large.expired)
+			// Nine refusals in ten come before any waiting.
+			c.Check(9*large.expired <= large.refused, qt.IsTrue)
+			c.Check(len(large.ttft) > len(ordinary["org-0"].ttft), qt.IsTrue)
+		})
+	}
+}
+
+// TestHeadroomEndsWithTheDemandOfOthers checks that an organisation that is alone uses all slots.
+func TestHeadroomEndsWithTheDemandOfOthers(t *testing.T) {
+	c := qt.New(t)
+	q := New(DefaultConfig(simSlots))
+	now := start
+	var next uint64
+	offer := func(organisation string) {
+		next++
+		q.Offer(now, Job{Attempt: attempt(next), Organisation: organisation, Work: 1e6})
+	}
+	fill := func() {
+		for _, ok := q.Next(now); ok; _, ok = q.Next(now) {
+		}
+	}
+	for i := range 4 {
+		offer(fmt.Sprintf("small-%d", i))
+	}
+	fill()
+	now = now.Add(usageMemory)
+	for range simSlots {
+		offer("large")
+	}
+	fill()
+	c.Assert(q.Running() < simSlots, qt.IsTrue)
+	c.Assert(q.Running() >= simSlots/2, qt.IsTrue)
+	for i := range 4 {
+		q.Done(attempt(uint64(i+1)), 0)
+	}
+	now = now.Add(recentFor + time.Second)
+	q.Offer(now, Job{Attempt: attempt(1 << 40), Organisation: "large", Work: 1e6})
+	fill()
+	c.Assert(q.Running(), qt.Equals, simSlots)
+}
--- a/internal/admission/predict.go
+++ b/internal/admission/predict.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -11,6 +10,10 @@
 // maxReservations bounds the probes that hold a place at one time.
 const maxReservations = 4096
 
+// heldMargin covers that the slots of an organisation above its share vary: it rather learns at once
+// that its job would be late.
+const heldMargin = 1.25
+
 // ReservationID names the place that a probe reply holds for a request. Zero means none.
 type ReservationID uint64
 
@@ -22,7 +25,8 @@
 	if q.running+q.queued+q.reservations.count() < q.config.Slots {
 		return 0
 	}
-	return q.untilFree(now) + q.perSlot(q.ahead(now, job)+q.reservedAhead(job))
+	wait := q.untilFree(now) + q.perSlot(q.ahead(now, job)+q.reservedAhead(job))
+	return max(wait, q.heldWait(now, job))
 }
 
 // wait returns how long job would wait without regard to reservations.
@@ -30,7 +34,23 @@
 	if q.running+q.queued < q.config.Slots {
 		return 0
 	}
-	return q.untilFree(now) + q.perSlot(q.ahead(now, job))
+	return max(q.untilFree(now)+q.perSlot(q.ahead(now, job)), q.heldWait(now, job))
+}
+
+// heldWait returns how long an organisation above its share of the slots needs for what it has
+// waiting, with the slots that it has had lately.
+func (q *Queue) heldWait(now time.Time, job Job) time.Duration {
+	org := q.organisations[job.Organisation]
+	own := org.flowOf(job.Urgency)
+	if own == nil || own.count == 0 {
+		return 0
+	}
+	q.now = now
+	org.observe(now)
+	if org.usage <= q.fairSlots(org) || q.headroom() == 0 {
+		return 0
+	}
+	return milliseconds(heldMargin * own.work / org.usage)
 }
 
 // perSlot returns the time that all slots together need for work in milliseconds.
@@ -40,29 +60,28 @@
 
 // ahead returns the waiting work in milliseconds that would start before job.
 func (q *Queue) ahead(now time.Time, job Job) float64 {
-	work := q.correction.correct(job.Kind, job.Work)
 	own := q.organisations[job.Organisation].flowOf(job.Urgency)
 	if job.Urgency == wire.Urgency_URGENCY_PATIENT {
-		patient := q.patient.ahead(own, job.Share, work)
+		patient := q.patient.ahead(own, job.Share)
 		ageing := float64(q.config.PatientAgeing/time.Millisecond) * float64(q.config.Slots)
 		return patient + min(q.urgent.work, ageing+patient)
 	}
-	urgent := q.urgent.ahead(own, job.Share, work)
+	urgent := q.urgent.ahead(own, job.Share)
 	if !q.aged(now) {
 		return urgent
 	}
 	return urgent + min(q.patient.work, urgent)
 }
 
-// reservedAhead returns the reserved work in milliseconds that may start before job. Like waiting
-// work it is bounded by the rounds that job waits, so that one organisation's probes cannot move
-// another's prediction without bound.
+// reservedAhead returns the reserved work in milliseconds that may start before job: at most as much
+// for each organisation with reservations as job has itself, so that one organisation's probes
+// cannot move another's prediction without bound.
 func (q *Queue) reservedAhead(job Job) float64 {
-	rounds := math.Ceil(q.correction.correct(job.Kind, job.Work) / (q.config.Quantum * job.Share))
-	return min(q.reservations.work, rounds*q.config.Quantum*float64(len(q.reservations.organisations)))
+	own := q.correction.correct(job.Kind, job.Work) / job.Share
+	return min(q.reservations.work, own*float64(len(q.reservations.organisations)))
 }
 
-// flowOf returns the flow of an urgency; nil when the organisation has nothing waiting there.
+// flowOf returns the flow of an urgency; nil when the organisation is not known.
 func (o *organisation) flowOf(urgency wire.Urgency) *flow {
 	if o == nil {
 		return nil
@@ -71,9 +90,6 @@
 	if urgency == wire.Urgency_URGENCY_PATIENT {
 		f = &o.patient
 	}
-	if f.count == 0 {
-		return nil
-	}
 	return f
 }
 
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -255,7 +255,7 @@
 // schedule refuses what is too late and starts what has a free slot.
 func (a *Agent) schedule(now time.Time) {
 	for _, late := range a.state.queue.Expired(now) {
-		a.expire(attempt.ID(late.Attempt))
+		a.expire(attempt.ID(late.Attempt), a.state.queue.Predict(now, late))
 	}
 	for {
 		next, ok := a.state.queue.Next(now)
@@ -266,7 +266,12 @@
 	}
 }
 
-func (a *Agent) expire(id attempt.ID) {
+// minExpiredRetryAfter is the least that the caller of an expired attempt is told to wait.
+const minExpiredRetryAfter = 200 * time.Millisecond
+
+// expire refuses an attempt that did not start in time; wait is how long one that came now would
+// wait.
+func (a *Agent) expire(id attempt.ID, wait time.Duration) {
 	j := a.state.jobs[id]
 	if j == nil {
 		return
@@ -276,7 +281,7 @@
 	a.refuseJob(j, refusal{
 		reason:     wire.RefusalReason_REFUSAL_REASON_DEADLINE,
 		message:    "the deadline can't be met any more",
-		retryAfter: time.Second,
+		retryAfter: max(wait, minExpiredRetryAfter),
 	})
 }
 
