--- a/internal/transfer/mover.go
+++ b/internal/transfer/mover.go
@@ -175,6 +175,7 @@
 			delete(m.stores, id)
 		}
 	}
+	m.pumpExports()
 }
 
 // Close closes the connections to the stores.
@@ -203,6 +204,16 @@
 	return best
 }
 
+// anyStore reports whether there is a store that is not suspended.
+func (m *Mover) anyStore(now time.Time) bool {
+	for _, member := range m.stores {
+		if !member.client.Suspended(now) {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Mover) nearer(a, b *storeMember, key uint64) bool {
 	aLocal, bLocal := a.failureDomain == m.settings.FailureDomain, b.failureDomain == m.settings.FailureDomain
 	if aLocal != bLocal {
@@ -211,6 +222,13 @@
 	return rendezvous.Weight(key, a.hash) > rendezvous.Weight(key, b.hash)
 }
 
+// remember adds a location. The agent stops vouching for one that gives way to it.
+func (m *Mover) remember(location Location, value float64, now time.Time) {
+	if dropped, ok := m.locations.Add(location, value, now); ok && dropped.Own {
+		m.observer.Lost(dropped)
+	}
+}
+
 // usable reports whether a location's store is live and not suspended.
 func (m *Mover) usable(location Location, now time.Time) bool {
 	member := m.stores[location.Store]
