--- /dev/null
+++ b/internal/limits/bench_test.go
@@ -0,0 +1,120 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/grpcpool"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+var benchLimit = Limit{Requests: 1e6, Tokens: 1e9}
+
+func BenchmarkSpend(b *testing.B) {
+	s := NewSpender()
+	names := make([]string, 1000)
+	for i := range names {
+		names[i] = fmt.Sprintf("organisation-%d", i)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		s.Spend(start, names[i%len(names)], benchLimit, 100)
+	}
+}
+
+func BenchmarkDueOfAThousandOrganisations(b *testing.B) {
+	s := NewSpender()
+	for i := range 1000 {
+		s.Spend(start, fmt.Sprintf("organisation-%d", i), benchLimit, 100)
+	}
+	s.Due(start)
+	for b.Loop() {
+		s.Due(start)
+	}
+}
+
+func BenchmarkHomeDraw(b *testing.B) {
+	h := NewHome()
+	names := make([]string, 3100)
+	for i := range names {
+		names[i] = fmt.Sprintf("entry-%d", i)
+	}
+	i, now := 0, start
+	for b.Loop() {
+		i++
+		now = now.Add(5 * time.Millisecond)
+		h.Draw(now, Draw{From: names[i%len(names)], Organisation: "large", Want: Amount{Requests: 30, Tokens: 3000}}, benchLimit)
+	}
+}
+
+func BenchmarkDrawOverTheWire(b *testing.B) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	pool := grpcpool.New(1)
+	defer pool.Close()
+	limiter := NewLimiter(Options{
+		Self:        "entry-0",
+		Entries:     func() []Entry { return nil },
+		LimitOf:     func(string) Limit { return benchLimit },
+		Connections: pool,
+	})
+	server := grpc.NewServer()
+	wire.RegisterQuotaServer(server, limiter)
+	go func() { _ = server.Serve(listener) }()
+	defer server.Stop()
+	home := Entry{Instance: "entry-0", ControlAddress: listener.Addr().String()}
+	draw := Draw{From: "entry-1", Organisation: "large", Want: Amount{Requests: 3}}
+	for b.Loop() {
+		if _, err := limiter.drawFrom(context.Background(), home, draw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// heapOf returns the bytes that build keeps on the heap for each of count items.
+func heapOf(count int, build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc-before.HeapAlloc) / float64(count)
+}
+
+func BenchmarkBytesPerAccount(b *testing.B) {
+	const count = 10000
+	for b.Loop() {
+		b.ReportMetric(heapOf(count, func() any {
+			s := NewSpender()
+			for i := range count {
+				s.Spend(start, fmt.Sprintf("organisation-%d", i), benchLimit, 100)
+			}
+			return s
+		}), "bytes/organisation")
+	}
+}
+
+func BenchmarkBytesPerDrawer(b *testing.B) {
+	const count = 10000
+	for b.Loop() {
+		b.ReportMetric(heapOf(count, func() any {
+			h := NewHome()
+			for i := range count {
+				h.Draw(start, Draw{From: fmt.Sprintf("entry-%d", i), Organisation: "large"}, benchLimit)
+			}
+			return h
+		}), "bytes/drawer")
+	}
+}
