--- /dev/null
+++ b/internal/systemtest/changes/rollout_test.go
@@ -0,0 +1,148 @@
+package changes
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/rollout"
+	"balsamyoke.example/balsamyoke/internal/testbed"
+)
+
+const (
+	// swapWithin allows three rounds of two loads and the looks in between.
+	swapWithin = 15 * time.Second
+	// takeoverWithin adds the end of the lease and the time after which an unreachable replica's
+	// load must have ended, twice.
+	takeoverWithin = swapWithin + 2*rollout.DefaultLongestLoad + 10*time.Second
+	// noticedWithin is when an agent must know that its engine has swapped; it asks every 250 ms.
+	// Until then it may admit a request that the engine runs on the version it still keeps.
+	noticedWithin = time.Second
+	// pastLease is longer than the rollout lease.
+	pastLease = 8 * time.Second
+)
+
+// holder returns the agent that holds the rollout lease and its fencing number.
+func (f *fleet) holder() (*testbed.Instance, uint64) {
+	record, err := f.kv.Get(f.ctx, rollout.Key("assistant"))
+	if err != nil {
+		return nil, 0
+	}
+	name, _, _ := strings.Cut(string(record.Value), "/")
+	for _, agent := range f.Service("assistant") {
+		if agent.ID == name {
+			return agent, uint64(record.CreateRevision)
+		}
+	}
+	return nil, 0
+}
+
+func (f *fleet) awaitHolder() (*testbed.Instance, uint64) {
+	for began := time.Now(); ; time.Sleep(lookInterval) {
+		if agent, fence := f.holder(); agent != nil {
+			return agent, fence
+		}
+		f.c.Assert(time.Since(began) < takeoverWithin, qt.IsTrue)
+	}
+}
+
+// awaitLoads waits until a replica loads.
+func (f *fleet) awaitLoads() {
+	for began := time.Now(); ; time.Sleep(lookInterval / 10) {
+		for _, agent := range f.Service("assistant") {
+			if f.engine(agent).Loading != "" {
+				return
+			}
+		}
+		f.c.Assert(time.Since(began) < swapWithin, qt.IsTrue)
+	}
+}
+
+// order is one order that an engine obeyed.
+type order struct {
+	Fence         uint64 `json:"fence"`
+	WeightVersion string `json:"weight_version"`
+}
+
+// checkOrders checks that no engine obeyed an older fencing number after a newer one.
+func (f *fleet) checkOrders() {
+	for _, agent := range f.Service("assistant") {
+		var orders []order
+		f.c.Assert(testbed.Call(f.ctx, "GET", agent.BackendAddress, "/admin/orders", nil, &orders), qt.IsNil)
+		for i := 1; i < len(orders); i++ {
+			f.c.Check(orders[i].Fence >= orders[i-1].Fence, qt.IsTrue, qt.Commentf("%s obeyed %+v", agent.ID, orders))
+		}
+	}
+	f.c.Check(f.mostLoads() <= maxLoads, qt.IsTrue, qt.Commentf("%d loads at once", f.mostLoads()))
+}
+
+// Every request during the swap is answered whole by one version; none that begins after all agents
+// must have noticed that their engines have swapped uses the old one.
+func TestWeightSwapUnderLoadCutsNobodyOff(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c)
+	f.awaitVersion(1, inForceWithin)
+	callers := f.startCallers(f.Role(platform.RoleEntry))
+	time.Sleep(time.Second)
+	f.apply(1, "w2")
+	f.awaitServing(f.Service("assistant"), "w2", swapWithin)
+	swapped := time.Now().Add(noticedWithin)
+	time.Sleep(2 * noticedWithin)
+	callers.stop()
+	counts := callers.check(swapped, "w1", "w2")
+	c.Check(counts["w1"] > 0, qt.IsTrue)
+	c.Check(counts["w2"] > 0, qt.IsTrue)
+	f.checkOrders()
+}
+
+func TestHolderFrozenPastItsLeaseIsReplacedAndDoesNoHarmWhenItWakes(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c)
+	f.awaitVersion(1, inForceWithin)
+	first, fence := f.awaitHolder()
+	f.apply(1, "w2")
+	f.awaitLoads()
+	first.Process.Freeze()
+	frozen := time.Now()
+	others := without(f.Service("assistant"), first)
+	f.awaitServing(others, "w2", takeoverWithin)
+	second, next := f.awaitHolder()
+	c.Assert(second.ID, qt.Not(qt.Equals), first.ID)
+	c.Assert(next > fence, qt.IsTrue)
+	time.Sleep(max(0, pastLease-time.Since(frozen)))
+	first.Process.Thaw()
+	f.apply(2, "w3")
+	f.awaitServing(f.Service("assistant"), "w3", takeoverWithin)
+	f.checkOrders()
+}
+
+func TestKilledHolderAndLoaderAreMadeGood(t *testing.T) {
+	c := qt.New(t)
+	f := startFleet(c)
+	f.awaitVersion(1, inForceWithin)
+	first, _ := f.awaitHolder()
+	callers := f.startCallers(f.Role(platform.RoleEntry))
+	f.apply(1, "w2")
+	f.awaitLoads()
+	first.Process.Kill()
+	f.awaitServing(without(f.Service("assistant"), first), "w2", takeoverWithin)
+	c.Assert(f.Restart(first), qt.IsNil)
+	f.awaitServing(f.Service("assistant"), "w2", takeoverWithin)
+	callers.stop()
+	callers.check(time.Now(), "w1", "w2")
+	f.checkOrders()
+	c.Assert(f.Role(platform.RoleAgent), qt.HasLen, replicas+3)
+}
+
+func without(agents []*testbed.Instance, left *testbed.Instance) []*testbed.Instance {
+	var kept []*testbed.Instance
+	for _, agent := range agents {
+		if agent != left {
+			kept = append(kept, agent)
+		}
+	}
+	return kept
+}
