Write the invariants and slopes of configuration and rollout

The pace of a rollout's holder is 50 calls/s now: a status call is 190 bytes of payload and about 400 with packet headers, so 60 a second were 24 KB/s of the 25 allowed.

--- /dev/null
+++ b/internal/config/slope_test.go
@@ -0,0 +1,243 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"golang.org/x/time/rate"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// The size to design for.
+const (
+	designOrganisations = 1000
+	designServices      = 5
+)
+
+// large returns a manifest of the size to design for; one organisation differs with n.
+func large(n int) *manifest.Manifest {
+	m := &manifest.Manifest{Deployment: "large"}
+	for i := range designOrganisations {
+		name := fmt.Sprintf("organisation-%04d", i)
+		m.Organisations = append(m.Organisations, manifest.Organisation{
+			Name:              name,
+			KeyDigests:        []string{manifest.KeyDigest(name + "/1"), manifest.KeyDigest(name + "/2")},
+			RequestsPerSecond: 100,
+			TokensPerSecond:   40000,
+		})
+	}
+	m.Organisations[0].RequestsPerSecond = 100 + float64(n)
+	for i := range designServices {
+		service := fmt.Sprintf("model-%d", i)
+		m.Services = append(m.Services, manifest.Service{
+			Name: service, Type: manifest.ServiceModel, WeightVersion: "w1", MaxConcurrentLoads: 30,
+		})
+		m.Kinds = append(m.Kinds, manifest.Kind{
+			Name: "chat", Service: service, Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 850,
+		})
+	}
+	return m
+}
+
+// A change of one organisation of 1,000 must stay within a second's budget of 25 KB.
+func TestDeltaOfASmallChangeStaysInTheBudget(t *testing.T) {
+	c := qt.New(t)
+	const budget = 25 << 10 // bytes
+	holder := NewHolder()
+	_, err := holder.Offer(mustBundle(t, 1, large(1)))
+	c.Assert(err, qt.IsNil)
+	next := NewHolder()
+	_, err = next.Offer(mustBundle(t, 2, large(2)))
+	c.Assert(err, qt.IsNil)
+	delta := next.Delta(holder.Digests())
+	c.Assert(delta.Documents, qt.HasLen, 1)
+	c.Assert(int(delta.bytes()) < budget, qt.IsTrue, qt.Commentf("%d bytes", delta.bytes()))
+}
+
+// countingListener counts the bytes of all its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: conn, bytes: &l.bytes}, nil
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// startServer serves a holder's configuration and counts bytes.
+func startServer(b *testing.B, holder *Holder) *countingListener {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(b, err, qt.IsNil)
+	listener := &countingListener{Listener: inner}
+	spread := NewSpread(SpreadOptions{Holder: holder, Peers: &listed{}})
+	spread.limiter.SetLimit(rate.Inf)
+	server := grpc.NewServer()
+	wire.RegisterConfigurationServer(server, spread.Server())
+	go func() { _ = server.Serve(listener) }()
+	b.Cleanup(server.Stop)
+	return listener
+}
+
+// BenchmarkExchange reports the bytes of one comparison of versions on a kept connection.
+func BenchmarkExchange(b *testing.B) {
+	holder := NewHolder()
+	_, err := holder.Offer(mustBundle(b, 1, sample(1)))
+	qt.Assert(b, err, qt.IsNil)
+	holder.Confirm(1)
+	listener := startServer(b, holder)
+	messenger := NewGRPCMessenger()
+	defer messenger.Close()
+	request := &wire.NotifyRequest{Version: 1, Digest: holder.Current().Digest, From: "127.0.0.1:10000"}
+	call := func() {
+		_, err := messenger.Notify(context.Background(), listener.Addr().String(), request)
+		qt.Assert(b, err, qt.IsNil)
+	}
+	call()
+	before := listener.bytes.Load()
+	calls := 0
+	for b.Loop() {
+		call()
+		calls++
+	}
+	b.ReportMetric(float64(listener.bytes.Load()-before)/float64(calls), "wirebytes/op")
+}
+
+// BenchmarkExchangeOnANewConnection reports the bytes with setting the connection up.
+func BenchmarkExchangeOnANewConnection(b *testing.B) {
+	holder := NewHolder()
+	listener := startServer(b, holder)
+	calls := 0
+	for b.Loop() {
+		messenger := NewGRPCMessenger()
+		_, err := messenger.Notify(context.Background(), listener.Addr().String(), &wire.NotifyRequest{Version: 1})
+		qt.Assert(b, err, qt.IsNil)
+		messenger.Close()
+		calls++
+	}
+	b.ReportMetric(float64(listener.bytes.Load())/float64(calls), "wirebytes/op")
+}
+
+// BenchmarkPullOfOneChange reports the bytes of one pull after one of 1,000 organisations changed,
+// and the time to put it in force.
+func BenchmarkPullOfOneChange(b *testing.B) {
+	ahead := NewHolder()
+	_, err := ahead.Offer(mustBundle(b, 2, large(2)))
+	qt.Assert(b, err, qt.IsNil)
+	behind := mustBundle(b, 1, large(1))
+	listener := startServer(b, ahead)
+	messenger := NewGRPCMessenger()
+	defer messenger.Close()
+	calls := 0
+	for b.Loop() {
+		b.StopTimer()
+		holder := NewHolder()
+		_, err := holder.Offer(behind)
+		qt.Assert(b, err, qt.IsNil)
+		request := &wire.PullRequest{HaveVersion: 1, HaveDigests: shorten(holder.Digests())}
+		b.StartTimer()
+		reply, err := messenger.Pull(context.Background(), listener.Addr().String(), request)
+		qt.Assert(b, err, qt.IsNil)
+		_, err = holder.Offer(fromReply(reply))
+		qt.Assert(b, err, qt.IsNil)
+		calls++
+	}
+	b.ReportMetric(float64(listener.bytes.Load())/float64(calls), "wirebytes/op")
+}
+
+// BenchmarkMemoryOfAConfiguration reports the heap that a process needs for 1,000 organisations.
+func BenchmarkMemoryOfAConfiguration(b *testing.B) {
+	var before, after runtime.MemStats
+	for b.Loop() {
+		bundle := mustBundle(b, 1, large(1))
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		holder := NewHolder()
+		_, err := holder.Offer(bundle)
+		qt.Assert(b, err, qt.IsNil)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		runtime.KeepAlive(holder)
+		runtime.KeepAlive(bundle)
+	}
+	documents := 0
+	for _, content := range mustBundle(b, 1, large(1)).Documents {
+		documents += len(content)
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)+float64(documents), "heapbytes")
+}
+
+// BenchmarkChangeInAFleet reports the calls of one change per process in a fleet of 300.
+func BenchmarkChangeInAFleet(b *testing.B) {
+	const processes, domains = 300, 6
+	fleet := newCluster(1, processes, domains)
+	version := uint64(1)
+	fleet.apply(b, version)
+	now := time.Unix(0, 0)
+	fleet.round(now)
+	calls := fleet.kv.Calls().Get
+	before := fleet.stats()
+	changes, rounds := 0, 0
+	for b.Loop() {
+		version++
+		fleet.apply(b, version)
+		for _, n := range fleet.nodes {
+			if watches(n.peer, n.Peers(0)) {
+				n.spread.readRoot(context.Background())
+			}
+		}
+		for fleet.behind(version) > 0 {
+			now = now.Add(exchangeInterval)
+			fleet.round(now)
+			rounds++
+		}
+		changes++
+	}
+	after := fleet.stats()
+	each := float64(changes * processes)
+	b.ReportMetric(float64(rounds)/float64(changes), "rounds/change")
+	exchanges := float64(rounds * processes)
+	b.ReportMetric((float64(after.Notifies-before.Notifies)-exchanges)/each, "notifies/process")
+	b.ReportMetric(float64(after.Pulls-before.Pulls)/each, "pulls/process")
+	b.ReportMetric(float64(fleet.kv.Calls().Get-calls)/float64(changes), "kvreads/change")
+}
+
+func (c *cluster) stats() SpreadStats {
+	var total SpreadStats
+	for _, n := range c.nodes {
+		stats := n.spread.Stats()
+		total.Notifies += stats.Notifies
+		total.Pulls += stats.Pulls
+		total.RootReads += stats.RootReads
+	}
+	return total
+}
--- a/internal/rollout/session.go
+++ b/internal/rollout/session.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// Pace of a holder's calls to replicas. A status call with its answer is about 300 bytes on a kept
-// connection, so the pace stays under the budget of 25 KB/s.
+// Pace of a holder's calls to replicas. A status call with its answer is about 400 bytes on a kept
+// connection, packet headers with it, so the pace stays under the budget of 25 KB/s.
 const (
-	callsPerSecond = 60.0
+	callsPerSecond = 50.0
 	callBurst      = 20.0
 	// loadingInterval is the time between two status calls to a replica that counts as loading.
 	loadingInterval = 500 * time.Millisecond
