Ask for the stores' pieces before a request is refused for its deadline

Cause: admission estimated the time to the first token from computing what the engine lacks, so a prompt that stores could bring in time was refused. A system test saw a kind with a deadline of 500 ms refused until the test's minute ended, on the replicas left after the first was killed; now it has its first token after 60 ms with 2% recomputed.

The estimate counts the best fetch from known stores. When the deadline can't be met and the stores aren't known, the directory is asked before admission; the attempt is not in the run table meanwhile, so a question or a cancel poisons it as before, and it is left out when its entry is gone.

--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/cacheindex"
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
@@ -131,18 +132,6 @@
 	}
 }
 
-// cachedPieces returns how many leading pieces of a dispatch the engine is believed to hold.
-func (a *Agent) cachedPieces(d *wire.Dispatch, now time.Time) int {
-	if a.cache == nil {
-		return 0
-	}
-	names, err := piece.NamesFromBytes(d.GetPieces())
-	if err != nil {
-		return 0
-	}
-	return a.cache.index.Prefix(names, now)
-}
-
 // prompt describes a dispatch to the mover. The queue is the time until the run could start.
 func (a *Agent) prompt(d *wire.Dispatch, queue time.Duration, now time.Time) (transfer.Prompt, bool) {
 	names, err := piece.NamesFromBytes(d.GetPieces())
@@ -164,6 +153,17 @@
 	}, true
 }
 
+// locateFirst looks up the stores of a prompt, and then calls next on the control goroutine, when
+// the deadline can't be met without them and they are not known. Otherwise it returns false.
+func (a *Agent) locateFirst(d *wire.Dispatch, now time.Time, next func()) bool {
+	wait := a.state.queue.Predict(now, a.queueJob(attempt.ID{}, d, now)) + a.state.prompts.wait(d.GetUrgency(), now)
+	prompt, ok := a.prompt(d, wait, now)
+	if !ok || a.cache.mover.Estimate(prompt, now).FirstToken <= prompt.Deadline {
+		return false
+	}
+	return a.cache.mover.Locate(prompt, next)
+}
+
 // answerCache adds to a probe reply what the engine holds and what could be fetched.
 func (a *Agent) answerCache(answer *wire.ProbeReply, asked *wire.Dispatch, now time.Time) {
 	queue := time.Duration(answer.GetPredictedStartMs()) * time.Millisecond
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -95,7 +95,28 @@
 		go a.catchUp(conn, d, from)
 		return
 	}
-	if reason, message := a.mismatch(d, current); reason != wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
+	a.consider(conn, id, d)
+}
+
+// consider refuses an attempt that must not run here and admits any other. One that could not meet
+// its deadline by computing its prompt is admitted after the stores that hold it are known.
+func (a *Agent) consider(conn *transport.Conn, id attempt.ID, d *wire.Dispatch) {
+	if reason, message := a.mismatch(d, a.configVersion()); reason != wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
+		a.refuse(conn, id, d, refusal{reason: reason, message: message})
+		return
+	}
+	if !a.locateFirst(d, time.Now(), func() { a.considerLocated(conn, id, d) }) {
+		a.admit(conn, id, d)
+	}
+}
+
+// considerLocated goes on after the stores of a prompt were looked up. An attempt whose entry is
+// gone is left out; a question about it then poisons it.
+func (a *Agent) considerLocated(conn *transport.Conn, id attempt.ID, d *wire.Dispatch) {
+	if _, open := a.state.conns[conn]; !open {
+		return
+	}
+	if reason, message := a.mismatch(d, a.configVersion()); reason != wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
 		a.refuse(conn, id, d, refusal{reason: reason, message: message})
 		return
 	}
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -114,8 +114,10 @@
 	}
 	prefill := time.Duration(a.settings.PrefillMicrosPerToken) * time.Microsecond
 	decode := time.Duration(a.settings.DecodeMicrosPerToken) * time.Microsecond
-	cached := min(d.GetPromptTokens(), uint32(a.cachedPieces(d, now)*a.pieceTokens()))
-	firstToken = time.Duration(d.GetPromptTokens()-cached) * prefill
+	firstToken = time.Duration(d.GetPromptTokens()) * prefill
+	if prompt, ok := a.prompt(d, 0, now); ok {
+		firstToken = a.cache.mover.Estimate(prompt, now).FirstToken
+	}
 	left := d.GetMaxTokens() - min(d.GetMaxTokens(), d.GetResumeTokens())
 	return firstToken, firstToken + time.Duration(left)*decode
 }
--- a/internal/systemtest/returning/returning_test.go
+++ b/internal/systemtest/returning/returning_test.go
@@ -32,8 +32,10 @@
 	cachePieces  = 20
 	// prefillTokensPerSecond makes the first turn take about 0.8 s.
 	prefillTokensPerSecond = 10000
-	organisationA          = "ridge"
-	organisationB          = "flue"
+	// rush is a kind whose deadline leaves no time to compute the prompt.
+	rush          = "rush"
+	organisationA = "ridge"
+	organisationB = "flue"
 )
 
 func TestMain(m *testing.M) { os.Exit(testbed.Main(m)) }
@@ -63,9 +65,10 @@
 			Deployment:    "returning",
 			Organisations: []manifest.Organisation{organisation(organisationA), organisation(organisationB)},
 			Services:      []manifest.Service{{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: "v1"}},
-			Kinds: []manifest.Kind{{
-				Name: "trace", Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 10000, MaxTokens: 4,
-			}},
+			Kinds: []manifest.Kind{
+				{Name: "trace", Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 10000, MaxTokens: 4},
+				{Name: rush, Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 500, MaxTokens: 4},
+			},
 			PieceBytes: pieceBytes,
 		},
 		ModelReplicas: replicas, Stores: stores, Entries: 1,
@@ -105,8 +108,12 @@
 
 // ask sends a prompt, again after a refusal that says when to come back.
 func (d *deployment) ask(organisation, prompt string) answer {
+	return d.askKind("trace", organisation, prompt)
+}
+
+func (d *deployment) askKind(kind, organisation, prompt string) answer {
 	for {
-		status, content := d.send(organisation, prompt)
+		status, content := d.send(kind, organisation, prompt)
 		if status == http.StatusServiceUnavailable && strings.Contains(content, "not_run") {
 			time.Sleep(200 * time.Millisecond)
 			continue
@@ -118,7 +125,7 @@
 	}
 }
 
-func (d *deployment) send(organisation, prompt string) (status int, content string) {
+func (d *deployment) send(kind, organisation, prompt string) (status int, content string) {
 	body, err := json.Marshal(map[string]any{
 		"model":    "assistant",
 		"messages": []map[string]string{{"role": "user", "content": prompt}},
@@ -128,6 +135,7 @@
 	d.Assert(err, qt.IsNil)
 	request.Header.Set("Authorization", "Bearer "+organisation+"-key")
 	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Request-Kind", kind)
 	response, err := http.DefaultClient.Do(request)
 	d.Assert(err, qt.IsNil)
 	defer response.Body.Close()
@@ -225,6 +233,25 @@
 	d.Assert(back.Usage.Details.CachedTokens >= promptPieces*1000, qt.IsTrue)
 }
 
+// A replica that never saw the prompt must ask for the stores' pieces before it refuses the request
+// because there is no time to compute them.
+func TestStoresMeetADeadlineThatComputingCannot(t *testing.T) {
+	d := start(t, 2, 1, nil)
+	prompt := text("seventeen", promptPieces)
+	first := d.ask(organisationA, prompt)
+	d.log("first turn", first)
+	d.awaitExports(promptPieces)
+	time.Sleep(time.Second) // announcements reach their homes
+	for _, agent := range d.fleet.Role(platform.RoleAgent) {
+		if agent.ID == first.Accounting.Replica {
+			agent.Process.Kill()
+		}
+	}
+	back := d.askKind(rush, organisationA, prompt)
+	d.log("return in a rush", back)
+	d.Assert(back.Usage.Details.CachedTokens >= promptPieces*1000, qt.IsTrue)
+}
+
 func TestReturnWithoutStoresIsRecomputed(t *testing.T) {
 	d := start(t, 1, 1, nil)
 	prompt := text("sixteen", promptPieces)
--- a/internal/transfer/fetch.go
+++ b/internal/transfer/fetch.go
@@ -113,18 +113,28 @@
 		f.end()
 		return f
 	}
-	if m.available(missing, time.Now()) == len(missing) {
+	if !m.Locate(prompt, func() { m.begin(f) }) {
 		m.begin(f)
-		return f
+	}
+	return f
+}
+
+// Locate asks the directory for the stores that hold the missing pieces of a prompt, and then calls
+// next on the control goroutine. It returns false, and never calls next, when all are known or there
+// is no store.
+func (m *Mover) Locate(prompt Prompt, next func()) bool {
+	missing := prompt.Names[prompt.Cached:]
+	if len(m.stores) == 0 || m.available(missing, time.Now()) == len(missing) {
+		return false
 	}
 	go func() {
 		runs := m.lookup(prompt)
 		m.loop.Post(func() {
 			m.learn(prompt.Names, runs)
-			m.begin(f)
+			next()
 		})
 	}()
-	return f
+	return true
 }
 
 // lookup asks the directory; a failure is an empty answer.
