--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -33,7 +33,7 @@
 	onList func([]platform.Instance)
 	// snapshot is what placements use; it is never nil.
 	snapshot atomic.Pointer[placement.Snapshot]
-	// known says that the list named an agent: before that no request can be placed.
+	// known says that the list has shown an agent: before that no request can be placed.
 	known atomic.Bool
 	// last is the reading that members hold; only poll touches it.
 	last []platform.Instance
@@ -90,14 +90,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.members.Listed(now, instances)
-	r.known.Store(hasAgent(instances))
+	if slices.ContainsFunc(instances, isAgent) {
+		r.known.Store(true)
+	}
 	r.track()
 	r.rebuild(now)
 }
 
-func hasAgent(instances []platform.Instance) bool {
-	return slices.ContainsFunc(instances, func(i platform.Instance) bool { return i.Role == platform.RoleAgent })
-}
+func isAgent(instance platform.Instance) bool { return instance.Role == platform.RoleAgent }
 
 // failed notes that contact with an agent was lost.
 func (r *replicas) failed(instance string, now time.Time) {
@@ -140,20 +140,8 @@
 	}
 }
 
-// near returns the agents of the entry's own region, and all agents of services that no open one
-// there serves.
-func (r *replicas) near() []membership.Member {
-	members := r.members.Members()
-	served := make(map[string]bool)
-	for i := range members {
-		if members[i].Open && members[i].Region == r.identity.Region {
-			served[members[i].Service] = true
-		}
-	}
-	return slices.DeleteFunc(members, func(m membership.Member) bool {
-		return served[m.Service] && m.Region != r.identity.Region
-	})
-}
+// near returns the agents that placements choose from.
+func (r *replicas) near() []membership.Member { return r.members.Near(r.identity.Region) }
 
 // replicasState is what dump shows.
 type replicasState struct {
