--- a/internal/entry/refusal_test.go
+++ b/internal/entry/refusal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -54,3 +55,29 @@
 	status, _, _ := p.post(c, "/v1/services/archive/browse", ridgeKey, `{}`)
 	c.Assert(status, qt.Equals, http.StatusOK)
 }
+
+// TestOutageDrawsOnTheBudgetOnly takes all engines away and sends more requests than the retry
+// budget has retries. Without the budget each request would try both replicas.
+func TestOutageDrawsOnTheBudgetOnly(t *testing.T) {
+	c := qt.New(t)
+	p := startPath(c, engineserver.Settings{DecodeMS: 1})
+	for _, engine := range p.engines {
+		c.Assert(engine.SetFaults(engineserver.Faults{Down: true}), qt.IsNil)
+	}
+	const requests, workers = 400, 40
+	var group sync.WaitGroup
+	for range workers {
+		group.Go(func() {
+			for range requests / workers {
+				status, header, text := p.post(c, "/v1/chat/completions", ridgeKey, chatRequest(false, "name the sheet"))
+				c.Check(status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", text))
+				c.Check(header.Get("Retry-After"), qt.Not(qt.Equals), "")
+				c.Check(text, qt.Contains, `"outcome":"not_run"`)
+			}
+		})
+	}
+	group.Wait()
+	budget := p.entry.State().Retries["assistant"]
+	c.Assert(budget.Taken > 0, qt.IsTrue)
+	c.Assert(budget.Taken <= 110, qt.IsTrue, qt.Commentf("%+v", budget))
+}
--- a/internal/limits/bench_test.go
+++ b/internal/limits/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -55,6 +56,34 @@
 	}
 }
 
+// countingListener counts the bytes of its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.bytes}, err
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
 func BenchmarkDrawOverTheWire(b *testing.B) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -70,7 +99,8 @@
 	})
 	server := grpc.NewServer()
 	wire.RegisterQuotaServer(server, limiter)
-	go func() { _ = server.Serve(listener) }()
+	var bytes atomic.Int64
+	go func() { _ = server.Serve(countingListener{listener, &bytes}) }()
 	defer server.Stop()
 	home := Entry{Instance: "entry-0", ControlAddress: listener.Addr().String()}
 	draw := Draw{From: "entry-1", Organisation: "large", Want: Amount{Requests: 3}}
@@ -79,6 +109,7 @@
 			b.Fatal(err)
 		}
 	}
+	b.ReportMetric(float64(bytes.Load())/float64(b.N), "bytes/draw")
 }
 
 // heapOf returns the bytes that build keeps on the heap for each of count items.
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -27,6 +27,7 @@
 	config  BudgetConfig
 	tokens  float64
 	filled  time.Time
+	taken   uint64
 	refused uint64
 }
 
@@ -49,6 +50,7 @@
 		return false
 	}
 	b.tokens--
+	b.taken++
 	return true
 }
 
@@ -60,9 +62,6 @@
 	return time.Duration((1 - b.tokens) / b.config.PerSecond * float64(time.Second))
 }
 
-// Refused returns how many retries were refused.
-func (b *Budget) Refused() uint64 { return b.refused }
-
 func (b *Budget) fill(now time.Time) {
 	seconds := now.Sub(b.filled).Seconds()
 	if seconds <= 0 {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -192,15 +192,18 @@
 
 // BudgetState is what dump shows of one service.
 type BudgetState struct {
-	Retries float64 `json:"retries"`
-	Refused uint64  `json:"refused"`
+	// Left is how many retries the budget holds.
+	Left float64 `json:"left"`
+	// Taken and Refused count retries since the start.
+	Taken   uint64 `json:"taken"`
+	Refused uint64 `json:"refused"`
 }
 
 // State returns the budgets by service.
 func (p *Policy) State() map[string]BudgetState {
 	shown := make(map[string]BudgetState, len(p.budgets))
 	for service, b := range p.budgets {
-		shown[service] = BudgetState{Retries: b.tokens, Refused: b.refused}
+		shown[service] = BudgetState{Left: b.tokens, Taken: b.taken, Refused: b.refused}
 	}
 	return shown
 }
