--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -95,7 +95,28 @@
 		go a.catchUp(conn, d, from)
 		return
 	}
-	if reason, message := a.mismatch(d, current); reason != wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
+	a.consider(conn, id, d)
+}
+
+// consider refuses an attempt that must not run here and admits any other. One that could not meet
+// its deadline by computing its prompt is admitted after the stores that hold it are known.
+func (a *Agent) consider(conn *transport.Conn, id attempt.ID, d *wire.Dispatch) {
+	if reason, message := a.mismatch(d, a.configVersion()); reason != wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
+		a.refuse(conn, id, d, refusal{reason: reason, message: message})
+		return
+	}
+	if !a.locateFirst(d, time.Now(), func() { a.considerLocated(conn, id, d) }) {
+		a.admit(conn, id, d)
+	}
+}
+
+// considerLocated goes on after the stores of a prompt were looked up. An attempt whose entry is
+// gone is left out; a question about it then poisons it.
+func (a *Agent) considerLocated(conn *transport.Conn, id attempt.ID, d *wire.Dispatch) {
+	if _, open := a.state.conns[conn]; !open {
+		return
+	}
+	if reason, message := a.mismatch(d, a.configVersion()); reason != wire.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
 		a.refuse(conn, id, d, refusal{reason: reason, message: message})
 		return
 	}
@@ -174,9 +195,8 @@
 }
 
 func (a *Agent) enqueue(conn *transport.Conn, id attempt.ID, d *wire.Dispatch, now time.Time) {
-	queued := a.queueJob(id, d, now)
-	a.state.prompts.use(queued.Reservation)
-	verdict := a.state.queue.Offer(now, queued)
+	a.state.prompts.use(reservationOf(d))
+	verdict := a.state.queue.Offer(now, a.queueJob(id, d, now))
 	if !verdict.Accepted {
 		a.refuse(conn, id, d, refusal{
 			reason:     verdict.Reason,
@@ -257,7 +277,7 @@
 // schedule refuses what is too late and starts what has a free slot.
 func (a *Agent) schedule(now time.Time) {
 	for _, late := range a.state.queue.Expired(now) {
-		a.expire(attempt.ID(late.Attempt))
+		a.expire(attempt.ID(late.Attempt), a.state.queue.Predict(now, late))
 	}
 	for {
 		next, ok := a.state.queue.Next(now)
@@ -268,7 +288,12 @@
 	}
 }
 
-func (a *Agent) expire(id attempt.ID) {
+// minExpiredRetryAfter is the least that the caller of an expired attempt is told to wait.
+const minExpiredRetryAfter = 200 * time.Millisecond
+
+// expire refuses an attempt that did not start in time; wait is how long one that came now would
+// wait.
+func (a *Agent) expire(id attempt.ID, wait time.Duration) {
 	j := a.state.jobs[id]
 	if j == nil {
 		return
@@ -278,7 +303,7 @@
 	a.refuseJob(j, refusal{
 		reason:     wire.RefusalReason_REFUSAL_REASON_DEADLINE,
 		message:    "the deadline can't be met any more",
-		retryAfter: time.Second,
+		retryAfter: max(wait, minExpiredRetryAfter),
 	})
 }
 
