Close silent connections with status 408

A connection on which no request came within the read timeout got an unsolicited 400. A client that was about to send its request on it could take that for the answer. Clients know 408 there as the end of the connection.

--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -52,10 +52,14 @@
 // Printf implements fasthttp.Logger.
 func (silent) Printf(string, ...any) {}
 
-// badHTTP answers what is not a readable HTTP request.
+// badHTTP answers what is not a readable HTTP request, and connections on which none came in time.
 func badHTTP(ctx *fasthttp.RequestCtx, err error) {
 	failure := refusal(CodeMalformed, fasthttp.StatusBadRequest, "not a readable HTTP request: "+err.Error())
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		failure.Status = fasthttp.StatusRequestTimeout
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		discardBody(ctx.Conn())
 		failure = refusal(CodeBodyTooLarge, fasthttp.StatusRequestEntityTooLarge, "the body is larger than 8 MiB")
 	}
