Strike the busiest agent, and strike twice at once

The faults on agents struck the first replica, which after its restart had often no work: 'agent and entry killed' and 'agent killed in an outage' left nothing unknown in one run and so had met nothing. The busiest agent is struck now. Two faults together were added: agent killed in an outage, agent and entry killed, agent frozen while answers of the key-value service are lost.

--- a/internal/systemtest/atmostonce/cuts_test.go
+++ b/internal/systemtest/atmostonce/cuts_test.go
@@ -31,7 +31,7 @@
 	b := startBed(c, testbed.Settings{"slots": 8})
 	relays := b.relayAgents(c, "assistant", b.streamTogether)
 	continued := 0
-	for number, s := range b.strikeStreams(c, func() { relays[b.busiest(c).ID].cut() }) {
+	for number, s := range b.strikeStreams(c, func() { relays[b.busiest(c, "assistant").ID].cut() }) {
 		c.Check(s.whole, qt.IsTrue, qt.Commentf("answer %d ends after %q", number, s.text))
 		c.Check(s.text, qt.Equals, undisturbed(number))
 		if s.attempts > 1 {
--- a/internal/systemtest/atmostonce/faults_test.go
+++ b/internal/systemtest/atmostonce/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"net/http"
 	"os"
 	"sync"
@@ -64,6 +65,8 @@
 	ctx     context.Context
 	fleet   *testbed.Fleet
 	callers *callers
+	// victim is the agent that the present fault strikes.
+	victim *testbed.Instance
 }
 
 func startBed(c *qt.C, agent testbed.Settings) *bed { return startBedOf(c, replicas, agent) }
@@ -92,6 +95,22 @@
 	return &bed{c: c, ctx: ctx, fleet: fleet, callers: newCallers()}
 }
 
+// busiest returns the agent of a service with the most runs.
+func (b *bed) busiest(c *qt.C, service string) *testbed.Instance {
+	var found *testbed.Instance
+	most := -1
+	for _, agent := range b.fleet.Service(service) {
+		var state struct {
+			Running int `json:"running"`
+		}
+		c.Check(testbed.Call(b.ctx, http.MethodGet, agent.Metrics, "/dump", nil, &state), qt.IsNil)
+		if state.Running > most {
+			found, most = agent, state.Running
+		}
+	}
+	return found
+}
+
 func (b *bed) entries() []string {
 	var addresses []string
 	for _, entry := range b.fleet.Role(platform.RoleEntry) {
@@ -139,25 +158,38 @@
 	{name: "entry frozen past every timeout", strike: freezeEntry, heal: nothing},
 	{name: "key-value service down", strike: outage, heal: nothing},
 	{name: "answers of the key-value service lost", strike: loseAnswers, heal: nothing},
-	{name: "plain service cuts connections after its work", strike: cutAfterWork(true), heal: cutAfterWork(false), forgets: true},
+	{name: "plain service cuts connections after its work", strike: cutAfterWork, heal: answerAgain, forgets: true},
 	{name: "plain service frozen", strike: freezeBackend, heal: nothing},
 	{name: "agent stopped", strike: stopAgent, heal: restartAgent, forgets: true},
+	{name: "agent killed in an outage", strike: both(killAgent, outage), heal: restartAgent, forgets: true},
+	{name: "agent and entry killed", strike: both(killAgent, killEntry), heal: both(restartAgent, restartEntry), forgets: true},
+	{name: "agent frozen, answers lost", strike: both(loseAnswers, freezeAgent), heal: nothing},
 }
 
 func nothing(*bed) error { return nil }
 
+func both(first, second func(*bed) error) func(*bed) error {
+	return func(b *bed) error { return errors.Join(first(b), second(b)) }
+}
+
+// pick makes the agent with the most runs the victim.
+func (b *bed) pick() *testbed.Instance {
+	b.victim = b.busiest(b.c, "archive")
+	return b.victim
+}
+
 func killAgent(b *bed) error {
-	b.fleet.Service("archive")[0].Process.Kill()
+	b.pick().Process.Kill()
 	return nil
 }
 
-func stopAgent(b *bed) error { return b.fleet.Service("archive")[0].Process.Stop() }
+func stopAgent(b *bed) error { return b.pick().Process.Stop() }
 
-func restartAgent(b *bed) error { return b.fleet.Restart(b.fleet.Service("archive")[0]) }
+func restartAgent(b *bed) error { return b.fleet.Restart(b.victim) }
 
-func freezeAgent(b *bed) error { return freeze(b.fleet.Service("archive")[0].Process) }
+func freezeAgent(b *bed) error { return freeze(b.pick().Process) }
 
-func freezeBackend(b *bed) error { return freeze(b.fleet.Service("archive")[0].Backend) }
+func freezeBackend(b *bed) error { return freeze(b.pick().Backend) }
 
 func killEntry(b *bed) error {
 	b.fleet.Role(platform.RoleEntry)[0].Process.Kill()
@@ -187,11 +219,12 @@
 	return testbed.SetFaults(b.ctx, b.fleet.KVAdmin, testbed.Settings{"lose_answers": 12})
 }
 
-func cutAfterWork(cut bool) func(*bed) error {
-	return func(b *bed) error {
-		backend := b.fleet.Service("archive")[0].BackendAddress
-		return testbed.SetFaults(b.ctx, backend, testbed.Settings{"cut_after_work": cut})
-	}
+func cutAfterWork(b *bed) error {
+	return testbed.SetFaults(b.ctx, b.pick().BackendAddress, testbed.Settings{"cut_after_work": true})
+}
+
+func answerAgain(b *bed) error {
+	return testbed.SetFaults(b.ctx, b.victim.BackendAddress, testbed.Settings{"cut_after_work": false})
 }
 
 // TestEachKeyRunsAtMostOnceUnderFaults sends each key through two entries at once, lets both callers
--- a/internal/systemtest/atmostonce/stream_test.go
+++ b/internal/systemtest/atmostonce/stream_test.go
@@ -149,7 +149,7 @@
 			b.awaitService(c)
 			var victim *testbed.Instance
 			got := b.strikeStreams(c, func() {
-				victim = b.busiest(c)
+				victim = b.busiest(c, "assistant")
 				fault.strike(victim)
 			})
 			c.Assert(fault.heal(victim), qt.IsNil)
@@ -166,22 +166,6 @@
 	}
 }
 
-// busiest returns the model agent with the most runs.
-func (b *bed) busiest(c *qt.C) *testbed.Instance {
-	var found *testbed.Instance
-	most := -1
-	for _, agent := range b.fleet.Service("assistant") {
-		var state struct {
-			Running int `json:"running"`
-		}
-		c.Check(testbed.Call(b.ctx, http.MethodGet, agent.Metrics, "/dump", nil, &state), qt.IsNil)
-		if state.Running > most {
-			found, most = agent, state.Running
-		}
-	}
-	return found
-}
-
 func thawed(instance *testbed.Instance) error {
 	instance.Process.Thaw()
 	instance.Backend.Thaw()
