Let a leaving agent finish its exports

Cause: a planned stop ended as soon as the runs had, and the pieces that still waited for the link were lost with the engine. The wait is bounded by five seconds and by the grace, and the new holdings are announced before the end.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -185,6 +185,7 @@
 		time.Sleep(graceStep)
 		left = a.jobs()
 	}
+	a.settleCache(deadline)
 	time.Sleep(flushTime)
 	a.logger.Info("stopped", zap.Int("cut_off", left))
 }
--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -29,6 +29,9 @@
 	earlier map[piece.Name]piece.Name
 }
 
+// exportGrace bounds how long a leaving agent goes on exporting after its last run.
+const exportGrace = 5 * time.Second
+
 // maxAnchors bounds the pieces in one of the two maps of anchors.
 const maxAnchors = 1 << 15
 
@@ -251,6 +254,35 @@
 	a.cache.mover.Offer(j.dispatch.GetOrganisation(), j.prompt)
 }
 
+// settleCache lets a leaving agent finish its exports and tell their homes, so that prompts whose
+// cache goes with the engine return elsewhere without being computed again.
+func (a *Agent) settleCache(graceEnd time.Time) {
+	deadline := time.Now().Add(exportGrace)
+	if graceEnd.Before(deadline) {
+		deadline = graceEnd
+	}
+	for a.exportsLeft() > 0 && time.Now().Before(deadline) {
+		time.Sleep(graceStep)
+	}
+	if !a.isModel() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	a.announce(ctx)
+}
+
+// exportsLeft counts the pieces that wait to be exported or are on their way.
+func (a *Agent) exportsLeft() int {
+	left := 0
+	a.loop.Call(func() {
+		if a.cache != nil {
+			left = a.cache.mover.ExportsLeft()
+		}
+	})
+	return left
+}
+
 // CacheState is the part of a dump about the cache.
 type CacheState struct {
 	Index         cacheindex.State     `json:"index"`
--- a/internal/systemtest/returning/returning_test.go
+++ b/internal/systemtest/returning/returning_test.go
@@ -144,19 +144,21 @@
 	return response.StatusCode, string(raw)
 }
 
+// exported returns how many pieces the stores hold.
+func (d *deployment) exported() int {
+	held := 0
+	for _, store := range d.fleet.Role(platform.RoleStore) {
+		var stats storeserver.Stats
+		d.Assert(testbed.Call(d.ctx, http.MethodGet, store.AdminAddress, "/admin/stats", nil, &stats), qt.IsNil)
+		held += stats.MemoryPieces + stats.DiskPieces
+	}
+	return held
+}
+
 // awaitExports waits until the stores hold at least count pieces.
 func (d *deployment) awaitExports(count int) {
-	for {
-		held := 0
-		for _, store := range d.fleet.Role(platform.RoleStore) {
-			var stats storeserver.Stats
-			d.Assert(testbed.Call(d.ctx, http.MethodGet, store.AdminAddress, "/admin/stats", nil, &stats), qt.IsNil)
-			held += stats.MemoryPieces + stats.DiskPieces
-		}
-		if held >= count {
-			return
-		}
-		d.Assert(d.ctx.Err(), qt.IsNil, qt.Commentf("the stores hold %d of %d pieces", held, count))
+	for d.exported() < count {
+		d.Assert(d.ctx.Err(), qt.IsNil, qt.Commentf("the stores hold %d of %d pieces", d.exported(), count))
 		time.Sleep(20 * time.Millisecond)
 	}
 }
@@ -233,6 +235,17 @@
 	d.Assert(back.Usage.Details.CachedTokens >= promptPieces*1000, qt.IsTrue)
 }
 
+// A planned stop right after the first turn must not lose the cache that the turn computed.
+func TestLeavingReplicaExportsWhatItComputed(t *testing.T) {
+	d := start(t, 1, 1, testbed.Settings{"link_bytes_per_second": 100_000}) // the pieces take 1.3 s
+	first := d.ask(organisationA, text("eighteen", promptPieces))
+	d.log("first turn", first)
+	leaving := d.fleet.Role(platform.RoleAgent)[0].Process
+	leaving.Terminate()
+	<-leaving.Ended()
+	d.Assert(d.exported(), qt.Equals, promptPieces)
+}
+
 // A replica that never saw the prompt must ask for the stores' pieces before it refuses the request
 // because there is no time to compute them.
 func TestStoresMeetADeadlineThatComputingCannot(t *testing.T) {
--- a/internal/transfer/export.go
+++ b/internal/transfer/export.go
@@ -55,6 +55,9 @@
 	m.pump()
 }
 
+// ExportsLeft counts the pieces that wait to be exported or are on their way.
+func (m *Mover) ExportsLeft() int { return m.exports.Len() + m.exporting }
+
 // startExport copies a piece from the engine to a store.
 func (m *Mover) startExport(candidate Candidate, member *storeMember) {
 	m.generation++
