Pace the root reads of fresh processes

A fleet of 11,000 that starts as a whole read the root 11,000 times a second, over the service's rate of 2,000. Fresh processes now share 500 reads a second and confirm from peers while their own read got no answer. go test -race ./internal/config passes.

--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -63,6 +63,11 @@
 	limiter *rate.Limiter
 	wake    chan struct{}
 
+	// nextStartRead is when a fresh process may read the root again; serviceLost says that its last
+	// read got no answer. Both belong to the goroutine of Run.
+	nextStartRead time.Time
+	serviceLost   bool
+
 	mu        sync.Mutex
 	wanted    uint64   // highest version heard of
 	sources   []string // control addresses that have the wanted version
@@ -109,7 +114,7 @@
 // tick does what is due: start-up confirmation, a paced read of the root, one exchange.
 func (s *Spread) tick(ctx context.Context, now time.Time) {
 	if !s.options.Holder.Ready() {
-		s.startUp(ctx)
+		s.startUp(ctx, now)
 	}
 	if s.readDue(now) {
 		s.readRoot(ctx)
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -190,6 +190,8 @@
 	for _, processes := range []int{2, 40, 200, 3100 + 7900} {
 		perSecond := float64(processes) / readInterval(processes).Seconds()
 		c.Assert(perSecond <= fleetReadsPerSecond, qt.IsTrue, qt.Commentf("%d processes: %v/s", processes, perSecond))
+		perSecond = float64(processes) / startReadInterval(processes).Seconds()
+		c.Assert(perSecond <= startReadsPerSecond, qt.IsTrue, qt.Commentf("%d fresh processes: %v/s", processes, perSecond))
 	}
 }
 
@@ -222,11 +224,11 @@
 	fresh := cluster.add("fresh", "domain-1")
 	for _, domain := range []string{"domain-0", "domain-1"} {
 		cluster.unreachable = map[string]bool{domain: true}
-		fresh.spread.startUp(context.Background())
+		fresh.spread.startUp(context.Background(), time.Now())
 		c.Assert(fresh.holder.Ready(), qt.IsFalse, qt.Commentf("%s unreachable", domain))
 	}
 	cluster.unreachable = map[string]bool{}
-	fresh.spread.startUp(context.Background())
+	fresh.spread.startUp(context.Background(), time.Now())
 	c.Assert(fresh.holder.Ready(), qt.IsTrue)
 	c.Assert(fresh.holder.Version(), qt.Equals, uint64(2))
 }
@@ -247,6 +249,23 @@
 	c.Assert(cluster.behind(1), qt.Equals, len(cluster.nodes))
 }
 
+// The fleet starts as a whole while the service answers one read in ten.
+func TestFleetThatStartsAsAWholeConfirmsThroughASaturatedService(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(1, 120, 6)
+	cluster.apply(t, 1)
+	now := time.Unix(0, 0)
+	for range rounds {
+		for i, n := range cluster.nodes {
+			setDown(cluster.kv, (i+now.Second())%10 != 0)
+			n.spread.tick(context.Background(), now)
+			cluster.settle()
+		}
+		now = now.Add(exchangeInterval)
+	}
+	c.Assert(cluster.behind(1), qt.Equals, 0)
+}
+
 func TestFreshProcessInAnOutageOfADeploymentWithOneDomain(t *testing.T) {
 	c := qt.New(t)
 	cluster := newCluster(1, 3, 1)
@@ -254,7 +273,7 @@
 	cluster.round(time.Unix(0, 0))
 	setDown(cluster.kv, true)
 	fresh := cluster.add("fresh", "domain-0")
-	fresh.spread.startUp(context.Background())
+	fresh.spread.startUp(context.Background(), time.Now())
 	c.Assert(fresh.holder.Ready(), qt.IsTrue)
 }
 
--- a/internal/config/startup.go
+++ b/internal/config/startup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
@@ -12,6 +13,9 @@
 	confirmPeers = 12
 	// confirmDomains is how many failure domains must answer, if the deployment has as many.
 	confirmDomains = 2
+	// startReadsPerSecond bounds the reads of the root by fresh processes, when all processes of
+	// the fleet are fresh.
+	startReadsPerSecond = 500
 )
 
 // startUp confirms the version of a fresh process.
@@ -19,16 +23,30 @@
 // Invariant: a process serves only with a version that is not below what the service said, or,
 // while the service cannot be reached, not below the highest that peers of two failure domains
 // serve with. Peers that are not confirmed themselves answer with version 0 and do not count.
-func (s *Spread) startUp(ctx context.Context) {
+func (s *Spread) startUp(ctx context.Context, now time.Time) {
+	if now.Before(s.nextStartRead) {
+		if s.serviceLost {
+			s.confirmFromPeers(ctx)
+		}
+		return
+	}
+	s.nextStartRead = now.Add(startReadInterval(len(s.options.Peers.Peers(0)) + 1))
 	root, err := s.root(ctx)
+	s.serviceLost = errorx.IsOfType(err, ErrUnavailable)
 	switch {
 	case err == nil:
 		s.adopt(ctx, root)
-	case errorx.IsOfType(err, ErrUnavailable):
+	case s.serviceLost:
 		s.confirmFromPeers(ctx)
 	}
 }
 
+// startReadInterval returns the time between two reads of the root by one of n fresh processes.
+func startReadInterval(processes int) time.Duration {
+	paced := time.Duration(processes) * time.Second / startReadsPerSecond
+	return max(paced, exchangeInterval/2)
+}
+
 func (s *Spread) confirm(version uint64, by string) {
 	if !s.options.Holder.Ready() && s.options.Holder.Confirm(version) {
 		s.options.Logger.Info("configuration confirmed", zap.Uint64("version", version), zap.String("by", by))
