Show configuration spread and rollout in the dump of each process

balsamctl dump now shows the version in force, the calls of the spread, the gate's highest fencing number and, at the holder, the state of each replica.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,8 @@
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
+	// Inspect returns what a dump shows about the parts beside the role; may be nil.
+	Inspect func() any
 }
 
 // Agent runs attempts on one backend server.
@@ -81,6 +83,7 @@
 	register  func(*grpc.Server)
 	// lastMembers is the reading of the instance list that the cache uses; only readMembers touches it.
 	lastMembers []platform.Instance
+	inspect     func() any
 }
 
 // counters are the agent's metrics.
@@ -129,6 +132,7 @@
 		instances:     d.Instances,
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
+		inspect:       d.Inspect,
 	}
 	a.counters = newCounters(a.registry.Scope)
 	return a
--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -100,6 +100,8 @@
 	Jobs        []JobState `json:"jobs"`
 	// Cache is absent for agents of plain services.
 	Cache *CacheState `json:"cache,omitempty"`
+	// Node shows the parts beside the role, such as configuration and rollout.
+	Node any `json:"node,omitempty"`
 }
 
 // JobState is one queued or running attempt.
@@ -122,6 +124,9 @@
 		ConfigVersion: a.configVersion(),
 		Control:       traffic.Control.Totals(),
 	}
+	if a.inspect != nil {
+		shown.Node = a.inspect()
+	}
 	a.loop.Call(func() {
 		a.state.show(&shown, time.Now())
 		shown.Cache = a.showCache(time.Now())
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -27,10 +27,10 @@
 
 // HolderStats counts what a Holder was offered.
 type HolderStats struct {
-	Accepted  uint64 // offers that came into force
-	Older     uint64 // offers of a version not above the one in force
-	Corrupt   uint64 // offers whose content did not match its digest
-	Conflicts uint64 // offers of the version in force with another digest
+	Accepted  uint64 `json:"accepted"`  // offers that came into force
+	Older     uint64 `json:"older"`     // offers of a version not above the one in force
+	Corrupt   uint64 `json:"corrupt"`   // offers whose content did not match its digest
+	Conflicts uint64 `json:"conflicts"` // offers of the version in force with another digest
 }
 
 // Holder keeps the configuration that a process has in force. Versions only rise. Current may be
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,6 +96,8 @@
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
+	// Inspect returns what a dump shows about the parts beside the role; may be nil.
+	Inspect func() any
 }
 
 // Entry serves callers.
@@ -121,6 +123,7 @@
 	active        atomic.Int64
 	leave         chan struct{}
 	register      func(*grpc.Server)
+	inspect       func() any
 }
 
 // counters are the entry's metrics.
@@ -151,6 +154,7 @@
 		incarnation:   process.NewIncarnation(),
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
+		inspect:       d.Inspect,
 	}
 	e.retries = newRetries(e.incarnation)
 	e.limiting = newLimiting(s.Instance, d.Configuration)
@@ -306,6 +310,8 @@
 	// Retries are the retry budgets by service.
 	Retries map[string]retry.BudgetState `json:"retries"`
 	Limits  limits.State                 `json:"limits"`
+	// Node shows the parts beside the role, such as the spread of configurations.
+	Node any `json:"node,omitempty"`
 }
 
 // State returns the entry's whole state.
@@ -325,5 +331,8 @@
 	if snapshot := e.configuration.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version
 	}
+	if e.inspect != nil {
+		state.Node = e.inspect()
+	}
 	return state
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 		Claims:        claimer,
 		Logger:        c.logger,
 		Register:      c.register,
+		Inspect:       func() any { return c.inspect(nil) },
 	})
 	if err != nil {
 		return err
@@ -100,6 +101,7 @@
 			c.register(server)
 			rollout.register(server)
 		},
+		Inspect: func() any { return c.inspect(rollout) },
 	})
 	defer c.start()()
 	rollout.start(ctx, a.IsLeaving)
