--- a/internal/config/peers.go
+++ b/internal/config/peers.go
@@ -19,6 +19,8 @@
 type Peers interface {
 	// Peers returns up to n processes other than the calling one, drawn at random; all when n is 0.
 	Peers(n int) []Peer
+	// Count returns how many processes Peers(0) would return.
+	Count() int
 }
 
 // Messenger carries configuration calls to the process at a control address.
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -76,6 +76,8 @@
 	replicas map[string]*replica
 	// cut holds the failure domains, by service, that fail as a whole.
 	cut map[domainKey]bool
+	// ordered holds the replicas by service and name; nil after a change of membership.
+	ordered [][]*replica
 }
 
 type domainKey struct {
@@ -111,10 +113,14 @@
 		return
 	}
 	t.replicas[r.ID] = &replica{Replica: r, state: replicaChart.Initial(), reported: replicaChart.Initial()}
+	t.ordered = nil
 }
 
 // Remove forgets a replica.
-func (t *Tracker) Remove(id string) { delete(t.replicas, id) }
+func (t *Tracker) Remove(id string) {
+	delete(t.replicas, id)
+	t.ordered = nil
+}
 
 // Record takes the end of one request.
 func (t *Tracker) Record(now time.Time, id string, s Sample) {
@@ -239,10 +245,22 @@
 
 // groups returns the replicas by service in a fixed order, decayed to now.
 func (t *Tracker) groups(now time.Time) [][]*replica {
+	if t.ordered == nil {
+		t.ordered = t.order()
+	}
+	for _, group := range t.ordered {
+		for _, r := range group {
+			r.decay(now, t.config.HalfLife)
+			t.elapse(now, r)
+		}
+	}
+	return t.ordered
+}
+
+// order sorts the replicas by service and name.
+func (t *Tracker) order() [][]*replica {
 	byService := make(map[string][]*replica)
 	for _, r := range t.replicas {
-		r.decay(now, t.config.HalfLife)
-		t.elapse(now, r)
 		byService[r.Service] = append(byService[r.Service], r)
 	}
 	groups := make([][]*replica, 0, len(byService))
