Bound what one slow request counts in ejection; check predicted waits

The service time of a request ends when its caller has read the answer, so one caller in ten who reads slowly had a healthy replica ejected: TestSlowCallersDoNotEjectAReplica failed. A request now counts at most twice the factor that ejects. TestPredictionsFollowTheWaits: at load 0.8 the p95 of the waits is 209 ms and that of the prediction's error 121 ms. At 0.95 (trial, not a check) they were 2,061 and 878 ms: the prediction foresees no later arrivals.

--- a/internal/admission/isolation_test.go
+++ b/internal/admission/isolation_test.go
@@ -73,6 +73,9 @@
 	ttft    []float64 // milliseconds
 	refused int       // at once
 	expired int       // after waiting
+	// predicted are the waits that accepted jobs were told, in the order of ttft as long as none
+	// expired.
+	predicted []time.Duration
 }
 
 // simulate runs a trace in virtual time and returns the results by organisation.
@@ -104,7 +107,9 @@
 			Urgency: wire.Urgency_URGENCY_URGENT, Work: prefillMS + decodeMS,
 			FirstToken: milliseconds(prefillMS), Deadline: a.at.Add(5 * time.Second),
 		})
-		if !verdict.Accepted {
+		if verdict.Accepted {
+			results[a.organisation].predicted = append(results[a.organisation].predicted, verdict.Wait)
+		} else {
 			results[a.organisation].refused++
 		}
 		begin(a.at)
--- /dev/null
+++ b/internal/admission/predict_test.go
@@ -0,0 +1,25 @@
+package admission
+
+import (
+	"math"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestPredictionsFollowTheWaits compares the predicted with the actual waits of ordinary load. As
+// probes rank replicas by the prediction, nineteen errors in twenty must be below a quarter of a run.
+func TestPredictionsFollowTheWaits(t *testing.T) {
+	c := qt.New(t)
+	var errors, waits []float64
+	for _, r := range simulate(trace(5, 0.8, 1)) {
+		c.Assert(r.predicted, qt.HasLen, len(r.ttft))
+		for i, ttft := range r.ttft {
+			actual := ttft - prefillMS
+			waits = append(waits, actual)
+			errors = append(errors, math.Abs(r.predicted[i].Seconds()*1000-actual))
+		}
+	}
+	t.Logf("wait p95 %.0f ms, error p95 %.0f ms", percentile(waits, 0.95), percentile(errors, 0.95))
+	c.Assert(percentile(errors, 0.95) <= (prefillMS+decodeMS)/4, qt.IsTrue)
+}
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// ratioCap bounds what one request counts, as a multiple of Config.SlowFactor: a caller that reads
+// slowly makes its request long on any replica.
+const ratioCap = 2
+
 // Replica names a replica and what it is comparable with.
 type Replica struct {
 	ID            string
@@ -127,7 +131,7 @@
 	if s.Failed {
 		r.failures++
 	} else if s.Ratio > 0 {
-		r.ratios += s.Ratio
+		r.ratios += min(s.Ratio, ratioCap*t.config.SlowFactor)
 		r.timed++
 	}
 	if replicaChart.Label(r.state) == labelLimited {
--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -190,3 +190,21 @@
 	c.Assert(share >= 0.75, qt.IsTrue, qt.Commentf("served %.2f of the capacity", share))
 	t.Logf("at most %d of 20 ejected, served %.3f of the capacity", most, share)
 }
+
+// TestSlowCallersDoNotEjectAReplica gives one replica a few requests whose callers read slowly, which
+// makes them a hundred times as long.
+func TestSlowCallersDoNotEjectAReplica(t *testing.T) {
+	c := qt.New(t)
+	tracker := fleet()
+	count := 0
+	_, changes := run(tracker, start, 20, func(d, n int) Sample {
+		if d == 0 && n == 0 {
+			count++
+			if count%10 == 0 {
+				return Sample{Ratio: 100}
+			}
+		}
+		return fine
+	})
+	c.Assert(changes, qt.HasLen, 0)
+}
