Keep changes moving while the key-value service is slow

Cause: one timeout of 2 s covered the tree and all documents read one after the other, so a service that takes a second for each call kept a version from ever being loaded; the paced read of the root held up the exchange between processes; an order's second passed while its gate read the holder. Now documents are read at once with 8 s for the whole, paced reads run beside the exchange, and an order has 5 s.

--- a/internal/config/service_reads.go
+++ b/internal/config/service_reads.go
@@ -37,17 +37,28 @@
 	return max(paced, shortestReadInterval)
 }
 
+// readBeside runs readRoot on a goroutine of its own, one at a time.
+func (s *Spread) readBeside(ctx context.Context) {
+	if !s.reading.CompareAndSwap(false, true) {
+		return
+	}
+	s.readers.Go(func() {
+		defer s.reading.Store(false)
+		s.readRoot(ctx)
+	})
+}
+
 // readRoot reads the root and adopts its version.
 func (s *Spread) readRoot(ctx context.Context) {
-	root, err := s.root(ctx)
+	root, err := s.root(ctx, serviceTimeout)
 	if err != nil {
 		return
 	}
 	s.adopt(ctx, root)
 }
 
-func (s *Spread) root(ctx context.Context) (Root, error) {
-	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+func (s *Spread) root(ctx context.Context, timeout time.Duration) (Root, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	s.count(func(stats *SpreadStats) { stats.RootReads++ })
 	return s.options.Store.Root(ctx)
@@ -73,7 +84,7 @@
 
 // load reads the documents that the process lacks from the service and offers the version.
 func (s *Spread) load(ctx context.Context, root Root) error {
-	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	bundle, err := s.options.Store.Load(ctx, root.Version, root.Digest, s.options.Holder.Delta(nil).Documents)
 	if err != nil {
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -20,8 +21,11 @@
 	fanOut = 3
 	// callTimeout bounds one call to a peer.
 	callTimeout = time.Second
-	// serviceTimeout bounds one read of the root.
-	serviceTimeout = 2 * time.Second
+	// serviceTimeout bounds one read of the root, and startTimeout that of a fresh process.
+	serviceTimeout = 4 * time.Second
+	startTimeout   = 2 * time.Second
+	// loadTimeout bounds the reads of the documents of one version: tree, then the rest at once.
+	loadTimeout = 2 * serviceTimeout
 	// maxSources bounds the peers remembered as having a wanted version.
 	maxSources = 4
 	// pullBytesPerSecond and pullBurst bound what a process sends to peers that pull.
@@ -57,7 +61,8 @@
 // A few processes of each failure domain watch the root. A process that adopts a version tells
 // fanOut random peers, which pull what they lack. Each second every process compares versions
 // with one random peer, whichever is behind pulls; so versions arrive also when the telling is
-// lost. Run drives all of it on one goroutine, beside one for the watch.
+// lost. Run drives this on one goroutine; the watch and the paced reads of the root have their own,
+// since a slow service must not hold up the exchange between processes.
 type Spread struct {
 	options SpreadOptions
 	limiter *rate.Limiter
@@ -68,6 +73,10 @@
 	nextStartRead time.Time
 	serviceLost   bool
 
+	// reading says that a paced read of the root is under way; readers runs it.
+	reading atomic.Bool
+	readers sync.WaitGroup
+
 	mu        sync.Mutex
 	wanted    uint64   // highest version heard of
 	sources   []string // control addresses that have the wanted version
@@ -95,6 +104,7 @@
 func (s *Spread) Run(ctx context.Context) {
 	watcher := &watcher{spread: s, began: time.Now()}
 	defer watcher.stop()
+	defer s.readers.Wait()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -117,7 +127,7 @@
 		s.startUp(ctx, now)
 	}
 	if s.readDue(now) {
-		s.readRoot(ctx)
+		s.readBeside(ctx)
 	}
 	for _, peer := range s.options.Peers.Peers(1) {
 		s.exchange(ctx, peer)
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -104,6 +104,7 @@
 func (c *cluster) round(now time.Time) {
 	for _, i := range c.random.Perm(len(c.nodes)) {
 		c.nodes[i].spread.tick(context.Background(), now)
+		c.nodes[i].spread.readers.Wait()
 		c.settle()
 	}
 }
@@ -238,7 +239,7 @@
 	cluster := newCluster(1, 4, 2)
 	cluster.apply(t, 1)
 	for _, n := range cluster.nodes {
-		root, err := n.spread.root(context.Background())
+		root, err := n.spread.root(context.Background(), serviceTimeout)
 		c.Assert(err, qt.IsNil)
 		c.Assert(n.spread.load(context.Background(), root), qt.IsNil)
 	}
@@ -249,6 +250,28 @@
 	c.Assert(cluster.behind(1), qt.Equals, len(cluster.nodes))
 }
 
+// A slow service holds up neither the watch's load of a version nor the exchange between processes.
+func TestVersionIsLoadedFromASlowService(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(1, 2, 1)
+	cluster.apply(t, 1)
+	cluster.round(time.Unix(0, 0))
+	cluster.apply(t, 2)
+	const slow = 300 * time.Millisecond
+	cluster.kv.SetFaults(memkv.Faults{SlowMS: int(slow.Milliseconds())})
+	ahead, behind := cluster.nodes[0], cluster.nodes[1]
+	began := time.Now()
+	ahead.spread.readRoot(context.Background())
+	c.Assert(ahead.holder.Version(), qt.Equals, uint64(2))
+	// Root, tree, and the documents at once.
+	c.Assert(time.Since(began) < 4*slow, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	began = time.Now()
+	behind.spread.tick(context.Background(), time.Unix(10, 0))
+	c.Assert(behind.holder.Version(), qt.Equals, uint64(2))
+	c.Assert(time.Since(began) < slow, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	behind.spread.readers.Wait()
+}
+
 // The fleet starts as a whole while the service answers one read in ten.
 func TestFleetThatStartsAsAWholeConfirmsThroughASaturatedService(t *testing.T) {
 	c := qt.New(t)
@@ -259,6 +282,7 @@
 		for i, n := range cluster.nodes {
 			setDown(cluster.kv, (i+now.Second())%10 != 0)
 			n.spread.tick(context.Background(), now)
+			n.spread.readers.Wait()
 			cluster.settle()
 		}
 		now = now.Add(exchangeInterval)
--- a/internal/config/startup.go
+++ b/internal/config/startup.go
@@ -31,7 +31,7 @@
 		return
 	}
 	s.nextStartRead = now.Add(startReadInterval(len(s.options.Peers.Peers(0)) + 1))
-	root, err := s.root(ctx)
+	root, err := s.root(ctx, startTimeout)
 	s.serviceLost = errorx.IsOfType(err, ErrUnavailable)
 	switch {
 	case err == nil:
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/platform"
 )
 
+// concurrentReads bounds the documents that are read at once.
+const concurrentReads = 8
+
 // Pauses between tries while the service does not answer.
 const (
 	firstPause = 20 * time.Millisecond
@@ -64,18 +69,30 @@
 		return Bundle{}, err
 	}
 	bundle := Bundle{
-		Version:   version,
-		Digest:    digest,
-		Tree:      content,
-		Documents: make(map[string][]byte),
+		Version: version,
+		Digest:  digest,
+		Tree:    content,
 	}
-	for _, missing := range tree.missing(have) {
-		bundle.Documents[missing], err = s.document(ctx, missing)
-		if err != nil {
-			return Bundle{}, err
-		}
+	bundle.Documents, err = s.documents(ctx, tree.missing(have))
+	return bundle, err
+}
+
+// documents reads several documents at once.
+func (s *Store) documents(ctx context.Context, digests []string) (map[string][]byte, error) {
+	documents := make(map[string][]byte, len(digests))
+	var mu sync.Mutex
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(concurrentReads)
+	for _, digest := range digests {
+		group.Go(func() error {
+			content, err := s.document(ctx, digest)
+			mu.Lock()
+			defer mu.Unlock()
+			documents[digest] = content
+			return err
+		})
 	}
-	return bundle, nil
+	return documents, group.Wait()
 }
 
 func (s *Store) document(ctx context.Context, digest string) ([]byte, error) {
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -22,8 +22,10 @@
 	campaignInterval = time.Second
 	// candidates is how many agents of a service campaign.
 	candidates = 3
-	// callTimeout bounds one call to a replica.
+	// callTimeout bounds one survey or status call to a replica.
 	callTimeout = time.Second
+	// orderTimeout bounds one order, whose gate may have to read from a slow key-value service.
+	orderTimeout = 5 * time.Second
 	// DefaultLongestLoad is the time within which a load that is not observed must have ended.
 	DefaultLongestLoad = 15 * time.Second
 )
@@ -181,11 +183,11 @@
 }
 
 func (d *Driver) ask(ctx context.Context, call Call) func(*Session) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	if call.Kind == CallOrder {
 		return d.order(ctx, call)
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if call.Kind == CallSurvey {
 		_, err := d.options.Replicas.Order(ctx, call.Member.ControlAddress, d.request(call))
 		if err != nil {
@@ -200,6 +202,8 @@
 }
 
 func (d *Driver) order(ctx context.Context, call Call) func(*Session) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
 	reply, err := d.options.Replicas.Order(ctx, call.Member.ControlAddress, d.request(call))
 	switch {
 	case err != nil:
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -18,8 +18,9 @@
 	leaseMargin = time.Second
 	// renewInterval is the time between two renewals.
 	renewInterval = 2 * time.Second
-	// serviceTimeout bounds one call to the key-value service.
-	serviceTimeout = 2 * time.Second
+	// serviceTimeout bounds one reading of the holder, acquireTimeout one try at the lease.
+	serviceTimeout = 4 * time.Second
+	acquireTimeout = leaseTTL - leaseMargin
 )
 
 // Key returns the lease key of a service.
@@ -54,7 +55,7 @@
 
 // Acquire tries once to become the holder. It returns ErrHeld when another process is.
 func (l *Lessor) Acquire(ctx context.Context) (Holding, error) {
-	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
 	defer cancel()
 	_, err := l.kv.Get(ctx, l.key)
 	if err == nil {
--- a/internal/systemtest/changes/configuration_test.go
+++ b/internal/systemtest/changes/configuration_test.go
@@ -14,6 +14,9 @@
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
+// slowService is the delay of each call to a slow key-value service.
+const slowService = time.Second
+
 // neverBack looks at the versions of all processes until stop: within one run of a process they
 // never fall, and a process that has started again does not begin below floor.
 type neverBack struct {
@@ -83,28 +86,35 @@
 		f.awaitVersion(3, inForceWithin)
 		settle()
 	})
+	c.Run("slow service", func(c *qt.C) {
+		f.setFaults(testbed.Settings{"slow_ms": slowService.Milliseconds()})
+		f.apply(3, "w2")
+		f.awaitVersion(4, inForceWithin)
+		f.setFaults(testbed.Settings{"slow_ms": 0})
+		settle()
+	})
 	c.Run("outage after the first process knows", func(c *qt.C) {
-		f.apply(3, "w1")
-		for f.mostKnown() < 4 {
+		f.apply(4, "w1")
+		for f.mostKnown() < 5 {
 			time.Sleep(lookInterval / 10)
 		}
-		f.setDown(true)
-		f.awaitVersion(4, inForceWithin)
+		f.setFaults(testbed.Settings{"down": true})
+		f.awaitVersion(5, inForceWithin)
 		settle()
 	})
 	c.Run("restarts during the outage", func(c *qt.C) {
 		agent := f.Service("archive")[0]
 		watch.restart(f, agent)
-		f.awaitVersion(4, inForceWithin)
+		f.awaitVersion(5, inForceWithin)
 	})
 	c.Run("entry restarted during the outage", func(c *qt.C) {
 		watch.restart(f, f.Role(platform.RoleEntry)[0])
-		f.awaitVersion(4, inForceWithin)
+		f.awaitVersion(5, inForceWithin)
 	})
 	c.Run("after the outage", func(c *qt.C) {
-		f.setDown(false)
-		f.apply(4, "w2")
-		f.awaitVersion(5, inForceWithin)
+		f.setFaults(testbed.Settings{"down": false})
+		f.apply(5, "w2")
+		f.awaitVersion(6, inForceWithin)
 		settle()
 	})
 	callers.stop()
--- a/internal/systemtest/changes/fleet_test.go
+++ b/internal/systemtest/changes/fleet_test.go
@@ -122,8 +122,9 @@
 	f.c.Assert(change.Version, qt.Equals, base+1)
 }
 
-func (f *fleet) setDown(down bool) {
-	f.c.Assert(testbed.SetFaults(f.ctx, f.KVAdmin, testbed.Settings{"down": down}), qt.IsNil)
+// setFaults changes the fault switches of the key-value service.
+func (f *fleet) setFaults(faults testbed.Settings) {
+	f.c.Assert(testbed.SetFaults(f.ctx, f.KVAdmin, faults), qt.IsNil)
 }
 
 // engineState is what an engine says that it runs.
