--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -16,18 +16,29 @@
 	// aloneFor is how long a process without peers waits for the instance list before it watches:
 	// else each fresh process would open a watch.
 	aloneFor = 5 * time.Second
+	// rankInterval is how often a process looks for its rank while the number of peers stays.
+	rankInterval = 2 * time.Second
 )
 
 // watcher runs the watch of the root while this process ranks among its domain's watchers.
 type watcher struct {
 	spread *Spread
 	began  time.Time
-	cancel context.CancelFunc
-	done   chan struct{}
+	// ranked is how many peers there were when the rank was found last, at rankedAt.
+	ranked   int
+	rankedAt time.Time
+	cancel   context.CancelFunc
+	done     chan struct{}
 }
 
 // rank starts or stops the watch. It is called from the goroutine of Run.
 func (w *watcher) rank(ctx context.Context) {
+	count := w.spread.options.Peers.Count()
+	if count == w.ranked && time.Since(w.rankedAt) < rankInterval {
+		return
+	}
+	w.ranked = count
+	w.rankedAt = time.Now()
 	peers := w.spread.options.Peers.Peers(0)
 	if len(peers) == 0 && time.Since(w.began) < aloneFor {
 		return
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -53,6 +53,10 @@
 	}
 }
 
+// ratioCap bounds what one request counts, as a multiple of Config.SlowFactor: a caller that reads
+// slowly makes its request long on any replica.
+const ratioCap = 2
+
 // Replica names a replica and what it is comparable with.
 type Replica struct {
 	ID            string
@@ -76,6 +80,8 @@
 	replicas map[string]*replica
 	// cut holds the failure domains, by service, that fail as a whole.
 	cut map[domainKey]bool
+	// ordered holds the replicas by service and name; nil after a change of membership.
+	ordered [][]*replica
 }
 
 type domainKey struct {
@@ -111,10 +117,14 @@
 		return
 	}
 	t.replicas[r.ID] = &replica{Replica: r, state: replicaChart.Initial(), reported: replicaChart.Initial()}
+	t.ordered = nil
 }
 
 // Remove forgets a replica.
-func (t *Tracker) Remove(id string) { delete(t.replicas, id) }
+func (t *Tracker) Remove(id string) {
+	delete(t.replicas, id)
+	t.ordered = nil
+}
 
 // Record takes the end of one request.
 func (t *Tracker) Record(now time.Time, id string, s Sample) {
@@ -127,7 +137,7 @@
 	if s.Failed {
 		r.failures++
 	} else if s.Ratio > 0 {
-		r.ratios += s.Ratio
+		r.ratios += min(s.Ratio, ratioCap*t.config.SlowFactor)
 		r.timed++
 	}
 	if replicaChart.Label(r.state) == labelLimited {
@@ -239,10 +249,22 @@
 
 // groups returns the replicas by service in a fixed order, decayed to now.
 func (t *Tracker) groups(now time.Time) [][]*replica {
+	if t.ordered == nil {
+		t.ordered = t.order()
+	}
+	for _, group := range t.ordered {
+		for _, r := range group {
+			r.decay(now, t.config.HalfLife)
+			t.elapse(now, r)
+		}
+	}
+	return t.ordered
+}
+
+// order sorts the replicas by service and name.
+func (t *Tracker) order() [][]*replica {
 	byService := make(map[string][]*replica)
 	for _, r := range t.replicas {
-		r.decay(now, t.config.HalfLife)
-		t.elapse(now, r)
 		byService[r.Service] = append(byService[r.Service], r)
 	}
 	groups := make([][]*replica, 0, len(byService))
