--- a/internal/directory/announcer.go
+++ b/internal/directory/announcer.go
@@ -12,7 +12,7 @@
 	// refreshInterval leaves a row two chances to be announced again within HoldingTTL.
 	refreshInterval = 4 * time.Minute
 	// DefaultRowsPerSecond bounds the rows that a holder sends, counting each home. A row takes
-	// about 70 bytes on the wire.
+	// about 50 bytes on the wire.
 	DefaultRowsPerSecond = 100
 	// maxRowsPerBatch bounds one call to a home.
 	maxRowsPerBatch = 256
