Let limits settle at the design size; give a fresh entry no share

TestFreshEntryDoesNotSpendAsIfAlone failed (51 of 100 requests allowed at a limit of 50): an entry that had not read the list took the whole limit as its share; over the wire three entries let 163 requests pass in a second at a limit of 40, bound 123, on some runs. It has no share until it knows. TestHomeBoundsItsDrawsAtTheDesignSize got a bound on early refusals, seen to fail at 3.4%. Cause: all entries began together with an interval of one second's grant and were told to come back after 15; those that got nothing waited as long. Now a grant covers the interval that was asked for, the interval grows by steps, a drawer that got a part comes back earlier, one that ran out while the home had enough draws early, and draws are spread. Ruled out: early draws alone, 5.6% refused.

--- a/internal/limits/home.go
+++ b/internal/limits/home.go
@@ -1,6 +1,18 @@
 package limits
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shortestPart bounds how much earlier than its interval a drawer with a partial grant comes back.
+	shortestPart = 1.0 / 3
+	// maxSpread is the part of the interval over which draws are spread, by multiples of the golden
+	// ratio, which fill it evenly.
+	maxSpread   = 0.2
+	goldenRatio = 1.618033988749895
+)
 
 // Home grants the limits of the organisations whose home this entry is.
 //
@@ -15,6 +27,7 @@
 	requests meter
 	tokens   meter
 	drawers  map[string]drawer
+	draws    uint64 // draws so far
 	demand   Amount // sum of what the drawers want
 	pruned   time.Time
 }
@@ -37,13 +50,29 @@
 	}
 	p.note(now, d)
 	interval := p.interval()
-	return Grant{
-		Amount: Amount{
-			Requests: p.requests.grant(now, limit.Requests, interval, d.Want.Requests, p.demand.Requests),
-			Tokens:   p.tokens.grant(now, limit.Tokens, interval, d.Want.Tokens, p.demand.Tokens),
-		},
-		Valid: 2 * interval,
+	granted := Amount{
+		Requests: p.requests.grant(now, limit.Requests, interval, d.Want.Requests, p.demand.Requests),
+		Tokens:   p.tokens.grant(now, limit.Tokens, interval, d.Want.Tokens, p.demand.Tokens),
+	}
+	return Grant{Amount: granted, Valid: 2 * p.comeBack(interval, granted, d.Want)}
+}
+
+// comeBack returns when the drawer should draw again: after the interval, or earlier when it got only
+// a part of what it wants. The draws are spread, as entries that all began to draw together would go
+// on drawing together.
+func (p *pool) comeBack(interval time.Duration, granted, want Amount) time.Duration {
+	p.draws++
+	_, spread := math.Modf(float64(p.draws) * goldenRatio)
+	part := min(ratio(granted.Requests, want.Requests), ratio(granted.Tokens, want.Tokens))
+	factor := max(part, shortestPart) * (1 - maxSpread*spread)
+	return max(time.Duration(factor*float64(interval)), minInterval)
+}
+
+func ratio(granted, want float64) float64 {
+	if want <= 0 {
+		return 1
 	}
+	return granted / want
 }
 
 // Prune forgets organisations that nobody draws for. The caller prunes about once a minute.
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -37,7 +37,7 @@
 type Options struct {
 	// Self is the name of this entry's instance.
 	Self string
-	// Entries returns the live entries, with or without this one.
+	// Entries returns the live entries, with or without this one; none while they are not known.
 	Entries func() []Entry
 	// LimitOf returns the limit of an organisation in the configuration in force.
 	LimitOf     func(organisation string) Limit
@@ -128,7 +128,9 @@
 func (l *Limiter) drawDue(ctx context.Context) {
 	entries := l.options.Entries()
 	l.mu.Lock()
-	l.spender.SetLive(l.countLive(entries))
+	if len(entries) > 0 {
+		l.spender.SetLive(l.countLive(entries))
+	}
 	due := l.spender.Due(time.Now())
 	l.mu.Unlock()
 	for _, d := range due {
--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -21,10 +21,10 @@
 	// minInterval is the time between draws of an entry for one organisation.
 	minInterval = time.Second
 	// maxInterval is that time for an organisation that very many entries draw for.
-	maxInterval = 15 * time.Second
+	maxInterval = 20 * time.Second
 	// maxDrawsPerSecond is the load of one organisation's draws that its home keeps to by
 	// lengthening the interval.
-	maxDrawsPerSecond = 200
+	maxDrawsPerSecond = 150
 	// burstSeconds is how much of its limit the home saves up while nobody draws.
 	burstSeconds = 1.0
 	// headroom is how many standard deviations of a Poisson count an entry asks for beyond its
@@ -33,6 +33,9 @@
 	maxHeadroom = 3.0
 	// demandGain is the weight of the latest interval in the mean demand.
 	demandGain = 0.3
+	// earlyDraws is how many times in an interval an exhausted entry may draw while the home has
+	// enough.
+	earlyDraws = 4
 	// lostDraws is the number of failed draws in a row after which the home counts as lost.
 	lostDraws = 2
 	// accountIdle is how long an entry remembers an organisation that sends nothing.
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -166,20 +166,39 @@
 	q.Assert(c.admitted-before <= 1.02*c.limit.Requests*60, qt.IsTrue, qt.Commentf("admitted %.0f", c.admitted-before))
 }
 
+// TestHomeBoundsItsDrawsAtTheDesignSize has all entries draw for one organisation at 87% of its limit.
+// A home may spend half of a node's 1.5% of a core on it, at 25 us a draw.
 func TestHomeBoundsItsDrawsAtTheDesignSize(t *testing.T) {
+	const mostDraws = 300
 	q := qt.New(t)
 	c := newCluster(3100, 1, Limit{Requests: 6000})
-	c.run(20*time.Second, 5200, c.anyEntry)
+	c.run(45*time.Second, 5200, c.anyEntry)
 	c.draws, c.refused, c.admitted = 0, 0, 0
 	c.run(30*time.Second, 5200, c.anyEntry)
 	perSecond := float64(c.draws) / 30
-	q.Assert(perSecond <= 1.5*maxDrawsPerSecond, qt.IsTrue, qt.Commentf("%.0f draws a second", perSecond))
-	t.Logf("%.0f draws a second, refused %.0f of %.0f", perSecond, c.refused, c.refused+c.admitted)
+	offered := c.refused + c.admitted
+	q.Assert(perSecond <= mostDraws, qt.IsTrue, qt.Commentf("%.0f draws a second", perSecond))
+	q.Assert(c.refused <= 0.01*offered, qt.IsTrue, qt.Commentf("refused %.0f of %.0f", c.refused, offered))
+	t.Logf("%.0f draws a second, refused %.0f of %.0f", perSecond, c.refused, offered)
+}
+
+// TestFreshEntryDoesNotSpendAsIfAlone covers an entry that has not read the instance list yet.
+func TestFreshEntryDoesNotSpendAsIfAlone(t *testing.T) {
+	q := qt.New(t)
+	s := NewSpender()
+	allowed := 0
+	for range 100 {
+		if s.Spend(start, "org", Limit{Requests: 50}, 1).Allowed {
+			allowed++
+		}
+	}
+	q.Assert(allowed <= 1, qt.IsTrue, qt.Commentf("%d of 100 allowed without a grant", allowed))
 }
 
 func TestRefusalTellsWhenToComeBack(t *testing.T) {
 	q := qt.New(t)
 	s := NewSpender()
+	s.SetLive(1)
 	limit := Limit{Requests: 0.5}
 	for range 2 {
 		s.Spend(start, "org", limit, 1)
--- a/internal/limits/spender.go
+++ b/internal/limits/spender.go
@@ -13,7 +13,7 @@
 // one request more; without a home, at most the entry's share of the limit.
 type Spender struct {
 	accounts map[string]*account
-	live     int // entries that are believed to live, this one included
+	live     int // entries that are believed to live, this one included; 0 while not known
 }
 
 // account is one organisation at this entry.
@@ -30,6 +30,9 @@
 	nextDraw time.Time
 	interval time.Duration
 	drawing  bool
+	// asked is what the latest draw asked for; ample says that the home gave all of it.
+	asked    Amount
+	ample    bool
 	failures int
 	// rate is what the last grant allows in a second.
 	rate   Amount
@@ -46,9 +49,10 @@
 	Draw bool
 }
 
-// NewSpender returns a Spender for an entry that believes to be alone.
+// NewSpender returns a Spender for an entry that does not know the others yet. Until SetLive is
+// called it has no share of a limit.
 func NewSpender() *Spender {
-	return &Spender{accounts: make(map[string]*account), live: 1}
+	return &Spender{accounts: make(map[string]*account)}
 }
 
 // SetLive tells how many entries live, this one included.
@@ -64,8 +68,12 @@
 	a.wanted.Tokens += tokens
 	a.used = now
 	s.settle(now, a)
+	spendable := a.spendable()
+	if !spendable {
+		a.drawEarly(now)
+	}
 	draw := !a.drawing && !now.Before(a.nextDraw)
-	if !a.spendable() {
+	if !spendable {
 		return Decision{RetryAfter: s.retryAfter(now, a), Draw: draw}
 	}
 	a.balance.Requests--
@@ -96,13 +104,15 @@
 			continue
 		}
 		a.drawing = true
-		due = append(due, Draw{Organisation: name, Want: a.want(now)})
+		due = append(due, Draw{Organisation: name, Want: a.ask(now)})
 	}
 	slices.SortFunc(due, func(a, b Draw) int { return cmp.Compare(a.Organisation, b.Organisation) })
 	return due
 }
 
-// Granted takes the answer to a draw.
+// Granted takes the answer to a draw. The grant covers the interval that was asked for, so the next
+// draw comes after that or when the home says; the interval then grows by steps to what the home
+// wants.
 func (s *Spender) Granted(now time.Time, organisation string, g Grant) {
 	a := s.accounts[organisation]
 	if a == nil {
@@ -111,12 +121,15 @@
 	s.settle(now, a)
 	a.drawing = false
 	a.failures = 0
-	a.interval = min(max(g.Valid/2, minInterval), maxInterval)
+	a.ample = g.Requests >= a.asked.Requests && g.Tokens >= a.asked.Tokens
+	asked := a.interval
+	told := min(max(g.Valid/2, minInterval), maxInterval)
+	a.interval = min(told, 2*asked)
 	a.balance.Requests += g.Requests
 	a.balance.Tokens += g.Tokens
-	a.rate = Amount{Requests: g.Requests / a.interval.Seconds(), Tokens: g.Tokens / a.interval.Seconds()}
+	a.rate = Amount{Requests: g.Requests / asked.Seconds(), Tokens: g.Tokens / asked.Seconds()}
 	a.expires = now.Add(g.Valid)
-	a.nextDraw = now.Add(a.interval)
+	a.nextDraw = now.Add(min(asked, told))
 }
 
 // Failed takes a draw that the home did not answer. After a few the entry falls back to its share.
@@ -162,6 +175,9 @@
 
 // share is this entry's part of a limit, per second, when all live entries take the same.
 func (s *Spender) share(limit Limit) Amount {
+	if s.live == 0 {
+		return Amount{}
+	}
 	return Amount{Requests: limit.Requests / float64(s.live), Tokens: limit.Tokens / float64(s.live)}
 }
 
@@ -215,10 +231,25 @@
 	return a.wanted == Amount{} && a.spendable()
 }
 
+// drawEarly lets an exhausted account draw before its interval is over when the home had enough for
+// it the last time. Where the home gives all that it has, drawing more often gains nothing.
+func (a *account) drawEarly(now time.Time) {
+	earliest := a.since.Add(a.interval / earlyDraws)
+	if a.ample && earliest.Before(a.nextDraw) {
+		a.nextDraw = earliest
+	}
+}
+
+// ask returns what the next draw asks for and remembers it.
+func (a *account) ask(now time.Time) Amount {
+	a.asked = a.want(now)
+	return a.asked
+}
+
 // want takes what was wanted since the last draw into the mean demand and returns the demand of one
 // interval with headroom, less the balance.
 func (a *account) want(now time.Time) Amount {
-	seconds := max(now.Sub(a.since).Seconds(), a.interval.Seconds())
+	seconds := max(now.Sub(a.since).Seconds(), minInterval.Seconds())
 	a.demand.Requests += demandGain * (a.wanted.Requests/seconds - a.demand.Requests)
 	a.demand.Tokens += demandGain * (a.wanted.Tokens/seconds - a.demand.Tokens)
 	a.demand.Requests = max(a.demand.Requests, a.wanted.Requests/seconds)
