--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,8 @@
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
+	// Inspect returns what a dump shows about the parts beside the role; may be nil.
+	Inspect func() any
 }
 
 // Entry serves callers.
@@ -122,6 +124,7 @@
 	active        atomic.Int64
 	leave         chan struct{}
 	register      func(*grpc.Server)
+	inspect       func() any
 }
 
 // counters are the entry's metrics.
@@ -152,6 +155,7 @@
 		incarnation:   process.NewIncarnation(),
 		leave:         make(chan struct{}, 1),
 		register:      d.Register,
+		inspect:       d.Inspect,
 	}
 	e.retries = newRetries(e.incarnation)
 	e.limiting = newLimiting(s.Instance, d.Configuration)
@@ -308,6 +312,8 @@
 	Retries map[string]retry.BudgetState `json:"retries"`
 	Limits  limits.State                 `json:"limits"`
 	Claims  claim.Stats                  `json:"claims"`
+	// Node shows the parts beside the role, such as the spread of configurations.
+	Node any `json:"node,omitempty"`
 }
 
 // State returns the entry's whole state.
@@ -330,5 +336,8 @@
 	if e.claims != nil {
 		state.Claims = e.claims.Stats()
 	}
+	if e.inspect != nil {
+		state.Node = e.inspect()
+	}
 	return state
 }
