--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -2,9 +2,10 @@
 // runs next, which is refused before any work, and how long a new one would wait. The agent's
 // control goroutine calls it; the package starts no goroutines and takes no locks.
 //
-// Organisations share the backend server by start-time fair queuing (Goyal, Vin and Cheng, 1996),
-// weighted in estimated milliseconds of work.
-// Urgent attempts go ahead of patient ones until a patient one has waited for Config.PatientAgeing;
+// Organisations share the backend server by start-time fair queuing (Goyal, Vin and Cheng, "Start-time
+// fair queuing", 1996), weighted in estimated milliseconds of work. As runs are not preempted, an
+// organisation that has held more than its share of the slots lately leaves some free while others
+// within their share have demand. Urgent attempts go ahead of patient ones until a patient one has waited for Config.PatientAgeing;
 // from then on the two levels get equal work until no patient attempt is that old.
 package admission
 
