--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
+	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
@@ -310,6 +311,7 @@
 	// Retries are the retry budgets by service.
 	Retries map[string]retry.BudgetState `json:"retries"`
 	Limits  limits.State                 `json:"limits"`
+	Claims  claim.Stats                  `json:"claims"`
 	// Node shows the parts beside the role, such as the spread of configurations.
 	Node any `json:"node,omitempty"`
 }
@@ -331,6 +333,9 @@
 	if snapshot := e.configuration.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version
 	}
+	if e.claims != nil {
+		state.Claims = e.claims.Stats()
+	}
 	if e.inspect != nil {
 		state.Node = e.inspect()
 	}
