--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -116,6 +116,10 @@
 			`m.json:14: kinds[1].service: service "archive" does not exist`,
 			`m.json:15: kinds[2].service: service "archive" does not exist`,
 		},
+	}, {
+		about: "claims kept for longer than their leases last",
+		old:   `"deployment": "test",`, new: `"deployment": "test", "claim_ttl_seconds": 86401,`,
+		want: []string{`m.json:3: claim_ttl_seconds: .*`},
 	}, {
 		about: "names defined twice",
 		old:   `"name": "south"`, new: `"name": "north"`,
