--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -64,6 +64,9 @@
 	return n
 }
 
+// Count implements Peers.
+func (n *node) Count() int { return len(n.cluster.nodes) - 1 }
+
 // Peers implements Peers.
 func (n *node) Peers(count int) []Peer {
 	var peers []Peer
@@ -104,6 +107,7 @@
 func (c *cluster) round(now time.Time) {
 	for _, i := range c.random.Perm(len(c.nodes)) {
 		c.nodes[i].spread.tick(context.Background(), now)
+		c.nodes[i].spread.readers.Wait()
 		c.settle()
 	}
 }
@@ -190,6 +194,8 @@
 	for _, processes := range []int{2, 40, 200, 3100 + 7900} {
 		perSecond := float64(processes) / readInterval(processes).Seconds()
 		c.Assert(perSecond <= fleetReadsPerSecond, qt.IsTrue, qt.Commentf("%d processes: %v/s", processes, perSecond))
+		perSecond = float64(processes) / startReadInterval(processes).Seconds()
+		c.Assert(perSecond <= startReadsPerSecond, qt.IsTrue, qt.Commentf("%d fresh processes: %v/s", processes, perSecond))
 	}
 }
 
@@ -222,11 +228,11 @@
 	fresh := cluster.add("fresh", "domain-1")
 	for _, domain := range []string{"domain-0", "domain-1"} {
 		cluster.unreachable = map[string]bool{domain: true}
-		fresh.spread.startUp(context.Background())
+		fresh.spread.startUp(context.Background(), time.Now())
 		c.Assert(fresh.holder.Ready(), qt.IsFalse, qt.Commentf("%s unreachable", domain))
 	}
 	cluster.unreachable = map[string]bool{}
-	fresh.spread.startUp(context.Background())
+	fresh.spread.startUp(context.Background(), time.Now())
 	c.Assert(fresh.holder.Ready(), qt.IsTrue)
 	c.Assert(fresh.holder.Version(), qt.Equals, uint64(2))
 }
@@ -236,7 +242,7 @@
 	cluster := newCluster(1, 4, 2)
 	cluster.apply(t, 1)
 	for _, n := range cluster.nodes {
-		root, err := n.spread.root(context.Background())
+		root, err := n.spread.root(context.Background(), serviceTimeout)
 		c.Assert(err, qt.IsNil)
 		c.Assert(n.spread.load(context.Background(), root), qt.IsNil)
 	}
@@ -247,6 +253,46 @@
 	c.Assert(cluster.behind(1), qt.Equals, len(cluster.nodes))
 }
 
+// A slow service holds up neither the watch's load of a version nor the exchange between processes.
+func TestVersionIsLoadedFromASlowService(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(1, 2, 1)
+	cluster.apply(t, 1)
+	cluster.round(time.Unix(0, 0))
+	cluster.apply(t, 2)
+	const slow = 300 * time.Millisecond
+	cluster.kv.SetFaults(memkv.Faults{SlowMS: int(slow.Milliseconds())})
+	ahead, behind := cluster.nodes[0], cluster.nodes[1]
+	began := time.Now()
+	ahead.spread.readRoot(context.Background())
+	c.Assert(ahead.holder.Version(), qt.Equals, uint64(2))
+	// Root, tree, and the documents at once.
+	c.Assert(time.Since(began) < 4*slow, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	began = time.Now()
+	behind.spread.tick(context.Background(), time.Unix(10, 0))
+	c.Assert(behind.holder.Version(), qt.Equals, uint64(2))
+	c.Assert(time.Since(began) < slow, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+	behind.spread.readers.Wait()
+}
+
+// The fleet starts as a whole while the service answers one read in ten.
+func TestFleetThatStartsAsAWholeConfirmsThroughASaturatedService(t *testing.T) {
+	c := qt.New(t)
+	cluster := newCluster(1, 120, 6)
+	cluster.apply(t, 1)
+	now := time.Unix(0, 0)
+	for range rounds {
+		for i, n := range cluster.nodes {
+			setDown(cluster.kv, (i+now.Second())%10 != 0)
+			n.spread.tick(context.Background(), now)
+			n.spread.readers.Wait()
+			cluster.settle()
+		}
+		now = now.Add(exchangeInterval)
+	}
+	c.Assert(cluster.behind(1), qt.Equals, 0)
+}
+
 func TestFreshProcessInAnOutageOfADeploymentWithOneDomain(t *testing.T) {
 	c := qt.New(t)
 	cluster := newCluster(1, 3, 1)
@@ -254,7 +300,7 @@
 	cluster.round(time.Unix(0, 0))
 	setDown(cluster.kv, true)
 	fresh := cluster.add("fresh", "domain-0")
-	fresh.spread.startUp(context.Background())
+	fresh.spread.startUp(context.Background(), time.Now())
 	c.Assert(fresh.holder.Ready(), qt.IsTrue)
 }
 
@@ -308,6 +354,9 @@
 	l.peers = peers
 }
 
+// Count implements Peers.
+func (l *listed) Count() int { return len(l.Peers(0)) }
+
 func (l *listed) Peers(n int) []Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -31,11 +32,14 @@
 	listed atomic.Pointer[[]platform.Instance]
 	// known says that listed holds a reading.
 	known atomic.Bool
+	// peers are the other processes of listed.
+	peers atomic.Pointer[[]config.Peer]
 }
 
 func newInstances(self string, list platform.InstanceList) *instances {
 	i := &instances{self: self, list: list}
 	i.listed.Store(&[]platform.Instance{})
+	i.peers.Store(&[]config.Peer{})
 	return i
 }
 
@@ -70,6 +74,7 @@
 		return
 	}
 	i.listed.Store(&listed)
+	i.peers.Store(i.peersOf(listed))
 	i.known.Store(true)
 }
 
@@ -82,34 +87,47 @@
 	return *i.listed.Load(), nil
 }
 
+// peersOf returns the other processes of a reading; stores and this process are none.
+func (i *instances) peersOf(listed []platform.Instance) *[]config.Peer {
+	peers := make([]config.Peer, 0, len(listed))
+	for _, instance := range listed {
+		if instance.ControlAddress == "" || instance.ID == i.self {
+			continue
+		}
+		peers = append(peers, config.Peer{
+			Instance:       instance.ID,
+			ControlAddress: instance.ControlAddress,
+			FailureDomain:  instance.FailureDomain,
+		})
+	}
+	return &peers
+}
+
+// Count implements config.Peers.
+func (i *instances) Count() int { return len(*i.peers.Load()) }
+
 // Peers implements config.Peers.
 func (i *instances) Peers(n int) []config.Peer {
-	listed := *i.listed.Load()
-	if n == 0 {
-		n = len(listed)
+	known := *i.peers.Load()
+	if n == 0 || n >= len(known) {
+		return shuffled(known)
 	}
-	peers := make([]config.Peer, 0, min(n, len(listed)))
-	for _, at := range rand.Perm(len(listed)) {
-		if len(peers) == n {
-			break
-		}
-		if peer, ok := i.peer(listed[at]); ok {
-			peers = append(peers, peer)
+	drawn := make([]config.Peer, 0, n)
+	taken := make(map[int]bool, n)
+	for len(drawn) < n {
+		at := rand.IntN(len(known))
+		if !taken[at] {
+			taken[at] = true
+			drawn = append(drawn, known[at])
 		}
 	}
-	return peers
+	return drawn
 }
 
-// peer returns another process of the system; stores and this process are none.
-func (i *instances) peer(instance platform.Instance) (config.Peer, bool) {
-	if instance.ControlAddress == "" || instance.ID == i.self {
-		return config.Peer{}, false
-	}
-	return config.Peer{
-		Instance:       instance.ID,
-		ControlAddress: instance.ControlAddress,
-		FailureDomain:  instance.FailureDomain,
-	}, true
+func shuffled(known []config.Peer) []config.Peer {
+	peers := slices.Clone(known)
+	rand.Shuffle(len(peers), func(a, b int) { peers[a], peers[b] = peers[b], peers[a] })
+	return peers
 }
 
 // agentsOf returns the live agents of a service, this process with them.
