--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -19,7 +19,7 @@
 	emptyInterval = 100 * time.Millisecond
 	// listBytesPerSecond bounds what readings of the list cost on the mean. Long lists are read
 	// less often: what processes say of themselves is newer than the list anyway.
-	listBytesPerSecond = 8 << 10
+	listBytesPerSecond = 4 << 10
 	// rowBytes estimates one row of the list on the wire.
 	rowBytes = 256
 )
--- /dev/null
+++ b/scripts/load-slopes.sh
@@ -0,0 +1,58 @@
+#!/bin/sh
+# Measures what a request costs entries and agents: control bytes and processor time at several rates
+# of Ridgeline's mix, on real processes. Prints one line a rate and role, then the straight-line fit a
+# request with its standard error.
+#   scripts/load-slopes.sh [SECONDS] [RATES...]
+set -eu
+cd "$(dirname "$0")/.."
+seconds=${1:-20}
+[ $# -gt 0 ] && shift
+rates=${*:-0 10 20 40}
+clock_ticks=$(getconf CLK_TCK)
+
+# sample prints "role control_bytes cpu_ticks rss_kb" for each entry and agent.
+sample() {
+  for settings in run/*.json; do
+    metrics=$(sed -n 's/.*"metrics": "\([^"]*\)".*/\1/p' "$settings")
+    [ -n "$metrics" ] || continue
+    role=agent
+    case $settings in run/entry-*) role=entry ;; esac
+    bytes=$(curl -s "http://$metrics/dump" | awk -F'[:,]' '/"(sent|received)_bytes"/ {sum += $2} END {print sum + 0}')
+    pid=$(pgrep -f -- "--settings $settings" | head -1)
+    cpu=$(awk '{print $14 + $15}' "/proc/$pid/stat")
+    rss=$(awk '/VmRSS/ {print $2}' "/proc/$pid/status")
+    echo "$role $settings $bytes $cpu $rss"
+  done
+}
+
+sh scripts/run-local.sh start ridgeline >run-local.out
+entries=$(sed -n 's/.*entries: //p' run-local.out)
+rm -f run-local.out
+trap 'sh scripts/run-local.sh stop' EXIT
+bin/balsam-load --manifest --profile ridgeline >run/load-manifest.json
+bin/balsamctl apply --kv 127.0.0.1:19000 run/load-manifest.json
+sleep 10
+flags=''
+for entry in $entries; do flags="$flags --entry $entry"; done
+: >run/slopes.txt
+echo "role rate/s control_bytes/s cpu_ms/s rss_mib"
+for rate in $rates; do
+  sample >run/before.txt
+  if [ "$rate" = 0 ]; then
+    sleep "$seconds"
+  else
+    bin/balsam-load $flags --profile ridgeline --rate "$rate" --seconds "$seconds" --warm-up-seconds 0 --seed 1 >run/load-$rate.out 2>&1 || true
+  fi
+  sample >run/after.txt
+  paste -d' ' run/before.txt run/after.txt | awk -v rate="$rate" -v s="$seconds" -v hz="$clock_ticks" '
+    {role = $1; bytes[role] += $8 - $3; cpu[role] += $9 - $4; rss[role] += $10; count[role]++}
+    END {for (role in count) printf "%s %d %.0f %.1f %.1f\n", role, rate, bytes[role] / s, 1000 * cpu[role] / hz / s, rss[role] / count[role] / 1024}' |
+    tee -a run/slopes.txt
+done
+echo "fit over all processes of a role together, a request:"
+awk '{n[$1]++; x[$1] += $2; xx[$1] += $2 * $2; for (c = 3; c <= 4; c++) {y[$1, c] += $c; xy[$1, c] += $2 * $c; yy[$1, c] += $c * $c}}
+  END {for (role in n) for (c = 3; c <= 4; c++) {
+    k = n[role]; sxx = xx[role] - x[role] ^ 2 / k; sxy = xy[role, c] - x[role] * y[role, c] / k
+    syy = yy[role, c] - y[role, c] ^ 2 / k; slope = sxy / sxx; rest = syy - slope * sxy
+    error = k > 2 ? sqrt((rest > 0 ? rest : 0) / (k - 2) / sxx) : 0
+    printf "  %s %s %.2f +- %.2f, without load %.1f a second\n", role, c == 3 ? "control bytes" : "cpu ms", slope, error, (y[role, c] - slope * x[role]) / k}}' run/slopes.txt
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -121,7 +121,7 @@
   "kv": "$kv", "instance_list": "$list",
 }
 SETTINGS
-    launch "$id" bin/balsam-entry --settings "$run/$id.json"
+    launch "$id" bin/balsam-entry --settings "$run/$id.json" ${ENTRY_FLAGS:-}
     instance_row "$id" entry "" "$where" "$listen" "$control"
     entries="$entries $listen"
     i=$((i + 1))
