Refuse directory calls at once when the home is busy

A call waited without bound for a place in the control goroutine's queue, and for its turn after its caller had given up (the new test hung). A home now refuses with ResourceExhausted when its queue is full and stops waiting when the call's context ends; the caller then asks the other home.

--- a/internal/directory/server.go
+++ b/internal/directory/server.go
@@ -32,17 +32,31 @@
 }
 
 // Announce implements wire.DirectoryServer. Rows with malformed names are passed over.
-func (s *Server) Announce(_ context.Context, req *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
+func (s *Server) Announce(ctx context.Context, req *wire.AnnounceRequest) (*wire.AnnounceReply, error) {
 	if len(req.GetHoldings()) > maxAnnouncedRows {
 		return nil, status.Errorf(codes.InvalidArgument, "%d rows exceed %d", len(req.GetHoldings()), maxAnnouncedRows)
 	}
-	ran := s.loop.Call(func() { s.apply(req, time.Now()) })
-	if !ran {
-		return nil, stopping()
+	if err := s.run(ctx, func() { s.apply(req, time.Now()) }); err != nil {
+		return nil, err
 	}
 	return &wire.AnnounceReply{}, nil
 }
 
+// run runs f on the control goroutine. It refuses at once when that has too much to do, and stops
+// waiting when ctx ends.
+func (s *Server) run(ctx context.Context, f func()) error {
+	ran := make(chan struct{})
+	if !s.loop.TryPost(func() { f(); close(ran) }) {
+		return status.Error(codes.ResourceExhausted, "the process is busy or stopping")
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-ctx.Done():
+		return status.FromContextError(ctx.Err()).Err()
+	}
+}
+
 // apply runs on the control goroutine.
 func (s *Server) apply(req *wire.AnnounceRequest, now time.Time) {
 	for _, raw := range req.GetHoldings() {
@@ -60,7 +74,7 @@
 
 // Lookup implements wire.DirectoryServer. The reply has one holding for each holder: that of the
 // last piece of the longest run that the holder keeps from the first asked piece on.
-func (s *Server) Lookup(_ context.Context, req *wire.LookupRequest) (*wire.LookupReply, error) {
+func (s *Server) Lookup(ctx context.Context, req *wire.LookupRequest) (*wire.LookupReply, error) {
 	if len(req.GetPieces()) > maxLookupPieces {
 		return nil, status.Errorf(codes.InvalidArgument, "%d pieces exceed %d", len(req.GetPieces()), maxLookupPieces)
 	}
@@ -69,9 +83,9 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	var runs []Holding
-	ran := s.loop.Call(func() { runs = s.table.Runs(names, maxHoldersPerLookup, time.Now()) })
-	if !ran {
-		return nil, stopping()
+	err = s.run(ctx, func() { runs = s.table.Runs(names, maxHoldersPerLookup, time.Now()) })
+	if err != nil {
+		return nil, err
 	}
 	reply := &wire.LookupReply{Holdings: make([]*wire.Holding, len(runs))}
 	for i := range runs {
@@ -80,9 +94,6 @@
 	return reply, nil
 }
 
-// stopping is the answer of a process whose control goroutine has ended.
-func stopping() error { return status.Error(codes.Unavailable, "the process is stopping") }
-
 func holdingToWire(h Holding, removed bool) *wire.Holding {
 	return &wire.Holding{
 		Piece:      h.Piece.Bytes(),
--- a/internal/directory/server_test.go
+++ b/internal/directory/server_test.go
@@ -100,6 +100,29 @@
 	c.Assert(err, qt.IsNil)
 }
 
+func TestBusyHomeRefusesAtOnce(t *testing.T) {
+	c := qt.New(t)
+	loop := control.NewLoop() // never runs, so its queue fills
+	for loop.TryPost(func() {}) {
+	}
+	server := NewServer(loop, NewTable(0))
+	began := time.Now()
+	_, err := server.Lookup(context.Background(), &wire.LookupRequest{})
+	c.Assert(err, qt.ErrorMatches, ".*ResourceExhausted.*")
+	_, err = server.Announce(context.Background(), &wire.AnnounceRequest{})
+	c.Assert(err, qt.ErrorMatches, ".*ResourceExhausted.*")
+	c.Assert(time.Since(began) < time.Second, qt.IsTrue)
+}
+
+func TestCallerThatGivesUpDoesNotHoldTheHome(t *testing.T) {
+	c := qt.New(t)
+	server := NewServer(control.NewLoop(), NewTable(0)) // the loop never runs
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	_, err := server.Lookup(ctx, &wire.LookupRequest{})
+	c.Assert(err, qt.ErrorMatches, ".*DeadlineExceeded.*")
+}
+
 func TestMalformedCallsAreRefused(t *testing.T) {
 	c := qt.New(t)
 	server := NewServer(control.NewLoop(), NewTable(0))
