Predict the wait of an organisation whose slots are kept for others

While slots were free it was told no wait, though what it had waiting did not start: TestHeldOrganisationIsToldItsWait failed.

--- a/internal/admission/isolation_test.go
+++ b/internal/admission/isolation_test.go
@@ -181,3 +181,29 @@
 	fill()
 	c.Assert(q.Running(), qt.Equals, simSlots)
 }
+
+// TestHeldOrganisationIsToldItsWait covers free slots that are kept for others.
+func TestHeldOrganisationIsToldItsWait(t *testing.T) {
+	c := qt.New(t)
+	q := New(DefaultConfig(simSlots))
+	now := start
+	var next uint64
+	begin := func(organisation string) {
+		next++
+		q.Offer(now, Job{Attempt: attempt(next), Organisation: organisation, Work: 1e6})
+		q.Next(now)
+	}
+	for i := range 4 {
+		begin(fmt.Sprintf("small-%d", i))
+	}
+	now = now.Add(10 * time.Second)
+	for range 10 {
+		begin("large")
+	}
+	now = now.Add(15 * time.Second)
+	begin("large")
+	c.Assert(q.Len(), qt.Equals, 1)
+	c.Assert(q.Running(), qt.Equals, simSlots-2)
+	c.Assert(q.Predict(now, Job{Organisation: "large", Work: 1e6}) > 0, qt.IsTrue)
+	c.Assert(q.Predict(now, Job{Organisation: "small-5", Work: 1e6}), qt.Equals, time.Duration(0))
+}
--- a/internal/admission/predict.go
+++ b/internal/admission/predict.go
@@ -23,7 +23,7 @@
 	job = job.normalised()
 	q.reservations.lapse(now)
 	if q.running+q.queued+q.reservations.count() < q.config.Slots {
-		return 0
+		return q.heldWait(now, job)
 	}
 	wait := q.untilFree(now) + q.perSlot(q.ahead(now, job)+q.reservedAhead(job))
 	return max(wait, q.heldWait(now, job))
@@ -32,7 +32,7 @@
 // wait returns how long job would wait without regard to reservations.
 func (q *Queue) wait(now time.Time, job Job) time.Duration {
 	if q.running+q.queued < q.config.Slots {
-		return 0
+		return q.heldWait(now, job)
 	}
 	return max(q.untilFree(now)+q.perSlot(q.ahead(now, job)), q.heldWait(now, job))
 }
