--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -19,8 +19,10 @@
 	exchangeInterval = time.Second
 	// fanOut is how many peers are told of a new version.
 	fanOut = 3
-	// callTimeout bounds one call to a peer.
+	// callTimeout bounds one exchange with a peer, pullTimeout one pull of up to a whole
+	// configuration over a slow link.
 	callTimeout = time.Second
+	pullTimeout = 3 * time.Second
 	// serviceTimeout bounds one read of the root, and startTimeout that of a fresh process.
 	serviceTimeout = 4 * time.Second
 	startTimeout   = 2 * time.Second
@@ -238,7 +240,7 @@
 
 // pull fetches what the process at address has and we lack.
 func (s *Spread) pull(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	s.count(func(stats *SpreadStats) { stats.Pulls++ })
 	reply, err := s.options.Messenger.Pull(ctx, address, &wire.PullRequest{
