--- a/internal/config/service_reads.go
+++ b/internal/config/service_reads.go
@@ -20,7 +20,7 @@
 
 // readDue tells whether the next paced read of the root is due and plans the one after it.
 func (s *Spread) readDue(now time.Time) bool {
-	interval := readInterval(len(s.options.Peers.Peers(0)) + 1)
+	interval := readInterval(s.options.Peers.Count() + 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now.Before(s.nextRead) {
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -64,6 +64,9 @@
 	return n
 }
 
+// Count implements Peers.
+func (n *node) Count() int { return len(n.cluster.nodes) - 1 }
+
 // Peers implements Peers.
 func (n *node) Peers(count int) []Peer {
 	var peers []Peer
@@ -261,6 +264,9 @@
 	l.peers = peers
 }
 
+// Count implements Peers.
+func (l *listed) Count() int { return len(l.Peers(0)) }
+
 func (l *listed) Peers(n int) []Peer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
