--- a/internal/rollout/planner_test.go
+++ b/internal/rollout/planner_test.go
@@ -16,7 +16,7 @@
 // lost, the service has outages: never more loads at once than allowed, never a load by the order
 // of a holder after a later one was seen, and after the faults every replica comes to the target.
 func TestLoadsStayBoundedAcrossHoldersAndTheRolloutEnds(t *testing.T) {
-	for seed := range uint64(16) {
+	for seed := range uint64(40) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			c := qt.New(t)
 			const limit = 2
