--- a/scripts/design-size.sh
+++ b/scripts/design-size.sh
@@ -6,7 +6,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 seconds=${1:-30}
-clock_ticks=$(getconf CLK_TCK)
+. scripts/sample.sh
 list=127.0.0.1:19001
 kv=127.0.0.1:19000
 
@@ -34,12 +34,7 @@
 
 report() {
   for name in entry-0 assistant-0 archive-0; do
-    pid=$(pgrep -f -- "--settings run/$name.json" | head -1)
-    metrics=$(sed -n 's/.*"metrics": "\([^"]*\)".*/\1/p' "run/$name.json")
-    rss=$(awk '/VmRSS/ {print $2}' "/proc/$pid/status")
-    cpu=$(awk '{print $14 + $15}' "/proc/$pid/stat")
-    bytes=$(curl -s "http://$metrics/dump" | awk -F'[:,]' '/"(sent|received)_bytes"/ {sum += $2} END {print sum + 0}')
-    echo "$name $rss $cpu $bytes"
+    sample "run/$name.json"
   done
 }
 
@@ -47,7 +42,7 @@
 trap 'sh scripts/run-local.sh stop' EXIT
 sleep 5
 echo "small list and manifest:"
-report | awk '{printf "  %s rss %.1f MiB\n", $1, $2 / 1024}'
+report | awk '{printf "  %s rss %.1f MiB\n", $2, $5 / 1024}'
 big_list
 big_manifest
 curl -sf -X PUT -H 'Content-Type: application/json' --data-binary @run/big.json "http://$list/admin/instances" >/dev/null
@@ -58,4 +53,4 @@
 report >run/after.txt
 echo "11,000 rows and 1,000 organisations, over $seconds s:"
 paste -d' ' run/before.txt run/after.txt | awk -v s="$seconds" -v hz="$clock_ticks" \
-  '{printf "  %s rss %.1f MiB, %.2f%% of a core, %.0f control bytes/s\n", $1, $6 / 1024, 100 * ($7 - $3) / hz / s, ($8 - $4) / s}'
+  '{printf "  %s rss %.1f MiB, %.2f%% of a core, %.0f control bytes/s\n", $2, $10 / 1024, 100 * ($9 - $4) / hz / s, ($8 - $3) / s}'
--- a/scripts/load-slopes.sh
+++ b/scripts/load-slopes.sh
@@ -8,22 +8,7 @@
 seconds=${1:-20}
 [ $# -gt 0 ] && shift
 rates=${*:-0 10 20 40}
-clock_ticks=$(getconf CLK_TCK)
-
-# sample prints "role control_bytes cpu_ticks rss_kb" for each entry and agent.
-sample() {
-  for settings in run/*.json; do
-    metrics=$(sed -n 's/.*"metrics": "\([^"]*\)".*/\1/p' "$settings")
-    [ -n "$metrics" ] || continue
-    role=agent
-    case $settings in run/entry-*) role=entry ;; esac
-    bytes=$(curl -s "http://$metrics/dump" | awk -F'[:,]' '/"(sent|received)_bytes"/ {sum += $2} END {print sum + 0}')
-    pid=$(pgrep -f -- "--settings $settings" | head -1)
-    cpu=$(awk '{print $14 + $15}' "/proc/$pid/stat")
-    rss=$(awk '/VmRSS/ {print $2}' "/proc/$pid/status")
-    echo "$role $settings $bytes $cpu $rss"
-  done
-}
+. scripts/sample.sh
 
 sh scripts/run-local.sh start ridgeline >run-local.out
 entries=$(sed -n 's/.*entries: //p' run-local.out)
@@ -37,13 +22,13 @@
 : >run/slopes.txt
 echo "role rate/s control_bytes/s cpu_ms/s rss_mib"
 for rate in $rates; do
-  sample >run/before.txt
+  sample_all >run/before.txt
   if [ "$rate" = 0 ]; then
     sleep "$seconds"
   else
     bin/balsam-load $flags --profile ridgeline --rate "$rate" --seconds "$seconds" --warm-up-seconds 0 --seed 1 >run/load-$rate.out 2>&1 || true
   fi
-  sample >run/after.txt
+  sample_all >run/after.txt
   paste -d' ' run/before.txt run/after.txt | awk -v rate="$rate" -v s="$seconds" -v hz="$clock_ticks" '
     {role = $1; bytes[role] += $8 - $3; cpu[role] += $9 - $4; rss[role] += $10; count[role]++}
     END {for (role in count) printf "%s %d %.0f %.1f %.1f\n", role, rate, bytes[role] / s, 1000 * cpu[role] / hz / s, rss[role] / count[role] / 1024}' |
--- a/scripts/run-local.sh
+++ b/scripts/run-local.sh
@@ -75,7 +75,7 @@
     next_address; metrics=$address
     standin_settings="$run/$id-backend.json"
     if [ "$4" = engine ]; then
-      printf '{"weight_version":"%s","weights_address":"%s","load_ms":%s}\n' "$WEIGHT_VERSION" "$weights" "${LOAD_MS:-0}" >"$standin_settings"
+      printf '{"weight_version":"%s","weights_address":"%s","load_ms":%s%s}\n' "$WEIGHT_VERSION" "$weights" "${LOAD_MS:-0}" "${ENGINE_SETTINGS:+,$ENGINE_SETTINGS}" >"$standin_settings"
     else
       printf '{}\n' >"$standin_settings"
     fi
@@ -89,7 +89,7 @@
   "service": "$1", "service_type": "$2", "backend": "$backend",
 }
 SETTINGS
-    launch "$id" bin/balsam-agent --settings "$run/$id.json"
+    launch "$id" bin/balsam-agent --settings "$run/$id.json" ${AGENT_FLAGS:-}
     instance_row "$id" agent "$1" "$where" "$listen" "$control"
     i=$((i + 1))
   done
