Serve on while the balancer notices a leaving entry; test a rolling restart under load

Cause: a leaving entry failed its health check and refused new requests at the same moment, so what the balancer sent before its next check was refused. An entry now serves on for drain_delay_ms (2,000) after its health check fails. internal/systemtest/restart restarts each agent and entry in turn under load, behind a small balancer that repeats nothing, and checks that a leaving agent gets no new work within 3 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,13 +54,16 @@
 	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
 	// PlacementPolicy is the name of a policy of package placement; empty means cost.
 	PlacementPolicy string `json:"placement_policy" long:"placement-policy" description:"cost, two-choices, random, round-robin, least-in-flight or rendezvous"`
+	// DrainDelayMS is how long an entry goes on serving after its health check fails, so that the
+	// balancer notices before requests are refused.
+	DrainDelayMS int `json:"drain_delay_ms" long:"drain-delay-ms" description:"milliseconds that the balancer has to notice a leaving entry"`
 	// GraceSeconds bounds how long streams may finish after a stop is asked for.
 	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams may finish after SIGTERM"`
 }
 
 // DefaultSettings returns the settings that a file or flags override.
 func DefaultSettings() Settings {
-	return Settings{GraceSeconds: 30}
+	return Settings{GraceSeconds: 30, DrainDelayMS: 2000}
 }
 
 // Check returns an error for the first setting that can't be used.
@@ -121,10 +124,12 @@
 	limiting      *limiting
 	incarnation   uint64
 	leaving       atomic.Bool
-	active        atomic.Int64
-	leave         chan struct{}
-	register      func(*grpc.Server)
-	inspect       func() any
+	// refusing follows leaving once the balancer had time to notice.
+	refusing atomic.Bool
+	active   atomic.Int64
+	leave    chan struct{}
+	register func(*grpc.Server)
+	inspect  func() any
 }
 
 // counters are the entry's metrics.
@@ -222,11 +227,13 @@
 	return e.stop(server)
 }
 
-// stop is the graceful shutdown: the balancer sees 503 from /healthz, new requests are refused as
-// not run, and streams finish until the grace ends.
+// stop is the graceful shutdown: the balancer sees 503 from /healthz while the entry still serves,
+// then new requests are refused as not run, and streams finish until the grace ends.
 func (e *Entry) stop(server *fasthttp.Server) error {
 	e.leaving.Store(true)
 	e.logger.Info("leaving", zap.Int64("active", e.active.Load()))
+	time.Sleep(time.Duration(e.settings.DrainDelayMS) * time.Millisecond)
+	e.refusing.Store(true)
 	deadline := time.Now().Add(time.Duration(e.settings.GraceSeconds) * time.Second)
 	for e.active.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(graceStep)
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -101,7 +101,7 @@
 // serve reads one request, refuses it or hands it on.
 func (e *Entry) serve(ctx *fasthttp.RequestCtx, read func(*fasthttp.RequestCtx) (*request, *Failure), run func(*fasthttp.RequestCtx, *request)) {
 	e.counters.requests.Inc(1)
-	if e.leaving.Load() {
+	if e.refusing.Load() {
 		ctx.SetConnectionClose()
 		e.fail(ctx, retryable(CodeLeaving, fasthttp.StatusServiceUnavailable, "this entry is leaving", time.Second), nil)
 		return
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -140,6 +140,7 @@
 	s.Identity = process.Identity{Instance: "entry-0", Region: "r", FailureDomain: "north"}
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
 	s.GraceSeconds = 1
+	s.DrainDelayMS = 0
 	e, err := entry.New(s, entry.Dependencies{
 		Configuration: inForce{holder}, Instances: list, Logger: zap.NewNop(),
 	})
--- /dev/null
+++ b/internal/systemtest/restart/callers_test.go
@@ -0,0 +1,225 @@
+package restart
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/uuid"
+
+	"balsamyoke.example/balsamyoke/internal/standin/answer"
+	"balsamyoke.example/balsamyoke/internal/testbed"
+)
+
+const (
+	callerCount   = 6
+	callerPause   = 10 * time.Millisecond
+	callerTimeout = 10 * time.Second
+	// checkInterval is how often the balancer checks the health of entries.
+	checkInterval = 50 * time.Millisecond
+)
+
+// balancer stands in for the platform's balancer: it sends to entries whose last health check was
+// good, one connection a request, and repeats nothing.
+type balancer struct {
+	client  http.Client
+	entries []*testbed.Instance
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+
+	mu      sync.Mutex
+	healthy map[string]bool
+}
+
+func newBalancer(ctx context.Context, entries []*testbed.Instance) *balancer {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &balancer{
+		client:  http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		entries: entries,
+		cancel:  cancel,
+		healthy: make(map[string]bool),
+	}
+	b.checkAll()
+	b.group.Go(func() {
+		for ctx.Err() == nil {
+			time.Sleep(checkInterval)
+			b.checkAll()
+		}
+	})
+	return b
+}
+
+func (b *balancer) checkAll() {
+	for _, entry := range b.entries {
+		reply, err := b.client.Get("http://" + entry.Address + "/healthz")
+		good := err == nil && reply.StatusCode == http.StatusOK
+		if err == nil {
+			_ = reply.Body.Close()
+		}
+		b.mu.Lock()
+		b.healthy[entry.Address] = good
+		b.mu.Unlock()
+	}
+}
+
+// pick returns the address of a healthy entry, or an empty one.
+func (b *balancer) pick() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var good []string
+	for _, entry := range b.entries {
+		if b.healthy[entry.Address] {
+			good = append(good, entry.Address)
+		}
+	}
+	if len(good) == 0 {
+		return ""
+	}
+	return good[rand.IntN(len(good))]
+}
+
+func (b *balancer) awaitHealthy(c *qt.C, entry *testbed.Instance) {
+	for began := time.Now(); ; time.Sleep(checkInterval) {
+		b.mu.Lock()
+		good := b.healthy[entry.Address]
+		b.mu.Unlock()
+		if good {
+			return
+		}
+		c.Assert(time.Since(began) < backWithin, qt.IsTrue, qt.Commentf("%s is not healthy again", entry.ID))
+	}
+}
+
+func (b *balancer) stop() {
+	b.cancel()
+	b.group.Wait()
+}
+
+// failure is a request that did not get its whole right answer.
+type failure struct {
+	kind string
+	text string
+}
+
+// callers send requests of all kinds until stop.
+type callers struct {
+	balancer *balancer
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+
+	mu       sync.Mutex
+	sent     int
+	failures []failure
+}
+
+func startCallers(ctx context.Context, b *balancer) *callers {
+	ctx, cancel := context.WithCancel(ctx)
+	r := &callers{balancer: b, cancel: cancel}
+	for i := range callerCount {
+		r.group.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				r.call(i, n)
+				time.Sleep(callerPause)
+			}
+		})
+	}
+	return r
+}
+
+func (r *callers) stop() {
+	r.cancel()
+	r.group.Wait()
+}
+
+func (r *callers) call(caller, n int) {
+	kind, problem := "trace", ""
+	switch n % 4 {
+	case 0, 1:
+		problem = r.trace(fmt.Sprintf("trace circuit %d of harness %d", n, caller))
+	case 2:
+		kind, problem = "browse", r.plain("browse", "")
+	case 3:
+		kind, problem = "checkout", r.plain("checkout", uuid.Must(uuid.NewV7()).String())
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+	if problem != "" {
+		r.failures = append(r.failures, failure{kind: kind, text: problem})
+	}
+}
+
+// trace sends a chat and compares its answer with the undisturbed one.
+func (r *callers) trace(prompt string) string {
+	messages := []answer.Message{{Role: "user", Content: prompt}}
+	body, err := json.Marshal(map[string]any{"model": "assistant", "messages": messages})
+	if err != nil {
+		return err.Error()
+	}
+	text, problem := r.post("/v1/chat/completions", body, "")
+	if problem != "" {
+		return problem
+	}
+	var chat struct {
+		Choices []struct {
+			Message answer.Message `json:"message"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal(text, &chat); err != nil || len(chat.Choices) != 1 {
+		return string(text)
+	}
+	expected := answer.New(answer.Request{Messages: messages, WeightVersion: "w1", MaxTokens: 32}).Text()
+	if chat.Choices[0].Message.Content != expected {
+		return "wrong answer: " + chat.Choices[0].Message.Content
+	}
+	return ""
+}
+
+func (r *callers) plain(kind, key string) string {
+	_, problem := r.post("/v1/services/archive/"+kind, []byte(`{"sheet":"14"}`), key)
+	return problem
+}
+
+func (r *callers) post(path string, body []byte, key string) (text []byte, problem string) {
+	entry := r.balancer.pick()
+	if entry == "" {
+		return nil, "no healthy entry"
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+entry+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+organisationKey)
+	request.Header.Set("Content-Type", "application/json")
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	reply, err := r.balancer.client.Do(request)
+	if err != nil {
+		return nil, err.Error()
+	}
+	defer reply.Body.Close()
+	text, err = io.ReadAll(reply.Body)
+	if err != nil {
+		return nil, err.Error()
+	}
+	if reply.StatusCode != http.StatusOK {
+		return nil, fmt.Sprintf("%d %s", reply.StatusCode, text)
+	}
+	return text, ""
+}
+
+func (r *callers) check(c *qt.C) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c.Logf("%d requests", r.sent)
+	c.Assert(r.sent > 100, qt.IsTrue)
+	c.Assert(r.failures, qt.HasLen, 0)
+}
--- /dev/null
+++ b/internal/systemtest/restart/restart_test.go
@@ -0,0 +1,134 @@
+package restart
+
+import (
+	"context"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/testbed"
+)
+
+func TestMain(m *testing.M) { os.Exit(testbed.Main(m)) }
+
+const (
+	organisationKey = "ridge-key"
+	testTimeout     = 3 * time.Minute
+	// settle is the time between two restarts.
+	settle = 300 * time.Millisecond
+	// backWithin is how long a restarted process may take until it serves again.
+	backWithin = 12 * time.Second
+	// noNewWorkWithin is how soon a leaving agent must get no more work.
+	noNewWorkWithin = 3 * time.Second
+)
+
+func testManifest() *manifest.Manifest {
+	return &manifest.Manifest{
+		Deployment:    "restart",
+		Organisations: []manifest.Organisation{{Name: "ridge", KeyDigests: []string{manifest.KeyDigest(organisationKey)}}},
+		Services: []manifest.Service{
+			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: "w1", MaxConcurrentLoads: 2},
+			{Name: "archive", Type: manifest.ServicePlain},
+		},
+		Kinds: []manifest.Kind{
+			{Name: "trace", Service: "assistant", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 5000, MaxTokens: 32},
+			{Name: "browse", Service: "archive", Urgency: manifest.Urgent, Idempotent: true, DeadlineMS: 3000},
+			{Name: "checkout", Service: "archive", Urgency: manifest.Urgent, Idempotent: false, DeadlineMS: 3000},
+		},
+	}
+}
+
+func startFleet(c *qt.C, ctx context.Context) *testbed.Fleet {
+	binaries, err := testbed.Binaries()
+	c.Assert(err, qt.IsNil)
+	fleet, err := testbed.Start(ctx, testbed.Spec{
+		Binaries:      binaries,
+		Folder:        c.TempDir(),
+		Region:        "lakes",
+		Domains:       []string{"north", "south"},
+		Manifest:      testManifest(),
+		ModelReplicas: 3,
+		PlainReplicas: 2,
+		Entries:       2,
+		Engine:        testbed.Settings{"decode_ms": 10, "slots": 32, "prefill_tokens_per_second": 200_000},
+		Plain:         testbed.Settings{"work_ms": 20},
+		Agent:         testbed.Settings{"slots": 32, "prefill_us_per_token": 5, "decode_us_per_token": 10_000, "grace_seconds": 5},
+		Entry:         testbed.Settings{"grace_seconds": 5},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(fleet.Stop)
+	return fleet
+}
+
+// Every agent and every entry is stopped and started again while callers go on. No request fails:
+// idempotent ones continue elsewhere, and the others finish within the grace.
+func TestRollingRestartFailsNoRequest(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	fleet := startFleet(c, ctx)
+	balancer := newBalancer(ctx, fleet.Role(platform.RoleEntry))
+	callers := startCallers(ctx, balancer)
+	time.Sleep(settle)
+	for _, agent := range fleet.Role(platform.RoleAgent) {
+		c.Assert(agent.Process.Stop(), qt.IsNil)
+		c.Assert(fleet.Restart(agent), qt.IsNil)
+		awaitWork(c, ctx, agent)
+	}
+	for _, entry := range fleet.Role(platform.RoleEntry) {
+		c.Assert(entry.Process.Stop(), qt.IsNil)
+		c.Assert(fleet.Restart(entry), qt.IsNil)
+		balancer.awaitHealthy(c, entry)
+		time.Sleep(settle)
+	}
+	callers.stop()
+	balancer.stop()
+	callers.check(c)
+}
+
+// A leaving agent whose run is under way gets no new work within seconds, although the instance list
+// goes on showing it as live.
+func TestLeavingAgentGetsNoNewWork(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	fleet := startFleet(c, ctx)
+	balancer := newBalancer(ctx, fleet.Role(platform.RoleEntry))
+	callers := startCallers(ctx, balancer)
+	leaving := fleet.Service("assistant")[0]
+	awaitWork(c, ctx, leaving)
+	leaving.Process.Terminate()
+	began := time.Now()
+	last := accepted(ctx, leaving)
+	lastChange := began
+	for time.Since(began) < 2*noNewWorkWithin {
+		if now := accepted(ctx, leaving); now > last {
+			last, lastChange = now, time.Now()
+		}
+		time.Sleep(settle / 10)
+	}
+	callers.stop()
+	balancer.stop()
+	callers.check(c)
+	c.Assert(lastChange.Sub(began) < noNewWorkWithin, qt.IsTrue, qt.Commentf("new work after %s", lastChange.Sub(began)))
+}
+
+// accepted returns how many attempts an agent has accepted; the last known count when it is gone.
+func accepted(ctx context.Context, agent *testbed.Instance) float64 {
+	count, err := testbed.Metric(ctx, agent.Metrics, "agent_accepted")
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
+// awaitWork waits until a restarted agent has accepted an attempt.
+func awaitWork(c *qt.C, ctx context.Context, agent *testbed.Instance) {
+	for began := time.Now(); accepted(ctx, agent) == 0; time.Sleep(settle / 10) {
+		c.Assert(time.Since(began) < backWithin, qt.IsTrue, qt.Commentf("%s gets no work", agent.ID))
+	}
+}
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -28,6 +28,10 @@
 	return merged
 }
 
+// drainDelayMS is how long a leaving entry goes on serving, in milliseconds, unless Spec.Entry says
+// otherwise: longer than the checks of a balancer in a test.
+const drainDelayMS = 300
+
 // Spec is the deployment to start.
 type Spec struct {
 	// Binaries is the folder of the programs, Folder that of settings and logs.
@@ -248,7 +252,8 @@
 func (f *Fleet) startEntries() error {
 	for i := range f.spec.Entries {
 		instance := f.place(fmt.Sprintf("entry-%d", i), platform.RoleEntry, i)
-		if err := f.startOwn(instance, "balsam-entry", f.spec.Entry); err != nil {
+		own := Settings{"drain_delay_ms": drainDelayMS}.with(f.spec.Entry)
+		if err := f.startOwn(instance, "balsam-entry", own); err != nil {
 			return err
 		}
 	}
