--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -10,7 +10,7 @@
 )
 
 // reservationTTL is how long a probe reply holds its place for the dispatch that may follow.
-const reservationTTL = 100 * time.Millisecond
+const reservationTTL = 30 * time.Millisecond
 
 // probed answers a probe from the live queue. A full control queue drops the probe: the entry
 // then takes another replica.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -54,6 +54,9 @@
 	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
 	// PlacementPolicy is the name of a policy of package placement; empty means cost.
 	PlacementPolicy string `json:"placement_policy" long:"placement-policy" description:"cost, two-choices, random, round-robin, least-in-flight or rendezvous"`
+	// ProbeReservations makes each probe hold a place in the agent's predictions for a moment, so that
+	// many entries don't choose the same idle replica.
+	ProbeReservations bool `json:"probe_reservations" long:"probe-reservations" description:"let probes hold a place at the agents for 30 ms"`
 	// DrainDelayMS is how long an entry goes on serving after its health check fails, so that the
 	// balancer notices before requests are refused.
 	DrainDelayMS int `json:"drain_delay_ms" long:"drain-delay-ms" description:"milliseconds that the balancer has to notice a leaving entry"`
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -174,6 +174,7 @@
 		MaxTokens:     req.maxTokens,
 		DeadlineMs:    uint32(left.Milliseconds()),
 		ConfigVersion: req.snapshot.Version,
+		Reserve:       r.entry.settings.ProbeReservations,
 	}
 }
 
--- a/internal/piece/piece_test.go
+++ b/internal/piece/piece_test.go
@@ -34,6 +34,7 @@
 		}
 	}
 	scopes := []Scope{
+		{Organisation: "lake", WeightVersion: "w1", Adapter: "a"},
 		{Organisation: "ridg", WeightVersion: "ew1", Adapter: "a"},
 		{Organisation: "ridge", WeightVersion: "w2", Adapter: "a"},
 		{Organisation: "ridge", WeightVersion: "w1", Adapter: ""},
