Check the settings that entries and agents share in one place

Both roles declared and checked the same ten settings; the entry's check walked a map, so which setting its one line named changed from run to run, and a missing region passed although the directory needs it.

--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -35,9 +35,6 @@
 		PrefillUsPerToken: uint32(a.state.prompts.slowness * float64(a.settings.PrefillMicrosPerToken)),
 		InFlight:          uint32(a.state.queue.Len() + a.state.queue.Running()),
 		LoadAgeMs:         uint32(now.Sub(a.state.readAt).Milliseconds()),
-		PredictedStartMs:  0,
-		FetchablePieces:   0,
-		CachedPieces:      0,
 	}
 	asked := probeDispatch(probe)
 	reason, _ := a.mismatch(asked, 0)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,13 +45,8 @@
 
 // Settings of balsam-entry.
 type Settings struct {
-	process.Identity
+	process.Settings
 
-	Listen       string `json:"listen" long:"listen" description:"ip:port for callers"`
-	Control      string `json:"control" long:"control" description:"ip:port for control calls"`
-	Metrics      string `json:"metrics" long:"metrics" description:"ip:port for metrics and dump over HTTP"`
-	KV           string `json:"kv" long:"kv" description:"ip:port of the platform's key-value service"`
-	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
 	// PlacementPolicy is the name of a policy of package placement; empty means cost.
 	PlacementPolicy string `json:"placement_policy" long:"placement-policy" description:"cost, two-choices, random, round-robin, least-in-flight or rendezvous"`
 	// ProbeReservations makes each probe hold a place in the agent's predictions for a moment, so that
@@ -60,31 +55,19 @@
 	// DrainDelayMS is how long an entry goes on serving after its health check fails, so that the
 	// balancer notices before requests are refused.
 	DrainDelayMS int `json:"drain_delay_ms" long:"drain-delay-ms" description:"milliseconds that the balancer has to notice a leaving entry"`
-	// GraceSeconds bounds how long streams may finish after a stop is asked for.
-	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams may finish after SIGTERM"`
 }
 
 // DefaultSettings returns the settings that a file or flags override.
 func DefaultSettings() Settings {
-	return Settings{GraceSeconds: 30, DrainDelayMS: 2000}
+	return Settings{Settings: process.DefaultSettings(), DrainDelayMS: 2000}
 }
 
 // Check returns an error for the first setting that can't be used.
 func (s *Settings) Check() error {
-	if err := settings.CheckName("instance", s.Instance); err != nil {
+	if err := s.Settings.Check(); err != nil {
 		return err
 	}
-	if err := settings.CheckName("failure_domain", s.FailureDomain); err != nil {
-		return err
-	}
-	for setting, value := range map[string]string{
-		"listen": s.Listen, "control": s.Control, "metrics": s.Metrics, "kv": s.KV, "instance_list": s.InstanceList,
-	} {
-		if err := settings.CheckAddress(setting, value); err != nil {
-			return err
-		}
-	}
-	return nil
+	return settings.CheckAtLeast("drain_delay_ms", s.DrainDelayMS, 0)
 }
 
 // Configuration gives the configuration in force and catches up with newer ones.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,18 +30,18 @@
 }
 
 // newCommon connects to the platform's services.
-func newCommon(program string, identity process.Identity, control, kv, list string) *common {
+func newCommon(program string, s process.Settings) *common {
 	c := &common{
-		logger:    process.NewLogger(program, identity.Instance),
-		kv:        etcdhttp.New(kv),
-		instances: newInstances(identity.Instance, listhttp.New(list)),
+		logger:    process.NewLogger(program, s.Instance),
+		kv:        etcdhttp.New(s.KV),
+		instances: newInstances(s.Instance, listhttp.New(s.InstanceList)),
 	}
 	holder := config.NewHolder()
 	c.spread = config.NewSpread(config.SpreadOptions{
 		Self: config.Peer{
-			Instance:       identity.Instance,
-			ControlAddress: control,
-			FailureDomain:  identity.FailureDomain,
+			Instance:       s.Instance,
+			ControlAddress: s.Control,
+			FailureDomain:  s.FailureDomain,
 		},
 		Holder:    holder,
 		Store:     config.NewStore(c.kv),
@@ -72,7 +72,7 @@
 
 // RunEntry runs the entry role until ctx ends.
 func RunEntry(ctx context.Context, s entry.Settings) error {
-	c := newCommon("balsam-entry", s.Identity, s.Control, s.KV, s.InstanceList)
+	c := newCommon("balsam-entry", s.Settings)
 	claimer := claim.New(c.kv, time.Now)
 	e, err := entry.New(s, entry.Dependencies{
 		Configuration: c.configuration,
@@ -91,7 +91,7 @@
 
 // RunAgent runs the agent role until ctx ends.
 func RunAgent(ctx context.Context, s agent.Settings) error {
-	c := newCommon("balsam-agent", s.Identity, s.Control, s.KV, s.InstanceList)
+	c := newCommon("balsam-agent", s.Settings)
 	rollout := newRollout(s, c)
 	a := agent.New(s, agent.Dependencies{
 		Configuration: c.configuration,
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -36,13 +36,6 @@
 	exitUsage  = 2
 )
 
-// Identity is what a process learns about itself from its settings.
-type Identity struct {
-	Instance      string `json:"instance" long:"instance" description:"name of this instance"`
-	Region        string `json:"region" long:"region" description:"region of this instance"`
-	FailureDomain string `json:"failure_domain" long:"failure-domain" description:"failure domain of this instance"`
-}
-
 // NewIncarnation draws the number that tells this run of a process from all others.
 func NewIncarnation() uint64 {
 	var raw [8]byte
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -108,6 +108,14 @@
 	return nil
 }
 
+// CheckAtLeast returns ErrValue when value is below least.
+func CheckAtLeast(setting string, value, least int) error {
+	if value < least {
+		return ErrValue.New("setting %q: %d is below %d", setting, value, least)
+	}
+	return nil
+}
+
 // CheckName returns ErrValue when value is empty.
 func CheckName(setting, value string) error {
 	if value == "" {
