--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -183,7 +183,7 @@
 	a.leaving.Store(true)
 	a.loop.Call(a.handBack)
 	a.logger.Info("leaving")
-	deadline := time.Now().Add(time.Duration(a.settings.GraceSeconds) * time.Second)
+	deadline := time.Now().Add(a.configuration.Current().Grace(a.settings.GraceSeconds))
 	left := a.jobs()
 	for left > 0 && time.Now().Before(deadline) {
 		time.Sleep(graceStep)
--- a/internal/agent/settings.go
+++ b/internal/agent/settings.go
@@ -29,7 +29,6 @@
 // DefaultSettings returns the settings that a file or flags override.
 func DefaultSettings() Settings {
 	return Settings{
-		Settings:              process.DefaultSettings(),
 		ServiceType:           manifest.ServiceModel,
 		Slots:                 8,
 		PrefillMicrosPerToken: 125,
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -25,6 +25,22 @@
 	earlier map[string][]EarlierVersion
 }
 
+// graceWithoutManifest bounds the end of a process that has no configuration.
+const graceWithoutManifest = 30 * time.Second
+
+// Grace returns how long a leaving process lets its streams and runs finish: ownSeconds, from the
+// process's settings, or what the manifest says when that is 0. The snapshot may be nil.
+func (s *Snapshot) Grace(ownSeconds int) time.Duration {
+	switch {
+	case ownSeconds > 0:
+		return time.Duration(ownSeconds) * time.Second
+	case s == nil:
+		return graceWithoutManifest
+	default:
+		return time.Duration(s.Index.Manifest().GraceSeconds) * time.Second
+	}
+}
+
 // HolderStats counts what a Holder was offered.
 type HolderStats struct {
 	Accepted  uint64 `json:"accepted"`  // offers that came into force
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -162,3 +162,17 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(committed), qt.Equals, stateChart.Promela("configuration.chart.json"))
 }
+
+func TestGraceComesFromTheManifestUnlessSet(t *testing.T) {
+	c := qt.New(t)
+	holder := NewHolder()
+	c.Assert(holder.Current().Grace(0), qt.Equals, graceWithoutManifest)
+	m := sample(1)
+	m.GraceSeconds = 7
+	bundle, err := NewBundle(1, m)
+	c.Assert(err, qt.IsNil)
+	_, err = holder.Offer(bundle)
+	c.Assert(err, qt.IsNil)
+	c.Assert(holder.Current().Grace(0), qt.Equals, 7*time.Second)
+	c.Assert(holder.Current().Grace(2), qt.Equals, 2*time.Second)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,7 +59,7 @@
 
 // DefaultSettings returns the settings that a file or flags override.
 func DefaultSettings() Settings {
-	return Settings{Settings: process.DefaultSettings(), DrainDelayMS: 2000}
+	return Settings{DrainDelayMS: 2000}
 }
 
 // Check returns an error for the first setting that can't be used.
@@ -220,7 +220,7 @@
 	e.logger.Info("leaving", zap.Int64("active", e.active.Load()))
 	time.Sleep(time.Duration(e.settings.DrainDelayMS) * time.Millisecond)
 	e.refusing.Store(true)
-	deadline := time.Now().Add(time.Duration(e.settings.GraceSeconds) * time.Second)
+	deadline := time.Now().Add(e.configuration.Current().Grace(e.settings.GraceSeconds))
 	for e.active.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(graceStep)
 	}
--- a/internal/process/settings.go
+++ b/internal/process/settings.go
@@ -18,13 +18,11 @@
 	Metrics      string `json:"metrics" long:"metrics" description:"ip:port for metrics and dump over HTTP"`
 	KV           string `json:"kv" long:"kv" description:"ip:port of the platform's key-value service"`
 	InstanceList string `json:"instance_list" long:"instance-list" description:"ip:port of the platform's instance list"`
-	// GraceSeconds bounds how long streams and runs may finish after a stop is asked for.
-	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams and runs may finish after SIGTERM"`
+	// GraceSeconds bounds how long streams and runs may finish after a stop is asked for; 0 leaves it
+	// to the manifest.
+	GraceSeconds int `json:"grace_seconds" long:"grace-seconds" description:"seconds that streams and runs may finish after SIGTERM; 0: as the manifest says"`
 }
 
-// DefaultSettings returns the settings that a file or flags override.
-func DefaultSettings() Settings { return Settings{GraceSeconds: 30} }
-
 // Check returns an error for the first setting that can't be used.
 func (s *Settings) Check() error {
 	for _, name := range []struct{ setting, value string }{
