Keep what an entry believes about agents on one control goroutine

Evidence that finds the queue full is dropped. Ruled out: a read lock on the request path, which still waits for the rebuild. Run: go test -race -count=1 ./internal/entry, ok.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -41,9 +41,7 @@
 func BenchmarkRebuildAtDesignSize(b *testing.B) {
 	r := designReplicas()
 	for b.Loop() {
-		r.mu.Lock()
 		r.rebuild(time.Now())
-		r.mu.Unlock()
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
+	"balsamyoke.example/balsamyoke/internal/control"
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/limits"
@@ -103,13 +104,15 @@
 	prober        *prober
 	links         *links
 	replicas      *replicas
-	policy        placement.Policy
-	directory     *directory.Client
-	fetchTime     *fetchTime
-	retries       *retries
-	limiting      *limiting
-	incarnation   uint64
-	leaving       atomic.Bool
+	// control runs what touches replicas.
+	control     *control.Loop
+	policy      placement.Policy
+	directory   *directory.Client
+	fetchTime   *fetchTime
+	retries     *retries
+	limiting    *limiting
+	incarnation uint64
+	leaving     atomic.Bool
 	// refusing follows leaving once the balancer had time to notice.
 	refusing atomic.Bool
 	active   atomic.Int64
@@ -141,6 +144,7 @@
 		flights:       newFlights(),
 		prober:        newProber(),
 		replicas:      newReplicas(s.Identity, d.Instances, d.Logger),
+		control:       control.NewLoop(),
 		directory:     directory.NewClient(s.FailureDomain),
 		fetchTime:     newFetchTime(),
 		incarnation:   process.NewIncarnation(),
@@ -188,17 +192,18 @@
 	if err != nil {
 		return ErrStart.Wrap(err, "cannot listen on %s", e.settings.Listen)
 	}
-	control, err := process.ServeControl(e.settings.Control, e.registerControl)
+	controlServer, err := process.ServeControl(e.settings.Control, e.registerControl)
 	if err != nil {
 		return ErrStart.Wrap(err, "no control server")
 	}
-	defer control.Stop()
+	defer controlServer.Stop()
 	metricsServer, err := process.ServeMetrics(e.settings.Metrics, e.registry, func() any { return e.State() })
 	if err != nil {
 		return ErrStart.Wrap(err, "no metrics server")
 	}
 	defer func() { _ = metricsServer.Shutdown() }()
-	go e.replicas.poll(background)
+	go e.control.Run(background)
+	go e.watchReplicas(background)
 	go e.limiting.run(background)
 	if e.needsLoads() {
 		go e.pollLoads(background)
@@ -274,19 +279,20 @@
 
 // greeted takes direct evidence about an agent.
 func (e *Entry) greeted(_ string, hello *wire.Hello) {
-	e.replicas.heard(membership.Evidence{
+	evidence := membership.Evidence{
 		Instance:      hello.GetInstance(),
 		Incarnation:   hello.GetIncarnation(),
 		ConfigVersion: hello.GetConfigVersion(),
 		WeightVersion: hello.GetWeightVersion(),
 		Leaving:       hello.GetLeaving(),
-	}, time.Now())
+	}
+	e.learn(func(r *replicas) { r.heard(evidence, time.Now()) })
 }
 
 // refusedBy takes a refusal as evidence about an agent.
 func (e *Entry) refusedBy(instance platform.Instance, refused *wire.Refused) {
 	if refused.GetReason() == wire.RefusalReason_REFUSAL_REASON_LEAVING {
-		e.replicas.refusedAsLeaving(instance.ID, time.Now())
+		e.learn(func(r *replicas) { r.refusedAsLeaving(instance.ID, time.Now()) })
 	}
 }
 
@@ -319,10 +325,10 @@
 		Control:       traffic.Control.Totals(),
 		Active:        e.active.Load(),
 		Attempts:      e.flights.count(),
-		Replicas:      e.replicas.state(),
 		Retries:       e.retries.state(),
 		Limits:        e.limiting.limiter.State(),
 	}
+	e.control.Call(func() { state.Replicas = e.replicas.state() })
 	if snapshot := e.configuration.Current(); snapshot != nil {
 		state.ConfigVersion = snapshot.Version
 	}
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -24,8 +24,6 @@
 		r.heard(membership.Evidence{Instance: "a", Incarnation: incarnation, Leaving: leaves}, at)
 	}
 	tick := func(now time.Time) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
 		r.members.Tick(now)
 		r.rebuild(now)
 	}
--- a/internal/entry/outliers.go
+++ b/internal/entry/outliers.go
@@ -35,8 +35,6 @@
 
 // judge ejects outliers and logs what changed.
 func (r *replicas) judge(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	changes := r.health.Evaluate(now)
 	for _, change := range changes {
 		r.logger.Info("replica health", zap.String("instance", change.ID), zap.String("service", change.Service),
@@ -50,8 +48,6 @@
 
 // sending notes a dispatch. A replica that was ejected gets only a few until they succeed.
 func (r *replicas) sending(instance string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	before := r.health.Usable(now, instance)
 	r.health.Allow(now, instance)
 	if r.health.Usable(now, instance) != before {
@@ -61,8 +57,6 @@
 
 // ended notes the end of an attempt.
 func (r *replicas) ended(instance string, sample health.Sample, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	before := r.health.Usable(now, instance)
 	r.health.Record(now, instance, sample)
 	if r.health.Usable(now, instance) != before {
@@ -89,7 +83,7 @@
 func (r *run) succeeded(done *wire.Done, target *placed) {
 	r.entry.retries.succeeded(r.request.service.Name)
 	sample := health.Sample{Ratio: serviceRatio(done, time.Since(r.began), r.stream.Delivered())}
-	r.entry.replicas.ended(target.instance.ID, sample, time.Now())
+	r.entry.runEnded(target.instance.ID, sample)
 }
 
 // faulty notes an attempt that failed or stalled at a replica whose agent is alive.
@@ -97,7 +91,7 @@
 	r.tried[target.instance.ID] = true
 	r.end.Outcome = outcome
 	r.entry.counters.lostAttempts.Inc(1)
-	r.entry.replicas.ended(target.instance.ID, health.Sample{Failed: true}, time.Now())
+	r.entry.runEnded(target.instance.ID, health.Sample{Failed: true})
 	if r.request.kind.Idempotent {
 		return nil, verdictRetry, nil
 	}
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -111,7 +111,7 @@
 		targets[i] = instanceOf(snapshot.Replica(decision.Candidates[i].Index))
 	}
 	replies := r.entry.prober.ask(ctx, r.entry.links, targets, r.probe(binding), probeTimeout)
-	r.entry.replicas.answered(replies, time.Now())
+	r.entry.learn(func(known *replicas) { known.answered(replies, time.Now()) })
 	for _, reply := range replies {
 		for i := range decision.Candidates {
 			if decision.Candidates[i].Instance == reply.GetInstance() {
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,7 +23,8 @@
 	judgeInterval = time.Second
 )
 
-// replicas holds what the entry believes about agents.
+// replicas holds what the entry believes about agents. Only the control goroutine touches it, but
+// for snapshot and known, which any goroutine may load.
 type replicas struct {
 	identity process.Identity
 	list     platform.InstanceList
@@ -35,10 +35,9 @@
 	snapshot atomic.Pointer[placement.Snapshot]
 	// known says that the list has shown an agent: before that no request can be placed.
 	known atomic.Bool
-	// last is the reading that members hold; only poll touches it.
+	// last is the reading that members hold.
 	last []platform.Instance
 
-	mu      sync.RWMutex
 	members *membership.Table
 	loads   map[string]*placement.Load
 	// health finds replicas that do worse than their peers; tracked are those it knows.
@@ -60,25 +59,31 @@
 	return r
 }
 
-// poll reads the instance list until ctx ends. It keeps the last list during an outage.
-func (r *replicas) poll(ctx context.Context) {
+// watchReplicas looks at the instance list and judges replicas until ctx ends.
+func (e *Entry) watchReplicas(ctx context.Context) {
 	look := time.NewTicker(listInterval)
 	defer look.Stop()
 	judge := time.NewTicker(judgeInterval)
 	defer judge.Stop()
-	r.read(ctx)
+	e.learn(func(r *replicas) { r.read(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-look.C:
-			r.read(ctx)
+			e.learn(func(r *replicas) { r.read(ctx) })
 		case now := <-judge.C:
-			r.judge(now)
+			e.learn(func(r *replicas) { r.judge(now) })
 		}
 	}
 }
 
+// learn has the control goroutine take evidence about agents. It never waits: evidence that finds
+// the queue full is dropped, and the next of its kind tells the same.
+func (e *Entry) learn(take func(r *replicas)) {
+	e.control.TryPost(func() { take(e.replicas) })
+}
+
 func (r *replicas) read(ctx context.Context) {
 	instances, err := r.list.Instances(ctx)
 	if err != nil || platform.SameReading(instances, r.last) {
@@ -87,8 +92,6 @@
 	r.last = instances
 	r.onList(instances)
 	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.members.Listed(now, instances)
 	if slices.ContainsFunc(instances, isAgent) {
 		r.known.Store(true)
@@ -101,8 +104,6 @@
 
 // failed notes that contact with an agent was lost.
 func (r *replicas) failed(instance string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.members.Failed(now, instance) {
 		r.rebuild(now)
 	}
@@ -110,8 +111,6 @@
 
 // heard takes an agent's own word, which wins over the list.
 func (r *replicas) heard(evidence membership.Evidence, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	if r.members.Heard(now, evidence) {
 		r.rebuild(now)
 	}
@@ -131,8 +130,6 @@
 
 // refusedAsLeaving takes a refusal in which an agent said that it is leaving.
 func (r *replicas) refusedAsLeaving(instance string, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	known, _ := r.members.Lookup(instance)
 	evidence := membership.Evidence{Instance: instance, Incarnation: known.Incarnation, Leaving: true}
 	if r.members.Heard(now, evidence) {
@@ -150,8 +147,6 @@
 }
 
 func (r *replicas) state() replicasState {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
 	services := make(map[string][]membership.Member)
 	for _, m := range r.members.Members() {
 		services[m.Service] = append(services[m.Service], m)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -93,9 +93,10 @@
 			return nil, failure
 		}
 		r.attempts++
-		r.began = time.Now()
+		began := time.Now()
+		r.began = began
 		r.end = retry.Attempt{}
-		r.entry.replicas.sending(target.instance.ID, r.began)
+		r.entry.learn(func(known *replicas) { known.sending(target.instance.ID, began) })
 		done, next, failure := r.attempt(ctx, target)
 		switch next {
 		case verdictDone:
@@ -290,7 +291,7 @@
 	if r.request.kind.Idempotent {
 		return r.faulty(target, wire.Outcome_OUTCOME_FAILED)
 	}
-	r.entry.replicas.ended(target.instance.ID, health.Sample{Failed: true}, time.Now())
+	r.entry.runEnded(target.instance.ID, health.Sample{Failed: true})
 	return nil, verdictFailed, unknown(CodeRunFailed, fasthttp.StatusBadGateway, done.GetMessage())
 }
 
@@ -371,7 +372,11 @@
 // unreachable notes that an agent could not be reached or went silent.
 func (e *Entry) unreachable(instance platform.Instance) {
 	e.counters.lostAttempts.Inc(1)
-	now := time.Now()
-	e.replicas.ended(instance.ID, health.Sample{Failed: true}, now)
-	e.replicas.failed(instance.ID, now)
+	e.runEnded(instance.ID, health.Sample{Failed: true})
+	e.learn(func(r *replicas) { r.failed(instance.ID, time.Now()) })
+}
+
+// runEnded takes the end of an attempt as evidence about its replica.
+func (e *Entry) runEnded(instance string, sample health.Sample) {
+	e.learn(func(r *replicas) { r.ended(instance, sample, time.Now()) })
 }
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -67,8 +67,6 @@
 
 // reported takes load reports.
 func (r *replicas) reported(replies []*wire.ProbeReply, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	for _, reply := range replies {
 		if load := r.loads[reply.GetInstance()]; load != nil {
 			load.InFlight = reply.GetInFlight()
@@ -93,17 +91,16 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			targets := e.replicas.all()
+			var targets []platform.Instance
+			e.control.Call(func() { targets = e.replicas.all() })
 			replies := e.prober.ask(ctx, e.links, targets, &wire.Probe{}, probeTimeout)
-			e.replicas.reported(replies, time.Now())
+			e.learn(func(r *replicas) { r.reported(replies, time.Now()) })
 		}
 	}
 }
 
 // all returns the replicas of all services that may be asked.
 func (r *replicas) all() []platform.Instance {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
 	var all []platform.Instance
 	for _, m := range r.near() {
 		if m.Open || m.Doubtful {
