--- a/internal/placement/decision.go
+++ b/internal/placement/decision.go
@@ -64,7 +64,7 @@
 	Index    int32     `json:"-"`
 	Instance string    `json:"instance"`
 	Hinted   uint32    `json:"hinted_pieces,omitempty"`
-	Rejected Rejection `json:"rejected"`
+	Rejected Rejection `json:"filter"`
 	Estimate Estimate  `json:"estimate"`
 	Terms    Terms     `json:"terms"`
 }
