--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -19,6 +19,7 @@
 	"balsamyoke.example/balsamyoke/internal/agent"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
+	"balsamyoke.example/balsamyoke/internal/leaktest"
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -28,6 +29,8 @@
 	"balsamyoke.example/balsamyoke/internal/standin/plainserver"
 )
 
+func TestMain(m *testing.M) { leaktest.VerifyMain(m) }
+
 const (
 	ridgeKey = "ridge-key"
 	lakeKey  = "lake-key"
--- a/internal/transport/transport_test.go
+++ b/internal/transport/transport_test.go
@@ -9,10 +9,13 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"balsamyoke.example/balsamyoke/internal/leaktest"
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
+func TestMain(m *testing.M) { leaktest.VerifyMain(m) }
+
 // recorder keeps the frames that a connection delivers and can echo them.
 type recorder struct {
 	echo   bool
