Declare the source of configurations once

Entries and agents each declared the same interface. Run: go vet ./..., go test ./internal/entry ./internal/agent ./internal/node ./internal/config, ok.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -40,17 +40,9 @@
 	flushTime = 100 * time.Millisecond
 )
 
-// Configuration gives the configuration in force and catches up with newer ones.
-type Configuration interface {
-	// Current returns the configuration in force; nil before there is one.
-	Current() *config.Snapshot
-	// CatchUp returns when at least version is in force; from is the control address of a process that has it.
-	CatchUp(ctx context.Context, version uint64, from string) error
-}
-
 // Dependencies are what an Agent is built from.
 type Dependencies struct {
-	Configuration Configuration
+	Configuration config.Source
 	Instances     platform.InstanceList
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
@@ -62,7 +54,7 @@
 // Agent runs attempts on one backend server.
 type Agent struct {
 	settings      Settings
-	configuration Configuration
+	configuration config.Source
 	logger        *zap.Logger
 	registry      *metrics.Registry
 	counters      counters
--- a/internal/config/holder.go
+++ b/internal/config/holder.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"context"
 	"maps"
 	"slices"
 	"sync"
@@ -25,6 +26,15 @@
 	earlier map[string][]EarlierVersion
 }
 
+// Source gives entries and agents the configuration in force and catches up with newer ones.
+type Source interface {
+	// Current returns the configuration in force; nil before there is one.
+	Current() *Snapshot
+	// CatchUp returns when at least version is in force; from is the control address of a process
+	// that has it.
+	CatchUp(ctx context.Context, version uint64, from string) error
+}
+
 // graceWithoutManifest bounds the end of a process that has no configuration.
 const graceWithoutManifest = 30 * time.Second
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -71,17 +71,9 @@
 	return settings.CheckAtLeast("drain_delay_ms", s.DrainDelayMS, 0)
 }
 
-// Configuration gives the configuration in force and catches up with newer ones.
-type Configuration interface {
-	// Current returns the configuration in force; nil before there is one.
-	Current() *config.Snapshot
-	// CatchUp returns when at least version is in force; from is the control address of a process that has it.
-	CatchUp(ctx context.Context, version uint64, from string) error
-}
-
 // Dependencies are what an Entry is built from.
 type Dependencies struct {
-	Configuration Configuration
+	Configuration config.Source
 	Instances     platform.InstanceList
 	Claims        Claims
 	Logger        *zap.Logger
@@ -94,7 +86,7 @@
 // Entry serves callers.
 type Entry struct {
 	settings      Settings
-	configuration Configuration
+	configuration config.Source
 	claims        Claims
 	logger        *zap.Logger
 	registry      *metrics.Registry
--- a/internal/entry/limiting.go
+++ b/internal/entry/limiting.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/grpc"
 
+	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/limits"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -23,7 +24,7 @@
 	entries atomic.Pointer[[]limits.Entry]
 }
 
-func newLimiting(self string, configuration Configuration) *limiting {
+func newLimiting(self string, configuration config.Source) *limiting {
 	l := &limiting{pool: grpcpool.New(limitConnections)}
 	l.entries.Store(&[]limits.Entry{})
 	l.limiter = limits.NewLimiter(limits.Options{
@@ -36,7 +37,7 @@
 }
 
 // limitOf returns the limit of an organisation in the configuration in force.
-func limitOf(configuration Configuration, organisation string) limits.Limit {
+func limitOf(configuration config.Source, organisation string) limits.Limit {
 	snapshot := configuration.Current()
 	if snapshot == nil {
 		return limits.Limit{}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -43,10 +43,10 @@
 	return c.changed
 }
 
-// Current implements entry.Configuration and agent.Configuration.
+// Current implements config.Source.
 func (c *configuration) Current() *config.Snapshot { return c.holder.Current() }
 
-// CatchUp implements entry.Configuration and agent.Configuration. It returns ErrBehind when ctx
+// CatchUp implements config.Source. It returns ErrBehind when ctx
 // ends first.
 func (c *configuration) CatchUp(ctx context.Context, version uint64, from string) error {
 	for {
