--- a/internal/agent/cache.go
+++ b/internal/agent/cache.go
@@ -8,7 +8,6 @@
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/cacheindex"
 	"balsamyoke.example/balsamyoke/internal/directory"
-	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/transfer"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -227,19 +226,13 @@
 
 func (r *run) explainFetch(waited time.Duration) {
 	fetch, prompt := r.job.fetch, r.job.prompt
-	r.agent.decisions.Add(explain.Decision{
-		Time:    time.Now(),
-		Request: requestName(r.job.dispatch),
-		Attempt: r.job.id.String(),
-		Step:    "fetch",
-		Detail: fetchDetail{
-			Pieces:   len(prompt.Names),
-			Cached:   prompt.Cached,
-			Wanted:   fetch.Wanted(),
-			Fetched:  fetch.Fetched(),
-			Bytes:    fetch.Bytes(),
-			WaitedMS: waited.Milliseconds(),
-		},
+	r.agent.decide(r.job.id, r.job.dispatch, "fetch", fetchDetail{
+		Pieces:   len(prompt.Names),
+		Cached:   prompt.Cached,
+		Wanted:   fetch.Wanted(),
+		Fetched:  fetch.Fetched(),
+		Bytes:    fetch.Bytes(),
+		WaitedMS: waited.Milliseconds(),
 	})
 }
 
--- a/internal/agent/dispatch.go
+++ b/internal/agent/dispatch.go
@@ -8,7 +8,6 @@
 
 	"balsamyoke.example/balsamyoke/internal/admission"
 	"balsamyoke.example/balsamyoke/internal/attempt"
-	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/runtable"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -179,7 +178,7 @@
 	case runtable.VerdictDuplicate:
 		// A second copy of a dispatch changes nothing.
 	default:
-		a.sendRefused(conn, id, admitted.Outcome, admissionRefusal(admitted.Verdict))
+		a.sendRefused(conn, id, d, admitted.Outcome, admissionRefusal(admitted.Verdict))
 	}
 }
 
@@ -209,6 +208,7 @@
 	j := &job{id: id, dispatch: d, conn: conn, watchers: []*transport.Conn{conn}, admitted: now}
 	a.state.jobs[id] = j
 	a.prefetch(j, verdict.Wait+a.state.prompts.wait(d.GetUrgency(), now), now)
+	a.decide(id, d, "queue", queueDetail{PredictedStartMS: verdict.Wait.Milliseconds(), Queued: a.state.queue.Len(), Running: a.state.queue.Running()})
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Accepted{Accepted: &wire.Accepted{
 		AttemptId:        id[:],
 		PredictedStartMs: uint32(verdict.Wait.Milliseconds()),
@@ -226,20 +226,20 @@
 // refuse poisons an attempt and tells its entry.
 func (a *Agent) refuse(conn *transport.Conn, id attempt.ID, d *wire.Dispatch, r refusal) {
 	outcome := a.state.table.Refuse(time.Now(), id, d.GetIncarnation())
-	a.sendRefused(conn, id, outcome, r)
+	a.sendRefused(conn, id, d, outcome, r)
 }
 
 // refuseJob poisons a queued attempt and tells its watchers.
 func (a *Agent) refuseJob(j *job, r refusal) {
 	outcome := a.state.table.Refuse(time.Now(), j.id, j.dispatch.GetIncarnation())
 	for _, conn := range j.watchers {
-		a.sendRefused(conn, j.id, outcome, r)
+		a.sendRefused(conn, j.id, j.dispatch, outcome, r)
 	}
 }
 
-func (a *Agent) sendRefused(conn *transport.Conn, id attempt.ID, outcome wire.Outcome, r refusal) {
+func (a *Agent) sendRefused(conn *transport.Conn, id attempt.ID, d *wire.Dispatch, outcome wire.Outcome, r refusal) {
 	a.counters.refused.Inc(1)
-	a.decisions.Add(explain.Decision{Time: time.Now(), Attempt: id.String(), Step: "refuse", Detail: r.message})
+	a.decide(id, d, "refuse", refusalDetail{Reason: r.reason.String(), Message: r.message, RetryAfterMS: r.retryAfter.Milliseconds()})
 	_ = conn.Send(&wire.Frame{Body: &wire.Frame_Refused{Refused: &wire.Refused{
 		AttemptId:     id[:],
 		Outcome:       outcome,
@@ -269,7 +269,7 @@
 	}
 	if j.cancel == nil {
 		a.dropQueued(id)
-		a.sendRefused(conn, id, cancellation.Outcome, refusal{message: "cancelled"})
+		a.sendRefused(conn, id, j.dispatch, cancellation.Outcome, refusal{message: "cancelled"})
 	}
 	a.schedule(now)
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/hex"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
@@ -157,15 +155,6 @@
 	}
 }
 
-// requestName is the name of a caller's request, the same for all its attempts.
-func requestName(d *wire.Dispatch) string {
-	id, err := uuid.FromBytes(d.GetRequestId())
-	if err != nil {
-		return hex.EncodeToString(d.GetRequestId())
-	}
-	return id.String()
-}
-
 func (r *run) answerPlain(response plain.Response) {
 	body := response.Body
 	for len(body) > 0 {
@@ -208,6 +197,15 @@
 		a.counters.failed.Inc(1)
 		held = 0
 	}
+	a.decide(j.id, j.dispatch, "end", endDetail{
+		Outcome:        done.GetOutcome().String(),
+		QueueMS:        done.GetQueueMs(),
+		RunMS:          now.Sub(j.started).Milliseconds(),
+		CachedTokens:   done.GetCachedTokens(),
+		ComputedTokens: done.GetComputedTokens(),
+		LinkBytes:      done.GetLinkBytes(),
+		Message:        done.GetMessage(),
+	})
 	_ = a.state.table.Finish(now, j.id, done)
 	a.state.queue.Done(admission.AttemptID(j.id), float64(held.Milliseconds()))
 	delete(a.state.jobs, j.id)
@@ -227,7 +225,7 @@
 	delete(a.state.jobs, j.id)
 	a.state.prompts.end(j.id, false, now)
 	for _, conn := range j.watchers {
-		a.sendRefused(conn, j.id, outcome, refusal{
+		a.sendRefused(conn, j.id, j.dispatch, outcome, refusal{
 			reason:  wire.RefusalReason_REFUSAL_REASON_ENGINE,
 			message: err.Error(),
 		})
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -229,4 +229,11 @@
 	c.Assert(code, qt.Equals, ExitOK)
 	c.Assert(out, qt.Contains, "process entry-0 version 7\n")
 	c.Assert(out, qt.Contains, "process agent-0 does not answer")
+
+	code, out, _ = b.run("explain", "all", "r1", "--instance-list", "127.0.0.1:1")
+	c.Assert(code, qt.Equals, ExitOK)
+	c.Assert(out, qt.Contains, `"instance": "entry-0"`)
+	c.Assert(out, qt.Contains, `"request": "r1"`)
+	code, _, _ = b.run("explain", "all", "r1")
+	c.Assert(code, qt.Equals, ExitUsage)
 }
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/platform"
@@ -77,28 +78,6 @@
 	return c.tool.show(document(reply.GetJson()))
 }
 
-type explainCommand struct {
-	tool *tool
-	Args struct {
-		Address string `positional-arg-name:"PROCESS-ADDRESS" required:"yes" description:"ip:port of the control port"`
-		Request string `positional-arg-name:"REQUEST" description:"request id; all decisions when left out"`
-	} `positional-args:"yes"`
-}
-
-// Execute implements flags.Commander.
-func (c *explainCommand) Execute([]string) error {
-	var reply *wire.ExplainReply
-	process := processArgument{Address: c.Args.Address}
-	err := process.call(c.tool, func(ctx context.Context, client wire.AdminClient) (err error) {
-		reply, err = client.Explain(ctx, &wire.ExplainRequest{RequestId: c.Args.Request})
-		return err
-	})
-	if err != nil {
-		return err
-	}
-	return c.tool.show(document(reply.GetJson()))
-}
-
 type drainCommand struct {
 	tool *tool
 	Args processArgument `positional-args:"yes"`
@@ -144,42 +123,53 @@
 
 // processes asks every entry and agent of the instance list for its version.
 func (t *tool) processes(ctx context.Context) ([]processVersion, error) {
+	var versions []processVersion
+	err := t.eachProcess(ctx, func(ctx context.Context, instance platform.Instance, connection *grpc.ClientConn) func() {
+		asked := ask(ctx, connection, instance)
+		return func() { versions = append(versions, asked) }
+	})
+	if err != nil {
+		return nil, err
+	}
+	sortByInstance(versions)
+	return versions, nil
+}
+
+// eachProcess visits every entry and agent of the instance list, some at once. What a visit returns
+// runs one at a time.
+func (t *tool) eachProcess(ctx context.Context, visit func(context.Context, platform.Instance, *grpc.ClientConn) func()) error {
 	instances, err := t.list(t.options.InstanceList).Instances(ctx)
 	if err != nil {
-		return nil, ErrProcess.Wrap(err, "instance list")
+		return ErrProcess.Wrap(err, "instance list")
 	}
 	pool := grpcpool.New(len(instances))
 	defer pool.Close()
 	var mu sync.Mutex
-	versions := make([]processVersion, 0, len(instances))
 	group := errgroup.Group{}
 	group.SetLimit(askers)
 	for _, instance := range instances {
 		if instance.ControlAddress == "" {
 			continue
 		}
+		connection, err := pool.Get(instance.ControlAddress)
+		if err != nil {
+			return ErrProcess.Wrap(err, "instance %q", instance.ID)
+		}
 		group.Go(func() error {
-			asked := ask(ctx, pool, instance)
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			add := visit(ctx, instance, connection)
 			mu.Lock()
 			defer mu.Unlock()
-			versions = append(versions, asked)
+			add()
 			return nil
 		})
 	}
-	_ = group.Wait()
-	sortByInstance(versions)
-	return versions, nil
+	return group.Wait()
 }
 
-func ask(ctx context.Context, pool *grpcpool.Pool, instance platform.Instance) processVersion {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
+func ask(ctx context.Context, connection *grpc.ClientConn, instance platform.Instance) processVersion {
 	asked := processVersion{Instance: instance.ID}
-	connection, err := pool.Get(instance.ControlAddress)
-	if err != nil {
-		asked.Error = err.Error()
-		return asked
-	}
 	reply, err := wire.NewConfigurationClient(connection).Notify(ctx, &wire.NotifyRequest{})
 	if err != nil {
 		asked.Error = err.Error()
