--- a/internal/standin/storeserver/server.go
+++ b/internal/standin/storeserver/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,9 @@
 	Full bool `json:"full"`
 	// CutEvery cuts the connection of every n-th transfer after its first chunk; 0 cuts none.
 	CutEvery int64 `json:"cut_every"`
+	// DamageEvery changes a byte of every n-th piece that is read, as a block that was freed and used
+	// again would; 0 changes none.
+	DamageEvery int64 `json:"damage_every"`
 }
 
 // Server is the store.
@@ -72,8 +76,11 @@
 	cancel   context.CancelFunc
 	running  sync.WaitGroup
 
-	cutEvery  atomic.Int64
-	transfers atomic.Int64
+	cutEvery atomic.Int64
+	// damageEvery and reads say which reads are damaged.
+	damageEvery atomic.Int64
+	reads       atomic.Int64
+	transfers   atomic.Int64
 }
 
 // Start starts an empty store.
@@ -127,6 +134,7 @@
 	s.pieces.setFull(f.Full)
 	s.link.setSlowFactor(f.SlowFactor)
 	s.cutEvery.Store(f.CutEvery)
+	s.damageEvery.Store(f.DamageEvery)
 	if f.Down {
 		s.Down()
 		return nil
@@ -241,6 +249,7 @@
 		return
 	}
 	s.pieces.count(func(stats *Stats) { stats.Gets++ })
+	content = s.damage(content)
 	class := s.class(ctx)
 	ctx.Response.Header.Set(HeaderTier, tierName)
 	ctx.SetContentType("application/octet-stream")
@@ -256,6 +265,18 @@
 	}()
 }
 
+// damage counts a read and returns its content, with one byte changed when it is its turn.
+func (s *Server) damage(content []byte) []byte {
+	number := s.reads.Add(1)
+	every := s.damageEvery.Load()
+	if every == 0 || number%every != 0 || len(content) == 0 {
+		return content
+	}
+	changed := slices.Clone(content)
+	changed[len(changed)-1] ^= 1
+	return changed
+}
+
 // send writes content over the link, chunk by chunk.
 func (s *Server) send(to io.Writer, content []byte, class int) error {
 	cut := s.cutsTransfer()
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -57,23 +57,35 @@
 // Stores show pieces before their last byte has come and cut transfers half-way. An engine that
 // computes with such a piece answers wrongly.
 func TestHalfWrittenPiecesAreNeverUsed(t *testing.T) {
+	checkPieces(t, testbed.Settings{"publish_partial": true}, testbed.Settings{"cut_every": 3})
+}
+
+// Stores change a byte of every other piece that is read.
+func TestDamagedPiecesAreNeverUsed(t *testing.T) {
+	checkPieces(t, testbed.Settings{}, testbed.Settings{"damage_every": 2})
+}
+
+// checkPieces lets prompts return from stores with the given settings and faults. All answers must
+// be right, and some pieces fetched.
+func checkPieces(t *testing.T, store, faults testbed.Settings) {
 	c := qt.New(t)
 	profile := load.Ridgeline()
 	spec := testSpec(c, profile)
 	spec.Engine["cache_pieces"] = 8
 	spec.Engine["prefill_tokens_per_second"] = 8000
 	spec.Agent["prefill_us_per_token"] = 125
-	spec.Store = testbed.Settings{"publish_partial": true, "link_bytes_per_second": 8 << 20}
+	store["link_bytes_per_second"] = 8 << 20
+	spec.Store = store
 	fleet := startFleet(c, spec)
-	cut := fault{strike: func(ctx context.Context, f *testbed.Fleet) error {
+	strike := fault{strike: func(ctx context.Context, f *testbed.Fleet) error {
 		for _, store := range f.Role(platform.RoleStore) {
-			if err := testbed.SetFaults(ctx, store.AdminAddress, testbed.Settings{"cut_every": 3}); err != nil {
+			if err := testbed.SetFaults(ctx, store.AdminAddress, faults); err != nil {
 				return err
 			}
 		}
 		return nil
 	}, heal: noFault}
-	report := runPlan(c, fleet, cut, load.Plan{
+	report := runPlan(c, fleet, strike, load.Plan{
 		Profile:  profile,
 		Seed:     1,
 		Rate:     fetchRate,
