--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,6 +22,8 @@
 make build
 
 echo "== tests"
+# Property tests without a seed of their own draw the same cases in every run.
+export RAPID_SEED=20261204
 skip=''
 if [ -f KNOWN-RED.txt ]; then
   skip=$(sed -n 's/^test: *\([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt | paste -sd '|' -)
