Stop asking without pause about an attempt that stays running

Cause: an entry asked on as long as the agent answered at all, and once the request's time was over it waited for nothing between two questions: a non-idempotent attempt that the agent calls running was asked about at the speed of the link until the caller hung up, and enough of that keeps the agent from its runs. TestPatienceNeverEnds failed before.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -74,8 +74,10 @@
 	}
 	for unanswered := 0; next == verdictLost && unanswered < maxUnanswered; unanswered++ {
 		r.once.heard = false
+		delivered := r.stream.Delivered()
 		done, next, failure = r.ask(ctx, binding.Executor)
-		if r.once.heard {
+		progressed := r.stream.Delivered() > delivered
+		if progressed || r.once.heard && time.Now().Before(r.latest()) {
 			unanswered = 0
 		}
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -233,9 +233,12 @@
 	if r.stream.Delivered() > 0 {
 		return stallTimeout
 	}
-	return time.Until(r.request.deadline) + lateAllowance
+	return max(time.Until(r.latest()), askPause)
 }
 
+// latest is the time until which a run that was accepted may still begin.
+func (r *run) latest() time.Time { return r.request.deadline.Add(lateAllowance) }
+
 // handle takes one frame. ended is true when the attempt is over.
 func (r *run) handle(f *flight, frame *wire.Frame, target *placed) (done *wire.Done, next verdict, failure *Failure, ended bool) {
 	r.once.heard = true
