Give each dial its own greeting

When the end of an agent's earlier connection was noticed between the next one's Hello and the return of the dial, it wiped the new Hello, and from then on each attempt to use the link failed until the new connection ended too. Each dial has its own greeting now, and waiting for it no longer holds up other requests.

--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -12,12 +12,22 @@
 type link struct {
 	dialMu sync.Mutex
 
-	mu     sync.Mutex
-	conn   *transport.Conn
-	hello  *wire.Hello
-	socket *transport.DatagramConn
-	// ready is closed when the agent's Hello has arrived.
+	mu       sync.Mutex
+	greeting *greeting
+	socket   *transport.DatagramConn
+}
+
+// greeting is one connection to an agent until its end. Each dial has its own, so that the late end
+// of an earlier connection says nothing about the present one.
+type greeting struct {
+	peer *link
+	// ready is closed when the agent's Hello has arrived or the connection has ended.
 	ready chan struct{}
+
+	// conn, hello and ended are guarded by the link's mu.
+	conn  *transport.Conn
+	hello *wire.Hello
+	ended bool
 }
 
 // links owns the connections to agents. It implements transport.FrameHandler.
@@ -62,59 +72,59 @@
 
 // connect returns a greeted connection to an agent, dialling when there is none.
 func (l *links) connect(ctx context.Context, address string) (*transport.Conn, *wire.Hello, error) {
-	peer := l.at(address)
+	present, err := l.open(ctx, l.at(address), address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return present.await(ctx, address)
+}
+
+// open returns the link's connection, dialling when there is none. Only one request dials at a time.
+func (l *links) open(ctx context.Context, peer *link, address string) (*greeting, error) {
 	peer.dialMu.Lock()
 	defer peer.dialMu.Unlock()
-	conn, hello := peer.current()
-	if conn != nil && hello != nil {
-		return conn, hello, nil
+	if present := peer.present(); present != nil {
+		return present, nil
 	}
-	if conn == nil {
-		if err := l.dial(ctx, peer, address); err != nil {
-			return nil, nil, err
-		}
+	return l.dial(ctx, peer, address)
+}
+
+// present returns the link's connection, or nil when there is none or it has ended.
+func (p *link) present() *greeting {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.greeting == nil || p.greeting.ended || p.greeting.conn.Closed() {
+		return nil
 	}
-	return peer.awaitHello(ctx, address)
+	return p.greeting
 }
 
-func (l *links) dial(ctx context.Context, peer *link, address string) error {
-	peer.mu.Lock()
-	peer.hello = nil
-	peer.ready = make(chan struct{})
-	peer.mu.Unlock()
-	conn, err := l.client.Dial(ctx, address, peer)
+func (l *links) dial(ctx context.Context, peer *link, address string) (*greeting, error) {
+	dialled := &greeting{peer: peer, ready: make(chan struct{})}
+	conn, err := l.client.Dial(ctx, address, dialled)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	peer.mu.Lock()
-	peer.conn = conn
+	dialled.conn = conn
+	peer.greeting = dialled
 	peer.mu.Unlock()
-	return conn.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: l.hello()}})
+	return dialled, conn.Send(&wire.Frame{Body: &wire.Frame_Hello{Hello: l.hello()}})
 }
 
-func (p *link) current() (*transport.Conn, *wire.Hello) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil && p.conn.Closed() {
-		return nil, nil
-	}
-	return p.conn, p.hello
-}
-
-func (p *link) awaitHello(ctx context.Context, address string) (*transport.Conn, *wire.Hello, error) {
-	p.mu.Lock()
-	ready := p.ready
-	p.mu.Unlock()
+// await returns the connection once the agent has greeted.
+func (g *greeting) await(ctx context.Context, address string) (*transport.Conn, *wire.Hello, error) {
 	select {
-	case <-ready:
+	case <-g.ready:
 	case <-ctx.Done():
 		return nil, nil, transport.ErrDial.Wrap(ctx.Err(), "agent at %s did not greet", address)
 	}
-	conn, hello := p.current()
-	if conn == nil || hello == nil {
+	g.peer.mu.Lock()
+	defer g.peer.mu.Unlock()
+	if g.ended || g.hello == nil {
 		return nil, nil, transport.ErrDial.New("connection to %s closed while greeting", address)
 	}
-	return conn, hello, nil
+	return g.conn, g.hello, nil
 }
 
 // datagram returns the probe socket of an agent address.
@@ -146,43 +156,37 @@
 }
 
 func (l *links) receivedHello(conn *transport.Conn, hello *wire.Hello) {
-	peer, ok := conn.Tag.(*link)
+	greeted, ok := conn.Tag.(*greeting)
 	if !ok {
 		return
 	}
-	peer.mu.Lock()
-	first := peer.hello == nil
-	peer.hello = hello
+	greeted.peer.mu.Lock()
+	first := greeted.hello == nil && !greeted.ended
+	greeted.hello = hello
+	greeted.peer.mu.Unlock()
 	if first {
-		close(peer.ready)
+		close(greeted.ready)
 	}
-	peer.mu.Unlock()
 	l.greeted(conn.Remote(), hello)
 }
 
 // ConnClosed implements transport.FrameHandler.
 func (l *links) ConnClosed(conn *transport.Conn, _ error) {
-	if peer, ok := conn.Tag.(*link); ok {
-		peer.closed(conn)
+	if greeted, ok := conn.Tag.(*greeting); ok {
+		greeted.end()
 	}
 	l.flights.connLost(conn)
 }
 
-func (p *link) closed(conn *transport.Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conn != nil && p.conn != conn {
-		return
-	}
-	p.conn = nil
-	if p.hello == nil && p.ready != nil {
-		select {
-		case <-p.ready:
-		default:
-			close(p.ready)
-		}
+// end notes that the connection is closed, and wakes who waits for its greeting.
+func (g *greeting) end() {
+	g.peer.mu.Lock()
+	waiting := g.hello == nil && !g.ended
+	g.ended = true
+	g.peer.mu.Unlock()
+	if waiting {
+		close(g.ready)
 	}
-	p.hello = nil
 }
 
 func (l *links) close() { l.client.Close() }
