--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -17,9 +17,9 @@
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/metrics"
 	"balsamyoke.example/balsamyoke/internal/plain"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -43,7 +43,7 @@
 // Dependencies are what an Agent is built from.
 type Dependencies struct {
 	Configuration config.Source
-	Instances     platform.InstanceList
+	Instances     metastore.InstanceList
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
 	Register func(*grpc.Server)
@@ -68,13 +68,13 @@
 	cache     *cache
 	table     *directory.Table
 	directory *directory.Client
-	instances platform.InstanceList
+	instances metastore.InstanceList
 	server    *transport.Server
 	leaving   atomic.Bool
 	leave     chan struct{}
 	register  func(*grpc.Server)
 	// lastMembers is the reading of the instance list that the cache uses; only readMembers touches it.
-	lastMembers []platform.Instance
+	lastMembers []metastore.Instance
 	inspect     func() any
 }
 
--- a/internal/agent/cachewatch.go
+++ b/internal/agent/cachewatch.go
@@ -7,8 +7,8 @@
 	"balsamyoke.example/balsamyoke/internal/cacheindex"
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/engine"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/piece"
-	"balsamyoke.example/balsamyoke/internal/platform"
 )
 
 const (
@@ -99,7 +99,7 @@
 // readMembers takes the stores and the homes of the region from the instance list.
 func (a *Agent) readMembers(ctx context.Context) {
 	instances, err := a.instances.Instances(ctx)
-	if err != nil || platform.SameReading(instances, a.lastMembers) {
+	if err != nil || metastore.SameReading(instances, a.lastMembers) {
 		return
 	}
 	a.lastMembers = instances
@@ -114,8 +114,8 @@
 }
 
 // inRegion returns the instances of a region.
-func inRegion(instances []platform.Instance, region string) []platform.Instance {
-	var found []platform.Instance
+func inRegion(instances []metastore.Instance, region string) []metastore.Instance {
+	var found []metastore.Instance
 	for _, instance := range instances {
 		if instance.Region == region {
 			found = append(found, instance)
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -13,8 +13,8 @@
 	"go.uber.org/goleak"
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -246,7 +246,7 @@
 	before func()
 }
 
-func (h *heldKV) CompareAndSwapEach(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+func (h *heldKV) CompareAndSwapEach(ctx context.Context, swaps []metastore.Swap) ([]metastore.SwapResult, error) {
 	h.before()
 	return h.Store.CompareAndSwapEach(ctx, swaps)
 }
--- a/internal/claim/claimer.go
+++ b/internal/claim/claimer.go
@@ -19,7 +19,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // Request asks for a claim.
@@ -48,7 +48,7 @@
 
 // Claimer makes the claims of one entry. It is safe for concurrent use.
 type Claimer struct {
-	kv      platform.KV
+	kv      metastore.KV
 	now     func() time.Time
 	leases  *leases
 	pending chan *write
@@ -59,7 +59,7 @@
 }
 
 // New returns a Claimer. Claims wait until Run is called. now is the wall clock.
-func New(kv platform.KV, now func() time.Time) *Claimer {
+func New(kv metastore.KV, now func() time.Time) *Claimer {
 	return &Claimer{
 		kv:      kv,
 		now:     now,
@@ -103,7 +103,7 @@
 // cannot be read.
 func (c *Claimer) Exists(ctx context.Context, organisation string, key Key) (bool, error) {
 	_, err := c.kv.Get(ctx, recordKey(organisation, key))
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, metastore.ErrNotFound) {
 		return false, nil
 	}
 	if err != nil {
@@ -112,7 +112,7 @@
 	return true, nil
 }
 
-func (c *Claimer) bind(ctx context.Context, r Request, expect platform.Revision) (Binding, error) {
+func (c *Claimer) bind(ctx context.Context, r Request, expect metastore.Revision) (Binding, error) {
 	if err := r.Key.checkConfirmed(c.now()); err != nil {
 		return Binding{}, err
 	}
@@ -122,7 +122,7 @@
 	}
 	result, err := c.write(ctx, &write{
 		created: r.Key.Time(),
-		swap:    platform.Swap{Key: recordKey(r.Organisation, r.Key), Expect: expect, Value: value},
+		swap:    metastore.Swap{Key: recordKey(r.Organisation, r.Key), Expect: expect, Value: value},
 		done:    make(chan written, 1),
 	})
 	if err != nil {
@@ -138,7 +138,7 @@
 
 // Reads whose claim stands after a swap. A swap that was refused because an earlier copy of it had
 // taken effect finds its own attempt.
-func settle(r Request, result platform.SwapResult) (Binding, error) {
+func settle(r Request, result metastore.SwapResult) (Binding, error) {
 	if result.Swapped {
 		return Binding{Executor: r.Executor, Mine: true, revision: result.Revision}, nil
 	}
--- a/internal/claim/commit.go
+++ b/internal/claim/commit.go
@@ -7,7 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 const (
@@ -31,30 +31,30 @@
 // write is one swap on its way to the service.
 type write struct {
 	created time.Time
-	swap    platform.Swap
+	swap    metastore.Swap
 	done    chan written
 }
 
 type written struct {
-	result platform.SwapResult
+	result metastore.SwapResult
 	err    error
 }
 
 // write hands a swap to the committer and waits for its result. When ctx ends first the swap may
 // still take effect.
-func (c *Claimer) write(ctx context.Context, w *write) (platform.SwapResult, error) {
+func (c *Claimer) write(ctx context.Context, w *write) (metastore.SwapResult, error) {
 	select {
 	case c.pending <- w:
 	case <-c.stopped:
-		return platform.SwapResult{}, platform.ErrUnavailable.New("claims are closed")
+		return metastore.SwapResult{}, metastore.ErrUnavailable.New("claims are closed")
 	case <-ctx.Done():
-		return platform.SwapResult{}, platform.ErrUnavailable.Wrap(ctx.Err(), "claim was not sent")
+		return metastore.SwapResult{}, metastore.ErrUnavailable.Wrap(ctx.Err(), "claim was not sent")
 	}
 	select {
 	case outcome := <-w.done:
 		return outcome.result, outcome.err
 	case <-ctx.Done():
-		return platform.SwapResult{}, platform.ErrOutcomeUnknown.Wrap(ctx.Err(), "claim was not confirmed")
+		return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.Wrap(ctx.Err(), "claim was not confirmed")
 	}
 }
 
@@ -75,7 +75,7 @@
 		select {
 		case slots <- struct{}{}:
 		case <-ctx.Done():
-			fail(append(batch, held...), platform.ErrUnavailable.Wrap(ctx.Err(), "claims are closing"))
+			fail(append(batch, held...), metastore.ErrUnavailable.Wrap(ctx.Err(), "claims are closing"))
 			return
 		}
 		running.Go(func() {
@@ -134,7 +134,7 @@
 func (c *Claimer) commit(ctx context.Context, batch []*write) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	var results []platform.SwapResult
+	var results []metastore.SwapResult
 	var err error
 	for try := range maxTries {
 		if try > 0 {
@@ -146,7 +146,7 @@
 		if results, err = c.call(ctx, batch); err == nil {
 			break
 		}
-		if errorx.IsOfType(err, platform.ErrLeaseNotFound) {
+		if errorx.IsOfType(err, metastore.ErrLeaseNotFound) {
 			c.leases.reset()
 		}
 	}
@@ -159,10 +159,10 @@
 	}
 }
 
-func (c *Claimer) call(ctx context.Context, batch []*write) ([]platform.SwapResult, error) {
+func (c *Claimer) call(ctx context.Context, batch []*write) ([]metastore.SwapResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	swaps := make([]platform.Swap, len(batch))
+	swaps := make([]metastore.Swap, len(batch))
 	for i, w := range batch {
 		lease, err := c.leases.get(ctx, w.created, c.now())
 		if err != nil {
@@ -174,7 +174,7 @@
 	c.calls.Add(1)
 	results, err := c.kv.CompareAndSwapEach(ctx, swaps)
 	if err == nil && len(results) != len(swaps) {
-		return nil, platform.ErrOutcomeUnknown.New("%d results for %d swaps", len(results), len(swaps))
+		return nil, metastore.ErrOutcomeUnknown.New("%d results for %d swaps", len(results), len(swaps))
 	}
 	return results, err
 }
--- a/internal/claim/leases.go
+++ b/internal/claim/leases.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 const (
@@ -18,14 +18,14 @@
 // leases grants one lease for each bucket of keys and never renews it. The lease lasts until no
 // entry accepts a key of the bucket any more; then the service deletes the bucket's claims.
 type leases struct {
-	kv platform.KV
+	kv metastore.KV
 
 	mu       sync.Mutex
-	byBucket map[int64]platform.LeaseID
+	byBucket map[int64]metastore.LeaseID
 }
 
-func newLeases(kv platform.KV) *leases {
-	return &leases{kv: kv, byBucket: make(map[int64]platform.LeaseID)}
+func newLeases(kv metastore.KV) *leases {
+	return &leases{kv: kv, byBucket: make(map[int64]metastore.LeaseID)}
 }
 
 func bucketOf(created time.Time) int64 { return created.Unix() / int64(bucketLength/time.Second) }
@@ -37,7 +37,7 @@
 }
 
 // get returns the lease for keys that were created at a time, granting it when there is none.
-func (l *leases) get(ctx context.Context, created, now time.Time) (platform.LeaseID, error) {
+func (l *leases) get(ctx context.Context, created, now time.Time) (metastore.LeaseID, error) {
 	bucket := bucketOf(created)
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/claim/load_test.go
+++ b/internal/claim/load_test.go
@@ -11,8 +11,8 @@
 	qt "github.com/frankban/quicktest"
 	"golang.org/x/time/rate"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
 const (
@@ -46,9 +46,9 @@
 	limiter *rate.Limiter
 }
 
-func (l *limitedKV) CompareAndSwapEach(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+func (l *limitedKV) CompareAndSwapEach(ctx context.Context, swaps []metastore.Swap) ([]metastore.SwapResult, error) {
 	if err := l.limiter.Wait(ctx); err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "rate")
+		return nil, metastore.ErrUnavailable.Wrap(err, "rate")
 	}
 	return l.Store.CompareAndSwapEach(ctx, swaps)
 }
--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -7,7 +7,7 @@
 	"github.com/google/uuid"
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // Prefix is the prefix of all claims in the platform's service.
@@ -31,7 +31,7 @@
 	// alone may dispatch it.
 	Mine bool
 	// revision identifies the claim for Rebind.
-	revision platform.Revision
+	revision metastore.Revision
 }
 
 // stored is the value of a claim's record.
@@ -58,7 +58,7 @@
 }
 
 // Reads a claim and checks that it is for the same request.
-func decode(record platform.Record, digest Digest) (Binding, error) {
+func decode(record metastore.Record, digest Digest) (Binding, error) {
 	var found stored
 	if err := json.Unmarshal(record.Value, &found); err != nil {
 		return Binding{}, ErrUnreadable.Wrap(err, "claim %q", record.Key)
--- a/internal/config/changer.go
+++ b/internal/config/changer.go
@@ -5,7 +5,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // prepare writes what the new root will name and returns the digest of its tree.
@@ -85,7 +85,7 @@
 	if err != nil {
 		return Change{}, err
 	}
-	result, err := c.store.kv.CompareAndSwap(ctx, platform.Swap{
+	result, err := c.store.kv.CompareAndSwap(ctx, metastore.Swap{
 		Key:    rootKey,
 		Expect: root.revision,
 		Value:  value,
--- a/internal/config/collect.go
+++ b/internal/config/collect.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // writeTries bounds the tries at one document when other writers touch it too.
@@ -61,10 +61,10 @@
 }
 
 // writeDocument creates a document, or writes it again when its last write is older than after.
-func (s *Store) writeDocument(ctx context.Context, after platform.Revision, digest string, content []byte) error {
-	expect := platform.Revision(0)
+func (s *Store) writeDocument(ctx context.Context, after metastore.Revision, digest string, content []byte) error {
+	expect := metastore.Revision(0)
 	for range writeTries {
-		result, err := s.kv.CompareAndSwap(ctx, platform.Swap{
+		result, err := s.kv.CompareAndSwap(ctx, metastore.Swap{
 			Key:    documentPrefix + digest,
 			Expect: expect,
 			Value:  content,
@@ -124,12 +124,12 @@
 }
 
 // deleteOlder deletes a document unless it was written after the given revision.
-func (s *Store) deleteOlder(ctx context.Context, before platform.Revision, digest string) {
+func (s *Store) deleteOlder(ctx context.Context, before metastore.Revision, digest string) {
 	record, err := s.kv.Get(ctx, documentPrefix+digest)
 	if err != nil || record.ModRevision >= before {
 		return
 	}
-	_, _ = s.kv.CompareAndSwap(ctx, platform.Swap{
+	_, _ = s.kv.CompareAndSwap(ctx, metastore.Swap{
 		Key:    record.Key,
 		Expect: record.ModRevision,
 		Delete: true,
--- a/internal/config/flakykv_test.go
+++ b/internal/config/flakykv_test.go
@@ -6,8 +6,8 @@
 	"runtime"
 	"sync"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
 // setDown makes the service fail or answer again.
@@ -26,24 +26,24 @@
 	return f.random.Float64()
 }
 
-func (f *flakyKV) Get(ctx context.Context, key string) (platform.Record, error) {
+func (f *flakyKV) Get(ctx context.Context, key string) (metastore.Record, error) {
 	runtime.Gosched()
 	if f.draw() < 0.1 {
-		return platform.Record{}, platform.ErrUnavailable.New("lost read")
+		return metastore.Record{}, metastore.ErrUnavailable.New("lost read")
 	}
 	return f.Store.Get(ctx, key)
 }
 
-func (f *flakyKV) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+func (f *flakyKV) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
 	runtime.Gosched()
 	switch chance := f.draw(); {
 	case chance < 0.1:
-		return platform.SwapResult{}, platform.ErrUnavailable.New("lost before the service")
+		return metastore.SwapResult{}, metastore.ErrUnavailable.New("lost before the service")
 	case chance < 0.2:
-		return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost call")
+		return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.New("lost call")
 	case chance < 0.4:
 		_, _ = f.Store.CompareAndSwap(ctx, swap)
-		return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost answer")
+		return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.New("lost answer")
 	}
 	return f.Store.CompareAndSwap(ctx, swap)
 }
--- a/internal/config/root.go
+++ b/internal/config/root.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // Keys in the platform's service.
@@ -35,7 +35,7 @@
 // rootRecord is the root together with the revision of its key.
 type rootRecord struct {
 	Root
-	revision platform.Revision
+	revision metastore.Revision
 }
 
 // next returns the root after one more change, with the oldest changes dropped.
@@ -83,7 +83,7 @@
 	return value, nil
 }
 
-func decodeRoot(record platform.Record) (rootRecord, error) {
+func decodeRoot(record metastore.Record) (rootRecord, error) {
 	root := rootRecord{revision: record.ModRevision}
 	if err := json.Unmarshal(record.Value, &root.Root); err != nil {
 		return rootRecord{}, ErrCorrupt.Wrap(err, "root at revision %d cannot be decoded", record.ModRevision)
--- a/internal/config/spread_test.go
+++ b/internal/config/spread_test.go
@@ -14,7 +14,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
--- a/internal/config/startup_test.go
+++ b/internal/config/startup_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
 func TestFreshProcessInAnOutageServesTheHighestVersionOfTwoDomains(t *testing.T) {
--- a/internal/config/store.go
+++ b/internal/config/store.go
@@ -9,7 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // concurrentReads bounds the documents that are read at once.
@@ -27,11 +27,11 @@
 // after the documents it names. So of the changes made on one base version at most one wins, and
 // a root never names a document that is missing.
 type Store struct {
-	kv platform.KV
+	kv metastore.KV
 }
 
 // NewStore returns a Store on the given service.
-func NewStore(kv platform.KV) *Store { return &Store{kv: kv} }
+func NewStore(kv metastore.KV) *Store { return &Store{kv: kv} }
 
 // Root returns the root. It returns ErrNotFound before the first apply and ErrUnavailable when
 // the service cannot be reached.
@@ -158,11 +158,11 @@
 // fromPlatform turns an error of the service into one of this package.
 func fromPlatform(err error, format string, args ...any) error {
 	switch {
-	case errorx.IsOfType(err, platform.ErrNotFound):
+	case errorx.IsOfType(err, metastore.ErrNotFound):
 		return ErrNotFound.Wrap(err, format, args...)
-	case errorx.IsOfType(err, platform.ErrOutcomeUnknown):
+	case errorx.IsOfType(err, metastore.ErrOutcomeUnknown):
 		return ErrOutcomeUnknown.Wrap(err, format, args...)
-	case errorx.IsOfType(err, platform.ErrInvalid):
+	case errorx.IsOfType(err, metastore.ErrInvalid):
 		return ErrInvalid.Wrap(err, format, args...)
 	default:
 		return ErrUnavailable.Wrap(err, format, args...)
--- a/internal/config/store_test.go
+++ b/internal/config/store_test.go
@@ -12,8 +12,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
 func TestApplyLoadAndRollback(t *testing.T) {
@@ -61,13 +61,13 @@
 // lostAnswers writes every root but never answers.
 type lostAnswers struct{ *memkv.Store }
 
-func (l lostAnswers) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+func (l lostAnswers) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
 	result, err := l.Store.CompareAndSwap(ctx, swap)
 	if swap.Key != rootKey {
 		return result, err
 	}
 	setDown(l.Store, true)
-	return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost answer")
+	return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.New("lost answer")
 }
 
 func TestApplySaysUnknownWhenTheAnswerIsLostAndTheServiceStaysDown(t *testing.T) {
@@ -115,7 +115,7 @@
 	hook func()
 }
 
-func (k *collectDuring) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+func (k *collectDuring) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
 	if swap.Key == rootKey && k.hook != nil {
 		hook := k.hook
 		k.hook = nil
--- a/internal/config/watcher.go
+++ b/internal/config/watcher.go
@@ -7,7 +7,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 const (
@@ -97,7 +97,7 @@
 }
 
 // first adopts the present root and returns the revision to watch from.
-func (w *watcher) first(ctx context.Context) (platform.Revision, error) {
+func (w *watcher) first(ctx context.Context) (metastore.Revision, error) {
 	reading, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
 	w.spread.count(func(stats *SpreadStats) { stats.RootReads++ })
@@ -112,7 +112,7 @@
 	return root.revision, nil
 }
 
-func (w *watcher) changed(ctx context.Context, event platform.Event) {
+func (w *watcher) changed(ctx context.Context, event metastore.Event) {
 	if event.Deleted || event.Record.Key != rootKey {
 		return
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -14,9 +14,9 @@
 	"go.uber.org/goleak"
 	"google.golang.org/grpc"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
-	"balsamyoke.example/balsamyoke/internal/platform/memlist"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore/memlist"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -36,7 +36,7 @@
 type bench struct {
 	c    *qt.C
 	kv   *memkv.Store
-	list platform.InstanceList
+	list metastore.InstanceList
 	dir  string
 }
 
@@ -55,8 +55,8 @@
 	t := &tool{
 		stdout: &out,
 		stderr: &errs,
-		openKV: func(string) platform.KV { return b.kv },
-		list:   func(string) platform.InstanceList { return b.list },
+		openKV: func(string) metastore.KV { return b.kv },
+		list:   func(string) metastore.InstanceList { return b.list },
 	}
 	code = t.main(append([]string{"--kv", "127.0.0.1:1", "--timeout", "200ms"}, args...))
 	return code, out.String(), errs.String()
@@ -150,7 +150,7 @@
 	b := newBench(t)
 	var out, errs bytes.Buffer
 	lose := &loseRoot{Store: b.kv}
-	tl := &tool{stdout: &out, stderr: &errs, openKV: func(string) platform.KV { return lose }}
+	tl := &tool{stdout: &out, stderr: &errs, openKV: func(string) metastore.KV { return lose }}
 	code := tl.main([]string{"--kv", "127.0.0.1:1", "--timeout", "200ms", "apply", b.file(manifestText), "--change", "one"})
 	b.c.Assert(code, qt.Equals, ExitUnavailable)
 	b.c.Assert(errs.String(), qt.Contains, "repeat with --change one")
@@ -162,13 +162,13 @@
 // loseRoot loses the answer to the write of the root and everything after it.
 type loseRoot struct{ *memkv.Store }
 
-func (l *loseRoot) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+func (l *loseRoot) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
 	result, err := l.Store.CompareAndSwap(ctx, swap)
 	if swap.Key != "config/root" {
 		return result, err
 	}
 	l.SetFaults(memkv.Faults{Down: true})
-	return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost answer")
+	return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.New("lost answer")
 }
 
 // fakeProcess answers the calls of balsamctl.
@@ -220,9 +220,9 @@
 
 	_, _, _ = b.run("apply", b.file(manifestText))
 	list := memlist.New(0)
-	list.Replace([]platform.Instance{
-		{ID: "entry-0", Role: platform.RoleEntry, ControlAddress: address, State: platform.InstanceLive},
-		{ID: "agent-0", Role: platform.RoleAgent, ControlAddress: "127.0.0.1:1", State: platform.InstanceLive},
+	list.Replace([]metastore.Instance{
+		{ID: "entry-0", Role: metastore.RoleEntry, ControlAddress: address, State: metastore.InstanceLive},
+		{ID: "agent-0", Role: metastore.RoleAgent, ControlAddress: "127.0.0.1:1", State: metastore.InstanceLive},
 	})
 	b.list = list
 	code, out, _ = b.run("status", "--instance-list", "127.0.0.1:1")
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -8,7 +8,7 @@
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/explain"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -55,7 +55,7 @@
 	ctx, cancel := c.tool.context()
 	defer cancel()
 	joined := []decided{}
-	err := c.tool.eachProcess(ctx, func(ctx context.Context, instance platform.Instance, connection *grpc.ClientConn) func() {
+	err := c.tool.eachProcess(ctx, func(ctx context.Context, instance metastore.Instance, connection *grpc.ClientConn) func() {
 		found := c.decisions(ctx, instance.ID, connection)
 		return func() { joined = append(joined, found...) }
 	})
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -12,9 +12,9 @@
 
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
-	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
 )
 
 const program = "balsamctl"
@@ -44,8 +44,8 @@
 	options options
 	stdout  io.Writer
 	stderr  io.Writer
-	openKV  func(address string) platform.KV
-	list    func(address string) platform.InstanceList
+	openKV  func(address string) metastore.KV
+	list    func(address string) metastore.InstanceList
 }
 
 // Main runs balsamctl with the given arguments and returns its exit code.
@@ -53,8 +53,8 @@
 	t := &tool{
 		stdout: stdout,
 		stderr: stderr,
-		openKV: func(address string) platform.KV { return etcdhttp.New(address) },
-		list:   func(address string) platform.InstanceList { return listhttp.New(address) },
+		openKV: func(address string) metastore.KV { return etcdhttp.New(address) },
+		list:   func(address string) metastore.InstanceList { return listhttp.New(address) },
 	}
 	return t.main(args)
 }
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -12,7 +12,7 @@
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -124,7 +124,7 @@
 // processes asks every entry and agent of the instance list for its version.
 func (t *tool) processes(ctx context.Context) ([]processVersion, error) {
 	var versions []processVersion
-	err := t.eachProcess(ctx, func(ctx context.Context, instance platform.Instance, connection *grpc.ClientConn) func() {
+	err := t.eachProcess(ctx, func(ctx context.Context, instance metastore.Instance, connection *grpc.ClientConn) func() {
 		asked := ask(ctx, connection, instance)
 		return func() { versions = append(versions, asked) }
 	})
@@ -137,7 +137,7 @@
 
 // eachProcess visits every entry and agent of the instance list, some at once. What a visit returns
 // runs one at a time.
-func (t *tool) eachProcess(ctx context.Context, visit func(context.Context, platform.Instance, *grpc.ClientConn) func()) error {
+func (t *tool) eachProcess(ctx context.Context, visit func(context.Context, metastore.Instance, *grpc.ClientConn) func()) error {
 	instances, err := t.list(t.options.InstanceList).Instances(ctx)
 	if err != nil {
 		return ErrProcess.Wrap(err, "instance list")
@@ -168,7 +168,7 @@
 	return group.Wait()
 }
 
-func ask(ctx context.Context, connection *grpc.ClientConn, instance platform.Instance) processVersion {
+func ask(ctx context.Context, connection *grpc.ClientConn, instance metastore.Instance) processVersion {
 	asked := processVersion{Instance: instance.ID}
 	reply, err := wire.NewConfigurationClient(connection).Notify(ctx, &wire.NotifyRequest{})
 	if err != nil {
--- a/internal/directory/ring.go
+++ b/internal/directory/ring.go
@@ -12,8 +12,8 @@
 	"slices"
 	"sort"
 
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/piece"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 )
 
@@ -138,10 +138,10 @@
 }
 
 // Homes returns the live agents of a region, which serve the directory.
-func Homes(instances []platform.Instance, region string) []Member {
+func Homes(instances []metastore.Instance, region string) []Member {
 	var members []Member
 	for _, instance := range instances {
-		if instance.Role != platform.RoleAgent || instance.State != platform.InstanceLive || instance.Region != region {
+		if instance.Role != metastore.RoleAgent || instance.State != metastore.InstanceLive || instance.Region != region {
 			continue
 		}
 		members = append(members, Member{
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/process"
 )
 
@@ -18,14 +18,14 @@
 func designList() listOf {
 	var list listOf
 	for i := range 11000 {
-		instance := platform.Instance{
-			ID: fmt.Sprintf("instance-%05d", i), Role: platform.RoleAgent, Service: fmt.Sprintf("service-%d", i%5),
+		instance := metastore.Instance{
+			ID: fmt.Sprintf("instance-%05d", i), Role: metastore.RoleAgent, Service: fmt.Sprintf("service-%d", i%5),
 			Region: fmt.Sprintf("region-%d", i%6), FailureDomain: fmt.Sprintf("domain-%d", i%18),
 			Address: fmt.Sprintf("10.1.%d.%d:7000", i/256, i%256), ControlAddress: fmt.Sprintf("10.1.%d.%d:7001", i/256, i%256),
-			State: platform.InstanceLive,
+			State: metastore.InstanceLive,
 		}
 		if i%11 < 3 {
-			instance.Role, instance.Service = platform.RoleEntry, ""
+			instance.Role, instance.Service = metastore.RoleEntry, ""
 		}
 		list = append(list, instance)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,9 +21,9 @@
 	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/limits"
 	"balsamyoke.example/balsamyoke/internal/membership"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/metrics"
 	"balsamyoke.example/balsamyoke/internal/placement"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/settings"
@@ -74,7 +74,7 @@
 // Dependencies are what an Entry is built from.
 type Dependencies struct {
 	Configuration config.Source
-	Instances     platform.InstanceList
+	Instances     metastore.InstanceList
 	Claims        Claims
 	Logger        *zap.Logger
 	// Register adds further services to the control server.
@@ -264,7 +264,7 @@
 }
 
 // listed takes the instance list as it was read.
-func (e *Entry) listed(instances []platform.Instance) {
+func (e *Entry) listed(instances []metastore.Instance) {
 	e.useHomes(instances)
 	e.limiting.useEntries(instances)
 }
@@ -282,7 +282,7 @@
 }
 
 // refusedBy takes a refusal as evidence about an agent.
-func (e *Entry) refusedBy(instance platform.Instance, refused *wire.Refused) {
+func (e *Entry) refusedBy(instance metastore.Instance, refused *wire.Refused) {
 	if refused.GetReason() == wire.RefusalReason_REFUSAL_REASON_LEAVING {
 		e.learn(func(r *replicas) { r.refusedAsLeaving(instance.ID, time.Now()) })
 	}
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -20,13 +20,13 @@
 // probed, so a stream that flows costs nothing.
 type heartbeat struct {
 	entry    *Entry
-	instance platform.Instance
+	instance metastore.Instance
 	ticker   *time.Ticker
 	// lastHeard is the time of the last frame or probe reply in Unix nanoseconds.
 	lastHeard atomic.Int64
 }
 
-func newHeartbeat(e *Entry, instance platform.Instance) *heartbeat {
+func newHeartbeat(e *Entry, instance metastore.Instance) *heartbeat {
 	h := &heartbeat{entry: e, instance: instance, ticker: time.NewTicker(heartbeatInterval)}
 	h.heard()
 	return h
@@ -53,7 +53,7 @@
 func (h *heartbeat) probe() {
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatInterval)
 	defer cancel()
-	targets := []platform.Instance{h.instance}
+	targets := []metastore.Instance{h.instance}
 	replies := h.entry.prober.ask(ctx, h.entry.links, targets, &wire.Probe{}, heartbeatInterval)
 	if len(replies) > 0 {
 		h.heard()
--- a/internal/entry/known_test.go
+++ b/internal/entry/known_test.go
@@ -7,15 +7,15 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/process"
 )
 
 // A lagging list that shows no agent yet must not make the balancer send callers here.
 func TestListWithoutAgentsLeavesTheEntryUnhealthy(t *testing.T) {
 	c := qt.New(t)
-	entryRow := platform.Instance{ID: "e", Role: platform.RoleEntry, State: platform.InstanceLive}
-	agentRow := platform.Instance{ID: "a", Role: platform.RoleAgent, Service: "assistant", State: platform.InstanceLive}
+	entryRow := metastore.Instance{ID: "e", Role: metastore.RoleEntry, State: metastore.InstanceLive}
+	agentRow := metastore.Instance{ID: "a", Role: metastore.RoleAgent, Service: "assistant", State: metastore.InstanceLive}
 	r := newReplicas(process.Identity{}, listOf{entryRow}, zap.NewNop())
 	r.read(context.Background())
 	c.Assert(r.known.Load(), qt.IsFalse)
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -9,13 +9,13 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/membership"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/process"
 )
 
 func TestLeavingAgentIsAskedAgainLater(t *testing.T) {
 	c := qt.New(t)
-	list := listOf{{ID: "a", Role: platform.RoleAgent, Service: "assistant", State: platform.InstanceLive}}
+	list := listOf{{ID: "a", Role: metastore.RoleAgent, Service: "assistant", State: metastore.InstanceLive}}
 	r := newReplicas(process.Identity{}, list, zap.NewNop())
 	r.read(context.Background())
 	leaving := func() bool { return r.snapshot.Load().Lookup("a").Leaving }
--- a/internal/entry/limiting.go
+++ b/internal/entry/limiting.go
@@ -10,7 +10,7 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/limits"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -50,10 +50,10 @@
 }
 
 // useEntries takes the live entries from the instance list.
-func (l *limiting) useEntries(instances []platform.Instance) {
+func (l *limiting) useEntries(instances []metastore.Instance) {
 	var entries []limits.Entry
 	for _, instance := range instances {
-		if instance.Role == platform.RoleEntry && instance.State == platform.InstanceLive {
+		if instance.Role == metastore.RoleEntry && instance.State == metastore.InstanceLive {
 			entries = append(entries, limits.Entry{Instance: instance.ID, ControlAddress: instance.ControlAddress})
 		}
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -9,7 +9,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/claim"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/transport"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -136,8 +136,8 @@
 	}
 }
 
-func executorInstance(executor claim.Executor) platform.Instance {
-	return platform.Instance{ID: executor.Instance, Address: executor.Address}
+func executorInstance(executor claim.Executor) metastore.Instance {
+	return metastore.Instance{ID: executor.Instance, Address: executor.Address}
 }
 
 // ask asks the agent of an attempt what became of it and follows the replay of its answer.
--- a/internal/entry/outage_test.go
+++ b/internal/entry/outage_test.go
@@ -8,30 +8,30 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/membership"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/process"
 )
 
 // changingList is a list that a test changes between reads.
 type changingList struct {
-	instances []platform.Instance
+	instances []metastore.Instance
 	err       error
 }
 
-func (l *changingList) Instances(context.Context) ([]platform.Instance, error) {
+func (l *changingList) Instances(context.Context) ([]metastore.Instance, error) {
 	return l.instances, l.err
 }
 
 func TestListOutageKeepsTheReplicas(t *testing.T) {
 	c := qt.New(t)
-	list := &changingList{instances: []platform.Instance{
-		{ID: "a", Role: platform.RoleAgent, Service: "assistant", State: platform.InstanceLive},
+	list := &changingList{instances: []metastore.Instance{
+		{ID: "a", Role: metastore.RoleAgent, Service: "assistant", State: metastore.InstanceLive},
 	}}
 	r := newReplicas(process.Identity{}, list, zap.NewNop())
 	r.read(context.Background())
 	r.heard(membership.Evidence{Instance: "a", Incarnation: 1}, r.members.ReadAt())
 
-	list.err = platform.ErrUnavailable.New("instance list")
+	list.err = metastore.ErrUnavailable.New("instance list")
 	r.read(context.Background())
 	c.Assert(r.snapshot.Load().Lookup("a"), qt.IsNotNil)
 
--- a/internal/entry/outliers_test.go
+++ b/internal/entry/outliers_test.go
@@ -10,13 +10,13 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/health"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/process"
 )
 
-type listOf []platform.Instance
+type listOf []metastore.Instance
 
-func (l listOf) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l listOf) Instances(context.Context) ([]metastore.Instance, error) { return l, nil }
 
 // sixReplicas returns what an entry believes about two replicas in each of three domains.
 func sixReplicas() (*replicas, []string) {
@@ -25,8 +25,8 @@
 	for i := range 6 {
 		id := fmt.Sprintf("assistant-%d", i)
 		ids = append(ids, id)
-		list = append(list, platform.Instance{
-			ID: id, Role: platform.RoleAgent, Service: "assistant", State: platform.InstanceLive,
+		list = append(list, metastore.Instance{
+			ID: id, Role: metastore.RoleAgent, Service: "assistant", State: metastore.InstanceLive,
 			FailureDomain: fmt.Sprintf("lake-%d", i%3),
 		})
 	}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -22,7 +22,7 @@
 	"balsamyoke.example/balsamyoke/internal/leaktest"
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/standin/answer"
 	"balsamyoke.example/balsamyoke/internal/standin/engineserver"
@@ -43,9 +43,9 @@
 
 func (inForce) CatchUp(context.Context, uint64, string) error { return nil }
 
-type fixedList []platform.Instance
+type fixedList []metastore.Instance
 
-func (l fixedList) Instances(context.Context) ([]platform.Instance, error) { return l, nil }
+func (l fixedList) Instances(context.Context) ([]metastore.Instance, error) { return l, nil }
 
 func digest(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -112,7 +112,7 @@
 	return p
 }
 
-func startAgent(c *qt.C, holder *config.Holder, name, service string, serviceType manifest.ServiceType, backend string) platform.Instance {
+func startAgent(c *qt.C, holder *config.Holder, name, service string, serviceType manifest.ServiceType, backend string) metastore.Instance {
 	s := agent.DefaultSettings()
 	s.Identity = process.Identity{Instance: name, Region: "r", FailureDomain: "north"}
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
@@ -120,9 +120,9 @@
 	s.GraceSeconds = 1
 	a := agent.New(s, agent.Dependencies{Configuration: inForce{holder}, Instances: fixedList{}, Logger: zap.NewNop()})
 	runRole(c, a.Run)
-	return platform.Instance{
-		ID: name, Role: platform.RoleAgent, Service: service, Region: "r", FailureDomain: "north",
-		Address: s.Listen, ControlAddress: s.Control, State: platform.InstanceLive,
+	return metastore.Instance{
+		ID: name, Role: metastore.RoleAgent, Service: service, Region: "r", FailureDomain: "north",
+		Address: s.Listen, ControlAddress: s.Control, State: metastore.InstanceLive,
 	}
 }
 
@@ -138,7 +138,7 @@
 }
 
 // newEntry builds the entry of the path; the caller runs it.
-func (p *path) newEntry(c *qt.C, holder *config.Holder, list platform.InstanceList) *entry.Entry {
+func (p *path) newEntry(c *qt.C, holder *config.Holder, list metastore.InstanceList) *entry.Entry {
 	s := entry.DefaultSettings()
 	s.Identity = process.Identity{Instance: "entry-0", Region: "r", FailureDomain: "north"}
 	s.Listen, s.Control, s.Metrics = freeAddress(c), freeAddress(c), freeAddress(c)
@@ -238,8 +238,8 @@
 // unreadable is an instance list that never answers.
 type unreadable struct{}
 
-func (unreadable) Instances(context.Context) ([]platform.Instance, error) {
-	return nil, platform.ErrUnavailable.New("down")
+func (unreadable) Instances(context.Context) ([]metastore.Instance, error) {
+	return nil, metastore.ErrUnavailable.New("down")
 }
 
 func TestEntryIsNotHealthyBeforeItKnowsReplicas(t *testing.T) {
--- a/internal/entry/place.go
+++ b/internal/entry/place.go
@@ -11,9 +11,9 @@
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/explain"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/piece"
 	"balsamyoke.example/balsamyoke/internal/placement"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -26,7 +26,7 @@
 
 // placed is the replica that a placement chose, with the reservation it holds there.
 type placed struct {
-	instance    platform.Instance
+	instance    metastore.Instance
 	reservation []byte
 	decision    *placement.Decision
 	// score ranks offers for different weight versions; the lowest wins.
@@ -106,7 +106,7 @@
 
 // probeCandidates asks the candidates and stores their replies in the decision.
 func (r *run) probeCandidates(ctx context.Context, snapshot *placement.Snapshot, binding binding, decision *placement.Decision) []*wire.ProbeReply {
-	targets := make([]platform.Instance, len(decision.Candidates))
+	targets := make([]metastore.Instance, len(decision.Candidates))
 	for i := range decision.Candidates {
 		targets[i] = instanceOf(snapshot.Replica(decision.Candidates[i].Index))
 	}
@@ -139,16 +139,16 @@
 	return target
 }
 
-func instanceOf(replica *placement.Replica) platform.Instance {
-	return platform.Instance{
+func instanceOf(replica *placement.Replica) metastore.Instance {
+	return metastore.Instance{
 		ID:             replica.Instance,
-		Role:           platform.RoleAgent,
+		Role:           metastore.RoleAgent,
 		Service:        replica.Service,
 		Region:         replica.Region,
 		FailureDomain:  replica.FailureDomain,
 		Address:        replica.Address,
 		ControlAddress: replica.ControlAddress,
-		State:          platform.InstanceLive,
+		State:          metastore.InstanceLive,
 	}
 }
 
--- a/internal/entry/prober.go
+++ b/internal/entry/prober.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -42,7 +42,7 @@
 }
 
 // ask probes the targets and returns the replies that came within the timeout.
-func (p *prober) ask(ctx context.Context, links *links, targets []platform.Instance, probe *wire.Probe, timeout time.Duration) []*wire.ProbeReply {
+func (p *prober) ask(ctx context.Context, links *links, targets []metastore.Instance, probe *wire.Probe, timeout time.Duration) []*wire.ProbeReply {
 	nonce, replies := p.open(len(targets))
 	defer p.close(nonce)
 	probe.Nonce = nonce
@@ -65,7 +65,7 @@
 	p.mu.Unlock()
 }
 
-func sendProbes(links *links, targets []platform.Instance, probe *wire.Probe) int {
+func sendProbes(links *links, targets []metastore.Instance, probe *wire.Probe) int {
 	sent := 0
 	datagram := &wire.Datagram{Body: &wire.Datagram_Probe{Probe: probe}}
 	for _, target := range targets {
--- a/internal/entry/replicas.go
+++ b/internal/entry/replicas.go
@@ -10,8 +10,8 @@
 
 	"balsamyoke.example/balsamyoke/internal/health"
 	"balsamyoke.example/balsamyoke/internal/membership"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/placement"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -27,16 +27,16 @@
 // for snapshot and known, which any goroutine may load.
 type replicas struct {
 	identity process.Identity
-	list     platform.InstanceList
+	list     metastore.InstanceList
 	logger   *zap.Logger
 	// onList is called with each list that was read.
-	onList func([]platform.Instance)
+	onList func([]metastore.Instance)
 	// snapshot is what placements use; it is never nil.
 	snapshot atomic.Pointer[placement.Snapshot]
 	// known says that the list has shown an agent: before that no request can be placed.
 	known atomic.Bool
 	// last is the reading that members hold.
-	last []platform.Instance
+	last []metastore.Instance
 
 	members *membership.Table
 	loads   map[string]*placement.Load
@@ -45,13 +45,13 @@
 	tracked map[string]bool
 }
 
-func newReplicas(identity process.Identity, list platform.InstanceList, logger *zap.Logger) *replicas {
+func newReplicas(identity process.Identity, list metastore.InstanceList, logger *zap.Logger) *replicas {
 	r := &replicas{
 		identity: identity,
 		list:     list,
 		logger:   logger,
-		onList:   func([]platform.Instance) {},
-		members:  membership.New(platform.RoleAgent),
+		onList:   func([]metastore.Instance) {},
+		members:  membership.New(metastore.RoleAgent),
 		loads:    make(map[string]*placement.Load),
 		health:   health.New(health.DefaultConfig()),
 	}
@@ -86,7 +86,7 @@
 
 func (r *replicas) read(ctx context.Context) {
 	instances, err := r.list.Instances(ctx)
-	if err != nil || platform.SameReading(instances, r.last) {
+	if err != nil || metastore.SameReading(instances, r.last) {
 		return
 	}
 	r.last = instances
@@ -100,7 +100,7 @@
 	r.rebuild(now)
 }
 
-func isAgent(instance platform.Instance) bool { return instance.Role == platform.RoleAgent }
+func isAgent(instance metastore.Instance) bool { return instance.Role == metastore.RoleAgent }
 
 // failed notes that contact with an agent was lost.
 func (r *replicas) failed(instance string, now time.Time) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -8,7 +8,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/attempt"
 	"balsamyoke.example/balsamyoke/internal/health"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/retry"
 	"balsamyoke.example/balsamyoke/internal/stream"
 	"balsamyoke.example/balsamyoke/internal/transport"
@@ -112,7 +112,7 @@
 	}
 }
 
-func (r *run) finish(done *wire.Done, instance platform.Instance) *result {
+func (r *run) finish(done *wire.Done, instance metastore.Instance) *result {
 	return &result{
 		done:       done,
 		replica:    instance.ID,
@@ -373,7 +373,7 @@
 }
 
 // unreachable notes that an agent could not be reached or went silent.
-func (e *Entry) unreachable(instance platform.Instance) {
+func (e *Entry) unreachable(instance metastore.Instance) {
 	e.counters.lostAttempts.Inc(1)
 	e.runEnded(instance.ID, health.Sample{Failed: true})
 	e.learn(func(r *replicas) { r.failed(instance.ID, time.Now()) })
--- a/internal/entry/view.go
+++ b/internal/entry/view.go
@@ -7,8 +7,8 @@
 
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/membership"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/placement"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -55,7 +55,7 @@
 	}
 }
 
-func (r *replicas) distanceMS(instance platform.Instance) float64 {
+func (r *replicas) distanceMS(instance metastore.Instance) float64 {
 	switch {
 	case instance.Region != r.identity.Region:
 		return otherRegionMS
@@ -91,7 +91,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			var targets []platform.Instance
+			var targets []metastore.Instance
 			e.control.Call(func() { targets = e.replicas.all() })
 			replies := e.prober.ask(ctx, e.links, targets, &wire.Probe{}, probeTimeout)
 			e.learn(func(r *replicas) { r.reported(replies, time.Now()) })
@@ -100,8 +100,8 @@
 }
 
 // all returns the replicas of all services that may be asked.
-func (r *replicas) all() []platform.Instance {
-	var all []platform.Instance
+func (r *replicas) all() []metastore.Instance {
+	var all []metastore.Instance
 	for _, m := range r.near() {
 		if m.Open || m.Doubtful {
 			all = append(all, m.Instance)
@@ -111,7 +111,7 @@
 }
 
 // useHomes takes the homes of the location directory from the instance list.
-func (e *Entry) useHomes(instances []platform.Instance) {
+func (e *Entry) useHomes(instances []metastore.Instance) {
 	e.directory.SetRing(directory.NewRing(directory.Homes(instances, e.settings.Region)))
 }
 
--- a/internal/measure/row.go
+++ b/internal/measure/row.go
@@ -6,7 +6,7 @@
 	"context"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -87,7 +87,7 @@
 	cut := f.InDomain(f.Instances[0].FailureDomain)
 	each := func(change func(*testbed.Process)) {
 		for _, instance := range cut {
-			if instance.Role == platform.RoleEntry {
+			if instance.Role == metastore.RoleEntry {
 				continue
 			}
 			change(instance.Process)
@@ -104,7 +104,7 @@
 
 // storeDead kills one store.
 func storeDead(_ context.Context, f *testbed.Fleet, _ time.Duration) error {
-	f.Role(platform.RoleStore)[0].Process.Kill()
+	f.Role(metastore.RoleStore)[0].Process.Kill()
 	return nil
 }
 
@@ -119,7 +119,7 @@
 }
 
 func eachStore(ctx context.Context, f *testbed.Fleet, faults testbed.Settings) error {
-	for _, store := range f.Role(platform.RoleStore) {
+	for _, store := range f.Role(metastore.RoleStore) {
 		if err := testbed.SetFaults(ctx, store.AdminAddress, faults); err != nil {
 			return err
 		}
--- a/internal/measure/run.go
+++ b/internal/measure/run.go
@@ -8,7 +8,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/load"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
@@ -116,10 +116,10 @@
 	options := load.Options{Plan: plan, WarmUp: c.Row.WarmUp, Processes: map[string]int{}}
 	for _, instance := range f.Instances {
 		switch instance.Role {
-		case platform.RoleEntry:
+		case metastore.RoleEntry:
 			options.Entries = append(options.Entries, instance.Address)
 			options.Processes[instance.ID] = instance.Process.PID()
-		case platform.RoleAgent:
+		case metastore.RoleAgent:
 			options.Processes[instance.ID] = instance.Process.PID()
 		}
 	}
@@ -187,7 +187,7 @@
 
 // modelService returns the service of the model replicas of a fleet.
 func modelService(f *testbed.Fleet) string {
-	for _, instance := range f.Role(platform.RoleAgent) {
+	for _, instance := range f.Role(metastore.RoleAgent) {
 		return instance.Service
 	}
 	return ""
@@ -228,7 +228,7 @@
 // storeStats returns the counts of the stores that answer.
 func storeStats(ctx context.Context, f *testbed.Fleet) []storeserver.Stats {
 	var all []storeserver.Stats
-	for _, store := range f.Role(platform.RoleStore) {
+	for _, store := range f.Role(metastore.RoleStore) {
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
 		var stats storeserver.Stats
 		if testbed.Call(callCtx, "GET", store.AdminAddress, "/admin/stats", nil, &stats) == nil {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/chart"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 //go:embed instance.chart.json
@@ -58,7 +58,7 @@
 
 // Member is one instance with what is believed about it.
 type Member struct {
-	platform.Instance
+	metastore.Instance
 	Incarnation   uint64    `json:"incarnation,omitempty"`
 	ConfigVersion uint64    `json:"config_version,omitempty"`
 	WeightVersion string    `json:"weight_version,omitempty"`
@@ -72,7 +72,7 @@
 
 // member is one row of the table.
 type member struct {
-	instance      platform.Instance
+	instance      metastore.Instance
 	state         chart.State
 	incarnation   uint64
 	configVersion uint64
@@ -103,7 +103,7 @@
 	case stateSuspect:
 		return held >= SuspectFor
 	case stateLeaving:
-		return held >= LeavingFor && m.instance.State != platform.InstanceLeaving
+		return held >= LeavingFor && m.instance.State != metastore.InstanceLeaving
 	default:
 		return false
 	}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // Table holds the instances of some roles.
@@ -13,20 +13,20 @@
 // Invariant: an instance that said that it is leaving is not open before LeavingFor has passed or
 // another incarnation has spoken, whatever the list shows.
 type Table struct {
-	roles   []platform.Role
+	roles   []metastore.Role
 	members map[string]*member
 	readAt  time.Time
 }
 
 // New returns an empty Table for instances of the given roles.
-func New(roles ...platform.Role) *Table {
+func New(roles ...metastore.Role) *Table {
 	return &Table{roles: roles, members: make(map[string]*member)}
 }
 
 // Listed takes the instance list as it was read at now. Instances that it no longer shows stay
 // while they are heard. A list that shows none of the known instances, as one that has just
 // started does, is no evidence against them.
-func (t *Table) Listed(now time.Time, instances []platform.Instance) {
+func (t *Table) Listed(now time.Time, instances []metastore.Instance) {
 	t.readAt = now
 	if !t.showsAny(instances) && t.heardLately(now) {
 		return
@@ -40,8 +40,8 @@
 }
 
 // showsAny reports whether the list has a row of the table's roles.
-func (t *Table) showsAny(instances []platform.Instance) bool {
-	return slices.ContainsFunc(instances, func(i platform.Instance) bool { return slices.Contains(t.roles, i.Role) })
+func (t *Table) showsAny(instances []metastore.Instance) bool {
+	return slices.ContainsFunc(instances, func(i metastore.Instance) bool { return slices.Contains(t.roles, i.Role) })
 }
 
 func (t *Table) heardLately(now time.Time) bool {
@@ -53,7 +53,7 @@
 	return false
 }
 
-func (t *Table) list(now time.Time, instance platform.Instance) {
+func (t *Table) list(now time.Time, instance metastore.Instance) {
 	m := t.members[instance.ID]
 	if m == nil {
 		m = &member{state: instanceChart.Initial(), since: now}
@@ -61,7 +61,7 @@
 	}
 	m.instance = instance
 	m.listed = now
-	if instance.State == platform.InstanceLeaving {
+	if instance.State == metastore.InstanceLeaving {
 		m.fire(now, eventListedLeaving)
 	}
 }
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -9,16 +9,16 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-func agents(count int, state platform.InstanceState) []platform.Instance {
-	list := make([]platform.Instance, count)
+func agents(count int, state metastore.InstanceState) []metastore.Instance {
+	list := make([]metastore.Instance, count)
 	for i := range list {
-		list[i] = platform.Instance{
-			ID: fmt.Sprintf("assistant-%05d", i), Role: platform.RoleAgent, Service: "assistant",
+		list[i] = metastore.Instance{
+			ID: fmt.Sprintf("assistant-%05d", i), Role: metastore.RoleAgent, Service: "assistant",
 			Region: "kigali", FailureDomain: fmt.Sprintf("kigali-%d", i%3), State: state,
 			Address: fmt.Sprintf("10.0.%d.%d:7000", i/256, i%256), ControlAddress: fmt.Sprintf("10.0.%d.%d:7001", i/256, i%256),
 		}
@@ -28,8 +28,8 @@
 
 // one returns a table with one live agent.
 func one() (*Table, string) {
-	table := New(platform.RoleAgent)
-	list := agents(1, platform.InstanceLive)
+	table := New(metastore.RoleAgent)
+	list := agents(1, metastore.InstanceLive)
 	table.Listed(start, list)
 	return table, list[0].ID
 }
@@ -46,7 +46,7 @@
 	c.Assert(table.Heard(start, Evidence{Instance: id, Incarnation: 1, Leaving: true}), qt.IsTrue)
 
 	// The lagging list and an older frame of the same process change nothing.
-	table.Listed(start.Add(time.Second), agents(1, platform.InstanceLive))
+	table.Listed(start.Add(time.Second), agents(1, metastore.InstanceLive))
 	table.Heard(start.Add(time.Second), Evidence{Instance: id, Incarnation: 1})
 	table.Tick(start.Add(LeavingFor - 1))
 	c.Assert(open(table, id), qt.IsFalse)
@@ -66,7 +66,7 @@
 func TestListedAsLeavingHoldsUntilReplaced(t *testing.T) {
 	c := qt.New(t)
 	table, id := one()
-	table.Listed(start, agents(1, platform.InstanceLeaving))
+	table.Listed(start, agents(1, metastore.InstanceLeaving))
 	table.Tick(start.Add(time.Hour))
 	c.Assert(open(table, id), qt.IsFalse)
 	table.Heard(start, Evidence{Instance: id, Incarnation: 1})
@@ -107,8 +107,8 @@
 
 func TestShortenedListKeepsWhoIsHeard(t *testing.T) {
 	c := qt.New(t)
-	table := New(platform.RoleAgent)
-	list := agents(3, platform.InstanceLive)
+	table := New(metastore.RoleAgent)
+	list := agents(3, metastore.InstanceLive)
 	table.Listed(start, list)
 	table.Heard(start.Add(time.Minute), Evidence{Instance: list[2].ID, Incarnation: 1})
 	table.Listed(start.Add(time.Minute), list[:1])
@@ -138,7 +138,7 @@
 				table.Heard(now, Evidence{Instance: id, Incarnation: incarnation})
 			},
 			"failed": func(*rapid.T) { table.Failed(now, id) },
-			"listed": func(*rapid.T) { table.Listed(now, agents(1, platform.InstanceLive)) },
+			"listed": func(*rapid.T) { table.Listed(now, agents(1, metastore.InstanceLive)) },
 			"": func(t *rapid.T) {
 				if left == incarnation && now.Sub(saidLeaving) < LeavingFor && open(table, id) {
 					t.Fatalf("open %v after it said that it is leaving", now.Sub(saidLeaving))
@@ -155,8 +155,8 @@
 	for b.Loop() {
 		runtime.GC()
 		runtime.ReadMemStats(&before)
-		table := New(platform.RoleAgent)
-		table.Listed(start, agents(count, platform.InstanceLive))
+		table := New(metastore.RoleAgent)
+		table.Listed(start, agents(count, metastore.InstanceLive))
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/count, "bytes/instance")
@@ -165,8 +165,8 @@
 }
 
 func BenchmarkListed(b *testing.B) {
-	table := New(platform.RoleAgent)
-	list := agents(11000, platform.InstanceLive)
+	table := New(metastore.RoleAgent)
+	list := agents(11000, metastore.InstanceLive)
 	now := start
 	for b.Loop() {
 		now = now.Add(time.Second)
--- a/internal/platform/errors.go
+++ b/internal/metastore/errors.go
@@ -1,8 +1,8 @@
-package platform
+package metastore
 
 import "github.com/joomcode/errorx"
 
-var namespace = errorx.NewNamespace("platform")
+var namespace = errorx.NewNamespace("metastore")
 
 // Errors of the platform's services.
 var (
--- a/internal/platform/etcdhttp/client.go
+++ b/internal/metastore/etcdhttp/client.go
@@ -13,8 +13,8 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/httpclient"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp/gateway"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp/gateway"
 	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
@@ -29,7 +29,7 @@
 	preferred atomic.Uint32
 }
 
-var _ platform.KV = (*Client)(nil)
+var _ metastore.KV = (*Client)(nil)
 
 // New returns a Client for gateways at addresses, given as ip:port. It uses one of them and moves
 // to the next when that can't be reached.
@@ -48,57 +48,57 @@
 	}
 }
 
-// Get implements platform.KV.
-func (c *Client) Get(ctx context.Context, key string) (platform.Record, error) {
+// Get implements metastore.KV.
+func (c *Client) Get(ctx context.Context, key string) (metastore.Record, error) {
 	var reply gateway.RangeResponse
 	if err := c.read(ctx, gateway.RangeRequest{Key: []byte(key)}, &reply); err != nil {
-		return platform.Record{}, err
+		return metastore.Record{}, err
 	}
 	if len(reply.KVs) == 0 {
-		return platform.Record{}, platform.ErrNotFound.New("key %q", key)
+		return metastore.Record{}, metastore.ErrNotFound.New("key %q", key)
 	}
 	return record(reply.KVs[0]), nil
 }
 
-// List implements platform.KV.
-func (c *Client) List(ctx context.Context, prefix string) ([]platform.Record, error) {
+// List implements metastore.KV.
+func (c *Client) List(ctx context.Context, prefix string) ([]metastore.Record, error) {
 	key, end := prefixRange(prefix)
 	var reply gateway.RangeResponse
 	if err := c.read(ctx, gateway.RangeRequest{Key: key, RangeEnd: end}, &reply); err != nil {
 		return nil, err
 	}
-	var records []platform.Record
+	var records []metastore.Record
 	for _, kv := range reply.KVs {
 		records = append(records, record(kv))
 	}
 	return records, nil
 }
 
-// Grant implements platform.KV. A ttl is rounded up to whole seconds.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements metastore.KV. A ttl is rounded up to whole seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (metastore.LeaseID, error) {
 	if ttl <= 0 {
-		return 0, platform.ErrInvalid.New("lease time %s", ttl)
+		return 0, metastore.ErrInvalid.New("lease time %s", ttl)
 	}
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	var reply gateway.LeaseResponse
 	err := c.write(ctx, gateway.PathGrant, gateway.GrantRequest{TTL: seconds}, &reply)
-	return platform.LeaseID(reply.ID), err
+	return metastore.LeaseID(reply.ID), err
 }
 
-// KeepAlive implements platform.KV.
-func (c *Client) KeepAlive(ctx context.Context, lease platform.LeaseID) error {
+// KeepAlive implements metastore.KV.
+func (c *Client) KeepAlive(ctx context.Context, lease metastore.LeaseID) error {
 	var reply gateway.KeepAliveResponse
 	if err := c.write(ctx, gateway.PathKeepAlive, gateway.LeaseRequest{ID: int64(lease)}, &reply); err != nil {
 		return err
 	}
 	if reply.Result.TTL <= 0 {
-		return platform.ErrLeaseNotFound.New("lease %d", lease)
+		return metastore.ErrLeaseNotFound.New("lease %d", lease)
 	}
 	return nil
 }
 
-// Revoke implements platform.KV.
-func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements metastore.KV.
+func (c *Client) Revoke(ctx context.Context, lease metastore.LeaseID) error {
 	var reply gateway.LeaseResponse
 	return c.write(ctx, gateway.PathRevoke, gateway.LeaseRequest{ID: int64(lease)}, &reply)
 }
@@ -106,8 +106,8 @@
 // read calls the range path; every failure to reach the service is ErrUnavailable.
 func (c *Client) read(ctx context.Context, call gateway.RangeRequest, reply *gateway.RangeResponse) error {
 	err := c.write(ctx, gateway.PathRange, call, reply)
-	if errorx.IsOfType(err, platform.ErrOutcomeUnknown) {
-		return platform.ErrUnavailable.Wrap(err, "read")
+	if errorx.IsOfType(err, metastore.ErrOutcomeUnknown) {
+		return metastore.ErrUnavailable.Wrap(err, "read")
 	}
 	return err
 }
@@ -116,7 +116,7 @@
 func (c *Client) write(ctx context.Context, path string, call, reply any) error {
 	body, err := json.Marshal(call)
 	if err != nil {
-		return platform.ErrInvalid.Wrap(err, "%s", path)
+		return metastore.ErrInvalid.Wrap(err, "%s", path)
 	}
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
@@ -131,7 +131,7 @@
 		}
 		c.preferred.CompareAndSwap(at, at+1)
 	}
-	return platform.ErrUnavailable.Wrap(err, "%s", path)
+	return metastore.ErrUnavailable.Wrap(err, "%s", path)
 }
 
 func (c *Client) gateway(at uint32) *httpclient.Client {
@@ -146,13 +146,13 @@
 		if errorx.IsOfType(err, httpclient.ErrNotSent) {
 			return err
 		}
-		return platform.ErrOutcomeUnknown.Wrap(err, "%s", path)
+		return metastore.ErrOutcomeUnknown.Wrap(err, "%s", path)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
 		return refusal(response.StatusCode(), response.Body(), path)
 	}
 	if err := json.Unmarshal(response.Body(), reply); err != nil {
-		return platform.ErrOutcomeUnknown.Wrap(err, "%s: malformed answer %q", path, quote(response.Body()))
+		return metastore.ErrOutcomeUnknown.Wrap(err, "%s: malformed answer %q", path, quote(response.Body()))
 	}
 	return nil
 }
@@ -173,32 +173,32 @@
 	_ = json.Unmarshal(body, &e)
 	switch e.Code {
 	case gateway.CodeNotFound:
-		return platform.ErrLeaseNotFound.New("%s: %s", path, e.Error)
+		return metastore.ErrLeaseNotFound.New("%s: %s", path, e.Error)
 	case gateway.CodeInvalidArgument, gateway.CodeFailedPrecondition, gateway.CodeOutOfRange:
 		return invalid(path, e.Error)
 	case gateway.CodeResourceExhausted:
-		return platform.ErrUnavailable.New("%s: %s", path, e.Error)
+		return metastore.ErrUnavailable.New("%s: %s", path, e.Error)
 	default:
-		return platform.ErrOutcomeUnknown.New("%s: status %d: %s", path, status, quote(body))
+		return metastore.ErrOutcomeUnknown.New("%s: status %d: %s", path, status, quote(body))
 	}
 }
 
 func invalid(path, message string) error {
 	if strings.Contains(message, "lease not found") {
-		return platform.ErrLeaseNotFound.New("%s: %s", path, message)
+		return metastore.ErrLeaseNotFound.New("%s: %s", path, message)
 	}
-	return platform.ErrInvalid.New("%s: %s", path, message)
+	return metastore.ErrInvalid.New("%s: %s", path, message)
 }
 
 func quote(body []byte) string { return string(body[:min(len(body), maxErrorBytes)]) }
 
-func record(kv gateway.KeyValue) platform.Record {
-	return platform.Record{
+func record(kv gateway.KeyValue) metastore.Record {
+	return metastore.Record{
 		Key:            string(kv.Key),
 		Value:          kv.Value,
-		CreateRevision: platform.Revision(kv.CreateRevision),
-		ModRevision:    platform.Revision(kv.ModRevision),
-		Lease:          platform.LeaseID(kv.Lease),
+		CreateRevision: metastore.Revision(kv.CreateRevision),
+		ModRevision:    metastore.Revision(kv.ModRevision),
+		Lease:          metastore.LeaseID(kv.Lease),
 	}
 }
 
--- a/internal/platform/etcdhttp/client_test.go
+++ b/internal/metastore/etcdhttp/client_test.go
@@ -10,9 +10,9 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
-	"balsamyoke.example/balsamyoke/internal/platform/platformtest"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore/metastoretest"
 	"balsamyoke.example/balsamyoke/internal/standin/kvserver"
 )
 
@@ -33,9 +33,9 @@
 }
 
 func TestContract(t *testing.T) {
-	platformtest.TestKV(t, func(c *qt.C) platformtest.KV {
+	metastoretest.TestKV(t, func(c *qt.C) metastoretest.KV {
 		server := start(c, kvserver.Settings{})
-		return platformtest.KV{KV: open(c, server.Address()), SetFaults: server.SetFaults}
+		return metastoretest.KV{KV: open(c, server.Address()), SetFaults: server.SetFaults}
 	})
 }
 
@@ -46,7 +46,7 @@
 	c.Assert(listener.Close(), qt.IsNil)
 	server := start(c, kvserver.Settings{})
 	client := open(c, listener.Addr().String(), server.Address())
-	result, err := client.CompareAndSwap(context.Background(), platform.Swap{Key: "a"})
+	result, err := client.CompareAndSwap(context.Background(), metastore.Swap{Key: "a"})
 	c.Assert(err, qt.IsNil)
 	c.Assert(result.Swapped, qt.IsTrue)
 }
@@ -56,12 +56,12 @@
 	server := start(c, kvserver.Settings{WritesPerSecond: 0.001})
 	client := open(c, server.Address())
 	ctx := context.Background()
-	_, err := client.CompareAndSwap(ctx, platform.Swap{Key: "a"})
+	_, err := client.CompareAndSwap(ctx, metastore.Swap{Key: "a"})
 	c.Assert(err, qt.IsNil)
-	_, err = client.CompareAndSwap(ctx, platform.Swap{Key: "b"})
-	c.Assert(errorx.IsOfType(err, platform.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = client.CompareAndSwap(ctx, metastore.Swap{Key: "b"})
+	c.Assert(errorx.IsOfType(err, metastore.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
 	_, err = client.Get(ctx, "b")
-	c.Assert(errorx.IsOfType(err, platform.ErrNotFound), qt.IsTrue)
+	c.Assert(errorx.IsOfType(err, metastore.ErrNotFound), qt.IsTrue)
 }
 
 func TestSilentServiceLeavesWritesUnknown(t *testing.T) {
@@ -72,6 +72,6 @@
 	client := open(c, listener.Addr().String())
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
 	defer cancel()
-	_, err = client.CompareAndSwap(ctx, platform.Swap{Key: "a"})
-	c.Assert(errorx.IsOfType(err, platform.ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = client.CompareAndSwap(ctx, metastore.Swap{Key: "a"})
+	c.Assert(errorx.IsOfType(err, metastore.ErrOutcomeUnknown), qt.IsTrue, qt.Commentf("%v", err))
 }
--- a/internal/platform/etcdhttp/swap.go
+++ b/internal/metastore/etcdhttp/swap.go
@@ -3,22 +3,22 @@
 import (
 	"context"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp/gateway"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp/gateway"
 )
 
-// CompareAndSwap implements platform.KV.
-func (c *Client) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+// CompareAndSwap implements metastore.KV.
+func (c *Client) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
 	var reply gateway.TxnResponse
 	if err := c.write(ctx, gateway.PathTxn, txn(swap), &reply); err != nil {
-		return platform.SwapResult{}, err
+		return metastore.SwapResult{}, err
 	}
 	return result(swap, reply, reply.Header.Revision)
 }
 
-// CompareAndSwapEach implements platform.KV. Each swap is a nested transaction of its own, so
+// CompareAndSwapEach implements metastore.KV. Each swap is a nested transaction of its own, so
 // that one which does not hold leaves the others alone.
-func (c *Client) CompareAndSwapEach(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+func (c *Client) CompareAndSwapEach(ctx context.Context, swaps []metastore.Swap) ([]metastore.SwapResult, error) {
 	var call gateway.TxnRequest
 	for _, swap := range swaps {
 		nested := txn(swap)
@@ -29,12 +29,12 @@
 		return nil, err
 	}
 	if len(reply.Responses) != len(swaps) {
-		return nil, platform.ErrOutcomeUnknown.New("%d answers to %d swaps", len(reply.Responses), len(swaps))
+		return nil, metastore.ErrOutcomeUnknown.New("%d answers to %d swaps", len(reply.Responses), len(swaps))
 	}
-	results := make([]platform.SwapResult, len(swaps))
+	results := make([]metastore.SwapResult, len(swaps))
 	for i, response := range reply.Responses {
 		if response.Txn == nil {
-			return nil, platform.ErrOutcomeUnknown.New("answer %d is not that of a transaction", i)
+			return nil, metastore.ErrOutcomeUnknown.New("answer %d is not that of a transaction", i)
 		}
 		var err error
 		if results[i], err = result(swaps[i], *response.Txn, reply.Header.Revision); err != nil {
@@ -44,7 +44,7 @@
 	return results, nil
 }
 
-func txn(swap platform.Swap) gateway.TxnRequest {
+func txn(swap metastore.Swap) gateway.TxnRequest {
 	key := []byte(swap.Key)
 	write := gateway.Op{Put: &gateway.PutRequest{Key: key, Value: swap.Value, Lease: int64(swap.Lease)}}
 	if swap.Delete {
@@ -62,16 +62,16 @@
 	}
 }
 
-func result(swap platform.Swap, reply gateway.TxnResponse, revision int64) (platform.SwapResult, error) {
+func result(swap metastore.Swap, reply gateway.TxnResponse, revision int64) (metastore.SwapResult, error) {
 	if reply.Succeeded {
-		return platform.SwapResult{Swapped: true, Revision: platform.Revision(revision)}, nil
+		return metastore.SwapResult{Swapped: true, Revision: metastore.Revision(revision)}, nil
 	}
 	if len(reply.Responses) != 1 || reply.Responses[0].Range == nil {
-		return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("a refused swap of %q without the record", swap.Key)
+		return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.New("a refused swap of %q without the record", swap.Key)
 	}
-	current := platform.Record{Key: swap.Key}
+	current := metastore.Record{Key: swap.Key}
 	if kvs := reply.Responses[0].Range.KVs; len(kvs) > 0 {
 		current = record(kvs[0])
 	}
-	return platform.SwapResult{Current: current}, nil
+	return metastore.SwapResult{Current: current}, nil
 }
--- a/internal/platform/etcdhttp/watch.go
+++ b/internal/metastore/etcdhttp/watch.go
@@ -8,14 +8,14 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/httpclient"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp/gateway"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp/gateway"
 )
 
 const watchBuffer = 64 // events that wait in a watch's channel
 
-// Watch implements platform.KV.
-func (c *Client) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.Event, error) {
+// Watch implements metastore.KV.
+func (c *Client) Watch(ctx context.Context, prefix string, from metastore.Revision) (<-chan metastore.Event, error) {
 	key, end := prefixRange(prefix)
 	call := gateway.WatchRequest{Create: gateway.WatchCreateRequest{
 		Key:           key,
@@ -30,9 +30,9 @@
 	var first gateway.WatchMessage
 	if err := lines.Decode(&first); err != nil || !first.Result.Created {
 		stream.Close()
-		return nil, platform.ErrUnavailable.New("watch %q was not created: %v", prefix, err)
+		return nil, metastore.ErrUnavailable.New("watch %q was not created: %v", prefix, err)
 	}
-	events := make(chan platform.Event, watchBuffer)
+	events := make(chan metastore.Event, watchBuffer)
 	go func() {
 		defer close(events)
 		defer stream.Close()
@@ -44,7 +44,7 @@
 func (c *Client) openWatch(ctx context.Context, call gateway.WatchRequest) (*httpclient.Stream, error) {
 	body, err := json.Marshal(call)
 	if err != nil {
-		return nil, platform.ErrInvalid.Wrap(err, "watch")
+		return nil, metastore.ErrInvalid.Wrap(err, "watch")
 	}
 	var stream *httpclient.Stream
 	for range c.gateways {
@@ -59,20 +59,20 @@
 		c.preferred.CompareAndSwap(at, at+1)
 	}
 	if err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "watch")
+		return nil, metastore.ErrUnavailable.Wrap(err, "watch")
 	}
 	if status := stream.Response.StatusCode(); status != fasthttp.StatusOK {
 		stream.Close()
-		return nil, platform.ErrUnavailable.New("watch: status %d", status)
+		return nil, metastore.ErrUnavailable.New("watch: status %d", status)
 	}
 	return stream, nil
 }
 
 // follow passes events on until the watch ends, starting with those of its first message.
-func follow(ctx context.Context, lines *json.Decoder, message gateway.WatchResponse, events chan<- platform.Event) {
+func follow(ctx context.Context, lines *json.Decoder, message gateway.WatchResponse, events chan<- metastore.Event) {
 	for {
 		for _, e := range message.Events {
-			event := platform.Event{Record: record(e.KV), Deleted: e.Type == gateway.EventDelete}
+			event := metastore.Event{Record: record(e.KV), Deleted: e.Type == gateway.EventDelete}
 			select {
 			case events <- event:
 			case <-ctx.Done():
--- a/internal/platform/listhttp/client.go
+++ b/internal/metastore/listhttp/client.go
@@ -10,7 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/httpclient"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
@@ -21,7 +21,7 @@
 
 // Document is the body of the list.
 type Document struct {
-	Instances []platform.Instance `json:"instances"`
+	Instances []metastore.Instance `json:"instances"`
 }
 
 // Client reads the list. It is safe for concurrent use.
@@ -29,7 +29,7 @@
 	http *httpclient.Client
 }
 
-var _ platform.InstanceList = (*Client)(nil)
+var _ metastore.InstanceList = (*Client)(nil)
 
 // New returns a Client for the list at address, given as ip:port.
 func New(address string) *Client {
@@ -39,8 +39,8 @@
 // Close closes the unused connections.
 func (c *Client) Close() { c.http.Close() }
 
-// Instances implements platform.InstanceList.
-func (c *Client) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements metastore.InstanceList.
+func (c *Client) Instances(ctx context.Context) ([]metastore.Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
@@ -48,14 +48,14 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + c.http.Address() + Path)
 	if err := c.http.Do(ctx, request, response); err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "instance list")
+		return nil, metastore.ErrUnavailable.Wrap(err, "instance list")
 	}
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
-		return nil, platform.ErrUnavailable.New("instance list: status %d", status)
+		return nil, metastore.ErrUnavailable.New("instance list: status %d", status)
 	}
 	var document Document
 	if err := json.Unmarshal(response.Body(), &document); err != nil {
-		return nil, platform.ErrUnavailable.Wrap(err, "instance list: malformed answer")
+		return nil, metastore.ErrUnavailable.Wrap(err, "instance list: malformed answer")
 	}
 	sort.Slice(document.Instances, func(i, j int) bool { return document.Instances[i].ID < document.Instances[j].ID })
 	return document.Instances, nil
--- a/internal/platform/listhttp/client_test.go
+++ b/internal/metastore/listhttp/client_test.go
@@ -6,15 +6,15 @@
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/goleak"
 
-	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
-	"balsamyoke.example/balsamyoke/internal/platform/platformtest"
+	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore/metastoretest"
 	"balsamyoke.example/balsamyoke/internal/standin/listserver"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func TestContract(t *testing.T) {
-	platformtest.TestList(t, func(c *qt.C) platformtest.List {
+	metastoretest.TestList(t, func(c *qt.C) metastoretest.List {
 		server, err := listserver.Start(listserver.Settings{Listen: "127.0.0.1:0"})
 		c.Assert(err, qt.IsNil)
 		client := listhttp.New(server.Address())
@@ -22,6 +22,6 @@
 			client.Close()
 			server.Stop()
 		})
-		return platformtest.List{InstanceList: client, Source: server.List()}
+		return metastoretest.List{InstanceList: client, Source: server.List()}
 	})
 }
--- a/internal/platform/memkv/lease.go
+++ b/internal/metastore/memkv/lease.go
@@ -5,13 +5,13 @@
 	"sort"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
-// Grant implements platform.KV. A ttl is rounded up to whole seconds.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements metastore.KV. A ttl is rounded up to whole seconds.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (metastore.LeaseID, error) {
 	if ttl <= 0 {
-		return 0, platform.ErrInvalid.New("lease time %s", ttl)
+		return 0, metastore.ErrInvalid.New("lease time %s", ttl)
 	}
 	if err := s.enter(ctx, func(c *Calls) { c.Grant++ }); err != nil {
 		return 0, err
@@ -26,8 +26,8 @@
 	return id, s.answerLost("grant")
 }
 
-// KeepAlive implements platform.KV.
-func (s *Store) KeepAlive(ctx context.Context, id platform.LeaseID) error {
+// KeepAlive implements metastore.KV.
+func (s *Store) KeepAlive(ctx context.Context, id metastore.LeaseID) error {
 	if err := s.enter(ctx, func(c *Calls) { c.KeepAlive++ }); err != nil {
 		return err
 	}
@@ -35,7 +35,7 @@
 	defer s.mu.Unlock()
 	l := s.leases[id]
 	if l == nil {
-		return platform.ErrLeaseNotFound.New("lease %d", id)
+		return metastore.ErrLeaseNotFound.New("lease %d", id)
 	}
 	l.timer.Stop()
 	renewed := &lease{ttl: l.ttl}
@@ -44,22 +44,22 @@
 	return nil
 }
 
-// Revoke implements platform.KV.
-func (s *Store) Revoke(ctx context.Context, id platform.LeaseID) error {
+// Revoke implements metastore.KV.
+func (s *Store) Revoke(ctx context.Context, id metastore.LeaseID) error {
 	if err := s.enter(ctx, func(c *Calls) { c.Revoke++ }); err != nil {
 		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] == nil {
-		return platform.ErrLeaseNotFound.New("lease %d", id)
+		return metastore.ErrLeaseNotFound.New("lease %d", id)
 	}
 	s.endLease(id)
 	return s.answerLost("revoke")
 }
 
 // Expire makes a lease lapse now, as if its time had run out.
-func (s *Store) Expire(id platform.LeaseID) {
+func (s *Store) Expire(id metastore.LeaseID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] != nil {
@@ -68,7 +68,7 @@
 }
 
 // lapse ends a lease unless it was renewed since its timer was set.
-func (s *Store) lapse(id platform.LeaseID, l *lease) {
+func (s *Store) lapse(id metastore.LeaseID, l *lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leases[id] == l {
@@ -77,15 +77,15 @@
 }
 
 // endLease deletes a lease with its keys at one revision. The mutex is held.
-func (s *Store) endLease(id platform.LeaseID) {
+func (s *Store) endLease(id metastore.LeaseID) {
 	s.leases[id].timer.Stop()
 	delete(s.leases, id)
 	next := s.revision + 1
-	var events []platform.Event
+	var events []metastore.Event
 	for key, record := range s.records {
 		if record.Lease == id {
 			delete(s.records, key)
-			events = append(events, platform.Event{Record: platform.Record{Key: key, ModRevision: next}, Deleted: true})
+			events = append(events, metastore.Event{Record: metastore.Record{Key: key, ModRevision: next}, Deleted: true})
 		}
 	}
 	sort.Slice(events, func(i, j int) bool { return events[i].Record.Key < events[j].Record.Key })
--- a/internal/platform/memkv/store.go
+++ b/internal/metastore/memkv/store.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // MaxValueBytes is the largest value that the service holds.
@@ -50,13 +50,13 @@
 // Store is the service. It is safe for concurrent use.
 type Store struct {
 	mu        sync.Mutex
-	records   map[string]platform.Record
-	revision  platform.Revision
-	log       []platform.Event
+	records   map[string]metastore.Record
+	revision  metastore.Revision
+	log       []metastore.Event
 	changed   chan struct{} // closed and replaced after each change
 	lost      chan struct{} // closed while the service is down
-	leases    map[platform.LeaseID]*lease
-	lastLease platform.LeaseID
+	leases    map[metastore.LeaseID]*lease
+	lastLease metastore.LeaseID
 	faults    Faults
 	calls     Calls
 }
@@ -66,15 +66,15 @@
 	timer *time.Timer
 }
 
-var _ platform.KV = (*Store)(nil)
+var _ metastore.KV = (*Store)(nil)
 
 // New returns an empty store.
 func New() *Store {
 	return &Store{
-		records: map[string]platform.Record{},
+		records: map[string]metastore.Record{},
 		changed: make(chan struct{}),
 		lost:    make(chan struct{}),
-		leases:  map[platform.LeaseID]*lease{},
+		leases:  map[metastore.LeaseID]*lease{},
 	}
 }
 
@@ -99,7 +99,7 @@
 }
 
 // Revision returns the revision of the last write.
-func (s *Store) Revision() platform.Revision {
+func (s *Store) Revision() metastore.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.revision
@@ -114,28 +114,28 @@
 	}
 }
 
-// Get implements platform.KV.
-func (s *Store) Get(ctx context.Context, key string) (platform.Record, error) {
+// Get implements metastore.KV.
+func (s *Store) Get(ctx context.Context, key string) (metastore.Record, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Get++ }); err != nil {
-		return platform.Record{}, err
+		return metastore.Record{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	record, ok := s.records[key]
 	if !ok {
-		return platform.Record{}, platform.ErrNotFound.New("key %q", key)
+		return metastore.Record{}, metastore.ErrNotFound.New("key %q", key)
 	}
 	return record, nil
 }
 
-// List implements platform.KV.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Record, error) {
+// List implements metastore.KV.
+func (s *Store) List(ctx context.Context, prefix string) ([]metastore.Record, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.List++ }); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var found []platform.Record
+	var found []metastore.Record
 	for key, record := range s.records {
 		if strings.HasPrefix(key, prefix) {
 			found = append(found, record)
@@ -145,17 +145,17 @@
 	return found, nil
 }
 
-// CompareAndSwap implements platform.KV.
-func (s *Store) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
-	results, err := s.CompareAndSwapEach(ctx, []platform.Swap{swap})
+// CompareAndSwap implements metastore.KV.
+func (s *Store) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
+	results, err := s.CompareAndSwapEach(ctx, []metastore.Swap{swap})
 	if err != nil {
-		return platform.SwapResult{}, err
+		return metastore.SwapResult{}, err
 	}
 	return results[0], nil
 }
 
-// CompareAndSwapEach implements platform.KV.
-func (s *Store) CompareAndSwapEach(ctx context.Context, swaps []platform.Swap) ([]platform.SwapResult, error) {
+// CompareAndSwapEach implements metastore.KV.
+func (s *Store) CompareAndSwapEach(ctx context.Context, swaps []metastore.Swap) ([]metastore.SwapResult, error) {
 	if err := check(swaps); err != nil {
 		return nil, err
 	}
@@ -166,7 +166,7 @@
 	defer s.mu.Unlock()
 	for _, swap := range swaps {
 		if swap.Lease != 0 && s.leases[swap.Lease] == nil {
-			return nil, platform.ErrLeaseNotFound.New("lease %d", swap.Lease)
+			return nil, metastore.ErrLeaseNotFound.New("lease %d", swap.Lease)
 		}
 	}
 	results := s.apply(swaps)
@@ -174,25 +174,25 @@
 }
 
 // check refuses swaps that the service does not take.
-func check(swaps []platform.Swap) error {
+func check(swaps []metastore.Swap) error {
 	seen := map[string]bool{}
 	for _, swap := range swaps {
 		if swap.Key == "" || seen[swap.Key] {
-			return platform.ErrInvalid.New("key %q is empty or stands twice in one call", swap.Key)
+			return metastore.ErrInvalid.New("key %q is empty or stands twice in one call", swap.Key)
 		}
 		seen[swap.Key] = true
 		if len(swap.Value) > MaxValueBytes {
-			return platform.ErrInvalid.New("value of %q has %d bytes, more than %d", swap.Key, len(swap.Value), MaxValueBytes)
+			return metastore.ErrInvalid.New("value of %q has %d bytes, more than %d", swap.Key, len(swap.Value), MaxValueBytes)
 		}
 	}
 	return nil
 }
 
 // apply carries out swaps at one revision. The mutex is held.
-func (s *Store) apply(swaps []platform.Swap) []platform.SwapResult {
+func (s *Store) apply(swaps []metastore.Swap) []metastore.SwapResult {
 	next := s.revision + 1
-	results := make([]platform.SwapResult, len(swaps))
-	var events []platform.Event
+	results := make([]metastore.SwapResult, len(swaps))
+	var events []metastore.Event
 	for i, swap := range swaps {
 		current, ok := s.records[swap.Key]
 		if !ok {
@@ -202,7 +202,7 @@
 			results[i].Current = current
 			continue
 		}
-		results[i] = platform.SwapResult{Swapped: true, Revision: next}
+		results[i] = metastore.SwapResult{Swapped: true, Revision: next}
 		if event, changes := s.write(swap, current, next); changes {
 			events = append(events, event)
 		}
@@ -212,13 +212,13 @@
 }
 
 // write changes one record. A delete of an absent key changes nothing. The mutex is held.
-func (s *Store) write(swap platform.Swap, current platform.Record, at platform.Revision) (event platform.Event, changes bool) {
+func (s *Store) write(swap metastore.Swap, current metastore.Record, at metastore.Revision) (event metastore.Event, changes bool) {
 	if swap.Delete {
 		_, present := s.records[swap.Key]
 		delete(s.records, swap.Key)
-		return platform.Event{Record: platform.Record{Key: swap.Key, ModRevision: at}, Deleted: true}, present
+		return metastore.Event{Record: metastore.Record{Key: swap.Key, ModRevision: at}, Deleted: true}, present
 	}
-	record := platform.Record{
+	record := metastore.Record{
 		Key:            swap.Key,
 		Value:          append([]byte{}, swap.Value...),
 		CreateRevision: current.CreateRevision,
@@ -229,11 +229,11 @@
 		record.CreateRevision = at
 	}
 	s.records[swap.Key] = record
-	return platform.Event{Record: record}, true
+	return metastore.Event{Record: record}, true
 }
 
 // publish appends events of one revision to the log and wakes the watches. The mutex is held.
-func (s *Store) publish(at platform.Revision, events []platform.Event) {
+func (s *Store) publish(at metastore.Revision, events []metastore.Event) {
 	if len(events) == 0 {
 		return
 	}
@@ -250,7 +250,7 @@
 	faults := s.faults
 	s.mu.Unlock()
 	if faults.Down {
-		return platform.ErrUnavailable.New("the service is down")
+		return metastore.ErrUnavailable.New("the service is down")
 	}
 	if faults.SlowMS > 0 {
 		timer := time.NewTimer(time.Duration(faults.SlowMS) * time.Millisecond)
@@ -261,7 +261,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return platform.ErrUnavailable.Wrap(ctx.Err(), "call")
+		return metastore.ErrUnavailable.Wrap(ctx.Err(), "call")
 	}
 	return nil
 }
@@ -272,5 +272,5 @@
 		return nil
 	}
 	s.faults.LoseAnswers--
-	return platform.ErrOutcomeUnknown.New("the answer to %s was lost", call)
+	return metastore.ErrOutcomeUnknown.New("the answer to %s was lost", call)
 }
--- a/internal/platform/memkv/store_test.go
+++ b/internal/metastore/memkv/store_test.go
@@ -9,22 +9,22 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
-	"balsamyoke.example/balsamyoke/internal/platform/platformtest"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore/metastoretest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
 func TestContract(t *testing.T) {
-	platformtest.TestKV(t, func(c *qt.C) platformtest.KV {
+	metastoretest.TestKV(t, func(c *qt.C) metastoretest.KV {
 		store := memkv.New()
 		c.Cleanup(store.Close)
 		setFaults := func(f memkv.Faults) error {
 			store.SetFaults(f)
 			return nil
 		}
-		return platformtest.KV{KV: store, SetFaults: setFaults}
+		return metastoretest.KV{KV: store, SetFaults: setFaults}
 	})
 }
 
@@ -36,7 +36,7 @@
 	lease, err := store.Grant(ctx, time.Minute)
 	c.Assert(err, qt.IsNil)
 	c.Assert(store.KeepAlive(ctx, lease), qt.IsNil)
-	_, err = store.CompareAndSwap(ctx, platform.Swap{Key: "a", Lease: lease})
+	_, err = store.CompareAndSwap(ctx, metastore.Swap{Key: "a", Lease: lease})
 	c.Assert(err, qt.IsNil)
 	_, err = store.List(ctx, "")
 	c.Assert(err, qt.IsNil)
@@ -49,6 +49,6 @@
 	c.Assert(calls.Reads(), qt.Equals, int64(2))
 	store.Expire(lease)
 	_, err = store.Get(ctx, "a")
-	c.Assert(errorx.IsOfType(err, platform.ErrNotFound), qt.IsTrue)
+	c.Assert(errorx.IsOfType(err, metastore.ErrNotFound), qt.IsTrue)
 	cancel()
 }
--- a/internal/platform/memkv/watch.go
+++ b/internal/metastore/memkv/watch.go
@@ -5,11 +5,11 @@
 	"sort"
 	"strings"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
-// Watch implements platform.KV.
-func (s *Store) Watch(ctx context.Context, prefix string, from platform.Revision) (<-chan platform.Event, error) {
+// Watch implements metastore.KV.
+func (s *Store) Watch(ctx context.Context, prefix string, from metastore.Revision) (<-chan metastore.Event, error) {
 	if err := s.enter(ctx, func(c *Calls) { c.Watch++ }); err != nil {
 		return nil, err
 	}
@@ -17,7 +17,7 @@
 	lost := s.lost
 	s.calls.OpenWatches++
 	s.mu.Unlock()
-	events := make(chan platform.Event, watchBuffer)
+	events := make(chan metastore.Event, watchBuffer)
 	go func() {
 		defer close(events)
 		s.follow(ctx, prefix, from, lost, events)
@@ -29,7 +29,7 @@
 }
 
 // follow sends the log after from, and what is added to it, until ctx ends or the service is lost.
-func (s *Store) follow(ctx context.Context, prefix string, from platform.Revision, lost <-chan struct{}, events chan<- platform.Event) {
+func (s *Store) follow(ctx context.Context, prefix string, from metastore.Revision, lost <-chan struct{}, events chan<- metastore.Event) {
 	next := s.position(from)
 	for {
 		batch, changed := s.since(next)
@@ -57,14 +57,14 @@
 }
 
 // position returns the index in the log of the first event after from.
-func (s *Store) position(from platform.Revision) int {
+func (s *Store) position(from metastore.Revision) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return sort.Search(len(s.log), func(i int) bool { return s.log[i].Record.ModRevision > from })
 }
 
 // since returns the log from index next and a channel that closes at the next change.
-func (s *Store) since(next int) ([]platform.Event, <-chan struct{}) {
+func (s *Store) since(next int) ([]metastore.Event, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.log[next:len(s.log):len(s.log)], s.changed
--- a/internal/platform/memlist/list.go
+++ b/internal/metastore/memlist/list.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 // List is the instance list. It is safe for concurrent use.
@@ -15,7 +15,7 @@
 	lag time.Duration
 
 	mu      sync.Mutex
-	visible []platform.Instance
+	visible []metastore.Instance
 	pending []change
 	down    bool
 }
@@ -23,26 +23,26 @@
 // change is a state of the list that becomes visible later.
 type change struct {
 	at        time.Time
-	instances []platform.Instance
+	instances []metastore.Instance
 }
 
-var _ platform.InstanceList = (*List)(nil)
+var _ metastore.InstanceList = (*List)(nil)
 
 // New returns an empty list whose changes become visible after lag.
 func New(lag time.Duration) *List { return &List{lag: lag} }
 
 // Replace sets all instances.
-func (l *List) Replace(instances []platform.Instance) {
+func (l *List) Replace(instances []metastore.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.queue(append([]platform.Instance{}, instances...))
+	l.queue(append([]metastore.Instance{}, instances...))
 }
 
 // SetState changes the state of one instance. It returns false when there is none with that ID.
-func (l *List) SetState(id string, state platform.InstanceState) bool {
+func (l *List) SetState(id string, state metastore.InstanceState) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	latest := append([]platform.Instance{}, l.latest()...)
+	latest := append([]metastore.Instance{}, l.latest()...)
 	for i := range latest {
 		if latest[i].ID == id {
 			latest[i].State = state
@@ -60,23 +60,23 @@
 	l.down = down
 }
 
-// Instances implements platform.InstanceList.
-func (l *List) Instances(ctx context.Context) ([]platform.Instance, error) {
+// Instances implements metastore.InstanceList.
+func (l *List) Instances(ctx context.Context) ([]metastore.Instance, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down || ctx.Err() != nil {
-		return nil, platform.ErrUnavailable.New("the instance list is down")
+		return nil, metastore.ErrUnavailable.New("the instance list is down")
 	}
 	l.reveal(time.Now())
-	return append([]platform.Instance{}, l.visible...), nil
+	return append([]metastore.Instance{}, l.visible...), nil
 }
 
-func (l *List) queue(instances []platform.Instance) {
+func (l *List) queue(instances []metastore.Instance) {
 	sort.Slice(instances, func(i, j int) bool { return instances[i].ID < instances[j].ID })
 	l.pending = append(l.pending, change{at: time.Now().Add(l.lag), instances: instances})
 }
 
-func (l *List) latest() []platform.Instance {
+func (l *List) latest() []metastore.Instance {
 	if len(l.pending) > 0 {
 		return l.pending[len(l.pending)-1].instances
 	}
--- a/internal/platform/platform.go
+++ b/internal/metastore/metastore.go
@@ -1,7 +1,7 @@
-// Package platform is the boundary to what the platform gives: the key-value service and the
+// Package metastore is the boundary to what the platform gives: the key-value service and the
 // instance list. Entries, agents and balsamctl use only these interfaces. The in-memory fake and
-// the wire adapters are subpackages; each passes the contract suite in platformtest.
-package platform
+// the wire adapters are subpackages; each passes the contract suite in metastoretest.
+package metastore
 
 import (
 	"context"
--- a/internal/platform/platformtest/kv.go
+++ b/internal/metastore/metastoretest/kv.go
@@ -1,6 +1,6 @@
-// Package platformtest is the contract that every implementation of the platform's interfaces
+// Package metastoretest is the contract that every implementation of the platform's interfaces
 // must pass. The tests of the fakes and of the wire adapters call it.
-package platformtest
+package metastoretest
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
 const (
@@ -24,11 +24,11 @@
 
 // KV is an implementation under test with the fault switches of the service behind it.
 type KV struct {
-	platform.KV
+	metastore.KV
 	SetFaults func(memkv.Faults) error
 }
 
-// TestKV runs the contract of platform.KV. Open returns an empty service each time.
+// TestKV runs the contract of metastore.KV. Open returns an empty service each time.
 func TestKV(t *testing.T, open func(c *qt.C) KV) {
 	tests := map[string]func(c *qt.C, kv KV){
 		"SwapCreatesChangesAndDeletes":   testSwap,
@@ -77,46 +77,46 @@
 func testSwap(c *qt.C, kv KV) {
 	ctx := background(c)
 	_, err := kv.Get(ctx, "a")
-	isType(c, err, platform.ErrNotFound)
+	isType(c, err, metastore.ErrNotFound)
 
-	created, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Value: []byte("1")})
+	created, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Value: []byte("1")})
 	c.Assert(err, qt.IsNil)
 	c.Assert(created.Swapped, qt.IsTrue)
 	c.Assert(created.Revision > 0, qt.IsTrue)
 
-	refused, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Value: []byte("2")})
+	refused, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Value: []byte("2")})
 	c.Assert(err, qt.IsNil)
 	c.Assert(refused.Swapped, qt.IsFalse)
-	c.Assert(refused.Current, qt.DeepEquals, platform.Record{
+	c.Assert(refused.Current, qt.DeepEquals, metastore.Record{
 		Key: "a", Value: []byte("1"), CreateRevision: created.Revision, ModRevision: created.Revision,
 	})
 
-	changed, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Expect: created.Revision, Value: []byte("2")})
+	changed, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Expect: created.Revision, Value: []byte("2")})
 	c.Assert(err, qt.IsNil)
 	c.Assert(changed.Swapped, qt.IsTrue)
 	record, err := kv.Get(ctx, "a")
 	c.Assert(err, qt.IsNil)
-	c.Assert(record, qt.DeepEquals, platform.Record{
+	c.Assert(record, qt.DeepEquals, metastore.Record{
 		Key: "a", Value: []byte("2"), CreateRevision: created.Revision, ModRevision: changed.Revision,
 	})
 
-	deleted, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Expect: changed.Revision, Delete: true})
+	deleted, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Expect: changed.Revision, Delete: true})
 	c.Assert(err, qt.IsNil)
 	c.Assert(deleted.Swapped, qt.IsTrue)
 	_, err = kv.Get(ctx, "a")
-	isType(c, err, platform.ErrNotFound)
+	isType(c, err, metastore.ErrNotFound)
 
-	refused, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Expect: changed.Revision, Value: []byte("3")})
+	refused, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Expect: changed.Revision, Value: []byte("3")})
 	c.Assert(err, qt.IsNil)
 	c.Assert(refused.Swapped, qt.IsFalse)
-	c.Assert(refused.Current, qt.DeepEquals, platform.Record{Key: "a"})
+	c.Assert(refused.Current, qt.DeepEquals, metastore.Record{Key: "a"})
 }
 
 func testSwapEach(c *qt.C, kv KV) {
 	ctx := background(c)
-	held, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "held", Value: []byte("x")})
+	held, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "held", Value: []byte("x")})
 	c.Assert(err, qt.IsNil)
-	results, err := kv.CompareAndSwapEach(ctx, []platform.Swap{
+	results, err := kv.CompareAndSwapEach(ctx, []metastore.Swap{
 		{Key: "new", Value: []byte("1")},
 		{Key: "held", Value: []byte("stolen")},
 		{Key: "absent", Expect: held.Revision, Value: []byte("1")},
@@ -127,23 +127,23 @@
 	c.Assert(results[1].Swapped, qt.IsFalse)
 	c.Assert(string(results[1].Current.Value), qt.Equals, "x")
 	c.Assert(results[2].Swapped, qt.IsFalse)
-	c.Assert(results[2].Current.ModRevision, qt.Equals, platform.Revision(0))
+	c.Assert(results[2].Current.ModRevision, qt.Equals, metastore.Revision(0))
 	record, err := kv.Get(ctx, "new")
 	c.Assert(err, qt.IsNil)
 	c.Assert(record.ModRevision, qt.Equals, results[0].Revision)
 
-	_, err = kv.CompareAndSwapEach(ctx, []platform.Swap{{Key: "twice"}, {Key: "twice"}})
-	isType(c, err, platform.ErrInvalid)
+	_, err = kv.CompareAndSwapEach(ctx, []metastore.Swap{{Key: "twice"}, {Key: "twice"}})
+	isType(c, err, metastore.ErrInvalid)
 }
 
 func testRace(c *qt.C, kv KV) {
 	const racers = 16
 	ctx := background(c)
-	results := make([]platform.SwapResult, racers)
+	results := make([]metastore.SwapResult, racers)
 	var running sync.WaitGroup
 	for i := range racers {
 		running.Go(func() {
-			swap := platform.Swap{Key: "claim", Value: fmt.Appendf(nil, "%d", i)}
+			swap := metastore.Swap{Key: "claim", Value: fmt.Appendf(nil, "%d", i)}
 			var err error
 			results[i], err = kv.CompareAndSwap(ctx, swap)
 			c.Check(err, qt.IsNil)
@@ -167,7 +167,7 @@
 func testList(c *qt.C, kv KV) {
 	ctx := background(c)
 	for _, key := range []string{"p/b", "p/a", "q", "p", "p/\xff"} {
-		_, err := kv.CompareAndSwap(ctx, platform.Swap{Key: key, Value: []byte(key)})
+		_, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: key, Value: []byte(key)})
 		c.Assert(err, qt.IsNil)
 	}
 	keys := func(prefix string) (keys []string) {
@@ -186,21 +186,21 @@
 
 func testLargeValue(c *qt.C, kv KV) {
 	ctx := background(c)
-	_, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Value: make([]byte, memkv.MaxValueBytes+1)})
-	isType(c, err, platform.ErrInvalid)
+	_, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Value: make([]byte, memkv.MaxValueBytes+1)})
+	isType(c, err, metastore.ErrInvalid)
 	_, err = kv.Get(ctx, "a")
-	isType(c, err, platform.ErrNotFound)
-	_, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Value: make([]byte, memkv.MaxValueBytes)})
+	isType(c, err, metastore.ErrNotFound)
+	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Value: make([]byte, memkv.MaxValueBytes)})
 	c.Assert(err, qt.IsNil)
 }
 
 // leasedKey creates a key under a lease of one second.
-func leasedKey(c *qt.C, kv KV) platform.LeaseID {
+func leasedKey(c *qt.C, kv KV) metastore.LeaseID {
 	ctx := background(c)
 	lease, err := kv.Grant(ctx, time.Second)
 	c.Assert(err, qt.IsNil)
-	c.Assert(lease, qt.Not(qt.Equals), platform.LeaseID(0))
-	_, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "leased", Value: []byte("x"), Lease: lease})
+	c.Assert(lease, qt.Not(qt.Equals), metastore.LeaseID(0))
+	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "leased", Value: []byte("x"), Lease: lease})
 	c.Assert(err, qt.IsNil)
 	record, err := kv.Get(ctx, "leased")
 	c.Assert(err, qt.IsNil)
@@ -214,11 +214,11 @@
 	lease := leasedKey(c, kv)
 	eventually(c, func() bool {
 		_, err := kv.Get(ctx, "leased")
-		return errorx.IsOfType(err, platform.ErrNotFound)
+		return errorx.IsOfType(err, metastore.ErrNotFound)
 	})
-	isType(c, kv.KeepAlive(ctx, lease), platform.ErrLeaseNotFound)
-	_, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "late", Lease: lease})
-	isType(c, err, platform.ErrLeaseNotFound)
+	isType(c, kv.KeepAlive(ctx, lease), metastore.ErrLeaseNotFound)
+	_, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "late", Lease: lease})
+	isType(c, err, metastore.ErrLeaseNotFound)
 }
 
 func testRevoke(c *qt.C, kv KV) {
@@ -226,28 +226,28 @@
 	lease := leasedKey(c, kv)
 	c.Assert(kv.Revoke(ctx, lease), qt.IsNil)
 	_, err := kv.Get(ctx, "leased")
-	isType(c, err, platform.ErrNotFound)
-	isType(c, kv.Revoke(ctx, lease), platform.ErrLeaseNotFound)
+	isType(c, err, metastore.ErrNotFound)
+	isType(c, kv.Revoke(ctx, lease), metastore.ErrLeaseNotFound)
 }
 
 func testWatch(c *qt.C, kv KV) {
 	const writes = 100
 	ctx := background(c)
-	first, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "w/a", Value: []byte("0")})
+	first, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "w/a", Value: []byte("0")})
 	c.Assert(err, qt.IsNil)
-	second, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "w/a", Expect: first.Revision, Value: []byte("1")})
+	second, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "w/a", Expect: first.Revision, Value: []byte("1")})
 	c.Assert(err, qt.IsNil)
 	events, err := kv.Watch(ctx, "w/", first.Revision)
 	c.Assert(err, qt.IsNil)
 	at := second.Revision
 	for i := 2; i < writes; i++ {
-		_, err := kv.CompareAndSwap(ctx, platform.Swap{Key: fmt.Sprintf("other/%d", i)})
+		_, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: fmt.Sprintf("other/%d", i)})
 		c.Assert(err, qt.IsNil)
-		result, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "w/a", Expect: at, Value: fmt.Appendf(nil, "%d", i)})
+		result, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "w/a", Expect: at, Value: fmt.Appendf(nil, "%d", i)})
 		c.Assert(err, qt.IsNil)
 		at = result.Revision
 	}
-	_, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "w/a", Expect: at, Delete: true})
+	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "w/a", Expect: at, Delete: true})
 	c.Assert(err, qt.IsNil)
 	last := first.Revision
 	for i := 1; i < writes; i++ {
@@ -276,8 +276,8 @@
 func testLostAnswer(c *qt.C, kv KV) {
 	ctx := background(c)
 	c.Assert(kv.SetFaults(memkv.Faults{LoseAnswers: 1}), qt.IsNil)
-	_, err := kv.CompareAndSwap(ctx, platform.Swap{Key: "a", Value: []byte("kept")})
-	isType(c, err, platform.ErrOutcomeUnknown)
+	_, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Value: []byte("kept")})
+	isType(c, err, metastore.ErrOutcomeUnknown)
 	record, err := kv.Get(ctx, "a")
 	c.Assert(err, qt.IsNil)
 	c.Assert(string(record.Value), qt.Equals, "kept")
@@ -287,21 +287,21 @@
 	ctx := background(c)
 	events, err := kv.Watch(ctx, "", 0)
 	c.Assert(err, qt.IsNil)
-	_, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "before"})
+	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "before"})
 	c.Assert(err, qt.IsNil)
 	c.Assert((<-events).Record.Key, qt.Equals, "before")
 
 	c.Assert(kv.SetFaults(memkv.Faults{Down: true}), qt.IsNil)
 	_, open := <-events
 	c.Assert(open, qt.IsFalse)
-	_, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "during"})
-	isType(c, err, platform.ErrUnavailable)
+	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "during"})
+	isType(c, err, metastore.ErrUnavailable)
 	_, err = kv.Get(ctx, "before")
-	isType(c, err, platform.ErrUnavailable)
+	isType(c, err, metastore.ErrUnavailable)
 	_, err = kv.List(ctx, "")
-	isType(c, err, platform.ErrUnavailable)
+	isType(c, err, metastore.ErrUnavailable)
 	_, err = kv.Watch(ctx, "", 0)
-	isType(c, err, platform.ErrUnavailable)
+	isType(c, err, metastore.ErrUnavailable)
 
 	c.Assert(kv.SetFaults(memkv.Faults{}), qt.IsNil)
 	records, err := kv.List(ctx, "")
@@ -314,9 +314,9 @@
 	defer cancel()
 	c.Assert(kv.SetFaults(memkv.Faults{SlowMS: 500}), qt.IsNil)
 	_, err := kv.Get(ctx, "a")
-	isType(c, err, platform.ErrUnavailable)
-	_, err = kv.CompareAndSwap(ctx, platform.Swap{Key: "a"})
+	isType(c, err, metastore.ErrUnavailable)
+	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "a"})
 	c.Assert(err, qt.IsNotNil)
-	c.Assert(strings.HasPrefix(errorx.GetTypeName(err), "platform."), qt.IsTrue)
+	c.Assert(strings.HasPrefix(errorx.GetTypeName(err), "metastore."), qt.IsTrue)
 	c.Assert(kv.SetFaults(memkv.Faults{}), qt.IsNil)
 }
--- a/internal/node/instances.go
+++ b/internal/node/instances.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/config"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/rollout"
 )
 
@@ -25,20 +25,20 @@
 )
 
 // instances is the process's one copy of the platform's instance list. It implements
-// platform.InstanceList and config.Peers for the parts of a role, so that none reads the list itself.
+// metastore.InstanceList and config.Peers for the parts of a role, so that none reads the list itself.
 type instances struct {
 	self   string
-	list   platform.InstanceList
-	listed atomic.Pointer[[]platform.Instance]
+	list   metastore.InstanceList
+	listed atomic.Pointer[[]metastore.Instance]
 	// known says that listed holds a reading.
 	known atomic.Bool
 	// peers are the other processes of listed.
 	peers atomic.Pointer[[]config.Peer]
 }
 
-func newInstances(self string, list platform.InstanceList) *instances {
+func newInstances(self string, list metastore.InstanceList) *instances {
 	i := &instances{self: self, list: list}
-	i.listed.Store(&[]platform.Instance{})
+	i.listed.Store(&[]metastore.Instance{})
 	i.peers.Store(&[]config.Peer{})
 	return i
 }
@@ -78,17 +78,17 @@
 	i.known.Store(true)
 }
 
-// Instances implements platform.InstanceList with the last reading. It returns ErrUnavailable
+// Instances implements metastore.InstanceList with the last reading. It returns ErrUnavailable
 // before the first one.
-func (i *instances) Instances(context.Context) ([]platform.Instance, error) {
+func (i *instances) Instances(context.Context) ([]metastore.Instance, error) {
 	if !i.known.Load() {
-		return nil, platform.ErrUnavailable.New("the instance list was not read yet")
+		return nil, metastore.ErrUnavailable.New("the instance list was not read yet")
 	}
 	return *i.listed.Load(), nil
 }
 
 // peersOf returns the other processes of a reading; stores and this process are none.
-func (i *instances) peersOf(listed []platform.Instance) *[]config.Peer {
+func (i *instances) peersOf(listed []metastore.Instance) *[]config.Peer {
 	peers := make([]config.Peer, 0, len(listed))
 	for _, instance := range listed {
 		if instance.ControlAddress == "" || instance.ID == i.self {
@@ -134,7 +134,7 @@
 func (i *instances) agentsOf(service string) []rollout.Member {
 	var members []rollout.Member
 	for _, instance := range *i.listed.Load() {
-		if instance.Role != platform.RoleAgent || instance.Service != service || instance.State != platform.InstanceLive {
+		if instance.Role != metastore.RoleAgent || instance.Service != service || instance.State != metastore.InstanceLive {
 			continue
 		}
 		members = append(members, rollout.Member{
--- a/internal/node/instances_test.go
+++ b/internal/node/instances_test.go
@@ -8,18 +8,18 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memlist"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memlist"
 )
 
 // listed are rows of agents and one store.
-func listed(agents int) []platform.Instance {
-	rows := []platform.Instance{{ID: "store", Role: platform.RoleStore, State: platform.InstanceLive}}
+func listed(agents int) []metastore.Instance {
+	rows := []metastore.Instance{{ID: "store", Role: metastore.RoleStore, State: metastore.InstanceLive}}
 	for n := range agents {
 		name := fmt.Sprintf("agent-%d", n)
-		rows = append(rows, platform.Instance{
-			ID: name, Role: platform.RoleAgent, Service: "assistant",
-			ControlAddress: name, State: platform.InstanceLive,
+		rows = append(rows, metastore.Instance{
+			ID: name, Role: metastore.RoleAgent, Service: "assistant",
+			ControlAddress: name, State: metastore.InstanceLive,
 		})
 	}
 	return rows
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,9 +13,9 @@
 	"balsamyoke.example/balsamyoke/internal/claim"
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
-	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -23,7 +23,7 @@
 // common is what every role is built on.
 type common struct {
 	logger        *zap.Logger
-	kv            platform.KV
+	kv            metastore.KV
 	instances     *instances
 	configuration *configuration
 	spread        *config.Spread
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -8,7 +8,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -36,7 +36,7 @@
 	// Instance and Owner name this process; Owner is unique for each run of it.
 	Instance string
 	Owner    string
-	KV       platform.KV
+	KV       metastore.KV
 	Replicas Replicas
 	// Members returns the live agents of the service, with this process.
 	Members func() []Member
--- a/internal/rollout/driver_test.go
+++ b/internal/rollout/driver_test.go
@@ -11,8 +11,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -132,7 +132,7 @@
 	}
 }
 
-func (d *deployment) lease(c *qt.C) platform.Record {
+func (d *deployment) lease(c *qt.C) metastore.Record {
 	record, err := d.kv.Get(context.Background(), Key("assistant"))
 	c.Assert(err, qt.IsNil)
 	return record
--- a/internal/rollout/lease.go
+++ b/internal/rollout/lease.go
@@ -6,7 +6,7 @@
 
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 const (
@@ -33,7 +33,7 @@
 	// Until is when the holder must stop unless the lease is renewed.
 	Until time.Time
 
-	lease     platform.LeaseID
+	lease     metastore.LeaseID
 	renewedAt time.Time
 }
 
@@ -42,14 +42,14 @@
 // Invariant: Until is counted from before the call that granted or renewed the lease, so it lies
 // before the moment at which the service lets the lease lapse.
 type Lessor struct {
-	kv    platform.KV
+	kv    metastore.KV
 	key   string
 	owner string
 	clock func() time.Time
 }
 
 // NewLessor returns a Lessor. Owner must be unique for each run of a process.
-func NewLessor(kv platform.KV, service, owner string) *Lessor {
+func NewLessor(kv metastore.KV, service, owner string) *Lessor {
 	return &Lessor{kv: kv, key: Key(service), owner: owner, clock: time.Now}
 }
 
@@ -61,7 +61,7 @@
 	if err == nil {
 		return Holding{}, ErrHeld.New("key %q exists", l.key)
 	}
-	if !errorx.IsOfType(err, platform.ErrNotFound) {
+	if !errorx.IsOfType(err, metastore.ErrNotFound) {
 		return Holding{}, ErrUnavailable.Wrap(err, "key %q cannot be read", l.key)
 	}
 	began := l.clock()
@@ -78,14 +78,14 @@
 }
 
 // create creates the key and returns its create revision. A lost answer is resolved by reading.
-func (l *Lessor) create(ctx context.Context, lease platform.LeaseID) (uint64, error) {
-	result, err := l.kv.CompareAndSwap(ctx, platform.Swap{Key: l.key, Value: []byte(l.owner), Lease: lease})
+func (l *Lessor) create(ctx context.Context, lease metastore.LeaseID) (uint64, error) {
+	result, err := l.kv.CompareAndSwap(ctx, metastore.Swap{Key: l.key, Value: []byte(l.owner), Lease: lease})
 	switch {
 	case err == nil && result.Swapped:
 		return uint64(result.Revision), nil
 	case err == nil:
 		return 0, ErrHeld.New("key %q was created by %q", l.key, result.Current.Value)
-	case !errorx.IsOfType(err, platform.ErrOutcomeUnknown):
+	case !errorx.IsOfType(err, metastore.ErrOutcomeUnknown):
 		return 0, ErrUnavailable.Wrap(err, "key %q cannot be created", l.key)
 	}
 	record, err := l.kv.Get(ctx, l.key)
@@ -111,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, holding.Until.Sub(began))
 	defer cancel()
 	err := l.kv.KeepAlive(ctx, holding.lease)
-	if errorx.IsOfType(err, platform.ErrLeaseNotFound) {
+	if errorx.IsOfType(err, metastore.ErrLeaseNotFound) {
 		return Holding{}, ErrLost.Wrap(err, "key %q", l.key)
 	}
 	if err == nil {
@@ -132,11 +132,11 @@
 }
 
 // ReadHolder returns the current holder's fencing number, 0 when there is none.
-func ReadHolder(ctx context.Context, kv platform.KV, service string) (uint64, error) {
+func ReadHolder(ctx context.Context, kv metastore.KV, service string) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
 	defer cancel()
 	record, err := kv.Get(ctx, Key(service))
-	if errorx.IsOfType(err, platform.ErrNotFound) {
+	if errorx.IsOfType(err, metastore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -8,11 +8,11 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
-func newLessor(kv platform.KV, owner string, now *time.Time) *Lessor {
+func newLessor(kv metastore.KV, owner string, now *time.Time) *Lessor {
 	lessor := NewLessor(kv, "assistant", owner)
 	lessor.clock = func() time.Time { return *now }
 	return lessor
@@ -88,7 +88,7 @@
 // loseSwapAnswers writes but never answers writes of keys.
 type loseSwapAnswers struct{ *memkv.Store }
 
-func (l *loseSwapAnswers) CompareAndSwap(ctx context.Context, swap platform.Swap) (platform.SwapResult, error) {
+func (l *loseSwapAnswers) CompareAndSwap(ctx context.Context, swap metastore.Swap) (metastore.SwapResult, error) {
 	_, _ = l.Store.CompareAndSwap(ctx, swap)
-	return platform.SwapResult{}, platform.ErrOutcomeUnknown.New("lost answer")
+	return metastore.SwapResult{}, metastore.ErrOutcomeUnknown.New("lost answer")
 }
--- a/internal/rollout/server.go
+++ b/internal/rollout/server.go
@@ -10,7 +10,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -37,7 +37,7 @@
 	Instance    string
 	Incarnation uint64
 	Service     string
-	KV          platform.KV
+	KV          metastore.KV
 	Backend     Backend
 	// Leaving tells whether the agent is leaving.
 	Leaving func() bool
--- a/internal/standin/kvserver/server.go
+++ b/internal/standin/kvserver/server.go
@@ -13,9 +13,9 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/time/rate"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp/gateway"
-	"balsamyoke.example/balsamyoke/internal/platform/memkv"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp/gateway"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
 )
 
@@ -160,7 +160,7 @@
 		r, err := s.store.Get(s.ctx, string(call.Key))
 		if err == nil {
 			reply.KVs = append(reply.KVs, keyValue(r))
-		} else if !errorx.IsOfType(err, platform.ErrNotFound) {
+		} else if !errorx.IsOfType(err, metastore.ErrNotFound) {
 			failed(ctx, err)
 			return
 		}
@@ -186,9 +186,9 @@
 	if !decode(ctx, &call) {
 		return
 	}
-	err := s.store.KeepAlive(s.ctx, platform.LeaseID(call.ID))
+	err := s.store.KeepAlive(s.ctx, metastore.LeaseID(call.ID))
 	reply := gateway.LeaseResponse{Header: s.header(), ID: call.ID, TTL: 1}
-	if errorx.IsOfType(err, platform.ErrLeaseNotFound) {
+	if errorx.IsOfType(err, metastore.ErrLeaseNotFound) {
 		reply.TTL = 0
 	} else if failed(ctx, err) {
 		return
@@ -201,7 +201,7 @@
 	if !decode(ctx, &call) {
 		return
 	}
-	if failed(ctx, s.store.Revoke(s.ctx, platform.LeaseID(call.ID))) {
+	if failed(ctx, s.store.Revoke(s.ctx, metastore.LeaseID(call.ID))) {
 		return
 	}
 	httpserver.Reply(ctx, fasthttp.StatusOK, gateway.LeaseResponse{Header: s.header()})
@@ -218,7 +218,7 @@
 		return
 	}
 	watchCtx, cancel := httpserver.UntilHangUp(s.ctx, ctx.Conn())
-	events, err := s.store.Watch(watchCtx, prefix, platform.Revision(call.Create.StartRevision-1))
+	events, err := s.store.Watch(watchCtx, prefix, metastore.Revision(call.Create.StartRevision-1))
 	if failed(ctx, err) {
 		cancel()
 		return
@@ -239,7 +239,7 @@
 	})
 }
 
-func watchMessage(event platform.Event) gateway.WatchMessage {
+func watchMessage(event metastore.Event) gateway.WatchMessage {
 	e := gateway.Event{KV: keyValue(event.Record)}
 	if event.Deleted {
 		e.Type = gateway.EventDelete
@@ -252,7 +252,7 @@
 	return gateway.Header{Revision: int64(s.store.Revision())}
 }
 
-func keyValue(r platform.Record) gateway.KeyValue {
+func keyValue(r metastore.Record) gateway.KeyValue {
 	return gateway.KeyValue{
 		Key:            []byte(r.Key),
 		CreateRevision: int64(r.CreateRevision),
--- a/internal/standin/kvserver/txn.go
+++ b/internal/standin/kvserver/txn.go
@@ -7,8 +7,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp/gateway"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp/gateway"
 	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
 )
 
@@ -29,7 +29,7 @@
 			txns = append(txns, *op.Txn)
 		}
 	}
-	swaps := make([]platform.Swap, len(txns))
+	swaps := make([]metastore.Swap, len(txns))
 	for i, txn := range txns {
 		var ok bool
 		if swaps[i], ok = swapOf(txn); !ok {
@@ -44,7 +44,7 @@
 	s.replyTxn(ctx, swaps, results, nested)
 }
 
-func (s *Server) replyTxn(ctx *fasthttp.RequestCtx, swaps []platform.Swap, results []platform.SwapResult, nested bool) {
+func (s *Server) replyTxn(ctx *fasthttp.RequestCtx, swaps []metastore.Swap, results []metastore.SwapResult, nested bool) {
 	revision := int64(s.store.Revision())
 	for _, r := range results {
 		if r.Swapped {
@@ -65,19 +65,19 @@
 }
 
 // swapOf turns a transaction into a swap. It returns false for any other shape.
-func swapOf(txn gateway.TxnRequest) (platform.Swap, bool) {
+func swapOf(txn gateway.TxnRequest) (metastore.Swap, bool) {
 	if len(txn.Compare) != 1 || len(txn.Success) != 1 {
-		return platform.Swap{}, false
+		return metastore.Swap{}, false
 	}
 	compare, write := txn.Compare[0], txn.Success[0]
-	swap := platform.Swap{Key: string(compare.Key), Expect: platform.Revision(compare.ModRevision)}
+	swap := metastore.Swap{Key: string(compare.Key), Expect: metastore.Revision(compare.ModRevision)}
 	absent := compare.Target == gateway.TargetCreate && compare.CreateRevision == 0
 	if compare.Target != gateway.TargetMod && !absent {
 		return swap, false
 	}
 	switch {
 	case write.Put != nil && bytes.Equal(write.Put.Key, compare.Key):
-		swap.Value, swap.Lease = write.Put.Value, platform.LeaseID(write.Put.Lease)
+		swap.Value, swap.Lease = write.Put.Value, metastore.LeaseID(write.Put.Lease)
 		return swap, true
 	case write.DeleteRange != nil && bytes.Equal(write.DeleteRange.Key, compare.Key):
 		swap.Delete = true
@@ -87,7 +87,7 @@
 	}
 }
 
-func txnResponse(header gateway.Header, swap platform.Swap, result platform.SwapResult) gateway.TxnResponse {
+func txnResponse(header gateway.Header, swap metastore.Swap, result metastore.SwapResult) gateway.TxnResponse {
 	if !result.Swapped {
 		found := gateway.RangeResponse{Header: header}
 		if result.Current.ModRevision != 0 {
@@ -116,11 +116,11 @@
 	switch {
 	case err == nil:
 		return false
-	case errorx.IsOfType(err, platform.ErrOutcomeUnknown):
+	case errorx.IsOfType(err, metastore.ErrOutcomeUnknown):
 		httpserver.Cut(ctx)
-	case errorx.IsOfType(err, platform.ErrLeaseNotFound):
+	case errorx.IsOfType(err, metastore.ErrLeaseNotFound):
 		refuse(ctx, fasthttp.StatusNotFound, gateway.CodeNotFound, "requested lease not found")
-	case errorx.IsOfType(err, platform.ErrInvalid):
+	case errorx.IsOfType(err, metastore.ErrInvalid):
 		refuse(ctx, fasthttp.StatusBadRequest, gateway.CodeInvalidArgument, err.Error())
 	default:
 		refuse(ctx, fasthttp.StatusServiceUnavailable, gateway.CodeUnavailable, err.Error())
--- a/internal/standin/listserver/server.go
+++ b/internal/standin/listserver/server.go
@@ -7,9 +7,9 @@
 
 	"github.com/valyala/fasthttp"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
-	"balsamyoke.example/balsamyoke/internal/platform/memlist"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore/memlist"
 	"balsamyoke.example/balsamyoke/internal/standin/httpserver"
 )
 
@@ -19,13 +19,13 @@
 	// LagMS is the time until a change becomes visible, in milliseconds.
 	LagMS int `json:"lag_ms" long:"lag-ms"`
 	// Instances are listed from the start.
-	Instances []platform.Instance `json:"instances"`
+	Instances []metastore.Instance `json:"instances"`
 }
 
 // StateChange is the body of POST /admin/state.
 type StateChange struct {
-	ID    string                 `json:"id"`
-	State platform.InstanceState `json:"state"`
+	ID    string                  `json:"id"`
+	State metastore.InstanceState `json:"state"`
 }
 
 // Server is the list.
--- a/internal/systemtest/atmostonce/faults_test.go
+++ b/internal/systemtest/atmostonce/faults_test.go
@@ -14,7 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/standin/plainserver"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
@@ -113,7 +113,7 @@
 
 func (b *bed) entries() []string {
 	var addresses []string
-	for _, entry := range b.fleet.Role(platform.RoleEntry) {
+	for _, entry := range b.fleet.Role(metastore.RoleEntry) {
 		addresses = append(addresses, entry.Address)
 	}
 	return addresses
@@ -192,13 +192,13 @@
 func freezeBackend(b *bed) error { return freeze(b.pick().Backend) }
 
 func killEntry(b *bed) error {
-	b.fleet.Role(platform.RoleEntry)[0].Process.Kill()
+	b.fleet.Role(metastore.RoleEntry)[0].Process.Kill()
 	return nil
 }
 
-func restartEntry(b *bed) error { return b.fleet.Restart(b.fleet.Role(platform.RoleEntry)[0]) }
+func restartEntry(b *bed) error { return b.fleet.Restart(b.fleet.Role(metastore.RoleEntry)[0]) }
 
-func freezeEntry(b *bed) error { return freeze(b.fleet.Role(platform.RoleEntry)[0].Process) }
+func freezeEntry(b *bed) error { return freeze(b.fleet.Role(metastore.RoleEntry)[0].Process) }
 
 func freeze(process *testbed.Process) error {
 	process.Freeze()
--- a/internal/systemtest/atmostonce/relay_test.go
+++ b/internal/systemtest/atmostonce/relay_test.go
@@ -10,8 +10,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"balsamyoke.example/balsamyoke/internal/loopback"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -147,7 +147,7 @@
 	var document listhttp.Document
 	for _, instance := range b.fleet.Instances {
 		shown := instance.Instance
-		if instance.Role == platform.RoleAgent {
+		if instance.Role == metastore.RoleAgent {
 			relays[instance.ID] = startRelay(c, instance.Address)
 			shown.Address = relays[instance.ID].address()
 		}
--- a/internal/systemtest/changes/configuration_test.go
+++ b/internal/systemtest/changes/configuration_test.go
@@ -10,7 +10,7 @@
 	"github.com/joomcode/errorx"
 
 	"balsamyoke.example/balsamyoke/internal/config"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -72,7 +72,7 @@
 	f.awaitVersion(1, inForceWithin)
 	watch := f.watchVersions()
 	defer watch.stop()
-	callers := f.startCallers(f.Role(platform.RoleEntry)[1:])
+	callers := f.startCallers(f.Role(metastore.RoleEntry)[1:])
 	settle := func() { time.Sleep(time.Second) } // callers see each change for a while
 
 	c.Run("ordinary change", func(c *qt.C) {
@@ -108,7 +108,7 @@
 		f.awaitVersion(5, inForceWithin)
 	})
 	c.Run("entry restarted during the outage", func(c *qt.C) {
-		watch.restart(f, f.Role(platform.RoleEntry)[0])
+		watch.restart(f, f.Role(metastore.RoleEntry)[0])
 		f.awaitVersion(5, inForceWithin)
 	})
 	c.Run("after the outage", func(c *qt.C) {
--- a/internal/systemtest/changes/fleet_test.go
+++ b/internal/systemtest/changes/fleet_test.go
@@ -12,8 +12,8 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -87,7 +87,7 @@
 
 // processes are the entries and agents.
 func (f *fleet) processes() []*testbed.Instance {
-	return append(f.Role(platform.RoleEntry), f.Role(platform.RoleAgent)...)
+	return append(f.Role(metastore.RoleEntry), f.Role(metastore.RoleAgent)...)
 }
 
 // version returns the confirmed version of a process, 0 when it has none or does not answer.
--- a/internal/systemtest/changes/rollout_test.go
+++ b/internal/systemtest/changes/rollout_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/rollout"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
@@ -86,7 +86,7 @@
 	c := qt.New(t)
 	f := startFleet(c)
 	f.awaitVersion(1, inForceWithin)
-	callers := f.startCallers(f.Role(platform.RoleEntry))
+	callers := f.startCallers(f.Role(metastore.RoleEntry))
 	time.Sleep(time.Second)
 	f.apply(1, "w2")
 	f.awaitServing(f.Service("assistant"), "w2", swapWithin)
@@ -126,7 +126,7 @@
 	f := startFleet(c)
 	f.awaitVersion(1, inForceWithin)
 	holder, _ := f.awaitHolder()
-	callers := f.startCallers(f.Role(platform.RoleEntry))
+	callers := f.startCallers(f.Role(metastore.RoleEntry))
 	f.apply(1, "w2")
 	loader := f.awaitLoadOfOther(holder)
 	holder.Process.Kill()
--- a/internal/systemtest/restart/restart_test.go
+++ b/internal/systemtest/restart/restart_test.go
@@ -9,7 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -71,15 +71,15 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	fleet := startFleet(c, ctx, 10, 5)
-	balancer := newBalancer(ctx, fleet.Role(platform.RoleEntry))
+	balancer := newBalancer(ctx, fleet.Role(metastore.RoleEntry))
 	callers := startCallers(ctx, balancer, callerCount, allKinds)
 	time.Sleep(settle)
-	for _, agent := range fleet.Role(platform.RoleAgent) {
+	for _, agent := range fleet.Role(metastore.RoleAgent) {
 		c.Assert(agent.Process.Stop(), qt.IsNil)
 		c.Assert(fleet.Restart(agent), qt.IsNil)
 		awaitWork(c, ctx, agent)
 	}
-	for _, entry := range fleet.Role(platform.RoleEntry) {
+	for _, entry := range fleet.Role(metastore.RoleEntry) {
 		c.Assert(entry.Process.Stop(), qt.IsNil)
 		c.Assert(fleet.Restart(entry), qt.IsNil)
 		balancer.awaitHealthy(c, entry)
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
 	fleet := startFleet(c, ctx, 150, 9)
-	balancer := newBalancer(ctx, fleet.Role(platform.RoleEntry))
+	balancer := newBalancer(ctx, fleet.Role(metastore.RoleEntry))
 	callers := startCallers(ctx, balancer, 4*callerCount, onlyTraces)
 	leaving := fleet.Service("assistant")[0]
 	awaitWork(c, ctx, leaving)
--- a/internal/systemtest/returning/returning_test.go
+++ b/internal/systemtest/returning/returning_test.go
@@ -21,7 +21,7 @@
 	"balsamyoke.example/balsamyoke/internal/cacheindex"
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
@@ -81,7 +81,7 @@
 	})
 	c.Assert(err, qt.IsNil)
 	t.Cleanup(fleet.Stop)
-	return &deployment{C: c, ctx: ctx, fleet: fleet, entry: fleet.Role(platform.RoleEntry)[0].Address}
+	return &deployment{C: c, ctx: ctx, fleet: fleet, entry: fleet.Role(metastore.RoleEntry)[0].Address}
 }
 
 // answer is the part of a reply that tells how the request was served.
@@ -147,7 +147,7 @@
 // exported returns how many pieces the stores hold.
 func (d *deployment) exported() int {
 	held := 0
-	for _, store := range d.fleet.Role(platform.RoleStore) {
+	for _, store := range d.fleet.Role(metastore.RoleStore) {
 		var stats storeserver.Stats
 		d.Assert(testbed.Call(d.ctx, http.MethodGet, store.AdminAddress, "/admin/stats", nil, &stats), qt.IsNil)
 		held += stats.MemoryPieces + stats.DiskPieces
@@ -165,7 +165,7 @@
 
 // evictFrom fills the cache of a replica's engine with other pieces and waits until its agent knows.
 func (d *deployment) evictFrom(replica string) {
-	for _, agent := range d.fleet.Role(platform.RoleAgent) {
+	for _, agent := range d.fleet.Role(metastore.RoleAgent) {
 		if agent.ID != replica {
 			continue
 		}
@@ -224,7 +224,7 @@
 	d.log("first turn", first)
 	d.awaitExports(promptPieces)
 	time.Sleep(time.Second) // announcements reach their homes
-	for _, agent := range d.fleet.Role(platform.RoleAgent) {
+	for _, agent := range d.fleet.Role(metastore.RoleAgent) {
 		if agent.ID == first.Accounting.Replica {
 			agent.Process.Kill()
 		}
@@ -240,7 +240,7 @@
 	d := start(t, 1, 1, testbed.Settings{"link_bytes_per_second": 100_000}) // the pieces take 1.3 s
 	first := d.ask(organisationA, text("eighteen", promptPieces))
 	d.log("first turn", first)
-	leaving := d.fleet.Role(platform.RoleAgent)[0].Process
+	leaving := d.fleet.Role(metastore.RoleAgent)[0].Process
 	leaving.Terminate()
 	<-leaving.Ended()
 	d.Assert(d.exported(), qt.Equals, promptPieces)
@@ -255,7 +255,7 @@
 	d.log("first turn", first)
 	d.awaitExports(promptPieces)
 	time.Sleep(time.Second) // announcements reach their homes
-	for _, agent := range d.fleet.Role(platform.RoleAgent) {
+	for _, agent := range d.fleet.Role(metastore.RoleAgent) {
 		if agent.ID == first.Accounting.Replica {
 			agent.Process.Kill()
 		}
@@ -271,7 +271,7 @@
 	first := d.ask(organisationA, prompt)
 	d.log("first turn", first)
 	d.awaitExports(promptPieces)
-	store := d.fleet.Role(platform.RoleStore)[0]
+	store := d.fleet.Role(metastore.RoleStore)[0]
 	d.Assert(testbed.SetFaults(d.ctx, store.AdminAddress, storeserver.Faults{Down: true}), qt.IsNil)
 	d.evictFrom(first.Accounting.Replica)
 	back := d.ask(organisationA, prompt)
--- a/internal/testbed/call.go
+++ b/internal/testbed/call.go
@@ -10,8 +10,8 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/httpclient"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/listhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
 )
 
 const settle = 20 * time.Millisecond // between two looks at a process that is not ready
@@ -84,10 +84,10 @@
 }
 
 // SetState changes the state of an instance in the instance list.
-func (f *Fleet) SetState(ctx context.Context, id string, state platform.InstanceState) error {
+func (f *Fleet) SetState(ctx context.Context, id string, state metastore.InstanceState) error {
 	type change struct {
-		ID    string                 `json:"id"`
-		State platform.InstanceState `json:"state"`
+		ID    string                  `json:"id"`
+		State metastore.InstanceState `json:"state"`
 	}
 	return Call(ctx, fasthttp.MethodPost, f.ListAddress, "/admin/state", change{ID: id, State: state}, nil)
 }
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -8,7 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"balsamyoke.example/balsamyoke/internal/load"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -78,7 +78,7 @@
 	spec.Store = store
 	fleet := startFleet(c, spec)
 	strike := fault{strike: func(ctx context.Context, f *testbed.Fleet) error {
-		for _, store := range f.Role(platform.RoleStore) {
+		for _, store := range f.Role(metastore.RoleStore) {
 			if err := testbed.SetFaults(ctx, store.AdminAddress, faults); err != nil {
 				return err
 			}
@@ -252,7 +252,7 @@
 		struck <- f.strike(ctx, fleet)
 	}()
 	var entries []string
-	for _, instance := range fleet.Role(platform.RoleEntry) {
+	for _, instance := range fleet.Role(metastore.RoleEntry) {
 		entries = append(entries, instance.Address)
 	}
 	report, err := load.Run(ctx, load.Options{Plan: plan, Entries: entries})
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -10,8 +10,8 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
-	"balsamyoke.example/balsamyoke/internal/platform/etcdhttp"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
 )
 
 // Settings is the content of a settings file.
@@ -49,7 +49,7 @@
 
 // Instance is an instance of the system with its processes.
 type Instance struct {
-	platform.Instance
+	metastore.Instance
 	// Metrics is ip:port of the metrics and the dump; empty for stores.
 	Metrics string
 	// Process is the entry, agent or store.
@@ -111,7 +111,7 @@
 }
 
 // Role returns the instances with a role.
-func (f *Fleet) Role(role platform.Role) []*Instance {
+func (f *Fleet) Role(role metastore.Role) []*Instance {
 	var found []*Instance
 	for _, instance := range f.Instances {
 		if instance.Role == role {
@@ -124,7 +124,7 @@
 // Service returns the agents of a service.
 func (f *Fleet) Service(service string) []*Instance {
 	var found []*Instance
-	for _, instance := range f.Role(platform.RoleAgent) {
+	for _, instance := range f.Role(metastore.RoleAgent) {
 		if instance.Service == service {
 			found = append(found, instance)
 		}
@@ -206,7 +206,7 @@
 }
 
 func (f *Fleet) startAgent(service manifest.Service, number int) error {
-	instance := f.place(fmt.Sprintf("%s-%d", service.Name, number), platform.RoleAgent, number)
+	instance := f.place(fmt.Sprintf("%s-%d", service.Name, number), metastore.RoleAgent, number)
 	instance.Service = service.Name
 	kind, backend := "plain", f.spec.Plain
 	if service.Type == manifest.ServiceModel {
@@ -233,7 +233,7 @@
 
 func (f *Fleet) startStores() error {
 	for i := range f.spec.Stores {
-		instance := f.place(fmt.Sprintf("store-%d", i), platform.RoleStore, i)
+		instance := f.place(fmt.Sprintf("store-%d", i), metastore.RoleStore, i)
 		admin, err := loopback.FreeAddress()
 		if err != nil {
 			return err
@@ -251,7 +251,7 @@
 
 func (f *Fleet) startEntries() error {
 	for i := range f.spec.Entries {
-		instance := f.place(fmt.Sprintf("entry-%d", i), platform.RoleEntry, i)
+		instance := f.place(fmt.Sprintf("entry-%d", i), metastore.RoleEntry, i)
 		own := Settings{"drain_delay_ms": drainDelayMS}.with(f.spec.Entry)
 		if err := f.startOwn(instance, "balsam-entry", own); err != nil {
 			return err
@@ -261,13 +261,13 @@
 }
 
 // place adds an instance in the failure domain whose turn it is.
-func (f *Fleet) place(id string, role platform.Role, number int) *Instance {
-	instance := &Instance{Instance: platform.Instance{
+func (f *Fleet) place(id string, role metastore.Role, number int) *Instance {
+	instance := &Instance{Instance: metastore.Instance{
 		ID:            id,
 		Role:          role,
 		Region:        f.spec.Region,
 		FailureDomain: f.spec.Domains[number%len(f.spec.Domains)],
-		State:         platform.InstanceLive,
+		State:         metastore.InstanceLive,
 	}}
 	f.Instances = append(f.Instances, instance)
 	return instance
@@ -326,7 +326,7 @@
 }
 
 func (f *Fleet) awaitHealthy(ctx context.Context) error {
-	for _, instance := range f.Role(platform.RoleEntry) {
+	for _, instance := range f.Role(metastore.RoleEntry) {
 		if err := awaitStatus(ctx, instance.Address, "/healthz"); err != nil {
 			return err
 		}
--- a/internal/testbed/fleet_test.go
+++ b/internal/testbed/fleet_test.go
@@ -11,7 +11,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
-	"balsamyoke.example/balsamyoke/internal/platform"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
 
@@ -53,7 +53,7 @@
 	c.Assert(err, qt.IsNil)
 	defer fleet.Stop()
 	c.Assert(fleet.Service("assistant"), qt.HasLen, 2)
-	c.Assert(fleet.Role(platform.RoleEntry), qt.HasLen, 1)
+	c.Assert(fleet.Role(metastore.RoleEntry), qt.HasLen, 1)
 	c.Assert(fleet.InDomain("huron"), qt.HasLen, 1)
 
 	agent := fleet.Service("archive")[0]
@@ -63,8 +63,8 @@
 	c.Assert(fleet.Restart(agent), qt.IsNil)
 	agent.Backend.Kill()
 
-	store := fleet.Role(platform.RoleStore)[0]
+	store := fleet.Role(metastore.RoleStore)[0]
 	c.Assert(testbed.SetFaults(ctx, store.AdminAddress, testbed.Settings{"full": true}), qt.IsNil)
 	c.Assert(testbed.SetFaults(ctx, fleet.KVAdmin, testbed.Settings{"down": true}), qt.IsNil)
-	c.Assert(fleet.SetState(ctx, agent.ID, platform.InstanceLeaving), qt.IsNil)
+	c.Assert(fleet.SetState(ctx, agent.ID, metastore.InstanceLeaving), qt.IsNil)
 }
--- a/internal/transfer/mover.go
+++ b/internal/transfer/mover.go
@@ -7,8 +7,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"balsamyoke.example/balsamyoke/internal/directory"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/piece"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 	"balsamyoke.example/balsamyoke/internal/store"
 )
@@ -149,10 +149,10 @@
 }
 
 // SetStores uses the live stores of a list.
-func (m *Mover) SetStores(instances []platform.Instance) {
+func (m *Mover) SetStores(instances []metastore.Instance) {
 	live := make(map[string]bool, len(instances))
 	for _, instance := range instances {
-		if instance.Role != platform.RoleStore || instance.State != platform.InstanceLive {
+		if instance.Role != metastore.RoleStore || instance.State != metastore.InstanceLive {
 			continue
 		}
 		live[instance.ID] = true
--- a/internal/transfer/mover_test.go
+++ b/internal/transfer/mover_test.go
@@ -15,8 +15,8 @@
 	"balsamyoke.example/balsamyoke/internal/directory"
 	"balsamyoke.example/balsamyoke/internal/engine"
 	"balsamyoke.example/balsamyoke/internal/httpclient"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/piece"
-	"balsamyoke.example/balsamyoke/internal/platform"
 	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
 	"balsamyoke.example/balsamyoke/internal/store"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -76,7 +76,7 @@
 	loop   *control.Loop
 	engine *fakeEngine
 	store  *storeserver.Server
-	stores []platform.Instance
+	stores []metastore.Instance
 	mu     sync.Mutex
 	stored int
 	lost   int
@@ -99,8 +99,8 @@
 	b.mover = NewMover(ctx, Settings{FailureDomain: "a", BytesPerSecond: 1 << 30}, Dependencies{
 		Loop: b.loop, Engine: b.engine, Directory: d, Observer: b, Scope: tally.NoopScope,
 	}, 1, time.Now())
-	b.stores = []platform.Instance{{
-		ID: "store-1", Role: platform.RoleStore, State: platform.InstanceLive, FailureDomain: "a", Address: b.store.Address(),
+	b.stores = []metastore.Instance{{
+		ID: "store-1", Role: metastore.RoleStore, State: metastore.InstanceLive, FailureDomain: "a", Address: b.store.Address(),
 	}}
 	b.loop.Call(func() { b.mover.SetStores(b.stores) })
 	t.Cleanup(func() {
