--- /dev/null
+++ b/cmd/balsam-gateway/main.go
@@ -0,0 +1,39 @@
+// Command balsam-gateway runs a gateway on the users' platform. Its settings come from a file named by
+// --settings and from flags; SIGHUP reads the file again.
+package main
+
+// The platform asks for programs that are linked against the system's C library.
+
+import "C"
+
+import (
+	"os"
+
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/gateway"
+	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/settings"
+	"balsamyoke.example/balsamyoke/platform"
+)
+
+const program = "balsam-gateway"
+
+func main() { process.Exit(program, run()) }
+
+func run() error {
+	s := gateway.DefaultSettings()
+	if err := settings.Load(program, os.Args[1:], &s); err != nil {
+		return err
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	log := eventlog.New(os.Stdout, zap.String("instance", s.Instance))
+	defer log.Close()
+	ctx, stop := process.StopContext()
+	defer stop()
+	g := gateway.New(s, platform.Connect(s.Metastore), platform.Headers{}, log)
+	return g.Run(ctx)
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,310 @@
+// Package dispatch decides which backend server runs a request, when it is sent again and when it is
+// refused. The gateway's control goroutine owns the Dispatcher; it has no clock and no network.
+//
+// A server is found in three steps: filters leave out servers that can't or shouldn't run the request,
+// each one left is scored by the predicted time to its first byte, and the lowest score is picked. The
+// load that it answers: many prompts whose parts lie in cache stores, so that any engine can take any
+// prompt, with engines that crash, slow down or load weights at any time.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/backend"
+	"balsamyoke.example/balsamyoke/internal/health"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/routing"
+)
+
+// Request is what a placement needs to know of a request.
+type Request struct {
+	Service string
+	// Model is empty for plain services.
+	Model string
+	// Wall separates the KV cache of isolated organisations; empty for the shared one.
+	Wall  string
+	Parts []kvcache.Part
+	// PromptTokens is the size of the prompt.
+	PromptTokens int
+	// Target is the time to the first byte that the operator aims at.
+	Target time.Duration
+	// Left is the time that the caller still waits.
+	Left time.Duration
+	// Tried are the servers that the request was already sent to.
+	Tried []string
+	// MinVersion is the weight version that a resumed stream needs; 0 for any.
+	MinVersion int64
+}
+
+// Placement is where a request goes.
+type Placement struct {
+	Server  string
+	Address string
+	Domain  string
+	// Version is the weight version that the server is believed to have; 0 for plain services.
+	Version int64
+	Salt    string
+	// Plan is nil for plain services.
+	Plan *kvcache.Plan
+	// Tokens are the prompt tokens that the server must compute, by the plan.
+	Tokens int
+	// Predicted is the expected time to the first byte.
+	Predicted time.Duration
+	// Score is what the server was picked by, in milliseconds, and Candidates how many there were.
+	Score      float64
+	Candidates int
+}
+
+// Reason says why no server was picked.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	NoServer   Reason = "no_server"
+	AllSuspect Reason = "all_servers_suspect"
+	AllLoading Reason = "all_servers_loading"
+	AllFull    Reason = "all_servers_full"
+	TooLate    Reason = "predicted_past_deadline"
+	NoBudget   Reason = "no_retry_budget"
+	Exhausted  Reason = "attempts_exhausted"
+)
+
+// Refusal tells the caller that its request has not run and when to come back.
+type Refusal struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// server is what is known of one server.
+type server struct {
+	backend.Server
+	version map[string]int64
+	// running and tokens are this gateway's requests there and the prompt tokens it waits for.
+	running int
+	tokens  int
+	// others is the load that the other gateways have there.
+	others PeerLoad
+	load   backend.Load
+	loadAt time.Time
+	// suspectUntil is when a server that could not be reached is tried again, suspected how often in a row.
+	suspectUntil time.Time
+	suspected    int
+	// fullUntil is when a server that turned a request away is tried again.
+	fullUntil time.Time
+	// withheldUntil is when a server that loads weights is tried again unless the leader says more.
+	withheldUntil time.Time
+	// slowness is the measured over the predicted time of recent requests.
+	slowness float64
+	// lastGood is when the server last answered.
+	lastGood time.Time
+}
+
+// PeerLoad is the load that other gateways have at one server.
+type PeerLoad struct {
+	Running int
+	Tokens  int
+}
+
+// Dispatcher decides for one gateway. It is not safe for concurrent use.
+type Dispatcher struct {
+	domain    string
+	rng       *rand.Rand
+	servers   map[string]*server
+	services  map[string]*service
+	health    *health.Tracker
+	catalogue *kvcache.Catalogue
+	budgets   map[string]*Budget
+	budget    BudgetConfig
+	named     map[string]int64
+	peers     map[string]map[string]PeerLoad
+	recent    recentParts
+	// cached belongs to the placement that is being made.
+	cached []cachedPrompt
+}
+
+type service struct {
+	routing.Service
+	servers []*server
+	// tokenMS is the time to compute one prompt token, in milliseconds, and workMS the time of a
+	// request to a plain service, both as measured lately.
+	tokenMS float64
+	workMS  float64
+}
+
+// New returns a Dispatcher for a gateway in the failure domain.
+func New(domain string, seed uint64, catalogue *kvcache.Catalogue, budget BudgetConfig) *Dispatcher {
+	return &Dispatcher{
+		domain:    domain,
+		rng:       rand.New(rand.NewPCG(seed, seed)),
+		servers:   make(map[string]*server),
+		services:  make(map[string]*service),
+		health:    health.New(healthConfig()),
+		catalogue: catalogue,
+		budgets:   make(map[string]*Budget),
+		budget:    budget,
+		named:     make(map[string]int64),
+		peers:     make(map[string]map[string]PeerLoad),
+		recent:    newRecentParts(),
+	}
+}
+
+// healthConfig suits servers that get several requests a second from each gateway.
+func healthConfig() health.Config {
+	c := health.DefaultConfig()
+	c.HalfLife = 2 * time.Second
+	c.BaseEjection = 1500 * time.Millisecond
+	c.MaxEjection = 6 * time.Second
+	c.ErrorMargin = 0.25
+	return c
+}
+
+// SetServices takes the services of a configuration.
+func (d *Dispatcher) SetServices(services []routing.Service) {
+	kept := make(map[string]*service, len(services))
+	for _, s := range services {
+		known := d.services[s.Name]
+		if known == nil {
+			known = &service{tokenMS: defaultTokenMS, workMS: defaultWorkMS}
+		}
+		known.Service = s
+		kept[s.Name] = known
+	}
+	d.services = kept
+	d.regroup()
+}
+
+// SetServers takes the registered servers. What is known of those that stay is kept.
+func (d *Dispatcher) SetServers(servers []backend.Server) {
+	kept := make(map[string]*server, len(servers))
+	for _, s := range servers {
+		known := d.servers[s.ID]
+		if known == nil || known.Started != s.Started && s.Started != 0 && known.Started != 0 {
+			known = &server{version: make(map[string]int64), slowness: 1}
+		}
+		known.Server = s
+		for model, v := range s.Versions {
+			known.version[model] = max(known.version[model], v)
+		}
+		kept[s.ID] = known
+		d.health.Add(health.Replica{ID: s.ID, Service: s.Service, FailureDomain: s.FailureDomain})
+	}
+	for id := range d.servers {
+		if kept[id] == nil {
+			d.health.Remove(id)
+		}
+	}
+	d.servers = kept
+	d.regroup()
+	d.sumPeers()
+}
+
+func (d *Dispatcher) regroup() {
+	for _, s := range d.services {
+		s.servers = s.servers[:0]
+	}
+	for _, s := range d.servers {
+		if group := d.services[s.Service]; group != nil {
+			group.servers = append(group.servers, s)
+		}
+	}
+}
+
+// SetNamed takes the newest weight version that the operator has named for a model.
+func (d *Dispatcher) SetNamed(model string, version int64) {
+	d.named[model] = max(d.named[model], version)
+}
+
+// SetVersion takes a server's weight version from an answer, a report or another gateway. Versions of
+// one server never go back.
+func (d *Dispatcher) SetVersion(id, model string, version int64) {
+	if s := d.servers[id]; s != nil && version > s.version[model] {
+		s.version[model] = version
+		s.withheldUntil = time.Time{}
+		s.fullUntil = time.Time{}
+	}
+}
+
+// withheldFor is how long the leader's word that a server is loading counts: a few of its beats.
+const withheldFor = 1500 * time.Millisecond
+
+// SetWithheld takes the servers that are about to load weights, or do.
+func (d *Dispatcher) SetWithheld(ids []string, now time.Time) {
+	for _, s := range d.servers {
+		s.withheldUntil = time.Time{}
+	}
+	for _, id := range ids {
+		if s := d.servers[id]; s != nil {
+			s.withheldUntil = now.Add(withheldFor)
+		}
+	}
+}
+
+// SetPeer takes the load that another gateway has at each server; nil when the gateway is gone.
+func (d *Dispatcher) SetPeer(peer string, loads map[string]PeerLoad) {
+	if loads == nil {
+		delete(d.peers, peer)
+	} else {
+		d.peers[peer] = loads
+	}
+	d.sumPeers()
+}
+
+func (d *Dispatcher) sumPeers() {
+	for _, s := range d.servers {
+		s.others = PeerLoad{}
+	}
+	for _, loads := range d.peers {
+		for id, l := range loads {
+			if s := d.servers[id]; s != nil {
+				s.others.Running += l.Running
+				s.others.Tokens += l.Tokens
+			}
+		}
+	}
+}
+
+// Loads returns this gateway's own load by server, for the other gateways.
+func (d *Dispatcher) Loads() map[string]PeerLoad {
+	loads := make(map[string]PeerLoad)
+	for id, s := range d.servers {
+		if s.running > 0 || s.tokens > 0 {
+			loads[id] = PeerLoad{Running: s.running, Tokens: s.tokens}
+		}
+	}
+	return loads
+}
+
+// Engines returns what the rollout needs to know of the servers that run a model.
+func (d *Dispatcher) Engines(model string, now time.Time) []EngineView {
+	var views []EngineView
+	for _, s := range d.servers {
+		if _, ok := s.version[model]; !ok {
+			continue
+		}
+		views = append(views, EngineView{
+			Server:   s.Server,
+			Version:  s.version[model],
+			InFlight: s.running + s.others.Running,
+			Suspect:  now.Before(s.suspectUntil),
+		})
+	}
+	return views
+}
+
+// EngineView is one server as the rollout of weights sees it.
+type EngineView struct {
+	backend.Server
+	Version  int64
+	InFlight int
+	Suspect  bool
+}
+
+// Named returns the newest named weight version by model.
+func (d *Dispatcher) Named() map[string]int64 { return d.named }
+
+// Evaluate judges the servers' health and returns what changed. It is called a few times a second.
+func (d *Dispatcher) Evaluate(now time.Time) []health.Change {
+	d.catalogue.Expire(now)
+	return d.health.Evaluate(now)
+}
--- /dev/null
+++ b/internal/dispatch/outcome.go
@@ -0,0 +1,132 @@
+package dispatch
+
+import (
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/backend"
+	"balsamyoke.example/balsamyoke/internal/health"
+)
+
+const (
+	// suspectFor is how long a server that could not be reached is left alone at first; it doubles up to
+	// suspectLimit while the server stays silent. A crashed server is back or deregistered within seconds.
+	suspectFor   = 400 * time.Millisecond
+	suspectLimit = 3 * time.Second
+	// fullFor is how long a server that turned a request away is left alone.
+	fullFor = 150 * time.Millisecond
+	// learn is the weight of one request in what is learnt of times.
+	learn = 0.05
+	// slownessLearn is the weight of one request in a server's slowness, and slownessLimit bounds it.
+	slownessLearn = 0.1
+	slownessLimit = 8.0
+	// minLearnTokens is the least number of computed tokens that tells the time of one.
+	minLearnTokens = 1000
+)
+
+// Result is how a request ended at one server.
+type Result uint8
+
+// The results of a request at a server.
+const (
+	// Served means that the server answered, whatever its status.
+	Served Result = iota
+	// Failed means that the server answered that it failed.
+	Failed
+	// TurnedAway means that the server did not run the request.
+	TurnedAway
+	// Misdirected means that another server has the address, or that it has other weights.
+	Misdirected
+	// Unreachable means that the connection could not be opened or ended without an answer.
+	Unreachable
+	// Cancelled means that the caller left or the time was over.
+	Cancelled
+)
+
+// Sent counts a request that is on its way to the server of the placement.
+func (d *Dispatcher) Sent(p *Placement) {
+	if s := d.servers[p.Server]; s != nil {
+		s.running++
+		s.tokens += p.Tokens
+	}
+}
+
+// FirstByte takes the time to the first byte of the answer.
+func (d *Dispatcher) FirstByte(now time.Time, p *Placement, took time.Duration) {
+	s := d.servers[p.Server]
+	if s == nil {
+		return
+	}
+	s.tokens = max(0, s.tokens-p.Tokens)
+	s.answered(now)
+	predicted := p.Predicted.Seconds()
+	if predicted <= 0 {
+		return
+	}
+	ratio := min(took.Seconds()/predicted, slownessLimit)
+	s.slowness += slownessLearn * (ratio*s.slowness - s.slowness)
+	s.slowness = min(max(s.slowness, 0.5), slownessLimit)
+	if group := d.services[s.Service]; group != nil {
+		group.learn(p, took)
+	}
+}
+
+// learn adjusts the times that predictions are made from.
+func (g *service) learn(p *Placement, took time.Duration) {
+	ms := float64(took) / float64(time.Millisecond)
+	if p.Plan == nil {
+		g.workMS += learn * (min(ms, 4*g.workMS) - g.workMS)
+		return
+	}
+	if p.Tokens < minLearnTokens {
+		return
+	}
+	perToken := max(0, ms-firstTokenMS) / float64(p.Tokens)
+	g.tokenMS += learn * (min(perToken, 4*g.tokenMS) - g.tokenMS)
+}
+
+func (s *server) answered(now time.Time) {
+	s.lastGood = now
+	s.suspected = 0
+	s.suspectUntil = time.Time{}
+}
+
+// Ended takes the end of a request at a server. FirstByte tells whether the server had begun to answer.
+func (d *Dispatcher) Ended(now time.Time, p *Placement, result Result, firstByte bool) {
+	s := d.servers[p.Server]
+	if s == nil {
+		return
+	}
+	s.running = max(0, s.running-1)
+	if !firstByte {
+		s.tokens = max(0, s.tokens-p.Tokens)
+	}
+	switch result {
+	case Served:
+		d.health.Record(now, s.ID, health.Sample{Ratio: s.slowness})
+	case Failed:
+		s.answered(now)
+		d.health.Record(now, s.ID, health.Sample{Failed: true})
+	case TurnedAway:
+		s.fullUntil = now.Add(fullFor)
+	case Misdirected:
+		s.fullUntil = now.Add(fullFor)
+	case Unreachable:
+		d.health.Record(now, s.ID, health.Sample{Failed: true})
+		s.suspect(now)
+	}
+}
+
+func (s *server) suspect(now time.Time) {
+	if now.Before(s.suspectUntil) {
+		return
+	}
+	s.suspectUntil = now.Add(min(suspectFor<<min(s.suspected, 4), suspectLimit))
+	s.suspected++
+}
+
+// Loaded takes the load that a server told with an answer.
+func (d *Dispatcher) Loaded(now time.Time, id string, load backend.Load) {
+	if s := d.servers[id]; s != nil {
+		s.load, s.loadAt = load, now
+	}
+}
--- /dev/null
+++ b/internal/dispatch/state.go
@@ -0,0 +1,35 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ServerState is what a dump shows of one server.
+type ServerState struct {
+	ID         string           `json:"id"`
+	Service    string           `json:"service"`
+	Versions   map[string]int64 `json:"versions,omitempty"`
+	Running    int              `json:"running"`
+	Tokens     int              `json:"tokens"`
+	Others     int              `json:"running_by_others"`
+	Slowness   float64          `json:"slowness"`
+	SuspectMS  int64            `json:"suspect_for_ms"`
+	WithheldMS int64            `json:"withheld_for_ms"`
+	Healthy    bool             `json:"healthy"`
+}
+
+// State returns what is known of each server, in the order of their ids.
+func (d *Dispatcher) State(now time.Time) []ServerState {
+	states := make([]ServerState, 0, len(d.servers))
+	for _, id := range slices.Sorted(maps.Keys(d.servers)) {
+		s := d.servers[id]
+		states = append(states, ServerState{
+			ID: id, Service: s.Service, Versions: maps.Clone(s.version), Running: s.running, Tokens: s.tokens,
+			Others: s.others.Running, Slowness: s.slowness, SuspectMS: max(0, s.suspectUntil.Sub(now).Milliseconds()),
+			WithheldMS: max(0, s.withheldUntil.Sub(now).Milliseconds()), Healthy: d.health.Usable(now, id),
+		})
+	}
+	return states
+}
--- /dev/null
+++ b/internal/fleet/counters.go
@@ -0,0 +1,40 @@
+package fleet
+
+import "github.com/uber-go/tally/v4"
+
+// Counters of the control state.
+type Counters struct {
+	StoreCalls    tally.Counter
+	StoreFailures tally.Counter
+	Orders        tally.Counter
+	PartsFreed    tally.Counter
+	Unreadable    tally.Counter
+	ConfigVersion tally.Gauge
+	ContactAge    tally.Gauge
+	Peers         tally.Gauge
+	Servers       tally.Gauge
+	LogLost       tally.Gauge
+	scope         tally.Scope
+}
+
+// NewCounters returns Counters in scope.
+func NewCounters(scope tally.Scope) *Counters {
+	return &Counters{
+		StoreCalls:    scope.Counter("metastore_calls"),
+		StoreFailures: scope.Counter("metastore_failures"),
+		Orders:        scope.Counter("weight_orders"),
+		PartsFreed:    scope.Counter("cache_parts_freed"),
+		Unreadable:    scope.Counter("unreadable_documents"),
+		ConfigVersion: scope.Gauge("configuration_version"),
+		ContactAge:    scope.Gauge("contact_age_ms"),
+		Peers:         scope.Gauge("peers_live"),
+		Servers:       scope.Gauge("servers"),
+		LogLost:       scope.Gauge("log_lines_lost"),
+		scope:         scope,
+	}
+}
+
+// engineVersion shows the believed weight version of one server.
+func (c *Counters) engineVersion(server, model string, version int64) {
+	c.scope.Tagged(map[string]string{"server": server, "model": model}).Gauge("weight_version").Update(float64(version))
+}
--- /dev/null
+++ b/internal/fleet/errors.go
@@ -0,0 +1,8 @@
+package fleet
+
+import "github.com/joomcode/errorx"
+
+var namespace = errorx.NewNamespace("fleet")
+
+// ErrPeer means that another gateway can't be reached or doesn't answer.
+var ErrPeer = namespace.NewType("peer", errorx.Temporary())
--- /dev/null
+++ b/internal/fleet/feeds.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/routing"
+)
+
+const (
+	// feedWait is how long one call waits for events. A reading counts from when it was asked for, so two
+	// calls and a pause must fit into kvcache.FreshFor.
+	feedWait = 500 * time.Millisecond
+	// feedPause is the time between two calls, in which events gather.
+	feedPause = 120 * time.Millisecond
+	// feedTimeout bounds one call beyond its wait.
+	feedTimeout = 500 * time.Millisecond
+	// feedRetry is the pause after a call that failed, drawn between half and all of it.
+	feedRetry = 300 * time.Millisecond
+)
+
+// setFeeds starts and ends feeds so that there is one for each store.
+func (f *Fleet) setFeeds(stores []routing.CacheStore) {
+	wanted := make(map[string]bool, len(stores))
+	for _, s := range stores {
+		wanted[s.Address] = true
+		if f.feeds[s.Address] == nil {
+			ctx, cancel := context.WithCancel(context.Background())
+			f.feeds[s.Address] = cancel
+			go f.feed(ctx, s.Address)
+		}
+	}
+	for address, cancel := range f.feeds {
+		if !wanted[address] {
+			cancel()
+			delete(f.feeds, address)
+		}
+	}
+}
+
+// feed reads the events of one store.
+func (f *Fleet) feed(ctx context.Context, address string) {
+	var since int64
+	lost := false
+	for ctx.Err() == nil {
+		next, err := f.readFeed(ctx, address, since)
+		if err != nil {
+			if !lost {
+				f.Log.Warn(EventCacheStoreLost, zap.String("store", address), zap.Error(err))
+			}
+			lost = true
+			sleep(ctx, feedRetry/2+rand.N(feedRetry/2))
+			continue
+		}
+		if lost {
+			f.Log.Info(EventCacheStoreFound, zap.String("store", address), zap.Int64("next", next))
+		}
+		lost = false
+		since = next
+		sleep(ctx, feedPause)
+	}
+}
+
+// readFeed reads the events after since and, when some are missing, the whole content.
+func (f *Fleet) readFeed(ctx context.Context, address string, since int64) (next int64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
+	defer cancel()
+	asked := bootclock.Now()
+	batch, err := f.Platform.Stores.Events(ctx, address, since, feedWait)
+	if err != nil {
+		return 0, err
+	}
+	now := bootclock.Now()
+	f.clockTold(batch.ClockMS, now)
+	list := batch.Lost
+	f.loop.Call(func() {
+		f.catalogue.Apply(address, batch, asked, now)
+	})
+	if !list {
+		return batch.Next, nil
+	}
+	listing, err := f.Platform.Stores.List(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	f.loop.Call(func() { f.catalogue.Replace(address, listing, asked, bootclock.Now()) })
+	return listing.Next, nil
+}
+
+// freeBatch bounds the parts of one call.
+const freeBatch = 400
+
+// free frees parts store by store.
+func (f *Fleet) free(ctx context.Context, held []kvcache.Held) {
+	type target struct {
+		address string
+		epoch   int64
+	}
+	byStore := make(map[target][]kvcache.Key)
+	for _, h := range held {
+		t := target{h.Address, h.Epoch}
+		byStore[t] = append(byStore[t], h.Key)
+	}
+	for t, keys := range byStore {
+		for len(keys) > 0 {
+			n := min(freeBatch, len(keys))
+			err := f.Platform.Stores.Free(ctx, t.address, t.epoch, keys[:n])
+			f.Log.Info(EventPartsFreed, zap.String("store", t.address), zap.Int("parts", n), zap.Error(err))
+			if err != nil {
+				break
+			}
+			f.Counters.PartsFreed.Inc(int64(n))
+			freed := keys[:n]
+			f.loop.Post(func() { f.catalogue.Forget(t.address, freed) })
+			keys = keys[n:]
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,240 @@
+// Package fleet is the control state of one gateway: what it believes of the configuration, the backend
+// servers, the cache stores and the other gateways, and the duties that it does as the leader. One
+// goroutine owns all of it; followers, feeds and beats run on goroutines of their own and post to it.
+// The gateway's request path asks it where a request goes and tells it what came of it.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/backend"
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/control"
+	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/mirror"
+	"balsamyoke.example/balsamyoke/internal/peers"
+	"balsamyoke.example/balsamyoke/internal/registry"
+	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// Options are what a Fleet is made of.
+type Options struct {
+	Platform Platform
+	Log      *eventlog.Log
+	Counters *Counters
+	Self     *wire.Peer
+	// Incarnation tells this run of the gateway from all others.
+	Incarnation uint64
+	// Seeds are control addresses of gateways that may be stale.
+	Seeds []string
+	// LeaseTTL is the life of the leader lease.
+	LeaseTTL time.Duration
+	Budget   dispatch.BudgetConfig
+}
+
+// Fleet is the control state.
+type Fleet struct {
+	Options
+	loop *control.Loop
+	link *peers.Link
+	// table and contact are read by the request path.
+	table   atomic.Pointer[routing.Table]
+	contact atomic.Int64
+	leaving atomic.Bool
+	clock   atomic.Int64 // the servers' clock minus ours, in milliseconds; 0 when unknown
+
+	// The control goroutine owns what follows.
+	mirror     *mirror.Mirror
+	registry   *registry.Registry
+	dispatcher *dispatch.Dispatcher
+	catalogue  *kvcache.Catalogue
+	members    *peers.Members
+	feeds      map[string]context.CancelFunc
+	sequence   uint64
+	lead       leadership
+	lastExpiry time.Time
+	states     map[string]backend.State
+	background sync.WaitGroup
+}
+
+// New returns a Fleet that knows nothing yet.
+func New(o Options) *Fleet {
+	catalogue := kvcache.New()
+	f := &Fleet{
+		Options:    o,
+		loop:       control.NewLoop(),
+		mirror:     mirror.New(),
+		registry:   registry.New(),
+		catalogue:  catalogue,
+		dispatcher: dispatch.New(o.Self.GetFailureDomain(), o.Incarnation, catalogue, o.Budget),
+		members:    peers.NewMembers(o.Self),
+		feeds:      make(map[string]context.CancelFunc),
+		states:     make(map[string]backend.State),
+	}
+	return f
+}
+
+// Run keeps the control state until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	link, err := peers.Listen(f.Self.GetBeatAddress(), f.heard)
+	if err != nil {
+		return err
+	}
+	f.link = link
+	documents := f.Platform.Documents
+	for _, run := range []func(context.Context){
+		func(ctx context.Context) { f.follow(ctx, documents.OperatorPrefix(), f.operatorChanged) },
+		func(ctx context.Context) { f.follow(ctx, documents.ServerPrefix(), f.serversChanged) },
+		f.beat, f.catchUp, f.announce, f.leadRun, f.evaluate, f.seed,
+	} {
+		f.background.Go(func() { run(ctx) })
+	}
+	f.loop.Run(ctx)
+	f.background.Wait()
+	return link.Close()
+}
+
+// Table returns the configuration in force, or nil while none is known.
+func (f *Fleet) Table() *routing.Table { return f.table.Load() }
+
+// ContactAge returns how old the latest news from the metadata store or another gateway is.
+func (f *Fleet) ContactAge() time.Duration {
+	at := f.contact.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return bootclock.Now().Sub(time.Unix(0, at))
+}
+
+func (f *Fleet) touched(now time.Time) { f.contact.Store(now.UnixNano()) }
+
+// Leave tells the other gateways that this one is about to stop and gives the leader lease up.
+func (f *Fleet) Leave() { f.leaving.Store(true) }
+
+// Place picks a server for a request.
+func (f *Fleet) Place(r *dispatch.Request) (p dispatch.Placement, refusal *dispatch.Refusal) {
+	f.loop.Call(func() {
+		p, refusal = f.dispatcher.Place(bootclock.Now(), r)
+		if refusal == nil {
+			f.dispatcher.Sent(&p)
+		}
+	})
+	if p.Server == "" && refusal == nil {
+		refusal = &dispatch.Refusal{Reason: dispatch.NoServer, RetryAfter: time.Second}
+	}
+	return p, refusal
+}
+
+// Count counts a caller's request to a service.
+func (f *Fleet) Count(service string) {
+	f.loop.Post(func() { f.dispatcher.CountRequest(bootclock.Now(), service) })
+}
+
+// TakeRepeat reports whether a request to the service may be sent again, and counts that.
+func (f *Fleet) TakeRepeat(service string) (granted bool) {
+	f.loop.Call(func() { granted = f.dispatcher.TakeRepeat(bootclock.Now(), service) })
+	return granted
+}
+
+// Refuse returns a refusal for a request that can't be sent again.
+func (f *Fleet) Refuse(service string, reason dispatch.Reason) (refusal *dispatch.Refusal) {
+	f.loop.Call(func() { refusal = f.dispatcher.Refuse(service, reason) })
+	if refusal == nil {
+		refusal = &dispatch.Refusal{Reason: reason, RetryAfter: time.Second}
+	}
+	return refusal
+}
+
+// FirstByte takes the time to the first byte of an answer.
+func (f *Fleet) FirstByte(p dispatch.Placement, took time.Duration) {
+	f.loop.Post(func() { f.dispatcher.FirstByte(bootclock.Now(), &p, took) })
+}
+
+// Ended takes the end of a request at a server.
+func (f *Fleet) Ended(p dispatch.Placement, result dispatch.Result, firstByte bool) {
+	f.loop.Post(func() { f.dispatcher.Ended(bootclock.Now(), &p, result, firstByte) })
+}
+
+// Told takes what a server's answer said of the server.
+func (f *Fleet) Told(server, model string, version int64, load *backend.Load) {
+	f.loop.Post(func() {
+		if version > 0 && model != "" {
+			f.dispatcher.SetVersion(server, model, version)
+		}
+		if load != nil {
+			f.dispatcher.Loaded(bootclock.Now(), server, *load)
+		}
+	})
+}
+
+// ServerClock converts a time of bootclock to the servers' clock, in Unix milliseconds.
+func (f *Fleet) ServerClock(at time.Time) int64 {
+	if offset := f.clock.Load(); offset != 0 {
+		return at.UnixMilli() + offset
+	}
+	return time.Now().UnixMilli() + at.Sub(bootclock.Now()).Milliseconds()
+}
+
+// clockSlip is how much the offset of the servers' clock may fall with each reading, in milliseconds: a
+// reading that was held up on its way gives a lower offset.
+const clockSlip = 1
+
+// clockTold takes a reading of the servers' clock.
+func (f *Fleet) clockTold(ms int64, now time.Time) {
+	if ms == 0 {
+		return
+	}
+	offset := ms - now.UnixMilli()
+	if old := f.clock.Load(); old != 0 {
+		offset = max(offset, old-clockSlip)
+	}
+	f.clock.Store(offset)
+}
+
+// evaluateEvery is how often servers are judged and timed beliefs are looked at.
+const evaluateEvery = 250 * time.Millisecond
+
+// evaluate judges the servers and notices when the machine was suspended.
+func (f *Fleet) evaluate(ctx context.Context) {
+	ticker := time.NewTicker(evaluateEvery)
+	defer ticker.Stop()
+	steady, boot := time.Now(), bootclock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := bootclock.Now()
+		suspended := now.Sub(boot) - time.Since(steady)
+		steady, boot = time.Now(), now
+		if suspended > evaluateEvery {
+			f.Log.Warn(EventSuspended, zap.Duration("for", suspended))
+		}
+		f.loop.Post(func() { f.evaluateNow(now) })
+	}
+}
+
+func (f *Fleet) evaluateNow(now time.Time) {
+	for _, change := range f.dispatcher.Evaluate(now) {
+		f.Log.Warn(EventServerHealth, zap.String("server", change.ID), zap.String("service", change.Service),
+			zap.String("failure_domain", change.FailureDomain), zap.String("state", change.State))
+	}
+	if f.registry.Lapsing() {
+		f.serversTaken(now)
+	}
+	for _, silent := range f.members.Expire(now, f.lastExpiry) {
+		f.dispatcher.SetPeer(silent, nil)
+		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
+	}
+	f.lastExpiry = now
+	f.dispatcher.SetGateways(f.members.Count())
+}
--- /dev/null
+++ b/internal/fleet/follow.go
@@ -0,0 +1,199 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/backend"
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/mirror"
+	"balsamyoke.example/balsamyoke/internal/routing"
+)
+
+const (
+	// followWait is how long one call waits for changes; it bounds how long a dead connection stays unnoticed.
+	followWait = 4 * time.Second
+	// followPause is the time between two calls, in which changes gather: each call is charged.
+	followPause = 120 * time.Millisecond
+	// listTimeout bounds one listing.
+	listTimeout = 2 * time.Second
+	// followRetry is the pause after a call that failed, drawn between half and all of it.
+	followRetry = 300 * time.Millisecond
+)
+
+// follow keeps the mirror of one prefix up to date from the metadata store.
+func (f *Fleet) follow(ctx context.Context, prefix string, changed func(keys []string, now time.Time)) {
+	away := false
+	listed := false
+	for ctx.Err() == nil {
+		f.Counters.StoreCalls.Inc(1)
+		var err error
+		if !listed {
+			err = f.list(ctx, prefix, changed)
+			listed = err == nil
+		} else {
+			err = f.poll(ctx, prefix, changed)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			if away {
+				away = false
+				f.Log.Info(EventStoreRegained, zap.String("prefix", prefix))
+			}
+			sleep(ctx, followPause)
+			continue
+		}
+		if errorx.IsOfType(err, metastore.ErrCompacted) {
+			listed = false
+			continue
+		}
+		f.Counters.StoreFailures.Inc(1)
+		if !away {
+			away = true
+			f.Log.Warn(EventStoreLost, zap.String("prefix", prefix), zap.Error(err))
+		}
+		f.loop.Post(f.registry.StoreAway)
+		sleep(ctx, followRetry/2+rand.N(followRetry/2))
+	}
+}
+
+func (f *Fleet) list(ctx context.Context, prefix string, changed func([]string, time.Time)) error {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	listing, err := f.Platform.Metastore.Snapshot(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	f.loop.Post(func() {
+		now := bootclock.Now()
+		f.touched(now)
+		f.registry.StoreBack(now)
+		changed(f.mirror.Replace(prefix, listing, now), now)
+	})
+	return nil
+}
+
+func (f *Fleet) poll(ctx context.Context, prefix string, changed func([]string, time.Time)) error {
+	var from metastore.Revision
+	if !f.loop.Call(func() { from = f.mirror.AsOf(prefix) }) {
+		return nil
+	}
+	changes, err := f.Platform.Metastore.Changes(ctx, prefix, from, followWait)
+	if err != nil {
+		return err
+	}
+	f.loop.Post(func() {
+		now := bootclock.Now()
+		f.touched(now)
+		f.registry.StoreBack(now)
+		changed(f.mirror.Apply(prefix, changes, now), now)
+	})
+	return nil
+}
+
+// operatorChanged takes changed keys of the operator.
+func (f *Fleet) operatorChanged(keys []string, now time.Time) {
+	for _, key := range keys {
+		entry, exists := f.mirror.Get(key)
+		if !exists {
+			continue
+		}
+		document, err := f.Platform.Documents.Read(key, entry.Value)
+		if err != nil {
+			f.unreadable(key, entry, err)
+			continue
+		}
+		if c := document.Configuration; c != nil {
+			f.configurationTaken(*c, entry, now)
+		}
+		if w := document.Weights; w != nil {
+			f.dispatcher.SetNamed(w.Model, w.Version)
+			f.Log.Info(EventWeightsNamed, zap.String("model", w.Model), zap.Int64("version", w.Version),
+				zap.Int64("revision", int64(entry.ModRevision)))
+		}
+	}
+}
+
+func (f *Fleet) unreadable(key string, entry mirror.Entry, err error) {
+	f.Counters.Unreadable.Inc(1)
+	f.Log.Warn(EventUnreadable, zap.String("key", key), zap.Int64("revision", int64(entry.ModRevision)), zap.Error(err))
+}
+
+// configurationTaken puts a configuration in force. The mirror's revisions keep it from going back.
+func (f *Fleet) configurationTaken(c routing.Configuration, entry mirror.Entry, now time.Time) {
+	if old := f.table.Load(); old != nil && old.Version > c.Version {
+		f.Log.Warn(EventConfiguration, zap.Int64("version", c.Version), zap.Int64("in_force", old.Version),
+			zap.String("outcome", "older_refused"))
+		return
+	}
+	f.table.Store(routing.NewTable(c))
+	f.dispatcher.SetServices(c.Services)
+	f.catalogue.SetStores(c.Stores)
+	f.setFeeds(c.Stores)
+	f.serversTaken(now)
+	f.Counters.ConfigVersion.Update(float64(c.Version))
+	f.Log.Info(EventConfiguration, zap.Int64("version", c.Version), zap.Int64("revision", int64(entry.ModRevision)),
+		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)), zap.String("outcome", "in_force"))
+}
+
+// serversChanged takes changed registrations of backend servers.
+func (f *Fleet) serversChanged(keys []string, now time.Time) {
+	if len(keys) == 0 {
+		return
+	}
+	for _, key := range keys {
+		id := f.Platform.Documents.ServerID(key)
+		entry, exists := f.mirror.Get(key)
+		if !exists {
+			f.registry.Remove(id, now)
+			continue
+		}
+		document, err := f.Platform.Documents.Read(key, entry.Value)
+		if err != nil || document.Server == nil {
+			f.unreadable(key, entry, err)
+			f.registry.Remove(id, now)
+			continue
+		}
+		f.registry.Put(*document.Server)
+	}
+	f.serversTaken(now)
+}
+
+// serversTaken hands the servers to use to the dispatcher and logs what changed.
+func (f *Fleet) serversTaken(now time.Time) {
+	servers := f.registry.Servers(now)
+	f.dispatcher.SetServers(servers)
+	f.Counters.Servers.Update(float64(len(servers)))
+	present := make(map[string]backend.State, len(servers))
+	for i := range servers {
+		s := &servers[i]
+		present[s.ID] = s.State
+		if state, known := f.states[s.ID]; !known || state != s.State {
+			f.Log.Info(EventServerState, zap.String("server", s.ID), zap.String("service", s.Service),
+				zap.Bool("draining", s.State == backend.Draining), zap.String("address", s.Address))
+		}
+	}
+	for id := range f.states {
+		if _, still := present[id]; !still {
+			f.Log.Info(EventServerState, zap.String("server", id), zap.Bool("gone", true))
+		}
+	}
+	f.states = present
+}
+
+// sleep waits unless ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/internal/fleet/state.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
+)
+
+// State is the dump of the control state.
+type State struct {
+	Instance      string               `json:"instance"`
+	Configuration int64                `json:"configuration"`
+	ContactAgeMS  int64                `json:"contact_age_ms"`
+	Revisions     map[string]int64     `json:"revisions"`
+	Leader        bool                 `json:"leader"`
+	Fence         int64                `json:"fence"`
+	Withheld      []string             `json:"withheld"`
+	Peers         []string             `json:"live_peers"`
+	Servers       any                  `json:"servers"`
+	Stores        []kvcache.StoreState `json:"stores"`
+}
+
+// State returns the control state as a value that marshals to JSON.
+func (f *Fleet) State() any {
+	state := State{Instance: f.Self.GetInstance(), ContactAgeMS: f.ContactAge().Milliseconds(), Revisions: make(map[string]int64)}
+	if table := f.Table(); table != nil {
+		state.Configuration = table.Version
+	}
+	f.loop.Call(func() {
+		now := bootclock.Now()
+		for _, prefix := range f.prefixes() {
+			state.Revisions[prefix] = int64(f.mirror.AsOf(prefix))
+		}
+		state.Leader, state.Fence, state.Withheld = f.lead.fence > 0, f.lead.fence, f.lead.withheld
+		for _, member := range f.members.Live(now) {
+			state.Peers = append(state.Peers, member.GetInstance())
+		}
+		state.Servers = f.dispatcher.State(now)
+		state.Stores = f.catalogue.State(now)
+	})
+	return state
+}
--- /dev/null
+++ b/internal/gateway/events.go
@@ -0,0 +1,20 @@
+package gateway
+
+// Names of the log lines of this package. docs/OPERATIONS.md lists their fields.
+const (
+	EventStart      = "start"
+	EventStop       = "stop"
+	EventDrain      = "drain"
+	EventReload     = "reload"
+	EventReady      = "ready"
+	EventServed     = "request_served"
+	EventFailed     = "request_failed"
+	EventRefused    = "request_refused"
+	EventDenied     = "request_denied"
+	EventCancelled  = "request_cancelled"
+	EventBrokenOff  = "request_broken_off"
+	EventRetry      = "request_retried"
+	EventResumed    = "stream_resumed"
+	EventMalformed  = "request_malformed"
+	EventMetricsOff = "metrics_unavailable"
+)
--- /dev/null
+++ b/internal/gateway/framing.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"bytes"
+
+	"github.com/valyala/fasthttp"
+)
+
+// checkFraming refuses headers by which two readers may disagree on where a request ends, or on what it
+// asks for: those that an attacker hides a second request behind.
+func checkFraming(h *fasthttp.RequestHeader) error {
+	lengths, encodings, hosts := 0, 0, 0
+	raw := h.RawHeaders()
+	for len(raw) > 0 {
+		line, rest, _ := bytes.Cut(raw, []byte("\n"))
+		raw = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		if len(line) == 0 {
+			continue
+		}
+		name, value, found := bytes.Cut(line, []byte(":"))
+		if !found || !isToken(name) {
+			return ErrBadRequest.New("header line %.40q", line)
+		}
+		if bytes.ContainsAny(value, "\r\x00") {
+			return ErrBadRequest.New("value of header %q", name)
+		}
+		value = bytes.Trim(value, " \t")
+		switch {
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			lengths++
+			if !isDigits(value) {
+				return ErrBadRequest.New("content length %.40q", value)
+			}
+		case bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			encodings++
+			if !bytes.EqualFold(value, []byte("chunked")) {
+				return ErrBadRequest.New("transfer encoding %.40q", value)
+			}
+		case bytes.EqualFold(name, []byte("Host")):
+			hosts++
+		}
+	}
+	if lengths+encodings > 1 || hosts != 1 {
+		return ErrBadRequest.New("%d content lengths, %d transfer encodings and %d hosts", lengths, encodings, hosts)
+	}
+	return nil
+}
+
+func isToken(name []byte) bool {
+	if len(name) == 0 {
+		return false
+	}
+	for _, b := range name {
+		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
+		digit := '0' <= b && b <= '9'
+		if !letter && !digit && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func isDigits(value []byte) bool {
+	for _, b := range value {
+		if b < '0' || b > '9' {
+			return false
+		}
+	}
+	return len(value) > 0
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,205 @@
+// Package gateway is the request path: it reads callers' requests, asks the control state where they go,
+// sends them to backend servers and passes the answers on. One goroutine pair serves each connection.
+package gateway
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/fleet"
+	"balsamyoke.example/balsamyoke/internal/metrics"
+	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// drainIdle is how long after SIGTERM idle connections stay open: the balancer has noticed by then
+	// that the instance takes no more connections.
+	drainIdle = 2500 * time.Millisecond
+	// drainLeast is the least time from SIGTERM to the end, so that connections that the balancer still
+	// hands over are served.
+	drainLeast = 3500 * time.Millisecond
+	// graceShare is the share of the time to SIGKILL that requests are waited for.
+	graceShare = 0.95
+	// sweepEvery is how often unused connections to servers are looked through.
+	sweepEvery = 2 * time.Second
+)
+
+// Gateway is one instance.
+type Gateway struct {
+	settings Settings
+	fleet    *fleet.Fleet
+	protocol Protocol
+	log      *eventlog.Log
+	counters *counters
+	registry *metrics.Registry
+	pool     *pool
+	draining atomic.Bool
+
+	connections sync.WaitGroup
+	mu          sync.Mutex
+	open        map[*caller]struct{}
+}
+
+// New returns a Gateway on the platform.
+func New(s Settings, platform fleet.Platform, protocol Protocol, log *eventlog.Log) *Gateway {
+	registry := metrics.NewRegistry("balsamyoke_gateway")
+	incarnation := process.NewIncarnation()
+	return &Gateway{
+		settings: s,
+		protocol: protocol,
+		log:      log,
+		registry: registry,
+		counters: newCounters(registry.Scope),
+		pool:     newPool(),
+		open:     make(map[*caller]struct{}),
+		fleet: fleet.New(fleet.Options{
+			Platform:    platform,
+			Log:         log,
+			Counters:    fleet.NewCounters(registry.Scope),
+			Incarnation: incarnation,
+			Self: &wire.Peer{
+				Instance: s.Instance, BeatAddress: s.Beats, ControlAddress: s.Control, FailureDomain: s.FailureDomain,
+			},
+			Seeds:    s.Seeds,
+			LeaseTTL: s.lease(),
+			Budget: dispatch.BudgetConfig{
+				Ratio: s.RetryRatio, Slack: s.RetrySlack, Gateways: 1,
+				Window: time.Duration(s.RetryWindowMS) * time.Millisecond,
+			},
+		}),
+	}
+}
+
+// Run serves until ctx ends, and then until the requests under way have been answered or the grace time
+// is over.
+func (g *Gateway) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp4", g.settings.Listen)
+	if err != nil {
+		return ErrListen.Wrap(err, "callers' address %s", g.settings.Listen)
+	}
+	defer listener.Close()
+	ready, err := g.serveReady()
+	if err != nil {
+		return err
+	}
+	control, err := process.ServeControl(g.settings.Control, func(s *grpc.Server) { g.fleet.Register(s) })
+	if err != nil {
+		return err
+	}
+	defer control.Stop()
+	g.serveMetrics()
+	background, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.fleet.Run(background) }()
+	go g.sweep(background)
+	go g.accept(listener)
+	g.log.Info(EventStart, zap.Any("settings", g.settings))
+	select {
+	case <-ctx.Done():
+	case err := <-ended:
+		stop()
+		return err
+	}
+	g.drain()
+	stop()
+	err = <-ended
+	g.log.Info(EventStop, zap.Int("connections", g.count()))
+	_ = ready.Shutdown()
+	return err
+}
+
+// serveReady tells the balancer whether this instance takes connections.
+func (g *Gateway) serveReady() (*fasthttp.Server, error) {
+	listener, err := net.Listen("tcp4", g.settings.Ready)
+	if err != nil {
+		return nil, ErrListen.Wrap(err, "readiness address %s", g.settings.Ready)
+	}
+	was := false
+	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
+		if string(ctx.Path()) != g.protocol.ReadyPath() {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		ready := g.fleet.Table() != nil && !g.draining.Load()
+		if ready != was {
+			was = ready
+			g.log.Info(EventReady, zap.Bool("ready", ready))
+		}
+		if !ready {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		}
+	}}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+// serveMetrics shows metrics and state. A port that is taken costs the metrics, not the service.
+func (g *Gateway) serveMetrics() {
+	if _, err := process.ServeMetrics(g.settings.Metrics, g.registry, g.fleet.State); err != nil {
+		g.log.Warn(EventMetricsOff, zapError(err))
+	}
+}
+
+func (g *Gateway) sweep(ctx context.Context) {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.pool.sweep()
+		}
+	}
+}
+
+func (g *Gateway) track(c *caller, open bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if open {
+		g.open[c] = struct{}{}
+	} else {
+		delete(g.open, c)
+	}
+}
+
+func (g *Gateway) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.open)
+}
+
+// drain ends the service without cutting a request off: the balancer is told first, each answer from now
+// on is the last on its connection, and idle connections close once the balancer has had its time.
+func (g *Gateway) drain() {
+	began := time.Now()
+	g.log.Info(EventDrain, zap.Int("connections", g.count()))
+	g.draining.Store(true)
+	g.fleet.Leave()
+	limit := time.Duration(graceShare * float64(g.settings.grace()))
+	time.Sleep(min(drainIdle, limit))
+	for time.Since(began) < limit {
+		g.mu.Lock()
+		for c := range g.open {
+			c.closeIdle()
+		}
+		g.mu.Unlock()
+		if g.count() == 0 && time.Since(began) >= min(drainLeast, limit) {
+			return
+		}
+		time.Sleep(drainStep)
+	}
+}
+
+// drainStep is how often draining looks whether the connections have ended.
+const drainStep = 50 * time.Millisecond
--- /dev/null
+++ b/internal/gateway/settings.go
@@ -0,0 +1,72 @@
+package gateway
+
+import (
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/settings"
+)
+
+// Settings of a gateway.
+type Settings struct {
+	Instance      string `json:"instance" long:"instance" description:"name of this instance"`
+	FailureDomain string `json:"failure_domain" long:"failure-domain" description:"failure domain of this instance"`
+	// Listen, Ready, Control, Beats and Metrics are ip:port.
+	Listen    string   `json:"listen" long:"listen" description:"ip:port for callers"`
+	Ready     string   `json:"ready" long:"ready" description:"ip:port where the balancer asks for readiness"`
+	Control   string   `json:"control" long:"control" description:"ip:port for calls of other gateways and of balsamctl"`
+	Beats     string   `json:"beats" long:"beats" description:"ip:port for beats of other gateways, over UDP"`
+	Metrics   string   `json:"metrics" long:"metrics" description:"ip:port for metrics and dump over HTTP"`
+	Metastore string   `json:"metastore" long:"metastore" description:"ip:port of the metadata store"`
+	Seeds     []string `json:"seeds" long:"seed" description:"control address of a gateway to start from; may be stale"`
+
+	GraceMS       int     `json:"grace_ms" long:"grace-ms" description:"time from SIGTERM to SIGKILL"`
+	LeaseMS       int     `json:"lease_ms" long:"lease-ms" description:"life of the leader lease, and the least time between orders of two leaders"`
+	RetryRatio    float64 `json:"retry_ratio" long:"retry-ratio" description:"share of a service's requests that may be sent again, over all gateways"`
+	RetrySlack    float64 `json:"retry_slack" long:"retry-slack" description:"requests that may be sent again besides, in each window"`
+	RetryWindowMS int     `json:"retry_window_ms" long:"retry-window-ms" description:"window of the retry budget"`
+}
+
+// DefaultSettings returns the settings that a file need not name.
+func DefaultSettings() Settings {
+	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000}
+}
+
+// Check returns an error for the first setting that can't be used.
+func (s *Settings) Check() error {
+	for _, name := range []struct{ setting, value string }{
+		{"instance", s.Instance}, {"failure_domain", s.FailureDomain},
+	} {
+		if err := settings.CheckName(name.setting, name.value); err != nil {
+			return err
+		}
+	}
+	for _, address := range []struct{ setting, value string }{
+		{"listen", s.Listen}, {"ready", s.Ready}, {"control", s.Control}, {"beats", s.Beats},
+		{"metrics", s.Metrics}, {"metastore", s.Metastore},
+	} {
+		if err := settings.CheckAddress(address.setting, address.value); err != nil {
+			return err
+		}
+	}
+	for _, seed := range s.Seeds {
+		if err := settings.CheckAddress("seeds", seed); err != nil {
+			return err
+		}
+	}
+	for _, least := range []struct {
+		setting      string
+		value, least int
+	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}} {
+		if err := settings.CheckAtLeast(least.setting, least.value, least.least); err != nil {
+			return err
+		}
+	}
+	if s.RetryRatio < 0 || s.RetrySlack < 0 {
+		return settings.ErrValue.New("settings %q and %q: %g and %g must not be negative", "retry_ratio", "retry_slack", s.RetryRatio, s.RetrySlack)
+	}
+	return nil
+}
+
+func (s *Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
+
+func (s *Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
--- /dev/null
+++ b/internal/kvcache/kvcache.go
@@ -0,0 +1,402 @@
+// Package kvcache knows which parts of prompts lie whole in which cache store, and decides what a
+// request fetches and what it saves. The gateway feeds it the stores' events and asks it for a plan for
+// each request; the leader asks it what to free. It has no clock and no network.
+//
+// Invariant: a plan names a part as a source only if the store has reported it whole under the store's
+// present epoch, and the latest reading of the store is no older than FreshFor.
+package kvcache
+
+import (
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/rendezvous"
+	"balsamyoke.example/balsamyoke/internal/routing"
+)
+
+const (
+	// FreshFor is how long the reading of a store counts. A store that restarts empty may be written
+	// again by whoever knows; nobody may fetch by what it held before. It spans one long poll and a half.
+	FreshFor = 1500 * time.Millisecond
+	// FetchFor bounds a fetch from the moment it is planned: later it is thrown away by the engine. An
+	// engine doesn't start a transfer that would wait longer than two seconds.
+	FetchFor = 1500 * time.Millisecond
+	// savePending is how long a save may go without a report before it counts as lost: the time
+	// to read the longest prompt in a full queue.
+	savePending = 4 * time.Second
+	// fullShare is the share of a store's capacity from which on nothing more is saved to it. The rest
+	// is for saves of other gateways that aren't reported yet.
+	fullShare = 0.97
+	// minPartTokens is the smallest part that is worth a transfer; a shorter one is read in a step.
+	minPartTokens = 48
+	// lastPartMemory is how many last parts of prompts are remembered to see whether they return.
+	lastPartMemory = 4096
+)
+
+// Part is one part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Key names a part in a store: its content and the salt that keeps it from other weights and walls.
+type Key struct {
+	Salt string
+	ID   string
+}
+
+// Change is one event of a store.
+type Change struct {
+	Key    Key
+	Tokens int
+	// Removed tells that the part is gone; otherwise it is whole.
+	Removed bool
+}
+
+// Batch is one reading of a store: the changes since the last one, or all that it holds.
+type Batch struct {
+	Epoch int64
+	// Next is the number to read on from.
+	Next int64
+	// Lost tells that changes before these are missing.
+	Lost    bool
+	Changes []Change
+	// ClockMS is the servers' clock at the reading, in Unix milliseconds; zero when the store doesn't say.
+	ClockMS int64
+}
+
+// Plan says where each part of a prompt comes from and goes to. An empty address means nowhere.
+type Plan struct {
+	Fetch []string
+	Save  []string
+	// FetchTokens are the tokens that the sources hold, ReadTokens those that must be computed.
+	FetchTokens int
+	ReadTokens  int
+	// Until is when fetches are thrown away.
+	Until time.Time
+}
+
+type store struct {
+	routing.CacheStore
+	epoch int64
+	// readAt is when the latest reading was asked for; zero before the first.
+	readAt time.Time
+	// saveFrom is when the first save after a restart may be planned.
+	saveFrom time.Time
+	whole    map[Key]int
+	pending  map[Key]pendingSave
+	used     int
+	reserved int
+}
+
+type pendingSave struct {
+	tokens int
+	at     time.Time
+}
+
+// Catalogue is what one gateway knows of all stores. It is not safe for concurrent use.
+type Catalogue struct {
+	stores []*store
+	// lastParts remembers the last parts of recent prompts; recurring counts those that came again.
+	lastParts map[string]struct{}
+	lastOrder []string
+	lastSeen  int
+	lastAgain int
+}
+
+// New returns a Catalogue without stores.
+func New() *Catalogue {
+	return &Catalogue{lastParts: make(map[string]struct{})}
+}
+
+// SetStores takes the stores of the configuration; what is known of those that stay is kept.
+func (c *Catalogue) SetStores(stores []routing.CacheStore) {
+	kept := make([]*store, 0, len(stores))
+	for _, s := range stores {
+		known := c.find(s.Address)
+		if known == nil {
+			known = &store{whole: make(map[Key]int), pending: make(map[Key]pendingSave)}
+		}
+		known.CacheStore = s
+		kept = append(kept, known)
+	}
+	c.stores = kept
+}
+
+func (c *Catalogue) find(address string) *store {
+	for _, s := range c.stores {
+		if s.Address == address {
+			return s
+		}
+	}
+	return nil
+}
+
+// Apply takes one reading of a store. askedAt is when it was asked for. It returns whether the whole
+// content must be listed, since changes are missing.
+func (c *Catalogue) Apply(address string, batch Batch, askedAt, now time.Time) (list bool) {
+	s := c.find(address)
+	if s == nil {
+		return false
+	}
+	if s.epoch != batch.Epoch {
+		s.restart(batch.Epoch, now)
+	}
+	for _, change := range batch.Changes {
+		s.apply(change)
+	}
+	s.readAt = askedAt
+	return batch.Lost
+}
+
+// Replace takes a listing of all that a store holds.
+func (c *Catalogue) Replace(address string, batch Batch, askedAt, now time.Time) {
+	s := c.find(address)
+	if s == nil {
+		return
+	}
+	if s.epoch != batch.Epoch {
+		s.restart(batch.Epoch, now)
+	}
+	s.whole = make(map[Key]int, len(batch.Changes))
+	s.used = 0
+	for _, change := range batch.Changes {
+		s.apply(change)
+	}
+	s.readAt = askedAt
+}
+
+// restart forgets what a store held in an earlier epoch. Until every gateway has either seen the new
+// epoch or holds its reading for too old, and fetches under way have ended, nothing is saved there.
+func (s *store) restart(epoch int64, now time.Time) {
+	if s.epoch != 0 {
+		s.saveFrom = now.Add(FreshFor + FetchFor)
+	}
+	s.epoch = epoch
+	s.whole = make(map[Key]int)
+	s.pending = make(map[Key]pendingSave)
+	s.used, s.reserved = 0, 0
+}
+
+func (s *store) apply(change Change) {
+	s.used -= s.whole[change.Key]
+	delete(s.whole, change.Key)
+	if !change.Removed {
+		s.whole[change.Key] = change.Tokens
+		s.used += change.Tokens
+	}
+	s.settle(change.Key)
+}
+
+// settle ends the wait for a save.
+func (s *store) settle(key Key) {
+	if p, ok := s.pending[key]; ok {
+		s.reserved -= p.tokens
+		delete(s.pending, key)
+	}
+}
+
+func (s *store) fresh(now time.Time) bool {
+	return !s.readAt.IsZero() && now.Sub(s.readAt) < FreshFor
+}
+
+// holds reports whether the whole part may be fetched from the store.
+func (s *store) holds(key Key, tokens int, now time.Time) bool {
+	return s.whole[key] >= tokens && s.fresh(now)
+}
+
+// Fetchable returns how many leading tokens of the prompt the stores hold. It costs no allocation.
+func (c *Catalogue) Fetchable(salt string, parts []Part, now time.Time) int {
+	tokens := 0
+	for _, p := range parts {
+		if c.source(Key{Salt: salt, ID: p.ID}, p.Tokens, "", now) == nil {
+			break
+		}
+		tokens += p.Tokens
+	}
+	return tokens
+}
+
+// Plan decides what a request that runs in domain fetches and saves, and remembers its saves.
+func (c *Catalogue) Plan(salt string, parts []Part, domain string, now time.Time) Plan {
+	plan := Plan{
+		Fetch: make([]string, len(parts)),
+		Save:  make([]string, len(parts)),
+		Until: now.Add(FetchFor),
+	}
+	leading := true
+	saveLast := c.lastReturns(parts)
+	for i, p := range parts {
+		key := Key{Salt: salt, ID: p.ID}
+		source := c.source(key, p.Tokens, domain, now)
+		leading = leading && source != nil
+		if leading {
+			plan.Fetch[i] = source.Address
+			plan.FetchTokens += p.Tokens
+			continue
+		}
+		plan.ReadTokens += p.Tokens
+		if source != nil || p.Tokens < minPartTokens || i == len(parts)-1 && !saveLast {
+			continue
+		}
+		if target := c.target(key, p.Tokens, domain, now); target != nil {
+			target.pending[key] = pendingSave{tokens: p.Tokens, at: now}
+			target.reserved += p.Tokens
+			plan.Save[i] = target.Address
+		}
+	}
+	return plan
+}
+
+// source returns the store to fetch a part from, or nil: the nearest, then the quickest.
+func (c *Catalogue) source(key Key, tokens int, domain string, now time.Time) *store {
+	var best *store
+	for _, s := range c.stores {
+		if s.holds(key, tokens, now) && (best == nil || s.cost(tokens, domain) < best.cost(tokens, domain)) {
+			best = s
+		}
+	}
+	return best
+}
+
+// distantFactor is how much longer a transfer between failure domains takes.
+const distantFactor = 2
+
+// cost estimates the time of a transfer, in milliseconds for tokens of the same size everywhere.
+func (s *store) cost(tokens int, domain string) float64 {
+	rate := max(s.LinkMbps, 1)
+	transfer := float64(tokens) * 1000 / rate
+	if s.FailureDomain != domain {
+		transfer *= distantFactor
+	}
+	return float64(s.FirstByte.Milliseconds()) + transfer
+}
+
+// target returns the store to save a part to, or nil. Quick stores in the same failure domain come
+// first; among equals the part's rank decides, so that gateways agree.
+func (c *Catalogue) target(key Key, tokens int, domain string, now time.Time) *store {
+	var best *store
+	var bestScore float64
+	for _, s := range c.stores {
+		if s.awaits(key, now) {
+			return nil
+		}
+		if !s.takes(tokens, now) {
+			continue
+		}
+		score := s.cost(tokens, domain) * (1 + rankSpread*s.rank(key))
+		if best == nil || score < bestScore {
+			best, bestScore = s, score
+		}
+	}
+	return best
+}
+
+// rankSpread lets the rank of a part outweigh differences in cost of up to as much, so that stores of
+// about the same cost share the parts.
+const rankSpread = 0.5
+
+// rank returns a number in [0, 1) on which all gateways agree.
+func (s *store) rank(key Key) float64 {
+	return float64(rendezvous.Weight(rendezvous.Hash(key.ID), rendezvous.Hash(s.Address))>>11) / (1 << 53)
+}
+
+// awaits reports whether the part is already on its way to the store.
+func (s *store) awaits(key Key, now time.Time) bool {
+	p, ok := s.pending[key]
+	if ok && now.Sub(p.at) > savePending {
+		s.settle(key)
+		return false
+	}
+	return ok
+}
+
+func (s *store) takes(tokens int, now time.Time) bool {
+	return s.Managed && s.fresh(now) && !now.Before(s.saveFrom) &&
+		float64(s.used+s.reserved+tokens) < fullShare*float64(s.CapacityTokens)
+}
+
+// lastReturns reports whether last parts of prompts come again, so that saving one pays, and
+// remembers this one.
+func (c *Catalogue) lastReturns(parts []Part) bool {
+	if len(parts) == 0 {
+		return false
+	}
+	id := parts[len(parts)-1].ID
+	c.lastSeen++
+	if _, again := c.lastParts[id]; again {
+		c.lastAgain++
+		return true
+	}
+	c.lastParts[id] = struct{}{}
+	c.lastOrder = append(c.lastOrder, id)
+	if len(c.lastOrder) > lastPartMemory {
+		delete(c.lastParts, c.lastOrder[0])
+		c.lastOrder = c.lastOrder[1:]
+	}
+	return false
+}
+
+// Expire gives up saves that were never reported, so that their space counts as free.
+func (c *Catalogue) Expire(now time.Time) {
+	for _, s := range c.stores {
+		for key := range s.pending {
+			s.awaits(key, now)
+		}
+	}
+}
+
+// Held is one part that a store holds.
+type Held struct {
+	Address string
+	Epoch   int64
+	Key     Key
+	Tokens  int
+}
+
+// Select returns the parts that lie whole in the stores and that match.
+func (c *Catalogue) Select(match func(Key) bool) []Held {
+	var found []Held
+	for _, s := range c.stores {
+		for key, tokens := range s.whole {
+			if match(key) {
+				found = append(found, Held{Address: s.Address, Epoch: s.epoch, Key: key, Tokens: tokens})
+			}
+		}
+	}
+	return found
+}
+
+// Forget drops parts that were freed before the store reports it.
+func (c *Catalogue) Forget(address string, keys []Key) {
+	s := c.find(address)
+	if s == nil {
+		return
+	}
+	for _, key := range keys {
+		s.apply(Change{Key: key, Removed: true})
+	}
+}
+
+// StoreState is what a dump shows of one store.
+type StoreState struct {
+	Address   string `json:"address"`
+	Epoch     int64  `json:"epoch"`
+	AgeMS     int64  `json:"age_ms"`
+	Parts     int    `json:"parts"`
+	Pending   int    `json:"pending"`
+	Used      int    `json:"used_tokens"`
+	Capacity  int    `json:"capacity_tokens"`
+	Available bool   `json:"available"`
+}
+
+// State returns what is known of each store.
+func (c *Catalogue) State(now time.Time) []StoreState {
+	states := make([]StoreState, len(c.stores))
+	for i, s := range c.stores {
+		states[i] = StoreState{
+			Address: s.Address, Epoch: s.epoch, AgeMS: now.Sub(s.readAt).Milliseconds(), Parts: len(s.whole),
+			Pending: len(s.pending), Used: s.used, Capacity: s.CapacityTokens, Available: s.fresh(now),
+		}
+	}
+	return states
+}
--- /dev/null
+++ b/internal/lease/errors.go
@@ -0,0 +1,15 @@
+package lease
+
+import "github.com/joomcode/errorx"
+
+var namespace = errorx.NewNamespace("lease")
+
+// Errors of the package.
+var (
+	// ErrHeld means that another process holds the lease.
+	ErrHeld = namespace.NewType("held")
+	// ErrLost means that the lease has lapsed.
+	ErrLost = namespace.NewType("lost")
+	// ErrUnavailable means that the metadata store could not be reached.
+	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
+)
--- a/internal/rollout/lease.go
+++ b/internal/lease/lease.go
@@ -1,4 +1,6 @@
-package rollout
+// Package lease holds a key of the metadata store by a lease, so that one process at a time does a duty.
+// The rollout of weights and the leader among the gateways use it.
+package lease
 
 import (
 	"context"
@@ -9,22 +11,23 @@
 	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
-const (
-	// keyPrefix and the name of a service make the lease key.
-	keyPrefix = "rollout/"
-	// leaseTTL is how long the lease outlives its holder.
-	leaseTTL = 6 * time.Second
-	// leaseMargin is taken off the lease's life by the holder's own clock.
-	leaseMargin = time.Second
-	// renewInterval is the time between two renewals.
-	renewInterval = 2 * time.Second
-	// serviceTimeout bounds one reading of the holder, acquireTimeout one try at the lease.
-	serviceTimeout = 4 * time.Second
-	acquireTimeout = leaseTTL - leaseMargin
-)
+// readTimeout bounds one reading of the holder.
+const readTimeout = 4 * time.Second
 
-// Key returns the lease key of a service.
-func Key(service string) string { return keyPrefix + service }
+// Options say which key a Lessor holds and how.
+type Options struct {
+	Key string
+	// Owner must be unique for each run of a process.
+	Owner string
+	// TTL is how long the lease outlives its holder.
+	TTL time.Duration
+	// Margin is taken off the lease's life by the holder's own clock.
+	Margin time.Duration
+	// RenewEvery is the time between two renewals.
+	RenewEvery time.Duration
+	// Clock defaults to time.Now. It must go on while the process is suspended where that can happen.
+	Clock func() time.Time
+}
 
 // Holding is a lease that this process holds.
 type Holding struct {
@@ -33,67 +36,68 @@
 	// Until is when the holder must stop unless the lease is renewed.
 	Until time.Time
 
-	lease     metastore.LeaseID
+	Lease     metastore.LeaseID
 	renewedAt time.Time
 }
 
-// Lessor acquires and renews the rollout lease of one service.
+// Lessor acquires and renews one lease.
 //
 // Invariant: Until is counted from before the call that granted or renewed the lease, so it lies
 // before the moment at which the service lets the lease lapse.
 type Lessor struct {
-	kv    metastore.KV
-	key   string
-	owner string
-	clock func() time.Time
+	kv metastore.KV
+	Options
 }
 
-// NewLessor returns a Lessor. Owner must be unique for each run of a process.
-func NewLessor(kv metastore.KV, service, owner string) *Lessor {
-	return &Lessor{kv: kv, key: Key(service), owner: owner, clock: time.Now}
+// New returns a Lessor.
+func New(kv metastore.KV, options Options) *Lessor {
+	if options.Clock == nil {
+		options.Clock = time.Now
+	}
+	return &Lessor{kv: kv, Options: options}
 }
 
 // Acquire tries once to become the holder. It returns ErrHeld when another process is.
 func (l *Lessor) Acquire(ctx context.Context) (Holding, error) {
-	ctx, cancel := context.WithTimeout(ctx, acquireTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.TTL-l.Margin)
 	defer cancel()
-	_, err := l.kv.Get(ctx, l.key)
+	_, err := l.kv.Get(ctx, l.Key)
 	if err == nil {
-		return Holding{}, ErrHeld.New("key %q exists", l.key)
+		return Holding{}, ErrHeld.New("key %q exists", l.Key)
 	}
 	if !errorx.IsOfType(err, metastore.ErrNotFound) {
-		return Holding{}, ErrUnavailable.Wrap(err, "key %q cannot be read", l.key)
+		return Holding{}, ErrUnavailable.Wrap(err, "key %q cannot be read", l.Key)
 	}
-	began := l.clock()
-	lease, err := l.kv.Grant(ctx, leaseTTL)
+	began := l.Clock()
+	lease, err := l.kv.Grant(ctx, l.TTL)
 	if err != nil {
-		return Holding{}, ErrUnavailable.Wrap(err, "no lease for key %q", l.key)
+		return Holding{}, ErrUnavailable.Wrap(err, "no lease for key %q", l.Key)
 	}
 	fence, err := l.create(ctx, lease)
 	if err != nil {
 		_ = l.kv.Revoke(ctx, lease)
 		return Holding{}, err
 	}
-	return Holding{Fence: fence, Until: validUntil(began), lease: lease, renewedAt: began}, nil
+	return Holding{Fence: fence, Until: l.validUntil(began), Lease: lease, renewedAt: began}, nil
 }
 
 // create creates the key and returns its create revision. A lost answer is resolved by reading.
 func (l *Lessor) create(ctx context.Context, lease metastore.LeaseID) (uint64, error) {
-	result, err := l.kv.CompareAndSwap(ctx, metastore.Swap{Key: l.key, Value: []byte(l.owner), Lease: lease})
+	result, err := l.kv.CompareAndSwap(ctx, metastore.Swap{Key: l.Key, Value: []byte(l.Owner), Lease: lease})
 	switch {
 	case err == nil && result.Swapped:
 		return uint64(result.Revision), nil
 	case err == nil:
-		return 0, ErrHeld.New("key %q was created by %q", l.key, result.Current.Value)
+		return 0, ErrHeld.New("key %q was created by %q", l.Key, result.Current.Value)
 	case !errorx.IsOfType(err, metastore.ErrOutcomeUnknown):
-		return 0, ErrUnavailable.Wrap(err, "key %q cannot be created", l.key)
+		return 0, ErrUnavailable.Wrap(err, "key %q cannot be created", l.Key)
 	}
-	record, err := l.kv.Get(ctx, l.key)
+	record, err := l.kv.Get(ctx, l.Key)
 	if err != nil {
-		return 0, ErrUnavailable.Wrap(err, "key %q cannot be read", l.key)
+		return 0, ErrUnavailable.Wrap(err, "key %q cannot be read", l.Key)
 	}
-	if string(record.Value) != l.owner || record.Lease != lease {
-		return 0, ErrHeld.New("key %q was created by %q", l.key, record.Value)
+	if string(record.Value) != l.Owner || record.Lease != lease {
+		return 0, ErrHeld.New("key %q was created by %q", l.Key, record.Value)
 	}
 	return uint64(record.CreateRevision), nil
 }
@@ -101,48 +105,48 @@
 // Renew prolongs a holding when that is due. It returns ErrLost when the lease has lapsed. While
 // the service cannot be reached the holding stays as it is, until it ends by the holder's clock.
 func (l *Lessor) Renew(ctx context.Context, holding Holding) (Holding, error) {
-	began := l.clock()
+	began := l.Clock()
 	if !began.Before(holding.Until) {
-		return Holding{}, ErrLost.New("key %q: the lease ended before it was renewed", l.key)
+		return Holding{}, ErrLost.New("key %q: the lease ended before it was renewed", l.Key)
 	}
-	if began.Sub(holding.renewedAt) < renewInterval {
+	if began.Sub(holding.renewedAt) < l.RenewEvery {
 		return holding, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, holding.Until.Sub(began))
 	defer cancel()
-	err := l.kv.KeepAlive(ctx, holding.lease)
+	err := l.kv.KeepAlive(ctx, holding.Lease)
 	if errorx.IsOfType(err, metastore.ErrLeaseNotFound) {
-		return Holding{}, ErrLost.Wrap(err, "key %q", l.key)
+		return Holding{}, ErrLost.Wrap(err, "key %q", l.Key)
 	}
 	if err == nil {
 		holding.renewedAt = began
-		holding.Until = validUntil(began)
+		holding.Until = l.validUntil(began)
 	}
-	if !l.clock().Before(holding.Until) {
-		return Holding{}, ErrLost.New("key %q: the lease ended while it was renewed", l.key)
+	if !l.Clock().Before(holding.Until) {
+		return Holding{}, ErrLost.New("key %q: the lease ended while it was renewed", l.Key)
 	}
 	return holding, nil
 }
 
 // Release gives a holding up.
 func (l *Lessor) Release(ctx context.Context, holding Holding) {
-	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	_ = l.kv.Revoke(ctx, holding.lease)
+	_ = l.kv.Revoke(ctx, holding.Lease)
 }
 
-// ReadHolder returns the current holder's fencing number, 0 when there is none.
-func ReadHolder(ctx context.Context, kv metastore.KV, service string) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, serviceTimeout)
+// ReadHolder returns the fencing number of the key's present holder, 0 when there is none.
+func ReadHolder(ctx context.Context, kv metastore.KV, key string) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	record, err := kv.Get(ctx, Key(service))
+	record, err := kv.Get(ctx, key)
 	if errorx.IsOfType(err, metastore.ErrNotFound) {
 		return 0, nil
 	}
 	if err != nil {
-		return 0, ErrUnavailable.Wrap(err, "holder of %q cannot be read", service)
+		return 0, ErrUnavailable.Wrap(err, "holder of %q cannot be read", key)
 	}
 	return uint64(record.CreateRevision), nil
 }
 
-func validUntil(granted time.Time) time.Time { return granted.Add(leaseTTL - leaseMargin) }
+func (l *Lessor) validUntil(granted time.Time) time.Time { return granted.Add(l.TTL - l.Margin) }
--- a/internal/metastore/errors.go
+++ b/internal/metastore/errors.go
@@ -14,6 +14,8 @@
 	ErrOutcomeUnknown = namespace.NewType("outcome_unknown")
 	// ErrLeaseNotFound means that a lease has lapsed or was revoked.
 	ErrLeaseNotFound = namespace.NewType("lease_not_found", errorx.NotFound())
+	// ErrCompacted means that the history after a revision is no longer available.
+	ErrCompacted = namespace.NewType("compacted")
 	// ErrInvalid means that the service refused a call as malformed.
 	ErrInvalid = namespace.NewType("invalid")
 )
--- /dev/null
+++ b/internal/metastore/memkv/follow.go
@@ -0,0 +1,66 @@
+package memkv
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/metastore"
+)
+
+var _ metastore.Follower = (*Store)(nil)
+
+// Snapshot implements metastore.Follower.
+func (s *Store) Snapshot(ctx context.Context, prefix string) (metastore.Listing, error) {
+	revision := s.Revision()
+	records, err := s.List(ctx, prefix)
+	return metastore.Listing{Records: records, Revision: revision}, err
+}
+
+// Changes implements metastore.Follower.
+func (s *Store) Changes(ctx context.Context, prefix string, from metastore.Revision, wait time.Duration) (metastore.Changes, error) {
+	if err := s.enter(ctx, func(c *Calls) { c.Watch++ }); err != nil {
+		return metastore.Changes{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		s.mu.Lock()
+		found, changed, lost := s.after(prefix, from), s.changed, s.lost
+		compacted := from < s.compacted
+		s.mu.Unlock()
+		if compacted {
+			return metastore.Changes{}, metastore.ErrCompacted.New("history after revision %d", from)
+		}
+		if len(found.Events) > 0 {
+			return found, nil
+		}
+		select {
+		case <-changed:
+		case <-lost:
+			return metastore.Changes{}, metastore.ErrUnavailable.New("the service went down")
+		case <-ctx.Done():
+			return found, nil
+		}
+	}
+}
+
+// after returns the changes under prefix after a revision. The mutex is held.
+func (s *Store) after(prefix string, from metastore.Revision) metastore.Changes {
+	found := metastore.Changes{Revision: max(from, s.revision)}
+	first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Record.ModRevision > from })
+	for _, event := range s.log[first:] {
+		if strings.HasPrefix(event.Record.Key, prefix) {
+			found.Events = append(found.Events, event)
+		}
+	}
+	return found
+}
+
+// Compact makes the service forget its history so far.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+}
--- a/internal/metastore/memkv/store.go
+++ b/internal/metastore/memkv/store.go
@@ -53,8 +53,9 @@
 	records   map[string]metastore.Record
 	revision  metastore.Revision
 	log       []metastore.Event
-	changed   chan struct{} // closed and replaced after each change
-	lost      chan struct{} // closed while the service is down
+	compacted metastore.Revision // Changes from before it are refused
+	changed   chan struct{}      // closed and replaced after each change
+	lost      chan struct{}      // closed while the service is down
 	leases    map[metastore.LeaseID]*lease
 	lastLease metastore.LeaseID
 	faults    Faults
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -72,6 +72,29 @@
 	Watch(ctx context.Context, prefix string, from Revision) (<-chan Event, error)
 }
 
+// Listing is what lies under a prefix as of Revision. The store reads it page by page: records may be
+// newer than Revision.
+type Listing struct {
+	Records  []Record
+	Revision Revision
+}
+
+// Changes are the changes under a prefix up to Revision, oldest first.
+type Changes struct {
+	Events   []Event
+	Revision Revision
+}
+
+// Follower reads a prefix and then its changes, call by call, so that the caller sees how old what it
+// knows is. All errors but ErrCompacted are ErrUnavailable.
+type Follower interface {
+	// Snapshot returns everything under prefix.
+	Snapshot(ctx context.Context, prefix string) (Listing, error)
+	// Changes returns the changes after revision from, waiting up to wait for the first. It returns
+	// ErrCompacted when the service has dropped that history; the caller then takes a new Snapshot.
+	Changes(ctx context.Context, prefix string, from Revision, wait time.Duration) (Changes, error)
+}
+
 // Role is what an instance runs.
 type Role string
 
--- /dev/null
+++ b/internal/peers/link.go
@@ -0,0 +1,90 @@
+package peers
+
+import (
+	"net"
+
+	"github.com/joomcode/errorx"
+	"github.com/panjf2000/gnet/v2"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+var namespace = errorx.NewNamespace("peers")
+
+// ErrLink means that the address for beats can't be used.
+var ErrLink = namespace.NewType("link")
+
+// Link sends and receives beats. Receiving runs on gnet's event loop.
+type Link struct {
+	gnet.BuiltinEventEngine
+	receive func(*wire.Beat)
+	out     *net.UDPConn
+	engine  gnet.Engine
+	booted  chan struct{}
+}
+
+// Listen opens the Link on address, an ip:port. Each beat that arrives is handed to receive, which must
+// not block.
+func Listen(address string, receive func(*wire.Beat)) (*Link, error) {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, ErrLink.Wrap(err, "address %q", address)
+	}
+	out, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(host)})
+	if err != nil {
+		return nil, ErrLink.Wrap(err, "address %q", address)
+	}
+	l := &Link{receive: receive, out: out, booted: make(chan struct{})}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Run(l, "udp4://"+address, gnet.WithLogger(zap.NewNop().Sugar()), gnet.WithReuseAddr(true))
+	}()
+	select {
+	case <-l.booted:
+		return l, nil
+	case err := <-failed:
+		_ = out.Close()
+		return nil, ErrLink.Wrap(err, "listen on %q", address)
+	}
+}
+
+// OnBoot implements gnet.EventHandler.
+func (l *Link) OnBoot(engine gnet.Engine) gnet.Action {
+	l.engine = engine
+	close(l.booted)
+	return gnet.None
+}
+
+// OnTraffic implements gnet.EventHandler.
+func (l *Link) OnTraffic(c gnet.Conn) gnet.Action {
+	datagram, err := c.Next(-1)
+	if err != nil {
+		return gnet.None
+	}
+	beat := &wire.Beat{}
+	// A datagram that isn't a beat is not from a gateway.
+	if proto.Unmarshal(datagram, beat) == nil {
+		l.receive(beat)
+	}
+	return gnet.None
+}
+
+// Send sends one beat to each address. A datagram that is lost is made up for by the next.
+func (l *Link) Send(beat *wire.Beat, addresses []string) error {
+	datagram, err := proto.Marshal(beat)
+	if err != nil {
+		return ErrLink.Wrap(err, "beat")
+	}
+	for _, address := range addresses {
+		to, err := net.ResolveUDPAddr("udp4", address)
+		if err != nil {
+			return ErrLink.Wrap(err, "address %q", address)
+		}
+		if _, err := l.out.WriteToUDP(datagram, to); err != nil {
+			return ErrLink.Wrap(err, "send to %q", address)
+		}
+	}
+	return nil
+}
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/lease"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -59,7 +60,7 @@
 // Driver campaigns for the rollout lease of one service and, while it holds it, drives the rollout.
 type Driver struct {
 	options Options
-	lessor  *Lessor
+	lessor  *lease.Lessor
 	answers chan func(*Session)
 	state   atomic.Pointer[State]
 	// refreshed is when the session last took the members.
@@ -97,16 +98,16 @@
 }
 
 // campaign tries once to become the holder when this process is a candidate.
-func (d *Driver) campaign(ctx context.Context) (Holding, bool) {
+func (d *Driver) campaign(ctx context.Context) (lease.Holding, bool) {
 	if !isCandidate(d.options.Service, d.options.Instance, d.options.Members()) {
-		return Holding{}, false
+		return lease.Holding{}, false
 	}
 	holding, err := d.lessor.Acquire(ctx)
 	if err != nil {
-		if !errorx.IsOfType(err, ErrHeld) {
+		if !errorx.IsOfType(err, lease.ErrHeld) {
 			d.options.Logger.Debug("rollout lease not acquired", zap.Error(err))
 		}
-		return Holding{}, false
+		return lease.Holding{}, false
 	}
 	d.options.Logger.Info("rollout lease acquired", zap.Uint64("fence", holding.Fence))
 	return holding, true
@@ -126,7 +127,7 @@
 }
 
 // drive runs one holding until it is lost or ctx ends.
-func (d *Driver) drive(ctx context.Context, holding Holding) {
+func (d *Driver) drive(ctx context.Context, holding lease.Holding) {
 	calls, cancel := context.WithCancel(ctx)
 	defer cancel()
 	session := NewSession(holding.Fence, d.options.LongestLoad, time.Now())
@@ -155,7 +156,7 @@
 
 // step makes the calls that are due. The lease was valid a moment ago; what has changed since is
 // the business of the replicas' gates.
-func (d *Driver) step(ctx context.Context, session *Session, holding Holding) {
+func (d *Driver) step(ctx context.Context, session *Session, holding lease.Holding) {
 	now := time.Now()
 	target, ok := d.options.Target()
 	if !ok {
--- a/internal/rollout/errors.go
+++ b/internal/rollout/errors.go
@@ -6,10 +6,6 @@
 
 // Errors of the package.
 var (
-	// ErrHeld means that another process holds the lease.
-	ErrHeld = namespace.NewType("held")
-	// ErrLost means that the lease has lapsed.
-	ErrLost = namespace.NewType("lost")
 	// ErrUnavailable means that the key-value service or a replica could not be reached.
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
 	// ErrRefused means that the backend server refused an order and did not carry it out.
--- a/internal/rollout/lease_test.go
+++ b/internal/rollout/lease_test.go
@@ -8,13 +8,14 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
 
+	"balsamyoke.example/balsamyoke/internal/lease"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 )
 
-func newLessor(kv metastore.KV, owner string, now *time.Time) *Lessor {
+func newLessor(kv metastore.KV, owner string, now *time.Time) *lease.Lessor {
 	lessor := NewLessor(kv, "assistant", owner)
-	lessor.clock = func() time.Time { return *now }
+	lessor.Clock = func() time.Time { return *now }
 	return lessor
 }
 
@@ -29,18 +30,18 @@
 	holding, err := first.Acquire(ctx)
 	c.Assert(err, qt.IsNil)
 	_, err = second.Acquire(ctx)
-	c.Assert(errorx.IsOfType(err, ErrHeld), qt.IsTrue)
+	c.Assert(errorx.IsOfType(err, lease.ErrHeld), qt.IsTrue)
 	named, err := ReadHolder(ctx, kv, "assistant")
 	c.Assert(err, qt.IsNil)
 	c.Assert(named, qt.Equals, holding.Fence)
 
-	kv.Expire(holding.lease)
+	kv.Expire(holding.Lease)
 	named, err = ReadHolder(ctx, kv, "assistant")
 	c.Assert(err, qt.IsNil)
 	c.Assert(named, qt.Equals, uint64(0))
 	now = now.Add(renewInterval)
 	_, err = first.Renew(ctx, holding)
-	c.Assert(errorx.IsOfType(err, ErrLost), qt.IsTrue)
+	c.Assert(errorx.IsOfType(err, lease.ErrLost), qt.IsTrue)
 	next, err := second.Acquire(ctx)
 	c.Assert(err, qt.IsNil)
 	c.Assert(next.Fence > holding.Fence, qt.IsTrue)
@@ -69,7 +70,7 @@
 	c.Assert(kept.Until, qt.Equals, renewed.Until)
 	now = renewed.Until
 	_, err = lessor.Renew(ctx, kept)
-	c.Assert(errorx.IsOfType(err, ErrLost), qt.IsTrue)
+	c.Assert(errorx.IsOfType(err, lease.ErrLost), qt.IsTrue)
 }
 
 func TestLostAnswerOfTheCreationIsResolvedByReading(t *testing.T) {
