Move prompts to new weights in a fixed order; retire and free old cached parts in step

Cause: after a weight version is named the stores stay full of parts that few engines can use, and a prompt bounces between old and new weights, computed on both.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -51,9 +51,14 @@
 	Tokens int
 	// Predicted is the expected time to the first byte.
 	Predicted time.Duration
+	// Compute is the part of it that the engine needs; the rest is fetching.
+	Compute time.Duration
 	// Score is what the server was picked by, in milliseconds, and Candidates how many there were.
 	Score      float64
 	Candidates int
+	// Alone tells that no other prompt was waiting at the server, so that the time to the first byte
+	// shows what this one took.
+	Alone bool
 }
 
 // Reason says why no server was picked.
@@ -213,6 +218,18 @@
 // SetNamed takes the newest weight version that the operator has named for a model.
 func (d *Dispatcher) SetNamed(model string, version int64) {
 	d.named[model] = max(d.named[model], version)
+	d.catalogue.SetNewest(model, version)
+}
+
+// oldest returns the oldest weight version that a server has of the model; 0 when none has it.
+func (d *Dispatcher) oldest(model string) int64 {
+	var oldest int64
+	for _, s := range d.servers {
+		if v := s.version[model]; v > 0 && (oldest == 0 || v < oldest) {
+			oldest = v
+		}
+	}
+	return oldest
 }
 
 // SetVersion takes a server's weight version from an answer, a report or another gateway. Versions of
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -18,7 +18,8 @@
 	learn = 0.05
 	// slownessLearn is the weight of one request in a server's slowness, and slownessLimit bounds it.
 	slownessLearn = 0.1
-	slownessLimit = 8.0
+	slownessLimit = 3.0
+	slownessLeast = 0.7
 	// minLearnTokens is the least number of computed tokens that tells the time of one.
 	minLearnTokens = 1000
 )
@@ -58,16 +59,20 @@
 	}
 	s.tokens = max(0, s.tokens-p.Tokens)
 	s.answered(now)
-	predicted := p.Predicted.Seconds()
-	if predicted <= 0 {
+	if group := d.services[s.Service]; group != nil && p.Alone {
+		group.learn(p, took)
+	}
+	if p.Plan != nil && p.Plan.FetchTokens > minLearnTokens {
+		waited := float64(took-p.Compute)/float64(time.Millisecond) - p.Plan.TransferMS
+		d.catalogue.Fetched(p.Plan, waited, now)
 		return
 	}
-	ratio := min(took.Seconds()/predicted, slownessLimit)
-	s.slowness += slownessLearn * (ratio*s.slowness - s.slowness)
-	s.slowness = min(max(s.slowness, 0.5), slownessLimit)
-	if group := d.services[s.Service]; group != nil {
-		group.learn(p, took)
+	if p.Predicted <= 0 {
+		return
 	}
+	ratio := min(took.Seconds()/p.Predicted.Seconds(), slownessLimit)
+	s.slowness += slownessLearn * (ratio*s.slowness - s.slowness)
+	s.slowness = min(max(s.slowness, slownessLeast), slownessLimit)
 }
 
 // learn adjusts the times that predictions are made from.
@@ -80,7 +85,7 @@
 	if p.Tokens < minLearnTokens {
 		return
 	}
-	perToken := max(0, ms-firstTokenMS) / float64(p.Tokens)
+	perToken := max(0, ms-firstTokenMS-p.Plan.FetchMS) / float64(p.Tokens)
 	g.tokenMS += learn * (min(perToken, 4*g.tokenMS) - g.tokenMS)
 }
 
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,11 +2,10 @@
 
 import (
 	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/backend"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
 )
 
 const (
@@ -18,11 +17,15 @@
 	// runningMS is what each running request adds to the time of a first token: it takes its share of
 	// each step of the batch.
 	runningMS = 0.8
-	// fetchShare is the time to fetch a token from a store, as a share of the time to compute it.
-	fetchShare = 0.15
+	// fetchWithin is the share of the target latency within which cached parts are fetched even if
+	// computing them would be quicker: computing takes the engine away from other requests.
+	fetchWithin = 0.9
 	// distantShare is the share of the target latency that a server in another failure domain costs
 	// besides: traffic between failure domains is slower and charged.
 	distantShare = 0.15
+	// movesShare is the share of the target latency that it costs to take a prompt to other weights before
+	// its turn, or to keep it back.
+	movesShare = 0.25
 	// suspectMS is what a server costs whose suspicion is over but that has not answered since.
 	suspectMS = 400.0
 	// coldMS is what a server costs that is slow after its start.
@@ -59,43 +62,29 @@
 		Server: best.ID, Address: best.Address, Domain: best.FailureDomain,
 		Score: score, Candidates: candidates,
 	}
+	p.Alone = best.tokens+best.others.Tokens == 0 && (r.Model != "" || best.running+best.others.Running < best.Slots)
 	d.health.Allow(now, best.ID)
-	p.Predicted = time.Duration(d.predict(now, r, group, best) * float64(time.Millisecond))
 	if r.Model != "" {
-		d.plan(now, r, best, &p)
+		d.plan(now, r, group, best, &p)
+	} else {
+		p.Predicted = milliseconds(d.predict(now, r, group, best))
 	}
 	return p, nil
 }
 
 // plan adds the weight version and the KV cache to a placement.
-func (d *Dispatcher) plan(now time.Time, r *Request, s *server, p *Placement) {
+func (d *Dispatcher) plan(now time.Time, r *Request, group *service, s *server, p *Placement) {
+	times := d.engineTimes(now, r, group, s, d.running(now, s))
+	p.Predicted, p.Compute = milliseconds(times.ms()), milliseconds(times.compute)
 	p.Version = s.version[r.Model]
-	p.Salt = d.cachedAt(now, r, p.Version).salt
-	plan := d.catalogue.Plan(p.Salt, r.Parts, s.FailureDomain, now)
+	p.Salt = d.cachedAt(now, r, p.Version, s.FailureDomain).salt
+	g := kvcache.Generation{Model: r.Model, Version: p.Version}
+	plan := d.catalogue.Plan(g, p.Salt, r.Parts, s.FailureDomain, times.fetches, now)
 	p.Plan = &plan
 	p.Tokens = max(1, r.PromptTokens-plan.FetchTokens)
 	d.recent.add(p.Salt, r.Parts, s.ID, now)
 }
 
-// Salt keeps KV cache apart by model, weight version and wall.
-func Salt(model string, version int64, wall string) string {
-	return model + "." + strconv.FormatInt(version, 10) + "." + wall
-}
-
-// VersionOf returns the weight version in a salt of the model.
-func VersionOf(salt, model string) (version int64, ok bool) {
-	rest, ok := strings.CutPrefix(salt, model+".")
-	if !ok {
-		return 0, false
-	}
-	number, _, ok := strings.Cut(rest, ".")
-	if !ok {
-		return 0, false
-	}
-	version, err := strconv.ParseInt(number, 10, 64)
-	return version, err == nil
-}
-
 // pick returns the usable server with the lowest score. When relaxed, servers that are only believed
 // to be bad are usable too.
 func (d *Dispatcher) pick(now time.Time, r *Request, group *service, relaxed bool) (best *server, score float64, candidates int) {
@@ -144,49 +133,108 @@
 	if s.suspected > 0 {
 		cost += suspectMS
 	}
+	if d.moves(r, s) {
+		cost += movesShare * float64(r.Target.Milliseconds())
+	}
 	if s.Cold > 0 {
 		cost += coldMS
 	}
 	return cost + d.rng.Float64()
 }
 
-// predict returns the expected time to the first byte at the server, in milliseconds.
-func (d *Dispatcher) predict(now time.Time, r *Request, group *service, s *server) float64 {
+// running returns how many requests the server is believed to hold.
+func (d *Dispatcher) running(now time.Time, s *server) int {
 	running := s.running + s.others.Running
 	if now.Sub(s.loadAt) < loadFresh {
 		running = max(running, s.load.Running+s.load.Waiting)
 	}
+	return running
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// moves reports whether the prompt would change its weight version against the order of the rollout:
+// prompts move to the new weights in the order in which their parts retire, so that each one is
+// computed once for the new weights and found there when it returns.
+func (d *Dispatcher) moves(r *Request, s *server) bool {
+	part := sharedPart(r.Parts)
+	if part == "" {
+		return false
+	}
+	newest := d.named[r.Model]
+	version := s.version[r.Model]
+	if version >= newest {
+		before := kvcache.Generation{Model: r.Model, Version: d.oldest(r.Model)}
+		return before.Version < newest && kvcache.ShareOf(part) >= d.catalogue.Retired()[before]
+	}
+	return kvcache.ShareOf(part) < d.catalogue.Retired()[kvcache.Generation{Model: r.Model, Version: version}]
+}
+
+// predict returns the expected time to the first byte at the server, in milliseconds.
+func (d *Dispatcher) predict(now time.Time, r *Request, group *service, s *server) float64 {
+	running := d.running(now, s)
 	if r.Model == "" {
 		waiting := max(0, running+1-s.Slots)
 		return s.slowness * group.workMS * (1 + float64(waiting)/float64(max(1, s.Slots)) + 0.1*float64(running)/float64(max(1, s.Slots)))
 	}
-	cached := d.cachedAt(now, r, s.version[r.Model])
-	read := max(0, r.PromptTokens-cached.tokens)
-	fetch := fetchShare * float64(cached.tokens)
+	t := d.engineTimes(now, r, group, s, running)
+	return t.ms()
+}
+
+// engineTimes are the parts of a predicted time to the first token, in milliseconds.
+type engineTimes struct {
+	// compute is the time that the engine needs, before others and for this prompt.
+	compute float64
+	// fetch is the time of the fetches; they go on while others are computed.
+	fetch float64
+	// fetches tells that cached parts are fetched rather than computed.
+	fetches bool
+}
+
+func (t *engineTimes) ms() float64 { return t.compute + t.fetch }
+
+// engineTimes predicts the time to the first token at an engine, with the better of fetching and
+// computing the cached parts of the prompt.
+func (d *Dispatcher) engineTimes(now time.Time, r *Request, group *service, s *server, running int) engineTimes {
+	cached := d.cachedAt(now, r, s.version[r.Model], s.FailureDomain)
+	ahead := firstTokenMS + float64(s.tokens+s.others.Tokens)*group.tokenMS + float64(running)*runningMS
+	read := float64(max(0, r.PromptTokens-cached.Tokens)) * group.tokenMS
+	fetch := cached.MS
 	if d.recent.at(cached.salt, r.Parts, s.ID, now) {
-		fetch -= recentShare * fetch
-		read = min(read, r.PromptTokens-sharedTokens(r))
+		own := float64(r.PromptTokens-sharedTokens(r)) * group.tokenMS
+		read, fetch = min(read, own), fetch*(1-recentShare)
+	}
+	t := engineTimes{compute: s.slowness * (ahead + read), fetch: fetch, fetches: true}
+	target := fetchWithin * float64(r.Target.Milliseconds())
+	if t.ms() <= target {
+		return t
+	}
+	whole := engineTimes{compute: s.slowness * (ahead + float64(r.PromptTokens)*group.tokenMS)}
+	if whole.ms() <= target {
+		return whole
 	}
-	tokens := float64(s.tokens+s.others.Tokens+read) + fetch
-	return s.slowness * (firstTokenMS + tokens*group.tokenMS + float64(running)*runningMS)
+	return t
 }
 
-// cachedPrompt is what the stores hold of the request being placed, for one weight version.
+// cachedPrompt is what the stores hold of the request being placed, for one weight version and
+// failure domain.
 type cachedPrompt struct {
+	kvcache.Estimate
 	version int64
+	domain  string
 	salt    string
-	tokens  int
 }
 
-// cachedAt looks the prompt up once for each weight version that the servers have.
-func (d *Dispatcher) cachedAt(now time.Time, r *Request, version int64) cachedPrompt {
+// cachedAt looks the prompt up once for each weight version and failure domain of the servers.
+func (d *Dispatcher) cachedAt(now time.Time, r *Request, version int64, domain string) cachedPrompt {
 	for _, c := range d.cached {
-		if c.version == version {
+		if c.version == version && c.domain == domain {
 			return c
 		}
 	}
-	c := cachedPrompt{version: version, salt: Salt(r.Model, version, r.Wall)}
-	c.tokens = d.catalogue.Fetchable(c.salt, r.Parts, now)
+	g := kvcache.Generation{Model: r.Model, Version: version}
+	c := cachedPrompt{version: version, domain: domain, salt: kvcache.Salt(g, r.Wall)}
+	c.Estimate = d.catalogue.Estimate(g, c.salt, r.Parts, domain, now)
 	d.cached = append(d.cached, c)
 	return c
 }
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -11,6 +11,7 @@
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -84,6 +85,9 @@
 	for id, load := range f.dispatcher.Loads() {
 		beat.Loads = append(beat.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), Tokens: uint32(load.Tokens)})
 	}
+	for g, share := range f.catalogue.Retired() {
+		beat.Retired = append(beat.Retired, &wire.RetiredShare{Model: g.Model, Version: g.Version, Thousandths: uint32(share)})
+	}
 	if f.lead.fence > 0 {
 		beat.Versions = f.knownVersions(now)
 	}
@@ -129,6 +133,9 @@
 		f.Counters.Peers.Update(float64(live))
 	}
 	f.touched(now)
+	for _, r := range beat.GetRetired() {
+		f.catalogue.Retire(kvcache.Generation{Model: r.GetModel(), Version: r.GetVersion()}, int(r.GetThousandths()))
+	}
 	loads := make(map[string]dispatch.PeerLoad, len(beat.GetLoads()))
 	for _, l := range beat.GetLoads() {
 		loads[l.GetServer()] = dispatch.PeerLoad{Running: int(l.GetRunning()), Tokens: int(l.GetTokens())}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,7 +114,10 @@
 	return bootclock.Now().Sub(time.Unix(0, at))
 }
 
-func (f *Fleet) touched(now time.Time) { f.contact.Store(now.UnixNano()) }
+func (f *Fleet) touched(now time.Time) {
+	f.contact.Store(now.UnixNano())
+	f.catalogue.Touch(now)
+}
 
 // Leave tells the other gateways that this one is about to stop and gives the leader lease up.
 func (f *Fleet) Leave() { f.leaving.Store(true) }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -135,7 +135,7 @@
 	}
 	f.table.Store(routing.NewTable(c))
 	f.dispatcher.SetServices(c.Services)
-	f.catalogue.SetStores(c.Stores)
+	f.catalogue.SetStores(c.Stores, tokenBytes(c.Services))
 	f.setFeeds(c.Stores)
 	f.serversTaken(now)
 	f.Counters.ConfigVersion.Update(float64(c.Version))
@@ -143,6 +143,16 @@
 		zap.Int("routes", len(c.Routes)), zap.Int("organisations", len(c.Organisations)), zap.String("outcome", "in_force"))
 }
 
+// tokenBytes returns the size of one token of KV cache; the engines that share stores agree on it.
+func tokenBytes(services []routing.Service) int {
+	for _, s := range services {
+		if s.Engine != nil {
+			return s.Engine.TokenBytes
+		}
+	}
+	return 0
+}
+
 // serversChanged takes changed registrations of backend servers.
 func (f *Fleet) serversChanged(keys []string, now time.Time) {
 	if len(keys) == 0 {
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -12,9 +12,9 @@
 
 	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/bootclock"
-	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/lease"
+	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
@@ -33,9 +33,14 @@
 	leaderHeard = 2 * time.Second
 	// stepTimeout bounds a report or an order.
 	stepTimeout = time.Second
-	// freeAfter is how long after the last engine has left a weight version its cached parts are freed:
-	// by then no gateway sends requests to engines that it believes to have it, and fetches have ended.
-	freeAfter = kvcache.FreshFor + kvcache.FetchFor + time.Second
+	// freeAfter is how long after every gateway knows that parts have retired they are freed: fetches that
+	// were planned before have ended, or were thrown away.
+	freeAfter = kvcache.FetchFor + 300*time.Millisecond
+	// freeEvery is the least time between two rounds of freeing.
+	freeEvery = 500 * time.Millisecond
+	// deafAfter is how long a gateway that this one doesn't hear is waited for. It has no right to fetch
+	// by then unless it hears other gateways, which pass the retired shares on.
+	deafAfter = kvcache.RightsFor + 2*time.Second
 )
 
 // leadership is what the leader keeps; the control goroutine owns it.
@@ -44,9 +49,16 @@
 	fence    int64
 	planner  *weights.Planner
 	withheld []string
-	// oldestAt is, by model, since when no engine has a version below oldest.
-	oldest   map[string]int64
-	oldestAt map[string]time.Time
+	// known are the retired shares that all gateways know, and ripe those whose parts may be freed.
+	known   map[kvcache.Generation]knownShare
+	ripe    map[kvcache.Generation]int
+	freedAt time.Time
+}
+
+// knownShare is a retired share that all gateways have known since a moment.
+type knownShare struct {
+	share int
+	since time.Time
 }
 
 // leadRun campaigns for the leader lease and does the leader's duties while it holds it.
@@ -94,10 +106,10 @@
 	ordersFrom := bootclock.Now().Add(f.LeaseTTL)
 	f.loop.Call(func() {
 		f.lead = leadership{
-			fence:    int64(holding.Fence),
-			planner:  weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
-			oldest:   make(map[string]int64),
-			oldestAt: make(map[string]time.Time),
+			fence:   int64(holding.Fence),
+			planner: weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
+			known:   make(map[kvcache.Generation]knownShare),
+			ripe:    make(map[kvcache.Generation]int),
 		}
 	})
 	var err error
@@ -170,36 +182,60 @@
 	return targets
 }
 
-// stale returns cached parts of weight versions that no engine has any more.
+// retire marks parts of earlier weight versions in step with the engines that have left them.
+func (f *Fleet) retire(now time.Time) {
+	for model, version := range f.dispatcher.Named() {
+		engines := f.dispatcher.Engines(model, now)
+		moved := 0
+		holds := make(map[int64]bool)
+		for _, e := range engines {
+			holds[e.Version] = true
+			if e.Version >= version {
+				moved++
+			}
+		}
+		for g := range f.catalogue.Generations(model) {
+			switch {
+			case g.Version >= version || len(engines) == 0:
+			case !holds[g.Version]:
+				f.catalogue.Retire(g, kvcache.WholeShare)
+			default:
+				f.catalogue.Retire(g, kvcache.WholeShare*moved/len(engines))
+			}
+		}
+	}
+}
+
+// stale returns the cached parts that may be freed now.
 func (f *Fleet) stale(now time.Time) []kvcache.Held {
-	var held []kvcache.Held
-	for model := range f.dispatcher.Named() {
-		oldest := oldestVersion(f.dispatcher.Engines(model, now))
-		if oldest == 0 {
-			continue
+	f.retire(now)
+	if now.Sub(f.lead.freedAt) < freeEvery {
+		return nil
+	}
+	f.lead.freedAt = now
+	for g, share := range f.catalogue.Retired() {
+		for _, member := range f.members.Within(now, deafAfter) {
+			share = min(share, retiredAt(member, g))
 		}
-		if oldest != f.lead.oldest[model] {
-			f.lead.oldest[model], f.lead.oldestAt[model] = oldest, now
+		known := f.lead.known[g]
+		if known.share > 0 && now.Sub(known.since) >= freeAfter {
+			f.lead.ripe[g] = known.share
 		}
-		if now.Sub(f.lead.oldestAt[model]) < freeAfter {
-			continue
+		if share > known.share && (known.share == 0 || f.lead.ripe[g] == known.share) {
+			f.lead.known[g] = knownShare{share: share, since: now}
 		}
-		held = append(held, f.catalogue.Select(func(key kvcache.Key) bool {
-			version, ok := dispatch.VersionOf(key.Salt, model)
-			return ok && version < oldest
-		})...)
 	}
-	return held
+	return f.catalogue.Freeable(f.lead.ripe)
 }
 
-func oldestVersion(engines []dispatch.EngineView) int64 {
-	var oldest int64
-	for _, e := range engines {
-		if oldest == 0 || e.Version < oldest {
-			oldest = e.Version
+// retiredAt returns the retired share of a generation that another gateway knows.
+func retiredAt(member *peers.Member, g kvcache.Generation) int {
+	for _, r := range member.Retired {
+		if r.GetModel() == g.Model && r.GetVersion() == g.Version {
+			return int(r.GetThousandths())
 		}
 	}
-	return oldest
+	return 0
 }
 
 // carryOut asks for a report or sends an order, and tells the planner what came of it.
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -7,6 +7,7 @@
 package kvcache
 
 import (
+	"math"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
@@ -71,6 +72,9 @@
 	// FetchTokens are the tokens that the sources hold, ReadTokens those that must be computed.
 	FetchTokens int
 	ReadTokens  int
+	// FetchMS is the expected time of the fetches, in milliseconds, TransferMS the part of it without waiting.
+	FetchMS    float64
+	TransferMS float64
 	// Until is when fetches are thrown away.
 	Until time.Time
 }
@@ -86,6 +90,9 @@
 	pending  map[Key]pendingSave
 	used     int
 	reserved int
+	// lagMS is how much longer than its transfer a fetch took lately: the wait for the store's link.
+	lagMS float64
+	lagAt time.Time
 }
 
 type pendingSave struct {
@@ -96,20 +103,33 @@
 // Catalogue is what one gateway knows of all stores. It is not safe for concurrent use.
 type Catalogue struct {
 	stores []*store
+	// tokenBytes is the size of one token of KV cache.
+	tokenBytes int
 	// lastParts remembers the last parts of recent prompts; recurring counts those that came again.
 	lastParts map[string]struct{}
 	lastOrder []string
 	lastSeen  int
 	lastAgain int
+	// newest is the newest named weight version by model, retired the retired share by generation.
+	newest  map[string]int64
+	retired map[Generation]int
+	// touchedAt is when the latest news came.
+	touchedAt time.Time
 }
 
 // New returns a Catalogue without stores.
 func New() *Catalogue {
-	return &Catalogue{lastParts: make(map[string]struct{})}
+	return &Catalogue{
+		lastParts: make(map[string]struct{}),
+		newest:    make(map[string]int64),
+		retired:   make(map[Generation]int),
+	}
 }
 
-// SetStores takes the stores of the configuration; what is known of those that stay is kept.
-func (c *Catalogue) SetStores(stores []routing.CacheStore) {
+// SetStores takes the stores of the configuration and the size of one token of KV cache, in bytes; what
+// is known of stores that stay is kept.
+func (c *Catalogue) SetStores(stores []routing.CacheStore, tokenBytes int) {
+	c.tokenBytes = max(1, tokenBytes)
 	kept := make([]*store, 0, len(stores))
 	for _, s := range stores {
 		known := c.find(s.Address)
@@ -204,38 +224,58 @@
 	return s.whole[key] >= tokens && s.fresh(now)
 }
 
-// Fetchable returns how many leading tokens of the prompt the stores hold. It costs no allocation.
-func (c *Catalogue) Fetchable(salt string, parts []Part, now time.Time) int {
-	tokens := 0
+// Estimate is what the stores hold of a prompt.
+type Estimate struct {
+	// Tokens are the leading tokens that can be fetched.
+	Tokens int
+	// MS is the expected time of the fetches, in milliseconds, TransferMS the part of it without waiting.
+	MS         float64
+	TransferMS float64
+}
+
+// Estimate returns what a request that runs in domain could fetch.
+func (c *Catalogue) Estimate(g Generation, salt string, parts []Part, domain string, now time.Time) Estimate {
+	var e Estimate
 	for _, p := range parts {
-		if c.source(Key{Salt: salt, ID: p.ID}, p.Tokens, "", now) == nil {
+		source := c.source(g, Key{Salt: salt, ID: p.ID}, p.Tokens, domain, now)
+		if source == nil {
 			break
 		}
-		tokens += p.Tokens
+		e.add(c, source, p.Tokens, domain, now)
 	}
-	return tokens
+	return e
+}
+
+func (e *Estimate) add(c *Catalogue, s *store, tokens int, domain string, now time.Time) {
+	transfer := c.transferMS(s, tokens, domain)
+	e.Tokens += tokens
+	e.TransferMS += transfer
+	e.MS += transfer + s.lag(now)
 }
 
-// Plan decides what a request that runs in domain fetches and saves, and remembers its saves.
-func (c *Catalogue) Plan(salt string, parts []Part, domain string, now time.Time) Plan {
+// Plan decides what a request that runs in domain saves, and what it fetches when it may fetch. It
+// remembers the saves.
+func (c *Catalogue) Plan(g Generation, salt string, parts []Part, domain string, fetch bool, now time.Time) Plan {
 	plan := Plan{
 		Fetch: make([]string, len(parts)),
 		Save:  make([]string, len(parts)),
 		Until: now.Add(FetchFor),
 	}
-	leading := true
+	leading := fetch
+	var estimate Estimate
 	saveLast := c.lastReturns(parts)
+	saves := !c.superseded(g)
 	for i, p := range parts {
 		key := Key{Salt: salt, ID: p.ID}
-		source := c.source(key, p.Tokens, domain, now)
+		source := c.source(g, key, p.Tokens, domain, now)
 		leading = leading && source != nil
 		if leading {
 			plan.Fetch[i] = source.Address
-			plan.FetchTokens += p.Tokens
+			estimate.add(c, source, p.Tokens, domain, now)
 			continue
 		}
 		plan.ReadTokens += p.Tokens
-		if source != nil || p.Tokens < minPartTokens || i == len(parts)-1 && !saveLast {
+		if source != nil || !saves || p.Tokens < minPartTokens || i == len(parts)-1 && !saveLast {
 			continue
 		}
 		if target := c.target(key, p.Tokens, domain, now); target != nil {
@@ -244,31 +284,73 @@
 			plan.Save[i] = target.Address
 		}
 	}
+	plan.FetchTokens, plan.FetchMS, plan.TransferMS = estimate.Tokens, estimate.MS, estimate.TransferMS
 	return plan
 }
 
-// source returns the store to fetch a part from, or nil: the nearest, then the quickest.
-func (c *Catalogue) source(key Key, tokens int, domain string, now time.Time) *store {
+// source returns the store to fetch a part from, or nil: the one that is expected to be the quickest.
+func (c *Catalogue) source(g Generation, key Key, tokens int, domain string, now time.Time) *store {
+	if !c.mayFetch(g, key.ID, tokens, now) {
+		return nil
+	}
 	var best *store
+	var bestMS float64
 	for _, s := range c.stores {
-		if s.holds(key, tokens, now) && (best == nil || s.cost(tokens, domain) < best.cost(tokens, domain)) {
-			best = s
+		if !s.holds(key, tokens, now) {
+			continue
+		}
+		ms := c.transferMS(s, tokens, domain) + s.lag(now)
+		if best == nil || ms < bestMS {
+			best, bestMS = s, ms
 		}
 	}
 	return best
 }
 
-// distantFactor is how much longer a transfer between failure domains takes.
-const distantFactor = 2
+const (
+	// distantFactor is how much longer a transfer between failure domains takes.
+	distantFactor = 2
+	// bitsPerMbpsMS is how many bits a link of one megabit a second carries in a millisecond.
+	bitsPerMbpsMS = 1000
+	bitsPerByte   = 8
+	// lagLearn is the weight of one fetch in what is learnt of a store's lag.
+	lagLearn = 0.15
+	// lagHalfLife is the time after which a lag that no fetch has confirmed counts half: a store that is
+	// avoided is tried again.
+	lagHalfLife = time.Second
+	// lagLimit bounds the lag: a transfer that would wait for longer isn't started.
+	lagLimit = 2000.0
+)
 
-// cost estimates the time of a transfer, in milliseconds for tokens of the same size everywhere.
-func (s *store) cost(tokens int, domain string) float64 {
-	rate := max(s.LinkMbps, 1)
-	transfer := float64(tokens) * 1000 / rate
+// transferMS returns the time of a transfer apart from waiting, in milliseconds.
+func (c *Catalogue) transferMS(s *store, tokens int, domain string) float64 {
+	ms := float64(tokens*c.tokenBytes*bitsPerByte) / (max(s.LinkMbps, 1) * bitsPerMbpsMS)
 	if s.FailureDomain != domain {
-		transfer *= distantFactor
+		ms *= distantFactor
+	}
+	return ms + float64(s.FirstByte)/float64(time.Millisecond)
+}
+
+// lag returns the expected wait for the store, in milliseconds.
+func (s *store) lag(now time.Time) float64 {
+	if s.lagMS == 0 {
+		return 0
+	}
+	return s.lagMS * math.Exp2(-float64(now.Sub(s.lagAt))/float64(lagHalfLife))
+}
+
+// Fetched takes how much longer than its transfers the fetches of a plan took, in milliseconds.
+func (c *Catalogue) Fetched(plan *Plan, waitedMS float64, now time.Time) {
+	waitedMS = min(max(waitedMS, 0), lagLimit)
+	for i, address := range plan.Fetch {
+		if address == "" || i > 0 && address == plan.Fetch[i-1] {
+			continue
+		}
+		if s := c.find(address); s != nil {
+			lag := s.lag(now)
+			s.lagMS, s.lagAt = lag+lagLearn*(waitedMS-lag), now
+		}
 	}
-	return float64(s.FirstByte.Milliseconds()) + transfer
 }
 
 // target returns the store to save a part to, or nil. Quick stores in the same failure domain come
@@ -283,7 +365,7 @@
 		if !s.takes(tokens, now) {
 			continue
 		}
-		score := s.cost(tokens, domain) * (1 + rankSpread*s.rank(key))
+		score := (c.transferMS(s, tokens, domain) + s.lag(now)) * (1 + rankSpread*s.rank(key))
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -354,11 +436,11 @@
 }
 
 // Select returns the parts that lie whole in the stores and that match.
-func (c *Catalogue) Select(match func(Key) bool) []Held {
+func (c *Catalogue) Select(match func(key Key, tokens int) bool) []Held {
 	var found []Held
 	for _, s := range c.stores {
 		for key, tokens := range s.whole {
-			if match(key) {
+			if match(key, tokens) {
 				found = append(found, Held{Address: s.Address, Epoch: s.epoch, Key: key, Tokens: tokens})
 			}
 		}
@@ -379,14 +461,15 @@
 
 // StoreState is what a dump shows of one store.
 type StoreState struct {
-	Address   string `json:"address"`
-	Epoch     int64  `json:"epoch"`
-	AgeMS     int64  `json:"age_ms"`
-	Parts     int    `json:"parts"`
-	Pending   int    `json:"pending"`
-	Used      int    `json:"used_tokens"`
-	Capacity  int    `json:"capacity_tokens"`
-	Available bool   `json:"available"`
+	Address   string  `json:"address"`
+	Epoch     int64   `json:"epoch"`
+	AgeMS     int64   `json:"age_ms"`
+	Parts     int     `json:"parts"`
+	Pending   int     `json:"pending"`
+	Used      int     `json:"used_tokens"`
+	Capacity  int     `json:"capacity_tokens"`
+	Available bool    `json:"available"`
+	LagMS     float64 `json:"lag_ms"`
 }
 
 // State returns what is known of each store.
@@ -395,7 +478,7 @@
 	for i, s := range c.stores {
 		states[i] = StoreState{
 			Address: s.Address, Epoch: s.epoch, AgeMS: now.Sub(s.readAt).Milliseconds(), Parts: len(s.whole),
-			Pending: len(s.pending), Used: s.used, Capacity: s.CapacityTokens, Available: s.fresh(now),
+			Pending: len(s.pending), Used: s.used, Capacity: s.CapacityTokens, Available: s.fresh(now), LagMS: s.lag(now),
 		}
 	}
 	return states
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,9 +19,9 @@
 	BeatEvery = 200 * time.Millisecond
 	// beatSpread is added for each gateway, so that the beats that one receives don't grow with their number.
 	beatSpread = 12 * time.Millisecond
-	// distantEvery is how many beats to other failure domains are left out: their gateways send few
-	// requests to this one's servers, and traffic between failure domains is charged.
-	distantEvery = 4
+	// distantShare is one beat to another failure domain for so many gateways: in large deployments the
+	// gateways of other domains send few requests to this one's servers, and their traffic is charged.
+	distantShare = 8
 	// SilentFor is how long a gateway may be silent before its load no longer counts: a few beats to
 	// another failure domain.
 	SilentFor = 2500 * time.Millisecond
@@ -43,8 +43,10 @@
 	incarnation uint64
 	sequence    uint64
 	Known       map[string]int64
-	Fence       int64
-	Leaving     bool
+	// Retired are the retired shares of cached parts that the gateway knows of.
+	Retired []*wire.RetiredShare
+	Fence   int64
+	Leaving bool
 }
 
 // Members is what one gateway knows of the others. It is not safe for concurrent use.
@@ -89,6 +91,7 @@
 	member.Peer = from
 	member.incarnation, member.sequence = beat.GetIncarnation(), beat.GetSequence()
 	member.HeardAt = now
+	member.Retired = beat.GetRetired()
 	member.Fence, member.Leaving = beat.GetFence(), beat.GetLeaving()
 	for _, k := range beat.GetKnown() {
 		member.Known[k.GetPrefix()] = max(member.Known[k.GetPrefix()], k.GetRevision())
@@ -110,6 +113,17 @@
 	return live
 }
 
+// Within returns the members that were heard from, or first heard of, no longer than d ago.
+func (m *Members) Within(now time.Time, d time.Duration) []*Member {
+	var found []*Member
+	for _, member := range m.members {
+		if now.Sub(member.HeardAt) <= d || now.Sub(member.addedAt) <= d {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
 // Expire forgets members that have been silent for long and returns those that fell silent since the
 // last call.
 func (m *Members) Expire(now time.Time, before time.Time) (silent []string) {
@@ -140,6 +154,7 @@
 // Receivers returns the addresses that get the next beat, and whether it introduces other gateways.
 func (m *Members) Receivers() (addresses []string, introduce bool) {
 	m.beats++
+	distantEvery := 1 + uint64(len(m.members)/distantShare)
 	for _, member := range m.members {
 		near := member.GetFailureDomain() == m.self.GetFailureDomain()
 		if near || member.HeardAt.IsZero() || m.beats%distantEvery == 0 {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -72,7 +72,9 @@
 	Slots int
 	// CacheTokens is the memory of one engine, in tokens of KV cache.
 	CacheTokens int
-	Models      []string
+	// TokenBytes is the size of one token of KV cache.
+	TokenBytes int
+	Models     []string
 }
 
 // Service is a group of backend servers that run the same requests.
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -36,7 +36,12 @@
 	// away: about the time to the end of a typical stream.
 	drainFor = 400 * time.Millisecond
 	// reportEvery is how often a loading engine is asked whether it is done. Loads take one second or more.
-	reportEvery = 300 * time.Millisecond
+	reportEvery = 200 * time.Millisecond
+	// drainLead is how long before a load is expected to end the next engine is drained.
+	drainLead = 600 * time.Millisecond
+	// firstLoadTime stands in until a load was seen, and loadLearn is the weight of each one seen.
+	firstLoadTime = 1500 * time.Millisecond
+	loadLearn     = 0.3
 	// retryAfter is how long an engine that could not be asked is left alone.
 	retryAfter = time.Second
 	// loadLimit is how long an engine may load before it counts as lost: several times the slowest load.
@@ -79,6 +84,8 @@
 	// asked tells that a step for this engine is being carried out.
 	asked  bool
 	nextAt time.Time
+	// orderedAt is when the order was sent.
+	orderedAt time.Time
 	// report is the latest; valid when reported is set.
 	report   backend.Report
 	reported bool
@@ -89,11 +96,13 @@
 	holder  string
 	fence   int64
 	engines map[string]*progress
+	// loadTime is how long a load takes from its order, as seen lately.
+	loadTime time.Duration
 }
 
 // NewPlanner returns a Planner for the holder of a lease.
 func NewPlanner(holder string, fence int64) *Planner {
-	return &Planner{holder: holder, fence: fence, engines: make(map[string]*progress)}
+	return &Planner{holder: holder, fence: fence, engines: make(map[string]*progress), loadTime: firstLoadTime}
 }
 
 // Next returns the steps to carry out now.
@@ -110,9 +119,10 @@
 	atOnce := max(1, int(float64(len(t.Engines))*loadShare+0.5))
 	loading := p.count(t, labelLoading)
 	withheld := p.count(t, labelWithheld)
+	ending := p.countEnding(now, t)
 	for i := range candidates(t) {
 		e := &t.Engines[i]
-		if withheld >= atOnce || withheld+loading >= 2*atOnce {
+		if withheld+loading-ending >= atOnce {
 			break
 		}
 		if p.choose(now, t, e) {
@@ -163,6 +173,17 @@
 	return n
 }
 
+// countEnding returns how many loads are expected to end within drainLead.
+func (p *Planner) countEnding(now time.Time, t *Target) int {
+	n := 0
+	for _, g := range p.engines {
+		if g.model == t.Model && rolloutChart.Label(g.machine.State()) == labelLoading && now.Sub(g.orderedAt) > p.loadTime-drainLead {
+			n++
+		}
+	}
+	return n
+}
+
 // choose begins the change of an engine that has older weights.
 func (p *Planner) choose(now time.Time, t *Target, e *Engine) bool {
 	if e.Version >= t.Version || e.Suspect || e.State == backend.Draining {
@@ -224,6 +245,7 @@
 		return nil, false
 	}
 	g.version = t.Version
+	g.orderedAt = now
 	p.fire(g, eventOrder, now)
 	g.asked = true
 	return &Step{Server: e.ID, Address: e.Address, Order: &Order{
@@ -273,6 +295,9 @@
 	case !ok:
 		p.retry(g, now)
 	case report.Versions[g.model] >= g.version && !report.Loading:
+		if g.machine.State() == stateLoading {
+			p.loadTime += time.Duration(loadLearn * float64(now.Sub(g.orderedAt)-p.loadTime))
+		}
 		p.fire(g, eventSettled, now)
 		return true
 	case g.machine.State() == stateDraining && report.Loading:
