--- a/cmd/balsam-gateway/main.go
+++ b/cmd/balsam-gateway/main.go
@@ -8,6 +8,8 @@
 
 import (
 	"os"
+	"os/signal"
+	"syscall"
 
 	"go.uber.org/zap"
 
@@ -35,5 +37,25 @@
 	ctx, stop := process.StopContext()
 	defer stop()
 	g := gateway.New(s, platform.Connect(s.Metastore), platform.Headers{}, log)
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go reload(hangups, g, log)
 	return g.Run(ctx)
 }
+
+// reload reads the settings again at each hangup. Settings that can't be used change nothing.
+func reload(hangups <-chan os.Signal, g *gateway.Gateway, log *eventlog.Log) {
+	for range hangups {
+		s := gateway.DefaultSettings()
+		err := settings.Load(program, os.Args[1:], &s)
+		if err == nil {
+			err = s.Check()
+		}
+		if err != nil {
+			log.Warn(gateway.EventReload, zap.Error(err), zap.String("outcome", "refused"))
+			continue
+		}
+		g.Reload(s)
+	}
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -121,9 +121,11 @@
 	catalogue *kvcache.Catalogue
 	budgets   map[string]*Budget
 	budget    BudgetConfig
-	named     map[string]int64
-	peers     map[string]map[string]PeerLoad
-	recent    recentParts
+	named     map[string]naming
+	// weightsWithin is how long after a naming requests may still begin on older weights.
+	weightsWithin time.Duration
+	peers         map[string]map[string]PeerLoad
+	recent        recentParts
 	// cached belongs to the placement that is being made.
 	cached []cachedPrompt
 }
@@ -148,7 +150,7 @@
 		catalogue: catalogue,
 		budgets:   make(map[string]*Budget),
 		budget:    budget,
-		named:     make(map[string]int64),
+		named:     make(map[string]naming),
 		peers:     make(map[string]map[string]PeerLoad),
 		recent:    newRecentParts(),
 	}
@@ -215,12 +217,35 @@
 	}
 }
 
-// SetNamed takes the newest weight version that the operator has named for a model.
-func (d *Dispatcher) SetNamed(model string, version int64) {
-	d.named[model] = max(d.named[model], version)
+// naming is the newest weight version of a model and when it was named, as far as is known.
+type naming struct {
+	version int64
+	at      time.Time
+}
+
+// SetNamed takes the newest weight version that the operator has named for a model, and when.
+func (d *Dispatcher) SetNamed(model string, version int64, at time.Time) {
+	known := d.named[model]
+	if version < known.version || version == known.version && !at.Before(known.at) {
+		return
+	}
+	d.named[model] = naming{version, at}
 	d.catalogue.SetNewest(model, version)
 }
 
+// SetWeightsWithin takes how long after a naming requests may still begin on older weights.
+func (d *Dispatcher) SetWeightsWithin(within time.Duration) { d.weightsWithin = within }
+
+// overdueMargin is taken off the time in which requests may begin on older weights: their way to the
+// server and their wait there.
+const overdueMargin = 700 * time.Millisecond
+
+// overdue reports whether requests may no longer begin on a server's weights.
+func (d *Dispatcher) overdue(now time.Time, s *server, model string) bool {
+	n := d.named[model]
+	return s.version[model] < n.version && now.Sub(n.at) > d.weightsWithin-overdueMargin
+}
+
 // oldest returns the oldest weight version that a server has of the model; 0 when none has it.
 func (d *Dispatcher) oldest(model string) int64 {
 	var oldest int64
@@ -317,8 +342,21 @@
 	Suspect  bool
 }
 
-// Named returns the newest named weight version by model.
-func (d *Dispatcher) Named() map[string]int64 { return d.named }
+// NamedVersion is a weight version that was named for a model, and how long ago.
+type NamedVersion struct {
+	Model   string
+	Version int64
+	At      time.Time
+}
+
+// Named returns the newest named weight versions.
+func (d *Dispatcher) Named() []NamedVersion {
+	list := make([]NamedVersion, 0, len(d.named))
+	for model, n := range d.named {
+		list = append(list, NamedVersion{model, n.version, n.at})
+	}
+	return list
+}
 
 // Evaluate judges the servers' health and returns what changed. It is called a few times a second.
 func (d *Dispatcher) Evaluate(now time.Time) []health.Change {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -36,6 +36,9 @@
 	// plainWaitFactor is how many requests a plain server may hold for each of its slots before it
 	// counts as full: its queue is a few times its slots.
 	plainWaitFactor = 4
+	// hopeless is how many times the time that is left a request's predicted wait must be for it to be
+	// refused at once: predictions are off by as much in a crowd.
+	hopeless = 2
 	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -64,10 +67,12 @@
 	}
 	p.Alone = best.tokens+best.others.Tokens == 0 && (r.Model != "" || best.running+best.others.Running < best.Slots)
 	d.health.Allow(now, best.ID)
+	p.Predicted = milliseconds(d.predict(now, r, group, best))
+	if p.Predicted > hopeless*r.Left {
+		return Placement{}, d.refuse(TooLate, p.Predicted/hopeless)
+	}
 	if r.Model != "" {
 		d.plan(now, r, group, best, &p)
-	} else {
-		p.Predicted = milliseconds(d.predict(now, r, group, best))
 	}
 	return p, nil
 }
@@ -106,7 +111,7 @@
 	if s.State != backend.Ready || slices.Contains(r.Tried, s.ID) {
 		return false
 	}
-	if r.Model != "" && (s.version[r.Model] == 0 || s.version[r.Model] < r.MinVersion) {
+	if r.Model != "" && (s.version[r.Model] == 0 || s.version[r.Model] < r.MinVersion || d.overdue(now, s, r.Model)) {
 		return false
 	}
 	if relaxed {
@@ -161,7 +166,7 @@
 	if part == "" {
 		return false
 	}
-	newest := d.named[r.Model]
+	newest := d.named[r.Model].version
 	version := s.version[r.Model]
 	if version >= newest {
 		before := kvcache.Generation{Model: r.Model, Version: d.oldest(r.Model)}
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,8 +18,10 @@
 )
 
 const (
-	// peerPrefix is where gateways announce themselves in the metadata store.
-	peerPrefix = "balsamyoke/gateways/"
+	// ownPrefix is where the system's own keys lie in the metadata store, peerPrefix where gateways
+	// announce themselves.
+	ownPrefix  = "balsamyoke/"
+	peerPrefix = ownPrefix + "gateways/"
 	// peerLease is the life of an announcement; it is renewed three times in that time.
 	peerLease = 15 * time.Second
 	// peerListEvery is how often the announcements are listed.
@@ -104,10 +107,10 @@
 // knownVersions returns the weight versions of the servers that have changed theirs.
 func (f *Fleet) knownVersions(now time.Time) []*wire.ServerVersion {
 	var list []*wire.ServerVersion
-	for model := range f.dispatcher.Named() {
-		for _, e := range f.dispatcher.Engines(model, now) {
-			if e.Version > e.Versions[model] {
-				list = append(list, &wire.ServerVersion{Server: e.ID, Model: model, Version: e.Version})
+	for _, n := range f.dispatcher.Named() {
+		for _, e := range f.dispatcher.Engines(n.Model, now) {
+			if e.Version > e.Versions[n.Model] {
+				list = append(list, &wire.ServerVersion{Server: e.ID, Model: n.Model, Version: e.Version})
 			}
 		}
 	}
@@ -307,17 +310,24 @@
 	return nil
 }
 
+// listPeers reads the system's own keys: which gateways there are and when weight versions were named.
 func (f *Fleet) listPeers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	f.Counters.StoreCalls.Inc(1)
-	listing, err := f.Platform.Metastore.Snapshot(ctx, peerPrefix)
+	listing, err := f.Platform.Metastore.Snapshot(ctx, ownPrefix)
 	if err != nil {
 		return err
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
 		for _, record := range listing.Records {
+			if strings.HasPrefix(record.Key, namingPrefix) {
+				f.namingRead(record, now)
+			}
+			if !strings.HasPrefix(record.Key, peerPrefix) {
+				continue
+			}
 			peer := &wire.Peer{}
 			if err := json.Unmarshal(record.Value, peer); err != nil {
 				f.Log.Warn(EventUnreadable, zap.String("key", record.Key), zap.Error(err))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -38,6 +38,8 @@
 	// LeaseTTL is the life of the leader lease.
 	LeaseTTL time.Duration
 	Budget   dispatch.BudgetConfig
+	// WeightsWithin is how long after a weight version was named requests may still begin on older ones.
+	WeightsWithin time.Duration
 }
 
 // Fleet is the control state.
@@ -79,9 +81,26 @@
 		feeds:      make(map[string]context.CancelFunc),
 		states:     make(map[string]backend.State),
 	}
+	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
 	return f
 }
 
+// SetBudget takes new bounds of the retry budget.
+func (f *Fleet) SetBudget(config dispatch.BudgetConfig) {
+	f.loop.Post(func() {
+		config.Gateways = f.members.Count()
+		f.dispatcher.SetBudget(config)
+	})
+}
+
+// SetWeightsWithin takes a new bound for the change of weights.
+func (f *Fleet) SetWeightsWithin(within time.Duration) {
+	f.loop.Post(func() {
+		f.WeightsWithin = within
+		f.dispatcher.SetWeightsWithin(within)
+	})
+}
+
 // Run keeps the control state until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	link, err := peers.Listen(f.Self.GetBeatAddress(), f.heard)
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -20,7 +20,7 @@
 
 const (
 	// leaderKey is the key of the leader lease.
-	leaderKey = "balsamyoke/leader"
+	leaderKey = ownPrefix + "leader"
 	// leaseMargin is the share of the lease that the holder's own clock takes off.
 	leaseMargin = 0.2
 	// renewals is how often the lease is renewed in its life.
@@ -28,9 +28,9 @@
 	// leadEvery is how often the leader looks for what to do.
 	leadEvery = 100 * time.Millisecond
 	// campaignEvery is the pause between two tries at the lease, drawn between half and all of it.
-	campaignEvery = 2 * time.Second
+	campaignEvery = 600 * time.Millisecond
 	// leaderHeard is how long the beat of a leader keeps others from trying.
-	leaderHeard = 2 * time.Second
+	leaderHeard = 1500 * time.Millisecond
 	// stepTimeout bounds a report or an order.
 	stepTimeout = time.Second
 	// freeAfter is how long after every gateway knows that parts have retired they are freed: fetches that
@@ -53,6 +53,8 @@
 	known   map[kvcache.Generation]knownShare
 	ripe    map[kvcache.Generation]int
 	freedAt time.Time
+	// persisted are the weight versions whose naming is in the metadata store.
+	persisted map[string]int64
 }
 
 // knownShare is a retired share that all gateways have known since a moment.
@@ -102,8 +104,7 @@
 
 // hold does the leader's duties until the lease ends.
 func (f *Fleet) hold(ctx context.Context, lessor *lease.Lessor, holding lease.Holding) {
-	// Another holder may have given orders up to the end of its lease; this one keeps a lease apart.
-	ordersFrom := bootclock.Now().Add(f.LeaseTTL)
+	ordersFrom := f.ordersFrom()
 	f.loop.Call(func() {
 		f.lead = leadership{
 			fence:   int64(holding.Fence),
@@ -137,6 +138,20 @@
 	}
 }
 
+// ordersFrom returns when this leader may give its first order. One that was heard as the leader lately has
+// released its lease: its last orders are kept a lease apart from this one's. One that fell silent has not
+// ordered since its lease ended.
+func (f *Fleet) ordersFrom() (from time.Time) {
+	f.loop.Call(func() {
+		for _, member := range f.members.Live(bootclock.Now()) {
+			if !member.LedAt.IsZero() && member.LedAt.Add(f.LeaseTTL).After(from) {
+				from = member.LedAt.Add(f.LeaseTTL)
+			}
+		}
+	})
+	return from
+}
+
 // duties carries out the planner's next steps and frees what no engine can use.
 func (f *Fleet) duties(ctx context.Context, holding lease.Holding) {
 	var steps []weights.Step
@@ -150,6 +165,7 @@
 		f.withhold(now)
 		stale = f.stale(now)
 	})
+	f.persistNamings(ctx)
 	for _, step := range steps {
 		go f.carryOut(ctx, holding, step)
 	}
@@ -172,9 +188,9 @@
 // targets returns the named weight versions with the engines that serve their models.
 func (f *Fleet) targets(now time.Time) []weights.Target {
 	var targets []weights.Target
-	for model, version := range f.dispatcher.Named() {
-		t := weights.Target{Model: model, Version: version}
-		for _, e := range f.dispatcher.Engines(model, now) {
+	for _, n := range f.dispatcher.Named() {
+		t := weights.Target{Model: n.Model, Version: n.Version, Until: n.At.Add(f.WeightsWithin)}
+		for _, e := range f.dispatcher.Engines(n.Model, now) {
 			t.Engines = append(t.Engines, weights.Engine(e))
 		}
 		targets = append(targets, t)
@@ -184,7 +200,8 @@
 
 // retire marks parts of earlier weight versions in step with the engines that have left them.
 func (f *Fleet) retire(now time.Time) {
-	for model, version := range f.dispatcher.Named() {
+	for _, n := range f.dispatcher.Named() {
+		model, version := n.Model, n.Version
 		engines := f.dispatcher.Engines(model, now)
 		moved := 0
 		holds := make(map[int64]bool)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,7 +13,6 @@
 	"go.uber.org/zap"
 	"google.golang.org/grpc"
 
-	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/fleet"
 	"balsamyoke.example/balsamyoke/internal/metrics"
@@ -37,6 +36,8 @@
 // Gateway is one instance.
 type Gateway struct {
 	settings Settings
+	// grace is the time from SIGTERM to SIGKILL; a reload may change it.
+	grace    atomic.Int64
 	fleet    *fleet.Fleet
 	protocol Protocol
 	log      *eventlog.Log
@@ -54,7 +55,7 @@
 func New(s Settings, platform fleet.Platform, protocol Protocol, log *eventlog.Log) *Gateway {
 	registry := metrics.NewRegistry("balsamyoke_gateway")
 	incarnation := process.NewIncarnation()
-	return &Gateway{
+	g := &Gateway{
 		settings: s,
 		protocol: protocol,
 		log:      log,
@@ -70,14 +71,22 @@
 			Self: &wire.Peer{
 				Instance: s.Instance, BeatAddress: s.Beats, ControlAddress: s.Control, FailureDomain: s.FailureDomain,
 			},
-			Seeds:    s.Seeds,
-			LeaseTTL: s.lease(),
-			Budget: dispatch.BudgetConfig{
-				Ratio: s.RetryRatio, Slack: s.RetrySlack, Gateways: 1,
-				Window: time.Duration(s.RetryWindowMS) * time.Millisecond,
-			},
+			Seeds:         s.Seeds,
+			LeaseTTL:      s.lease(),
+			WeightsWithin: s.weightsWithin(),
+			Budget:        s.budget(),
 		}),
 	}
+	g.grace.Store(int64(s.grace()))
+	return g
+}
+
+// Reload takes settings that were read again. Those of addresses and names stay as they were.
+func (g *Gateway) Reload(s Settings) {
+	g.grace.Store(int64(s.grace()))
+	g.fleet.SetBudget(s.budget())
+	g.fleet.SetWeightsWithin(s.weightsWithin())
+	g.log.Info(EventReload, zap.Any("settings", s), zap.String("outcome", "in_force"))
 }
 
 // Run serves until ctx ends, and then until the requests under way have been answered or the grace time
@@ -186,7 +195,7 @@
 	g.log.Info(EventDrain, zap.Int("connections", g.count()))
 	g.draining.Store(true)
 	g.fleet.Leave()
-	limit := time.Duration(graceShare * float64(g.settings.grace()))
+	limit := time.Duration(graceShare * float64(g.grace.Load()))
 	time.Sleep(min(drainIdle, limit))
 	for time.Since(began) < limit {
 		g.mu.Lock()
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/settings"
 )
 
@@ -19,16 +20,18 @@
 	Metastore string   `json:"metastore" long:"metastore" description:"ip:port of the metadata store"`
 	Seeds     []string `json:"seeds" long:"seed" description:"control address of a gateway to start from; may be stale"`
 
-	GraceMS       int     `json:"grace_ms" long:"grace-ms" description:"time from SIGTERM to SIGKILL"`
-	LeaseMS       int     `json:"lease_ms" long:"lease-ms" description:"life of the leader lease, and the least time between orders of two leaders"`
-	RetryRatio    float64 `json:"retry_ratio" long:"retry-ratio" description:"share of a service's requests that may be sent again, over all gateways"`
-	RetrySlack    float64 `json:"retry_slack" long:"retry-slack" description:"requests that may be sent again besides, in each window"`
-	RetryWindowMS int     `json:"retry_window_ms" long:"retry-window-ms" description:"window of the retry budget"`
+	GraceMS    int     `json:"grace_ms" long:"grace-ms" description:"time from SIGTERM to SIGKILL"`
+	LeaseMS    int     `json:"lease_ms" long:"lease-ms" description:"life of the leader lease, and the least time between orders of two leaders"`
+	RetryRatio float64 `json:"retry_ratio" long:"retry-ratio" description:"share of a service's requests that may be sent again, over all gateways"`
+	RetrySlack float64 `json:"retry_slack" long:"retry-slack" description:"requests that may be sent again besides, in each window"`
+	// WeightsWithinMS is how long after a weight version was named requests may still begin on older ones.
+	WeightsWithinMS int `json:"weights_within_ms" long:"weights-within-ms" description:"time in which a named weight version must be in use everywhere"`
+	RetryWindowMS   int `json:"retry_window_ms" long:"retry-window-ms" description:"window of the retry budget"`
 }
 
 // DefaultSettings returns the settings that a file need not name.
 func DefaultSettings() Settings {
-	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000}
+	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000, WeightsWithinMS: 15000}
 }
 
 // Check returns an error for the first setting that can't be used.
@@ -56,7 +59,7 @@
 	for _, least := range []struct {
 		setting      string
 		value, least int
-	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}} {
+	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}, {"weights_within_ms", s.WeightsWithinMS, 1000}} {
 		if err := settings.CheckAtLeast(least.setting, least.value, least.least); err != nil {
 			return err
 		}
@@ -69,4 +72,15 @@
 
 func (s *Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
 
+func (s *Settings) budget() dispatch.BudgetConfig {
+	return dispatch.BudgetConfig{
+		Ratio: s.RetryRatio, Slack: s.RetrySlack, Gateways: 1,
+		Window: time.Duration(s.RetryWindowMS) * time.Millisecond,
+	}
+}
+
+func (s *Settings) weightsWithin() time.Duration {
+	return time.Duration(s.WeightsWithinMS) * time.Millisecond
+}
+
 func (s *Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -46,6 +46,8 @@
 	// Retired are the retired shares of cached parts that the gateway knows of.
 	Retired []*wire.RetiredShare
 	Fence   int64
+	// LedAt is when the gateway was last heard as the leader.
+	LedAt   time.Time
 	Leaving bool
 }
 
@@ -93,6 +95,9 @@
 	member.HeardAt = now
 	member.Retired = beat.GetRetired()
 	member.Fence, member.Leaving = beat.GetFence(), beat.GetLeaving()
+	if member.Fence > 0 {
+		member.LedAt = now
+	}
 	for _, k := range beat.GetKnown() {
 		member.Known[k.GetPrefix()] = max(member.Known[k.GetPrefix()], k.GetRevision())
 	}
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -2,6 +2,7 @@
 
 import (
 	_ "embed"
+	"math"
 	"slices"
 	"time"
 
@@ -32,6 +33,10 @@
 const (
 	// loadShare is the share of a service's engines that load at once: with more, each load takes longer.
 	loadShare = 1.0 / 6
+	// timeShare is the share of the time left in which the rollout is planned to end, and mostShare the
+	// share of the engines that may load at once when that is short.
+	timeShare = 0.8
+	mostShare = 0.5
 	// drainFor is how long an engine that is about to load gets no new requests, so that few are turned
 	// away: about the time to the end of a typical stream.
 	drainFor = 400 * time.Millisecond
@@ -63,6 +68,8 @@
 type Target struct {
 	Model   string
 	Version int64
+	// Until is when all engines must have the version.
+	Until   time.Time
 	Engines []Engine
 }
 
@@ -116,7 +123,7 @@
 
 func (p *Planner) nextOf(steps []Step, now time.Time, t *Target) []Step {
 	p.forget(t)
-	atOnce := max(1, int(float64(len(t.Engines))*loadShare+0.5))
+	atOnce := p.atOnce(now, t)
 	loading := p.count(t, labelLoading)
 	withheld := p.count(t, labelWithheld)
 	ending := p.countEnding(now, t)
@@ -173,6 +180,20 @@
 	return n
 }
 
+// atOnce returns how many engines may load at once: few while there is time, more when it is short.
+func (p *Planner) atOnce(now time.Time, t *Target) int {
+	few := int(math.Ceil(float64(len(t.Engines)) * loadShare))
+	old := 0
+	for i := range t.Engines {
+		if t.Engines[i].Version < t.Version {
+			old++
+		}
+	}
+	left := time.Duration(timeShare * float64(t.Until.Sub(now)))
+	needed := math.Ceil(float64(old) * p.loadTime.Seconds() / max(left, p.loadTime).Seconds())
+	return max(1, few, min(int(needed), int(mostShare*float64(len(t.Engines)))))
+}
+
 // countEnding returns how many loads are expected to end within drainLead.
 func (p *Planner) countEnding(now time.Time, t *Target) int {
 	n := 0
