--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -70,7 +70,7 @@
 	AllSuspect Reason = "all_servers_suspect"
 	AllLoading Reason = "all_servers_loading"
 	AllFull    Reason = "all_servers_full"
-	TooLate    Reason = "predicted_past_deadline"
+	Crowded    Reason = "engines_crowded"
 	NoBudget   Reason = "no_retry_budget"
 	Exhausted  Reason = "attempts_exhausted"
 )
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -36,9 +36,11 @@
 	// plainWaitFactor is how many requests a plain server may hold for each of its slots before it
 	// counts as full: its queue is a few times its slots.
 	plainWaitFactor = 4
-	// hopeless is how many times the time that is left a request's predicted wait must be for it to be
-	// refused at once: predictions are off by as much in a crowd.
-	hopeless = 2
+	// lateShare is the share of the target latency that a first token may be expected to take before a prompt
+	// is refused, if it waits for others for waitShare of it: queues that are let grow make nearly every
+	// answer late, and engines that hold many prompts run out of memory and compute them twice.
+	lateShare = 0.5
+	waitShare = 0.1
 	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -68,8 +70,9 @@
 	p.Alone = best.tokens+best.others.Tokens == 0 && (r.Model != "" || best.running+best.others.Running < best.Slots)
 	d.health.Allow(now, best.ID)
 	p.Predicted = milliseconds(d.predict(now, r, group, best))
-	if p.Predicted > hopeless*r.Left {
-		return Placement{}, d.refuse(TooLate, p.Predicted/hopeless)
+	late := p.Predicted - time.Duration(lateShare*float64(r.Target))
+	if late > 0 && r.Model != "" && d.wait(now, r, group, best) > time.Duration(waitShare*float64(r.Target)) {
+		return Placement{}, d.refuse(Crowded, late)
 	}
 	if r.Model != "" {
 		d.plan(now, r, group, best, &p)
@@ -198,6 +201,17 @@
 
 func (t *engineTimes) ms() float64 { return t.compute + t.fetch }
 
+// wait returns how long a prompt is expected to wait for others at the engine.
+func (d *Dispatcher) wait(now time.Time, r *Request, group *service, s *server) time.Duration {
+	cached := d.cachedAt(now, r, s.version[r.Model], s.FailureDomain)
+	t := d.engineTimes(now, r, group, s, d.running(now, s))
+	alone := firstTokenMS + cached.TransferMS + float64(r.PromptTokens-cached.Tokens)*group.tokenMS
+	if !t.fetches {
+		alone = firstTokenMS + float64(r.PromptTokens)*group.tokenMS
+	}
+	return milliseconds(t.ms() - alone)
+}
+
 // engineTimes predicts the time to the first token at an engine, with the better of fetching and
 // computing the cached parts of the prompt.
 func (d *Dispatcher) engineTimes(now time.Time, r *Request, group *service, s *server, running int) engineTimes {
