Speak to the users' metadata store with one client everywhere

The client passes the same contract suite; the suite's key that wasn't text became the highest character, since keys are text in this protocol.

--- a/cmd/balsam-standin/main.go
+++ b/cmd/balsam-standin/main.go
@@ -11,11 +11,11 @@
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/settings"
 	"balsamyoke.example/balsamyoke/internal/standin/engineserver"
-	"balsamyoke.example/balsamyoke/internal/standin/kvserver"
 	"balsamyoke.example/balsamyoke/internal/standin/listserver"
 	"balsamyoke.example/balsamyoke/internal/standin/plainserver"
 	"balsamyoke.example/balsamyoke/internal/standin/storeserver"
 	"balsamyoke.example/balsamyoke/internal/standin/weightserver"
+	"balsamyoke.example/balsamyoke/platform/standin"
 )
 
 const (
@@ -58,7 +58,7 @@
 func start(kind string, args []string) (server, error) {
 	switch kind {
 	case "kv":
-		return load(kind, args, kvserver.Settings{Listen: anyAddress, Admin: anyAddress}, kvserver.Start)
+		return load(kind, args, standin.MetastoreSettings{Listen: anyAddress, Admin: anyAddress}, standin.StartMetastore)
 	case "list":
 		return load(kind, args, listserver.Settings{Listen: anyAddress}, listserver.Start)
 	case "engine":
--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -13,8 +13,8 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/metastore"
-	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
 	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
+	"balsamyoke.example/balsamyoke/platform"
 )
 
 const program = "balsamctl"
@@ -53,7 +53,7 @@
 	t := &tool{
 		stdout: stdout,
 		stderr: stderr,
-		openKV: func(address string) metastore.KV { return etcdhttp.New(address) },
+		openKV: func(address string) metastore.KV { return platform.NewMetastore(address) },
 		list:   func(address string) metastore.InstanceList { return listhttp.New(address) },
 	}
 	return t.main(args)
--- a/internal/metastore/metastoretest/kv.go
+++ b/internal/metastore/metastoretest/kv.go
@@ -166,7 +166,7 @@
 
 func testList(c *qt.C, kv KV) {
 	ctx := background(c)
-	for _, key := range []string{"p/b", "p/a", "q", "p", "p/\xff"} {
+	for _, key := range []string{"p/b", "p/a", "q", "p", "p/\U0010ffff"} {
 		_, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: key, Value: []byte(key)})
 		c.Assert(err, qt.IsNil)
 	}
@@ -179,8 +179,8 @@
 		}
 		return keys
 	}
-	c.Assert(keys("p/"), qt.DeepEquals, []string{"p/a", "p/b", "p/\xff"})
-	c.Assert(keys(""), qt.DeepEquals, []string{"p", "p/a", "p/b", "p/\xff", "q"})
+	c.Assert(keys("p/"), qt.DeepEquals, []string{"p/a", "p/b", "p/\U0010ffff"})
+	c.Assert(keys(""), qt.DeepEquals, []string{"p", "p/a", "p/b", "p/\U0010ffff", "q"})
 	c.Assert(keys("z"), qt.IsNil)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,10 +14,10 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/entry"
 	"balsamyoke.example/balsamyoke/internal/metastore"
-	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
 	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/wire"
+	"balsamyoke.example/balsamyoke/platform"
 )
 
 // common is what every role is built on.
@@ -33,7 +33,7 @@
 func newCommon(program string, s process.Settings) *common {
 	c := &common{
 		logger:    process.NewLogger(program, s.Instance),
-		kv:        etcdhttp.New(s.KV),
+		kv:        platform.NewMetastore(s.KV),
 		instances: newInstances(s.Instance, listhttp.New(s.InstanceList)),
 	}
 	holder := config.NewHolder()
--- a/internal/testbed/fleet.go
+++ b/internal/testbed/fleet.go
@@ -11,7 +11,7 @@
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/metastore"
-	"balsamyoke.example/balsamyoke/internal/metastore/etcdhttp"
+	"balsamyoke.example/balsamyoke/platform"
 )
 
 // Settings is the content of a settings file.
@@ -319,7 +319,7 @@
 }
 
 func (f *Fleet) apply(ctx context.Context) error {
-	kv := etcdhttp.New(f.KVAddress)
+	kv := platform.NewMetastore(f.KVAddress)
 	defer kv.Close()
 	_, err := config.NewStore(kv).Apply(ctx, 0, f.spec.Manifest, "testbed-start")
 	return err
