--- a/internal/ctl/main.go
+++ b/internal/ctl/main.go
@@ -14,7 +14,6 @@
 	"balsamyoke.example/balsamyoke/internal/manifest"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/metastore/listhttp"
-	"balsamyoke.example/balsamyoke/platform"
 )
 
 const program = "balsamctl"
@@ -48,12 +47,13 @@
 	list    func(address string) metastore.InstanceList
 }
 
-// Main runs balsamctl with the given arguments and returns its exit code.
-func Main(args []string, stdout, stderr io.Writer) int {
+// Main runs balsamctl with the given arguments and returns its exit code. openKV returns the client of the
+// metadata store at an address.
+func Main(args []string, stdout, stderr io.Writer, openKV func(address string) metastore.KV) int {
 	t := &tool{
 		stdout: stdout,
 		stderr: stderr,
-		openKV: func(address string) metastore.KV { return platform.NewMetastore(address) },
+		openKV: openKV,
 		list:   func(address string) metastore.InstanceList { return listhttp.New(address) },
 	}
 	return t.main(args)
