--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,8 +126,9 @@
 	weightsWithin time.Duration
 	peers         map[string]map[string]PeerLoad
 	recent        recentParts
-	// cached belongs to the placement that is being made.
+	// cached and turn belong to the placement that is being made.
 	cached []cachedPrompt
+	turn   turn
 }
 
 type service struct {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -51,6 +51,9 @@
 // Place picks a server for the request, or refuses it.
 func (d *Dispatcher) Place(now time.Time, r *Request) (Placement, *Refusal) {
 	d.cached = d.cached[:0]
+	if r.Model != "" {
+		d.turn = d.turnOf(r)
+	}
 	group := d.services[r.Service]
 	if group == nil || len(group.servers) == 0 {
 		return Placement{}, d.refuse(NoServer, maxRetryAfter)
@@ -141,7 +144,7 @@
 	if s.suspected > 0 {
 		cost += suspectMS
 	}
-	if d.moves(r, s) {
+	if r.Model != "" && d.turn.against(s.version[r.Model]) {
 		cost += movesShare * float64(r.Target.Milliseconds())
 	}
 	if s.Cold > 0 {
@@ -161,21 +164,48 @@
 
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
-// moves reports whether the prompt would change its weight version against the order of the rollout:
-// prompts move to the new weights in the order in which their parts retire, so that each one is
-// computed once for the new weights and found there when it returns.
-func (d *Dispatcher) moves(r *Request, s *server) bool {
+// turn says where a prompt stands in the order in which prompts move to new weights: the order in which
+// their parts retire, so that each one is computed once for the new weights and found there when it returns.
+type turn struct {
+	newest int64
+	// moved is whether the prompt's turn has come, by the weight version that it would leave.
+	moved map[int64]bool
+	// pending tells that some engines still have older weights, and the turn hasn't come for the oldest.
+	pending bool
+	// known tells that the prompt has a part that others share, and that weights are changing.
+	known bool
+}
+
+// turnOf looks the prompt's turn up.
+func (d *Dispatcher) turnOf(r *Request) turn {
 	part := sharedPart(r.Parts)
-	if part == "" {
+	t := turn{newest: d.named[r.Model].version}
+	oldest := d.oldest(r.Model)
+	if part == "" || oldest >= t.newest {
+		return t
+	}
+	t.known = true
+	t.moved = make(map[int64]bool)
+	share := kvcache.ShareOf(part)
+	for g, retired := range d.catalogue.Retired() {
+		if g.Model == r.Model && g.Version < t.newest {
+			t.moved[g.Version] = share < retired
+		}
+	}
+	t.pending = !t.moved[oldest]
+	return t
+}
+
+// against reports whether a server of the version would change the prompt's weights before its turn, or
+// keep it back.
+func (t *turn) against(version int64) bool {
+	if !t.known {
 		return false
 	}
-	newest := d.named[r.Model].version
-	version := s.version[r.Model]
-	if version >= newest {
-		before := kvcache.Generation{Model: r.Model, Version: d.oldest(r.Model)}
-		return before.Version < newest && kvcache.ShareOf(part) >= d.catalogue.Retired()[before]
+	if version >= t.newest {
+		return t.pending
 	}
-	return kvcache.ShareOf(part) < d.catalogue.Retired()[kvcache.Generation{Model: r.Model, Version: version}]
+	return t.moved[version]
 }
 
 // predict returns the expected time to the first byte at the server, in milliseconds.
