Pass deletions on between gateways, also those that a listing swallowed

Cause, found by the new property test: a gateway that listed a prefix after a key was deleted never knew of the deletion, yet claimed to know all changes up to the listing; one that caught up from it kept the key for ever, and one that heard of the key from a gateway behind took it back. Now a gateway knows from which revision on it remembers deletions and passes on everything when asked from before. The test failed in each run before.

--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -14,6 +14,7 @@
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/mirror"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -203,16 +204,17 @@
 	if err != nil {
 		return ErrPeer.Wrap(err, "gateway %s", address)
 	}
-	changes := metastore.Changes{Revision: metastore.Revision(reply.GetAsOf())}
+	news := mirror.News{Whole: reply.GetWhole()}
+	news.Revision = metastore.Revision(reply.GetAsOf())
 	for _, c := range reply.GetChanges() {
-		changes.Events = append(changes.Events, metastore.Event{
+		news.Events = append(news.Events, metastore.Event{
 			Record:  metastore.Record{Key: c.GetKey(), Value: c.GetValue(), ModRevision: metastore.Revision(c.GetRevision())},
 			Deleted: c.GetDeleted(),
 		})
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
-		keys := f.mirror.Apply(prefix, changes, now)
+		keys := f.mirror.Take(prefix, news, now)
 		if len(keys) > 0 {
 			f.Log.Info(EventCaughtUp, zap.String("prefix", prefix), zap.String("from", address),
 				zap.Int("keys", len(keys)), zap.Int64("revision", reply.GetAsOf()), zap.Int64("had", from))
@@ -242,8 +244,9 @@
 	reply := &wire.ChangesReply{}
 	f := s.fleet
 	f.loop.Call(func() {
-		reply.AsOf = int64(f.mirror.AsOf(request.GetPrefix()))
-		for _, event := range f.mirror.Since(request.GetPrefix(), metastore.Revision(request.GetAfter())) {
+		news := f.mirror.Since(request.GetPrefix(), metastore.Revision(request.GetAfter()))
+		reply.AsOf, reply.Whole = int64(news.Revision), news.Whole
+		for _, event := range news.Events {
 			reply.Changes = append(reply.Changes, &wire.StoredChange{
 				Key: event.Record.Key, Value: event.Record.Value,
 				Revision: int64(event.Record.ModRevision), Deleted: event.Deleted,
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -6,6 +6,7 @@
 package mirror
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -31,11 +32,13 @@
 	entries map[string]Entry
 	// asOf is, by prefix, the revision up to which all changes are known.
 	asOf map[string]metastore.Revision
+	// floor is, by prefix, the revision from which on all deletions are remembered.
+	floor map[string]metastore.Revision
 }
 
 // New returns an empty Mirror.
 func New() *Mirror {
-	return &Mirror{entries: make(map[string]Entry), asOf: make(map[string]metastore.Revision)}
+	return &Mirror{entries: make(map[string]Entry), asOf: make(map[string]metastore.Revision), floor: make(map[string]metastore.Revision)}
 }
 
 // AsOf returns the revision up to which all changes under prefix are known; 0 before the first listing.
@@ -58,28 +61,52 @@
 	return found
 }
 
-// Since returns what changed under prefix after a revision, deletions included.
-func (m *Mirror) Since(prefix string, from metastore.Revision) []metastore.Event {
-	var events []metastore.Event
+// News is what one gateway passes on to another: the changes after a revision or, when deletions from
+// before may be forgotten, everything.
+type News struct {
+	metastore.Changes
+	// Whole tells that Changes hold everything that exists.
+	Whole bool
+}
+
+// Since returns what a gateway needs that knows all changes under prefix up to a revision.
+func (m *Mirror) Since(prefix string, from metastore.Revision) News {
+	news := News{Changes: metastore.Changes{Revision: m.asOf[prefix]}, Whole: from < m.floor[prefix]}
 	for key, e := range m.entries {
-		if e.ModRevision > from && strings.HasPrefix(key, prefix) {
-			events = append(events, metastore.Event{Record: e.Record, Deleted: e.Deleted})
+		if strings.HasPrefix(key, prefix) && (e.ModRevision > from || news.Whole && !e.Deleted) {
+			news.Events = append(news.Events, metastore.Event{Record: e.Record, Deleted: e.Deleted})
 		}
 	}
-	slices.SortFunc(events, func(a, b metastore.Event) int { return int(a.Record.ModRevision - b.Record.ModRevision) })
-	return events
+	slices.SortFunc(news.Events, func(a, b metastore.Event) int {
+		return cmp.Compare(a.Record.ModRevision, b.Record.ModRevision)
+	})
+	return news
+}
+
+// Take applies another gateway's news and returns the keys that changed.
+func (m *Mirror) Take(prefix string, news News, now time.Time) []string {
+	if !news.Whole {
+		return m.Apply(prefix, news.Changes, now)
+	}
+	listing := metastore.Listing{Revision: news.Revision}
+	for _, event := range news.Events {
+		if !event.Deleted {
+			listing.Records = append(listing.Records, event.Record)
+		}
+	}
+	return m.Replace(prefix, listing, now)
 }
 
 // Apply takes changes up to a revision and returns the keys that changed.
 func (m *Mirror) Apply(prefix string, changes metastore.Changes, now time.Time) []string {
 	var changed []string
 	for _, event := range changes.Events {
-		if m.put(event, now) {
+		if m.put(prefix, event, now) {
 			changed = append(changed, event.Record.Key)
 		}
 	}
 	m.asOf[prefix] = max(m.asOf[prefix], changes.Revision)
-	m.prune(now)
+	m.prune(prefix, now)
 	return changed
 }
 
@@ -90,7 +117,7 @@
 	listed := make(map[string]bool, len(listing.Records))
 	for _, record := range listing.Records {
 		listed[record.Key] = true
-		if m.put(metastore.Event{Record: record}, now) {
+		if m.put(prefix, metastore.Event{Record: record}, now) {
 			changed = append(changed, record.Key)
 		}
 	}
@@ -99,17 +126,22 @@
 			continue
 		}
 		gone := metastore.Event{Record: metastore.Record{Key: key, ModRevision: listing.Revision}, Deleted: true}
-		if m.put(gone, now) {
+		if m.put(prefix, gone, now) {
 			changed = append(changed, key)
 		}
 	}
 	m.asOf[prefix] = max(m.asOf[prefix], listing.Revision)
+	m.floor[prefix] = max(m.floor[prefix], listing.Revision)
 	return changed
 }
 
-// put takes one change if it is newer than what is known.
-func (m *Mirror) put(event metastore.Event, now time.Time) bool {
+// put takes one change if it is newer than what is known. A key that isn't known though all changes up to
+// its revision are was deleted before this mirror began.
+func (m *Mirror) put(prefix string, event metastore.Event, now time.Time) bool {
 	known, ok := m.entries[event.Record.Key]
+	if !ok && event.Record.ModRevision <= m.asOf[prefix] {
+		return false
+	}
 	if ok && known.ModRevision >= event.Record.ModRevision {
 		return false
 	}
@@ -117,9 +149,11 @@
 	return true
 }
 
-func (m *Mirror) prune(now time.Time) {
+// prune forgets old deletions.
+func (m *Mirror) prune(prefix string, now time.Time) {
 	for key, e := range m.entries {
-		if e.Deleted && now.Sub(e.At) > tombstoneFor {
+		if e.Deleted && now.Sub(e.At) > tombstoneFor && strings.HasPrefix(key, prefix) {
+			m.floor[prefix] = max(m.floor[prefix], e.ModRevision)
 			delete(m.entries, key)
 		}
 	}
