--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -32,7 +32,7 @@
 		if f.feeds[s.Address] == nil {
 			ctx, cancel := context.WithCancel(context.Background())
 			f.feeds[s.Address] = cancel
-			go f.feed(ctx, s.Address)
+			f.background.Go(func() { f.feed(ctx, s.Address) })
 		}
 	}
 	for address, cancel := range f.feeds {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,6 +117,7 @@
 		f.background.Go(func() { run(ctx) })
 	}
 	f.loop.Run(ctx)
+	f.setFeeds(nil)
 	f.background.Wait()
 	return link.Close()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,7 +106,9 @@
 		return err
 	}
 	defer control.Stop()
-	g.serveMetrics()
+	defer g.serveMetrics()()
+	defer g.registry.Close()
+	defer g.pool.close()
 	background, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.fleet.Run(background) }()
@@ -152,11 +154,15 @@
 	return server, nil
 }
 
-// serveMetrics shows metrics and state. A port that is taken costs the metrics, not the service.
-func (g *Gateway) serveMetrics() {
-	if _, err := process.ServeMetrics(g.settings.Metrics, g.registry, g.fleet.State); err != nil {
+// serveMetrics shows metrics and state until the returned function is called. A port that is taken costs
+// the metrics, not the service.
+func (g *Gateway) serveMetrics() (stop func()) {
+	server, err := process.ServeMetrics(g.settings.Metrics, g.registry, g.fleet.State)
+	if err != nil {
 		g.log.Warn(EventMetricsOff, zapError(err))
+		return func() {}
 	}
+	return func() { _ = server.Shutdown() }
 }
 
 func (g *Gateway) sweep(ctx context.Context) {
--- a/internal/gateway/upstream.go
+++ b/internal/gateway/upstream.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// close closes all unused connections.
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for server, list := range p.idle {
+		for _, u := range list {
+			_ = u.Close()
+		}
+		delete(p.idle, server)
+	}
+}
+
 // sweep closes connections that have been unused for too long.
 func (p *pool) sweep() {
 	p.mu.Lock()
