--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -15,7 +15,7 @@
 const (
 	// feedWait is how long one call waits for events. A reading counts from when it was asked for, so two
 	// calls and a pause must fit into kvcache.FreshFor.
-	feedWait = 500 * time.Millisecond
+	feedWait = 400 * time.Millisecond
 	// feedPause is the time between two calls, in which events gather.
 	feedPause = 120 * time.Millisecond
 	// feedTimeout bounds one call beyond its wait.
@@ -48,6 +48,11 @@
 	var since int64
 	lost := false
 	for ctx.Err() == nil {
+		if !f.currentRole().reads {
+			since = 0
+			sleep(ctx, relayIdle)
+			continue
+		}
 		next, err := f.readFeed(ctx, address, since)
 		if err != nil {
 			if !lost {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,7 @@
 	table   atomic.Pointer[routing.Table]
 	contact atomic.Int64
 	leaving atomic.Bool
+	role    atomic.Pointer[role]
 	clock   atomic.Int64 // the servers' clock minus ours, in milliseconds; 0 when unknown
 
 	// The control goroutine owns what follows.
@@ -82,6 +83,8 @@
 		states:     make(map[string]backend.State),
 	}
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
+	f.role.Store(&role{reads: true})
+	catalogue.NumberFrom(bootclock.Now().UnixNano())
 	return f
 }
 
@@ -112,7 +115,7 @@
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) { f.follow(ctx, documents.OperatorPrefix(), f.operatorChanged) },
 		func(ctx context.Context) { f.follow(ctx, documents.ServerPrefix(), f.serversChanged) },
-		f.beat, f.catchUp, f.announce, f.leadRun, f.evaluate, f.seed,
+		f.beat, f.catchUp, f.announce, f.leadRun, f.evaluate, f.seed, f.relay,
 	} {
 		f.background.Go(func() { run(ctx) })
 	}
@@ -259,5 +262,6 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	f.assignRole(now)
 	f.dispatcher.SetGateways(f.members.Count())
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -18,6 +18,8 @@
 const (
 	// followWait is how long one call waits for changes; it bounds how long a dead connection stays unnoticed.
 	followWait = 4 * time.Second
+	// glanceEvery is how often a gateway for which others read looks itself, so that it isn't theirs to lose.
+	glanceEvery = 2500 * time.Millisecond
 	// followPause is the time between two calls, in which changes gather: each call is charged.
 	followPause = 120 * time.Millisecond
 	// listTimeout bounds one listing.
@@ -47,7 +49,7 @@
 				away = false
 				f.Log.Info(EventStoreRegained, zap.String("prefix", prefix))
 			}
-			sleep(ctx, followPause)
+			f.pause(ctx)
 			continue
 		}
 		if errorx.IsOfType(err, metastore.ErrCompacted) {
@@ -64,6 +66,15 @@
 	}
 }
 
+// pause waits between two calls. A gateway for which others read hears of changes from them meanwhile.
+func (f *Fleet) pause(ctx context.Context) {
+	if f.currentRole().reads {
+		sleep(ctx, followPause)
+		return
+	}
+	sleep(ctx, glanceEvery)
+}
+
 func (f *Fleet) list(ctx context.Context, prefix string, changed func([]string, time.Time)) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
@@ -85,7 +96,11 @@
 	if !f.loop.Call(func() { from = f.mirror.AsOf(prefix) }) {
 		return nil
 	}
-	changes, err := f.Platform.Metastore.Changes(ctx, prefix, from, followWait)
+	wait := followWait
+	if !f.currentRole().reads {
+		wait = 0
+	}
+	changes, err := f.Platform.Metastore.Changes(ctx, prefix, from, wait)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/fleet/relay.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/grpcpool"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const (
+	// relayWait is how long a gateway that reads for others waits for changes, and relayStep how often it
+	// looks. The age of its own reading adds to that and must stay below kvcache.FreshFor.
+	relayWait = 300 * time.Millisecond
+	relayStep = 50 * time.Millisecond
+	// relayIdle is how often a gateway that reads itself looks whether that has changed.
+	relayIdle = 500 * time.Millisecond
+)
+
+// relay reads the cache stores through another gateway of the failure domain while that is this
+// gateway's role.
+func (f *Fleet) relay(ctx context.Context) {
+	pool := grpcpool.New(maxPeerConnections)
+	defer pool.Close()
+	cursors := make(map[string]*wire.StoreCursor)
+	from := ""
+	for ctx.Err() == nil {
+		role := f.currentRole()
+		if role.reads || len(role.readers) == 0 || f.Table() == nil {
+			clear(cursors)
+			sleep(ctx, relayIdle)
+			continue
+		}
+		if reader := role.readers[0]; from == "" || !contains(role.readers, from) {
+			from = reader
+			clear(cursors)
+		}
+		if err := f.readThrough(ctx, pool, from, cursors); err != nil {
+			f.Log.Warn(EventCatchUpFailed, zap.String("from", from), zap.Error(err))
+			from = role.readers[rand.IntN(len(role.readers))]
+			clear(cursors)
+			sleep(ctx, feedRetry)
+		}
+		sleep(ctx, feedPause)
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, s := range list {
+		if s == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// readThrough makes one call for the news of all stores.
+func (f *Fleet) readThrough(ctx context.Context, pool *grpcpool.Pool, from string, cursors map[string]*wire.StoreCursor) error {
+	ctx, cancel := context.WithTimeout(ctx, relayWait+peerCallTimeout)
+	defer cancel()
+	connection, err := pool.Get(from)
+	if err != nil {
+		return ErrPeer.Wrap(err, "gateway %s", from)
+	}
+	request := &wire.CacheRequest{WaitMs: uint32(relayWait.Milliseconds())}
+	for _, s := range f.Table().Stores {
+		cursor := cursors[s.Address]
+		if cursor == nil {
+			cursor = &wire.StoreCursor{Address: s.Address, List: true}
+			cursors[s.Address] = cursor
+		}
+		request.Stores = append(request.Stores, cursor)
+	}
+	asked := bootclock.Now()
+	reply, err := wire.NewGatewaysClient(connection).Cache(ctx, request)
+	if err != nil {
+		return ErrPeer.Wrap(err, "gateway %s", from)
+	}
+	f.loop.Call(func() { f.takeReadings(reply, asked, bootclock.Now()) })
+	for _, reading := range reply.GetStores() {
+		if cursor := cursors[reading.GetAddress()]; cursor != nil {
+			cursor.Since, cursor.List = reading.GetNext(), reading.GetLost()
+		}
+	}
+	return nil
+}
+
+// takeReadings applies what another gateway knows of the stores. A reading counts from when it was made.
+func (f *Fleet) takeReadings(reply *wire.CacheReply, asked, now time.Time) {
+	if offset := reply.GetClockOffsetMs(); offset != 0 {
+		f.clock.Store(offset)
+	}
+	for _, reading := range reply.GetStores() {
+		readAt := asked.Add(-time.Duration(reading.GetAgeMs()) * time.Millisecond)
+		batch := kvcache.Batch{Epoch: reading.GetEpoch(), Next: reading.GetNext()}
+		for _, c := range reading.GetChanges() {
+			batch.Changes = append(batch.Changes, kvcache.Change{
+				Key: kvcache.Key{Salt: c.GetSalt(), ID: c.GetId()}, Tokens: int(c.GetTokens()), Removed: c.GetRemoved(),
+			})
+		}
+		switch {
+		case reading.GetLost():
+		case reading.GetList():
+			f.catalogue.Replace(reading.GetAddress(), batch, readAt, now)
+		default:
+			f.catalogue.Apply(reading.GetAddress(), batch, readAt, now)
+		}
+	}
+}
+
+// Cache implements wire.GatewaysServer.
+func (s *service) Cache(ctx context.Context, request *wire.CacheRequest) (*wire.CacheReply, error) {
+	until := time.Now().Add(min(relayWait, time.Duration(request.GetWaitMs())*time.Millisecond))
+	for {
+		var reply *wire.CacheReply
+		news := false
+		if !s.fleet.loop.Call(func() { reply, news = s.fleet.readings(request) }) {
+			return nil, ErrPeer.New("the gateway stops")
+		}
+		if news || !time.Now().Before(until) || ctx.Err() != nil {
+			return reply, nil
+		}
+		sleep(ctx, relayStep)
+	}
+}
+
+// readings returns this gateway's readings of the stores and whether there is anything new in them.
+func (f *Fleet) readings(request *wire.CacheRequest) (reply *wire.CacheReply, news bool) {
+	now := bootclock.Now()
+	reply = &wire.CacheReply{ClockOffsetMs: f.clock.Load()}
+	for _, cursor := range request.GetStores() {
+		batch, ok := f.catalogue.Relay(cursor.GetAddress(), cursor.GetSince(), now)
+		if cursor.GetList() {
+			batch, ok = f.catalogue.RelayList(cursor.GetAddress(), now)
+		}
+		if !ok {
+			continue
+		}
+		news = news || cursor.GetList() || batch.Lost || len(batch.Changes) > 0
+		reply.Stores = append(reply.Stores, readingOf(cursor, &batch))
+	}
+	return reply, news
+}
+
+func readingOf(cursor *wire.StoreCursor, batch *kvcache.Batch) *wire.StoreReading {
+	reading := &wire.StoreReading{
+		Address: cursor.GetAddress(), Epoch: batch.Epoch, Next: batch.Next, Lost: batch.Lost, List: cursor.GetList(),
+		// Rounded up, so that no reading looks younger than it is.
+		AgeMs: uint32(batch.Age.Milliseconds()) + 1,
+	}
+	for _, c := range batch.Changes {
+		reading.Changes = append(reading.Changes, &wire.CacheChange{
+			Salt: c.Key.Salt, Id: c.Key.ID, Tokens: uint32(c.Tokens), Removed: c.Removed,
+		})
+	}
+	return reading
+}
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -16,8 +16,9 @@
 
 const (
 	// FreshFor is how long the reading of a store counts. A store that restarts empty may be written
-	// again by whoever knows; nobody may fetch by what it held before. It spans one long poll and a half.
-	FreshFor = 1500 * time.Millisecond
+	// again by whoever knows; nobody may fetch by what it held before. It spans two long polls of a gateway
+	// that reads for others, and one of theirs.
+	FreshFor = 1800 * time.Millisecond
 	// FetchFor bounds a fetch from the moment it is planned: later it is thrown away by the engine. An
 	// engine doesn't start a transfer that would wait longer than two seconds.
 	FetchFor = 1500 * time.Millisecond
@@ -63,6 +64,8 @@
 	Changes []Change
 	// ClockMS is the servers' clock at the reading, in Unix milliseconds; zero when the store doesn't say.
 	ClockMS int64
+	// Age is how old the reading was when it was passed on by another gateway; zero from the store itself.
+	Age time.Duration
 }
 
 // Plan says where each part of a prompt comes from and goes to. An empty address means nowhere.
@@ -93,6 +96,9 @@
 	// lagMS is how much longer than its transfer a fetch took lately: the wait for the store's link.
 	lagMS float64
 	lagAt time.Time
+	// changes are the latest ones, numbered up to next, for gateways that read the store through this one.
+	changes []Change
+	next    int64
 }
 
 type pendingSave struct {
@@ -115,6 +121,8 @@
 	retired map[Generation]int
 	// touchedAt is when the latest news came.
 	touchedAt time.Time
+	// firstChange is where the numbers of changes begin; it tells runs of a gateway apart.
+	firstChange int64
 }
 
 // New returns a Catalogue without stores.
@@ -134,7 +142,7 @@
 	for _, s := range stores {
 		known := c.find(s.Address)
 		if known == nil {
-			known = &store{whole: make(map[Key]int), pending: make(map[Key]pendingSave)}
+			known = &store{whole: make(map[Key]int), pending: make(map[Key]pendingSave), next: c.firstChange}
 		}
 		known.CacheStore = s
 		kept = append(kept, known)
@@ -179,6 +187,7 @@
 	}
 	s.whole = make(map[Key]int, len(batch.Changes))
 	s.used = 0
+	s.skip()
 	for _, change := range batch.Changes {
 		s.apply(change)
 	}
@@ -195,6 +204,7 @@
 	s.whole = make(map[Key]int)
 	s.pending = make(map[Key]pendingSave)
 	s.used, s.reserved = 0, 0
+	s.skip()
 }
 
 func (s *store) apply(change Change) {
@@ -205,6 +215,7 @@
 		s.used += change.Tokens
 	}
 	s.settle(change.Key)
+	s.record(change)
 }
 
 // settle ends the wait for a save.
