Read cache stores through two gateways of a failure domain; bound fetches by the servers' clock

Stores take about 12 calls for events at once, so most of 26 to 30 gateways had no reading of the servers' clock and bounded their fetches by their own. Ruled out: links of the stores (half used), missing room (75 parts), late fetches (0), the pauses between readings.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,7 +70,7 @@
 
 // New returns a Fleet that knows nothing yet.
 func New(o Options) *Fleet {
-	catalogue := kvcache.New()
+	catalogue := kvcache.New(o.Self.GetFailureDomain())
 	f := &Fleet{
 		Options:    o,
 		loop:       control.NewLoop(),
@@ -201,12 +201,11 @@
 	})
 }
 
-// ServerClock converts a time of bootclock to the servers' clock, in Unix milliseconds.
-func (f *Fleet) ServerClock(at time.Time) int64 {
-	if offset := f.clock.Load(); offset != 0 {
-		return at.UnixMilli() + offset
-	}
-	return time.Now().UnixMilli() + at.Sub(bootclock.Now()).Milliseconds()
+// ServerClock converts a time of bootclock to the servers' clock, in Unix milliseconds. It returns false
+// while no reading of that clock has come.
+func (f *Fleet) ServerClock(at time.Time) (ms int64, known bool) {
+	offset := f.clock.Load()
+	return at.UnixMilli() + offset, offset != 0
 }
 
 // clockSlip is how much the offset of the servers' clock may fall with each reading, in milliseconds: a
@@ -264,4 +263,5 @@
 	f.lastExpiry = now
 	f.assignRole(now)
 	f.dispatcher.SetGateways(f.members.Count())
+	f.catalogue.SetGateways(f.members.Count())
 }
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -20,8 +20,10 @@
 	followWait = 4 * time.Second
 	// glanceEvery is how often a gateway for which others read looks itself, so that it isn't theirs to lose.
 	glanceEvery = 2500 * time.Millisecond
-	// followPause is the time between two calls, in which changes gather: each call is charged.
+	// followPause is the time between two calls, in which changes gather: each call is charged. readerPause
+	// goes for gateways that read for others, in deployments with many changes.
 	followPause = 120 * time.Millisecond
+	readerPause = 350 * time.Millisecond
 	// listTimeout bounds one listing.
 	listTimeout = 2 * time.Second
 	// followRetry is the pause after a call that failed, drawn between half and all of it.
@@ -68,11 +70,14 @@
 
 // pause waits between two calls. A gateway for which others read hears of changes from them meanwhile.
 func (f *Fleet) pause(ctx context.Context) {
-	if f.currentRole().reads {
+	switch role := f.currentRole(); {
+	case !role.reads:
+		sleep(ctx, glanceEvery)
+	case role.forOthers:
+		sleep(ctx, readerPause)
+	default:
 		sleep(ctx, followPause)
-		return
 	}
-	sleep(ctx, glanceEvery)
 }
 
 func (f *Fleet) list(ctx context.Context, prefix string, changed func([]string, time.Time)) error {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -92,9 +92,7 @@
 
 // takeReadings applies what another gateway knows of the stores. A reading counts from when it was made.
 func (f *Fleet) takeReadings(reply *wire.CacheReply, asked, now time.Time) {
-	if offset := reply.GetClockOffsetMs(); offset != 0 {
-		f.clock.Store(offset)
-	}
+	f.clockTold(reply.GetClockMs(), now)
 	for _, reading := range reply.GetStores() {
 		readAt := asked.Add(-time.Duration(reading.GetAgeMs()) * time.Millisecond)
 		batch := kvcache.Batch{Epoch: reading.GetEpoch(), Next: reading.GetNext()}
@@ -132,7 +130,10 @@
 // readings returns this gateway's readings of the stores and whether there is anything new in them.
 func (f *Fleet) readings(request *wire.CacheRequest) (reply *wire.CacheReply, news bool) {
 	now := bootclock.Now()
-	reply = &wire.CacheReply{ClockOffsetMs: f.clock.Load()}
+	reply = &wire.CacheReply{}
+	if clock, known := f.ServerClock(now); known {
+		reply.ClockMs = clock
+	}
 	for _, cursor := range request.GetStores() {
 		batch, ok := f.catalogue.Relay(cursor.GetAddress(), cursor.GetSince(), now)
 		if cursor.GetList() {
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -17,6 +17,8 @@
 type role struct {
 	// reads tells that it does.
 	reads bool
+	// forOthers tells that others rely on it.
+	forOthers bool
 	// readers are the control addresses of the gateways that read for this one.
 	readers []string
 }
@@ -47,7 +49,7 @@
 	next := &role{}
 	for _, c := range candidates[:min(readersPerDomain, len(candidates))] {
 		if c.name == f.Self.GetInstance() {
-			f.role.Store(&role{reads: true})
+			f.role.Store(&role{reads: true, forOthers: true})
 			return
 		}
 		next.readers = append(next.readers, c.address)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -286,11 +286,23 @@
 		zap.Int64("configuration", g.version()),
 	}
 	if p := r.placed.Plan; p != nil {
-		fields = append(fields, zap.Int64("weights", r.placed.Version), zap.Int("fetched", p.FetchTokens), zap.Int("read", p.ReadTokens))
+		fields = append(fields, zap.Int64("weights", r.placed.Version), zap.Int("fetched", p.FetchTokens), zap.Int("read", p.ReadTokens),
+			zap.Strings("from", named(p.Fetch)), zap.Strings("to", named(p.Save)))
 	}
 	return fields
 }
 
+// named returns the addresses that are not empty.
+func named(addresses []string) []string {
+	var list []string
+	for _, address := range addresses {
+		if address != "" {
+			list = append(list, address)
+		}
+	}
+	return list
+}
+
 // dispatchTo returns what the system adds to the request for the server that it is placed on.
 func (g *Gateway) dispatchTo(r *request) *Dispatch {
 	d := &Dispatch{
@@ -301,7 +313,12 @@
 		d.ResumeAfter = r.resumeAfter
 	}
 	if r.placed.Plan != nil {
-		d.FetchUntilMS = g.fleet.ServerClock(r.placed.Plan.Until)
+		until, known := g.fleet.ServerClock(r.placed.Plan.Until)
+		if !known {
+			// A fetch whose end nobody bounds might read a part that is freed meanwhile.
+			d.Plan = r.placed.Plan.WithoutFetch()
+		}
+		d.FetchUntilMS = until
 	}
 	return d
 }
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -34,6 +34,9 @@
 	lastPartMemory = 4096
 )
 
+// SetGateways takes how many gateways save to the stores.
+func (c *Catalogue) SetGateways(n int) { c.gateways = max(1, n) }
+
 // Part is one part of a prompt.
 type Part struct {
 	ID     string
@@ -82,6 +85,13 @@
 	Until time.Time
 }
 
+// WithoutFetch returns the plan with its saves only.
+func (p *Plan) WithoutFetch() *Plan {
+	saves := *p
+	saves.Fetch = make([]string, len(p.Fetch))
+	return &saves
+}
+
 type store struct {
 	routing.CacheStore
 	epoch int64
@@ -109,6 +119,9 @@
 // Catalogue is what one gateway knows of all stores. It is not safe for concurrent use.
 type Catalogue struct {
 	stores []*store
+	home   string
+	// gateways is how many gateways save to the stores.
+	gateways int
 	// tokenBytes is the size of one token of KV cache.
 	tokenBytes int
 	// lastParts remembers the last parts of recent prompts; recurring counts those that came again.
@@ -125,9 +138,12 @@
 	firstChange int64
 }
 
-// New returns a Catalogue without stores.
-func New() *Catalogue {
+// New returns a Catalogue without stores, of a gateway in the failure domain home: prompts come back to
+// gateways of the same domain, so their parts are saved near it.
+func New(home string) *Catalogue {
 	return &Catalogue{
+		home:      home,
+		gateways:  1,
 		lastParts: make(map[string]struct{}),
 		newest:    make(map[string]int64),
 		retired:   make(map[Generation]int),
@@ -289,7 +305,7 @@
 		if source != nil || !saves || p.Tokens < minPartTokens || i == len(parts)-1 && !saveLast {
 			continue
 		}
-		if target := c.target(key, p.Tokens, domain, now); target != nil {
+		if target := c.target(key, p.Tokens, now); target != nil {
 			target.pending[key] = pendingSave{tokens: p.Tokens, at: now}
 			target.reserved += p.Tokens
 			plan.Save[i] = target.Address
@@ -364,19 +380,19 @@
 	}
 }
 
-// target returns the store to save a part to, or nil. Quick stores in the same failure domain come
+// target returns the store to save a part to, or nil. Quick stores in the gateway's failure domain come
 // first; among equals the part's rank decides, so that gateways agree.
-func (c *Catalogue) target(key Key, tokens int, domain string, now time.Time) *store {
+func (c *Catalogue) target(key Key, tokens int, now time.Time) *store {
 	var best *store
 	var bestScore float64
 	for _, s := range c.stores {
 		if s.awaits(key, now) {
 			return nil
 		}
-		if !s.takes(tokens, now) {
+		if !s.takes(tokens, c.gateways, now) {
 			continue
 		}
-		score := (c.transferMS(s, tokens, domain) + s.lag(now)) * (1 + rankSpread*s.rank(key))
+		score := (c.transferMS(s, tokens, c.home) + s.lag(now)) * (1 + rankSpread*s.rank(key))
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
@@ -403,9 +419,11 @@
 	return ok
 }
 
-func (s *store) takes(tokens int, now time.Time) bool {
+// takes reports whether a part probably finds room. The saves of other gateways that aren't reported yet are
+// taken to be as many as this one's.
+func (s *store) takes(tokens, gateways int, now time.Time) bool {
 	return s.Managed && s.fresh(now) && !now.Before(s.saveFrom) &&
-		float64(s.used+s.reserved+tokens) < fullShare*float64(s.CapacityTokens)
+		float64(s.used+s.reserved*gateways+tokens) < fullShare*float64(s.CapacityTokens)
 }
 
 // lastReturns reports whether last parts of prompts come again, so that saving one pays, and
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -24,7 +24,7 @@
 
 // newCatalogue returns a catalogue of two empty stores that were read at start.
 func newCatalogue() *Catalogue {
-	c := New()
+	c := New("a")
 	c.SetStores([]routing.CacheStore{
 		{Address: quick, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
 		{Address: slow, FailureDomain: "b", CapacityTokens: 200_000, LinkMbps: 10_000, FirstByte: 6 * time.Millisecond, Managed: true},
