--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -26,14 +26,17 @@
 	readerPause = 350 * time.Millisecond
 	// listTimeout bounds one listing.
 	listTimeout = 2 * time.Second
-	// followRetry is the pause after a call that failed, drawn between half and all of it.
-	followRetry = 300 * time.Millisecond
+	// followRetry is the pause after a call that failed, drawn between half and all of it. It doubles up to
+	// followRetryMost, which bounds how late a gateway hears that the store is back.
+	followRetry     = 300 * time.Millisecond
+	followRetryMost = 1200 * time.Millisecond
 )
 
 // follow keeps the mirror of one prefix up to date from the metadata store.
 func (f *Fleet) follow(ctx context.Context, prefix string, changed func(keys []string, now time.Time)) {
 	away := false
 	listed := false
+	retry := followRetry
 	for ctx.Err() == nil {
 		f.Counters.StoreCalls.Inc(1)
 		var err error
@@ -51,6 +54,7 @@
 				away = false
 				f.Log.Info(EventStoreRegained, zap.String("prefix", prefix))
 			}
+			retry = followRetry
 			f.pause(ctx)
 			continue
 		}
@@ -64,7 +68,8 @@
 			f.Log.Warn(EventStoreLost, zap.String("prefix", prefix), zap.Error(err))
 		}
 		f.loop.Post(f.registry.StoreAway)
-		sleep(ctx, followRetry/2+rand.N(followRetry/2))
+		sleep(ctx, retry/2+rand.N(retry/2))
+		retry = min(2*retry, followRetryMost)
 	}
 }
 
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -63,7 +63,7 @@
 	since time.Time
 }
 
-// leadRun campaigns for the leader lease and does the leader's duties while it holds it.
+// leadRun campaigns for the leader lease, in large deployments only if other gateways read through this one, and does the leader's duties while it holds it.
 func (f *Fleet) leadRun(ctx context.Context) {
 	lessor := lease.New(f.Platform.Metastore, lease.Options{
 		Key:        leaderKey,
@@ -75,7 +75,7 @@
 	})
 	for ctx.Err() == nil {
 		sleep(ctx, campaignEvery/2+rand.N(campaignEvery/2))
-		if ctx.Err() != nil || f.leaving.Load() || f.leaderLives() {
+		if ctx.Err() != nil || f.leaving.Load() || !f.currentRole().reads || f.leaderLives() {
 			continue
 		}
 		f.Counters.StoreCalls.Inc(1)
@@ -83,6 +83,7 @@
 		if err != nil {
 			if !errorx.IsOfType(err, lease.ErrHeld) {
 				f.Counters.StoreFailures.Inc(1)
+				sleep(ctx, campaignEvery)
 			}
 			continue
 		}
