--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,268 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+
+	"balsamyoke.example/balsamyoke/internal/backend"
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/leaktest"
+	"balsamyoke.example/balsamyoke/internal/loopback"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
+	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/weights"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+func TestMain(m *testing.M) { leaktest.VerifyMain(m) }
+
+const patient = 15 * time.Second
+
+// documents are plain: op/config is a version, servers/ID an address.
+type documents struct{}
+
+func (documents) OperatorPrefix() string     { return "op/" }
+func (documents) ServerPrefix() string       { return "servers/" }
+func (documents) ServerID(key string) string { return strings.TrimPrefix(key, "servers/") }
+
+func (documents) Read(key string, value []byte) (Document, error) {
+	if strings.HasPrefix(key, "servers/") {
+		return Document{Server: &backend.Server{ID: strings.TrimPrefix(key, "servers/"), Service: "app", Address: string(value), Slots: 4}}, nil
+	}
+	var version int64
+	if _, err := fmt.Sscan(string(value), &version); err != nil {
+		return Document{}, err
+	}
+	return Document{Configuration: &routing.Configuration{Version: version, Services: []routing.Service{{Name: "app"}}}}, nil
+}
+
+type noEngines struct{}
+
+func (noEngines) Report(context.Context, string) (backend.Report, error) {
+	return backend.Report{}, weights.ErrUnavailable.New("no engine")
+}
+
+func (noEngines) Switch(context.Context, weights.Order) (weights.Outcome, error) {
+	return weights.Refused, nil
+}
+
+func (noEngines) Events(context.Context, string, int64, time.Duration) (kvcache.Batch, error) {
+	return kvcache.Batch{}, weights.ErrUnavailable.New("no store")
+}
+
+func (noEngines) List(context.Context, string) (kvcache.Batch, error) {
+	return kvcache.Batch{}, weights.ErrUnavailable.New("no store")
+}
+
+func (noEngines) Free(context.Context, string, int64, []kvcache.Key) error { return nil }
+
+// gate lets a gateway reach the metadata store or turns it away.
+type gate struct {
+	*memkv.Store
+	away chan struct{}
+}
+
+func (g *gate) shut() bool {
+	select {
+	case <-g.away:
+		return true
+	default:
+		return false
+	}
+}
+
+func (g *gate) Snapshot(ctx context.Context, prefix string) (metastore.Listing, error) {
+	if g.shut() {
+		return metastore.Listing{}, metastore.ErrUnavailable.New("turned away")
+	}
+	return g.Store.Snapshot(ctx, prefix)
+}
+
+func (g *gate) Changes(ctx context.Context, prefix string, from metastore.Revision, wait time.Duration) (metastore.Changes, error) {
+	if g.shut() {
+		return metastore.Changes{}, metastore.ErrUnavailable.New("turned away")
+	}
+	return g.Store.Changes(ctx, prefix, from, min(wait, 200*time.Millisecond))
+}
+
+// start runs a Fleet called name on the store.
+func start(c *qt.C, name string, store *gate, seeds ...string) *Fleet {
+	beats, err := loopback.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	control, err := loopback.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	log := eventlog.New(&bytes.Buffer{})
+	f := New(Options{
+		Platform: Platform{Metastore: store, Documents: documents{}, Engines: noEngines{}, Stores: noEngines{}},
+		Log:      log, Counters: NewCounters(tally.NoopScope), Incarnation: process.NewIncarnation(), Seeds: seeds,
+		Self:          &wire.Peer{Instance: name, BeatAddress: beats, ControlAddress: control, FailureDomain: "a"},
+		LeaseTTL:      time.Second,
+		WeightsWithin: 10 * time.Second,
+	})
+	server, err := process.ServeControl(control, func(s *grpc.Server) { f.Register(s) })
+	c.Assert(err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	c.Cleanup(func() {
+		cancel()
+		c.Check(<-ended, qt.IsNil)
+		server.Stop()
+		log.Close()
+	})
+	return f
+}
+
+func eventually(c *qt.C, what string, holds func() bool) {
+	c.Helper()
+	for deadline := time.Now().Add(patient); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	c.Fatalf("%s did not come to hold", what)
+}
+
+func put(c *qt.C, store *memkv.Store, key, value string) {
+	record, err := store.Get(context.Background(), key)
+	if err != nil {
+		record.ModRevision = 0
+	}
+	_, err = store.CompareAndSwap(context.Background(), metastore.Swap{Key: key, Value: []byte(value), Expect: record.ModRevision})
+	c.Assert(err, qt.IsNil)
+}
+
+func (f *Fleet) version() int64 {
+	if table := f.Table(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
+// A gateway that the store turns away takes configurations and servers from the others.
+func TestGatewayThatIsTurnedAwayHearsFromOthers(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	served, away := &gate{store, make(chan struct{})}, &gate{store, make(chan struct{})}
+	a, b := start(c, "a", served), start(c, "b", away)
+	eventually(c, "both know version 1", func() bool { return a.version() == 1 && b.version() == 1 })
+	eventually(c, "they know each other", func() bool {
+		n := 0
+		b.loop.Call(func() { n = len(b.members.Live(bootclock.Now())) })
+		return n == 1
+	})
+	close(away.away)
+	put(c, store, "op/config", "2")
+	put(c, store, "servers/s1", "127.0.0.1:1")
+	began := time.Now()
+	eventually(c, "the one turned away knows version 2", func() bool { return b.version() == 2 })
+	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(began)))
+	eventually(c, "it knows the server", func() bool {
+		n := 0
+		b.loop.Call(func() { n = len(b.registry.Servers(bootclock.Now())) })
+		return n == 1
+	})
+}
+
+// A gateway that starts while the store turns it away asks the seeds.
+func TestFreshGatewayAsksTheSeeds(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "7")
+	a := start(c, "a", &gate{store, make(chan struct{})})
+	eventually(c, "the first knows version 7", func() bool { return a.version() == 7 })
+	away := &gate{store, make(chan struct{})}
+	close(away.away)
+	b := start(c, "b", away, "127.0.0.1:1", a.Self.GetControlAddress())
+	eventually(c, "the fresh one knows version 7", func() bool { return b.version() == 7 })
+}
+
+// One gateway leads; when it leaves, another does.
+func TestOneGatewayLeads(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	fleets := []*Fleet{start(c, "a", &gate{store, make(chan struct{})}), start(c, "b", &gate{store, make(chan struct{})})}
+	leaders := func() (list []*Fleet) {
+		for _, f := range fleets {
+			f.loop.Call(func() {
+				if f.lead.fence > 0 {
+					list = append(list, f)
+				}
+			})
+		}
+		return list
+	}
+	eventually(c, "one leads", func() bool { return len(leaders()) == 1 })
+	first := leaders()[0]
+	fence := int64(0)
+	first.loop.Call(func() { fence = first.lead.fence })
+	first.Leave()
+	eventually(c, "the other leads", func() bool {
+		list := leaders()
+		return len(list) == 1 && list[0] != first
+	})
+	next := leaders()[0]
+	next.loop.Call(func() { c.Check(next.lead.fence > fence, qt.IsTrue) })
+}
+
+// Gateways that read through another one learn the servers' clock, whatever their own shows: the clocks
+// since boot of two machines differ. Bounding fetches by the other's offset made 40 in 100 come to nothing.
+func TestReadersTellTheServersClock(t *testing.T) {
+	c := qt.New(t)
+	f := New(Options{
+		Self: &wire.Peer{Instance: "a", FailureDomain: "a"}, Log: eventlog.New(&bytes.Buffer{}), Counters: NewCounters(tally.NoopScope),
+	})
+	defer f.Log.Close()
+	_, known := f.ServerClock(bootclock.Now())
+	c.Assert(known, qt.IsFalse)
+	now := bootclock.Now()
+	serverNow := int64(1_700_000_000_000)
+	f.takeReadings(&wire.CacheReply{ClockMs: serverNow}, now, now)
+	ms, known := f.ServerClock(now.Add(time.Second))
+	c.Assert(known, qt.IsTrue)
+	c.Assert(ms, qt.Equals, serverNow+1000)
+}
+
+// In small deployments each gateway reads itself, in large ones two of a failure domain do.
+func TestFewGatewaysReadForTheOthers(t *testing.T) {
+	c := qt.New(t)
+	readers := 0
+	now := bootclock.Now()
+	for me := range 12 {
+		f := New(Options{
+			Self: &wire.Peer{Instance: fmt.Sprintf("g%02d", me), ControlAddress: fmt.Sprintf("10.0.0.%d:1", me), FailureDomain: "a"},
+			Log:  eventlog.New(&bytes.Buffer{}), Counters: NewCounters(tally.NoopScope),
+		})
+		for other := range 12 {
+			name := fmt.Sprintf("g%02d", other)
+			f.members.Heard(&wire.Beat{Sequence: 1, From: &wire.Peer{
+				Instance: name, BeatAddress: name, ControlAddress: fmt.Sprintf("10.0.0.%d:1", other), FailureDomain: "a",
+			}}, now)
+		}
+		f.assignRole(now)
+		if role := f.currentRole(); role.reads {
+			readers++
+		} else {
+			c.Check(role.readers, qt.DeepEquals, []string{"10.0.0.0:1", "10.0.0.1:1"})
+		}
+		f.Log.Close()
+	}
+	c.Assert(readers, qt.Equals, readersPerDomain)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/explain"
 	"balsamyoke.example/balsamyoke/internal/fleet"
 	"balsamyoke.example/balsamyoke/internal/metrics"
 	"balsamyoke.example/balsamyoke/internal/process"
@@ -45,6 +46,10 @@
 	registry *metrics.Registry
 	pool     *pool
 	draining atomic.Bool
+	// decisions are the latest ones, for balsamctl.
+	decisions *explain.Ring
+	// leave asks Run to end.
+	leave chan struct{}
 
 	connections sync.WaitGroup
 	mu          sync.Mutex
@@ -56,13 +61,15 @@
 	registry := metrics.NewRegistry("balsamyoke_gateway")
 	incarnation := process.NewIncarnation()
 	g := &Gateway{
-		settings: s,
-		protocol: protocol,
-		log:      log,
-		registry: registry,
-		counters: newCounters(registry.Scope),
-		pool:     newPool(),
-		open:     make(map[*caller]struct{}),
+		settings:  s,
+		protocol:  protocol,
+		log:       log,
+		registry:  registry,
+		counters:  newCounters(registry.Scope),
+		pool:      newPool(),
+		decisions: explain.NewRing(decisionsKept),
+		leave:     make(chan struct{}, 1),
+		open:      make(map[*caller]struct{}),
 		fleet: fleet.New(fleet.Options{
 			Platform:    platform,
 			Log:         log,
@@ -101,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	control, err := process.ServeControl(g.settings.Control, func(s *grpc.Server) { g.fleet.Register(s) })
+	control, err := process.ServeControl(g.settings.Control, g.register)
 	if err != nil {
 		return err
 	}
@@ -117,6 +124,7 @@
 	g.log.Info(EventStart, zap.Any("settings", g.settings))
 	select {
 	case <-ctx.Done():
+	case <-g.leave:
 	case err := <-ended:
 		stop()
 		return err
@@ -129,6 +137,17 @@
 	return err
 }
 
+// register adds the calls of other gateways and of balsamctl.
+func (g *Gateway) register(s *grpc.Server) {
+	g.fleet.Register(s)
+	wire.RegisterAdminServer(s, &process.Admin{State: g.fleet.State, Decisions: g.decisions, Leave: func() {
+		select {
+		case g.leave <- struct{}{}:
+		default:
+		}
+	}})
+}
+
 // serveReady tells the balancer whether this instance takes connections.
 func (g *Gateway) serveReady() (*fasthttp.Server, error) {
 	listener, err := net.Listen("tcp4", g.settings.Ready)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -132,7 +132,7 @@
 
 func (g *Gateway) denied(in *incoming, id string, status int, reason string) *reply {
 	g.counters.refused(reason)
-	g.log.Warn(EventDenied, zap.String("request", id), zapStatus(status), zap.String("reason", reason),
+	g.note(warn, EventDenied, id, zapStatus(status), zap.String("reason", reason),
 		zap.ByteString("path", in.header.RequestURI()), zap.Int64("configuration", g.version()),
 		zap.Duration("news_age", g.fleet.ContactAge()))
 	return own(status)
@@ -140,9 +140,7 @@
 
 func (g *Gateway) refused(in *incoming, id, reason string, more ...zap.Field) {
 	g.counters.refused(reason)
-	fields := append([]zap.Field{zap.String("request", id), zap.String("reason", reason),
-		zap.Int64("configuration", g.version())}, more...)
-	g.log.Warn(EventRefused, fields...)
+	g.note(warn, EventRefused, id, append([]zap.Field{zap.String("reason", reason), zap.Int64("configuration", g.version())}, more...)...)
 }
 
 func (g *Gateway) version() int64 {
@@ -183,7 +181,7 @@
 			return g.giveUp(c, r, g.fleet.Refuse(r.service, dispatch.NoBudget), &end)
 		}
 		g.counters.retries.Inc(1)
-		g.log.Info(EventRetry, zap.String("request", r.call.ID), zap.String("server", placed.Server),
+		g.note(info, EventRetry, r.call.ID, zap.String("server", placed.Server),
 			zap.Int("sends", r.sends), zap.Bool("ran", end.ran), zap.Int("status", end.status), zapError(end.err))
 	}
 }
@@ -242,7 +240,7 @@
 func (g *Gateway) interrupted(ctx context.Context, c *caller, r *request, end *ending) bool {
 	if end.callerFailed || !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		g.counters.cancelled.Inc(1)
-		g.log.Info(EventCancelled, zap.String("request", r.call.ID), zap.String("server", r.placed.Server),
+		g.note(info, EventCancelled, r.call.ID, zap.String("server", r.placed.Server),
 			zap.Duration("after", time.Since(r.at)), zap.Bool("begun", r.begun))
 		return false
 	}
@@ -262,26 +260,26 @@
 func (g *Gateway) served(r *request, end *ending) {
 	took := time.Since(r.at)
 	g.counters.served(r, end, took)
-	g.log.Info(EventServed, append(g.placement(r), zap.Int("status", end.status), zap.Duration("first_byte", end.firstAfter),
+	g.note(info, EventServed, r.call.ID, append(g.placement(r), zap.Int("status", end.status), zap.Duration("first_byte", end.firstAfter),
 		zap.Duration("took", took), zap.Int("sends", r.sends))...)
 }
 
 func (g *Gateway) failed(r *request, end *ending, status int) {
 	g.counters.failed(r, status)
-	g.log.Warn(EventFailed, append(g.placement(r), zapStatus(status), zap.Int("server_status", end.status), zap.Int("sends", r.sends),
+	g.note(warn, EventFailed, r.call.ID, append(g.placement(r), zapStatus(status), zap.Int("server_status", end.status), zap.Int("sends", r.sends),
 		zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.at)), zapError(end.err))...)
 }
 
 func (g *Gateway) brokenOff(r *request, end *ending) {
 	g.counters.brokenOff.Inc(1)
-	g.log.Warn(EventBrokenOff, append(g.placement(r), zap.String("last_event", r.resumeAfter), zap.Int("sends", r.sends),
+	g.note(warn, EventBrokenOff, r.call.ID, append(g.placement(r), zap.String("last_event", r.resumeAfter), zap.Int("sends", r.sends),
 		zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.at)), zapError(end.err))...)
 }
 
 // placement returns what decided where a request went.
 func (g *Gateway) placement(r *request) []zap.Field {
 	fields := []zap.Field{
-		zap.String("request", r.call.ID), zap.String("route", r.route.Name), zap.String("server", r.placed.Server),
+		zap.String("route", r.route.Name), zap.String("server", r.placed.Server),
 		zap.Duration("predicted", r.placed.Predicted), zap.Int("candidates", r.placed.Candidates),
 		zap.Int64("configuration", g.version()),
 	}
