--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -31,19 +31,21 @@
 )
 
 const (
-	// loadShare is the share of a service's engines that load at once: with more, each load takes longer.
-	loadShare = 1.0 / 6
+	// loadShare is the share of a service's engines that load at once while there is time: each one that is
+	// away makes the others slower, and a new one has an empty cache.
+	loadShare = 1.0 / 10
 	// timeShare is the share of the time left in which the rollout is planned to end, and mostShare the
 	// share of the engines that may load at once when that is short.
 	timeShare = 0.8
 	mostShare = 0.5
-	// drainFor is how long an engine that is about to load gets no new requests, so that few are turned
-	// away: about the time to the end of a typical stream.
-	drainFor = 400 * time.Millisecond
+	// drainFor is how long an engine that is about to load gets no new requests: the time in which the other
+	// gateways hear of it, so that few requests are turned away. What runs there ends while it waits to load.
+	drainFor = 100 * time.Millisecond
 	// reportEvery is how often a loading engine is asked whether it is done. Loads take one second or more.
 	reportEvery = 200 * time.Millisecond
-	// drainLead is how long before a load is expected to end the next engine is drained.
-	drainLead = 600 * time.Millisecond
+	// drainLead is how long before a load is expected to end the next engine is drained: drainFor and the
+	// time of a report.
+	drainLead = 200 * time.Millisecond
 	// firstLoadTime stands in until a load was seen, and loadLearn is the weight of each one seen.
 	firstLoadTime = 1500 * time.Millisecond
 	loadLearn     = 0.3
