--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # make run    builds, starts a local deployment and prints a curl line
 # make test   installs what it lacks and runs everything that CI runs
 
-BINARIES := balsam-entry balsam-agent balsamctl balsam-standin balsam-load
+BINARIES := balsam-gateway balsam-entry balsam-agent balsamctl balsam-standin balsam-load
 
 .PHONY: build test run stop generate
 
--- a/cmd/balsam-gateway/main.go
+++ b/cmd/balsam-gateway/main.go
@@ -53,7 +53,7 @@
 			err = s.Check()
 		}
 		if err != nil {
-			log.Warn(gateway.EventReload, zap.Error(err), zap.String("outcome", "refused"))
+			log.Warn(gateway.EventReload, eventlog.Error(err), zap.String("outcome", "refused"))
 			continue
 		}
 		g.Reload(s)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -79,6 +79,11 @@
 type Refusal struct {
 	Reason     Reason
 	RetryAfter time.Duration
+	// Server is the best that was found for a prompt that was refused for the crowd, with the expected time
+	// to its first token and the part of it that is waiting for others.
+	Server    string
+	Predicted time.Duration
+	Wait      time.Duration
 }
 
 // server is what is known of one server.
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -73,9 +73,8 @@
 	p.Alone = best.tokens+best.others.Tokens == 0 && (r.Model != "" || best.running+best.others.Running < best.Slots)
 	d.health.Allow(now, best.ID)
 	p.Predicted = milliseconds(d.predict(now, r, group, best))
-	late := p.Predicted - time.Duration(lateShare*float64(r.Target))
-	if late > 0 && r.Model != "" && d.wait(now, r, group, best) > time.Duration(waitShare*float64(r.Target)) {
-		return Placement{}, d.refuse(Crowded, late)
+	if refusal := d.crowded(now, r, group, best, p.Predicted); refusal != nil {
+		return Placement{}, refusal
 	}
 	if r.Model != "" {
 		d.plan(now, r, group, best, &p)
@@ -83,6 +82,21 @@
 	return p, nil
 }
 
+// crowded refuses a prompt that waits for others and would be late.
+func (d *Dispatcher) crowded(now time.Time, r *Request, group *service, s *server, predicted time.Duration) *Refusal {
+	late := predicted - time.Duration(lateShare*float64(r.Target))
+	if late <= 0 || r.Model == "" {
+		return nil
+	}
+	wait := d.wait(now, r, group, s)
+	if wait <= time.Duration(waitShare*float64(r.Target)) {
+		return nil
+	}
+	refusal := d.refuse(Crowded, late)
+	refusal.Server, refusal.Predicted, refusal.Wait = s.ID, predicted, wait
+	return refusal
+}
+
 // plan adds the weight version and the KV cache to a placement.
 func (d *Dispatcher) plan(now time.Time, r *Request, group *service, s *server, p *Placement) {
 	times := d.engineTimes(now, r, group, s, d.running(now, s))
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -92,6 +92,14 @@
 	return true, dropped
 }
 
+// Error is the field of an error's text, without the stack that errorx keeps; no field for nil.
+func Error(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
+
 // Lost returns how many lines found no room because the output didn't take them.
 func (l *Log) Lost() int64 { return l.out.lost.Load() }
 
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -11,6 +11,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/metastore"
@@ -57,7 +58,7 @@
 		}
 		err := f.link.Send(beat, to)
 		if err != nil && !failing {
-			f.Log.Warn(EventBeatFailed, zap.Error(err))
+			f.Log.Warn(EventBeatFailed, eventlog.Error(err))
 		}
 		failing = err != nil
 		sleep(ctx, interval)
@@ -70,7 +71,7 @@
 	to := f.members.Everyone()
 	go func() {
 		if err := f.link.Send(beat, to); err != nil {
-			f.Log.Warn(EventBeatFailed, zap.Error(err))
+			f.Log.Warn(EventBeatFailed, eventlog.Error(err))
 		}
 	}()
 }
@@ -166,7 +167,7 @@
 				continue
 			}
 			if err := f.pull(ctx, pool, address, prefix, from); err != nil {
-				f.Log.Warn(EventCatchUpFailed, zap.String("prefix", prefix), zap.String("from", address), zap.Error(err))
+				f.Log.Warn(EventCatchUpFailed, zap.String("prefix", prefix), zap.String("from", address), eventlog.Error(err))
 			}
 			delete(behindSince, prefix)
 		}
@@ -269,7 +270,7 @@
 		}
 		if err != nil {
 			f.Counters.StoreFailures.Inc(1)
-			f.Log.Warn(EventAnnounceFailed, zap.Error(err))
+			f.Log.Warn(EventAnnounceFailed, eventlog.Error(err))
 			lease = 0
 			sleep(ctx, announceRetry)
 			continue
@@ -333,7 +334,7 @@
 			}
 			peer := &wire.Peer{}
 			if err := json.Unmarshal(record.Value, peer); err != nil {
-				f.Log.Warn(EventUnreadable, zap.String("key", record.Key), zap.Error(err))
+				f.Log.Warn(EventUnreadable, zap.String("key", record.Key), eventlog.Error(err))
 				continue
 			}
 			f.members.Learn(peer, now)
@@ -357,7 +358,7 @@
 			}
 			for _, prefix := range f.prefixes() {
 				if err := f.pull(ctx, pool, address, prefix, 0); err != nil {
-					f.Log.Warn(EventCatchUpFailed, zap.String("prefix", prefix), zap.String("from", address), zap.Error(err))
+					f.Log.Warn(EventCatchUpFailed, zap.String("prefix", prefix), zap.String("from", address), eventlog.Error(err))
 				}
 			}
 		}
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
@@ -56,7 +57,7 @@
 		next, err := f.readFeed(ctx, address, since)
 		if err != nil {
 			if !lost {
-				f.Log.Warn(EventCacheStoreLost, zap.String("store", address), zap.Error(err))
+				f.Log.Warn(EventCacheStoreLost, zap.String("store", address), eventlog.Error(err))
 			}
 			lost = true
 			sleep(ctx, feedRetry/2+rand.N(feedRetry/2))
@@ -115,7 +116,7 @@
 		for len(keys) > 0 {
 			n := min(freeBatch, len(keys))
 			err := f.Platform.Stores.Free(ctx, t.address, t.epoch, keys[:n])
-			f.Log.Info(EventPartsFreed, zap.String("store", t.address), zap.Int("parts", n), zap.Error(err))
+			f.Log.Info(EventPartsFreed, zap.String("store", t.address), zap.Int("parts", n), eventlog.Error(err))
 			if err != nil {
 				break
 			}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -10,6 +10,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/mirror"
 	"balsamyoke.example/balsamyoke/internal/routing"
@@ -65,7 +66,7 @@
 		f.Counters.StoreFailures.Inc(1)
 		if !away {
 			away = true
-			f.Log.Warn(EventStoreLost, zap.String("prefix", prefix), zap.Error(err))
+			f.Log.Warn(EventStoreLost, zap.String("prefix", prefix), eventlog.Error(err))
 		}
 		f.loop.Post(f.registry.StoreAway)
 		sleep(ctx, retry/2+rand.N(retry/2))
@@ -148,7 +149,7 @@
 
 func (f *Fleet) unreadable(key string, entry mirror.Entry, err error) {
 	f.Counters.Unreadable.Inc(1)
-	f.Log.Warn(EventUnreadable, zap.String("key", key), zap.Int64("revision", int64(entry.ModRevision)), zap.Error(err))
+	f.Log.Warn(EventUnreadable, zap.String("key", key), zap.Int64("revision", int64(entry.ModRevision)), eventlog.Error(err))
 }
 
 // configurationTaken puts a configuration in force. The mirror's revisions keep it from going back.
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -12,6 +12,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/lease"
 	"balsamyoke.example/balsamyoke/internal/peers"
@@ -133,7 +134,7 @@
 		f.lead = leadership{}
 		f.dispatcher.SetWithheld(nil, bootclock.Now())
 	})
-	f.Log.Info(EventLeaseLost, zap.Uint64("fence", holding.Fence), zap.Error(err), zap.Bool("leaving", f.leaving.Load()))
+	f.Log.Info(EventLeaseLost, zap.Uint64("fence", holding.Fence), eventlog.Error(err), zap.Bool("leaving", f.leaving.Load()))
 	if err == nil {
 		lessor.Release(context.WithoutCancel(ctx), holding)
 	}
@@ -274,7 +275,7 @@
 	}
 	f.Log.Info(EventOrder, zap.String("server", step.Server), zap.String("model", step.Order.Model),
 		zap.Int64("version", step.Order.Version), zap.Int64("fence", step.Order.Fence),
-		zap.Int64("expected", step.Order.Expected), zap.String("outcome", outcome.String()), zap.Error(err))
+		zap.Int64("expected", step.Order.Expected), zap.String("outcome", outcome.String()), eventlog.Error(err))
 	f.loop.Post(func() {
 		if f.lead.planner == nil || f.lead.fence != step.Order.Fence {
 			return
@@ -287,7 +288,7 @@
 
 func (f *Fleet) reported(step weights.Step, report backend.Report, err error) {
 	if err != nil {
-		f.Log.Warn(EventReportFailed, zap.String("server", step.Server), zap.Error(err))
+		f.Log.Warn(EventReportFailed, zap.String("server", step.Server), eventlog.Error(err))
 	}
 	f.loop.Post(func() {
 		if f.lead.planner == nil {
--- a/internal/fleet/naming.go
+++ b/internal/fleet/naming.go
@@ -10,6 +10,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
@@ -33,7 +34,7 @@
 		}
 		if err := f.persistNaming(ctx, n); err != nil {
 			f.Counters.StoreFailures.Inc(1)
-			f.Log.Warn(EventAnnounceFailed, zap.String("model", n.Model), zap.Error(err))
+			f.Log.Warn(EventAnnounceFailed, zap.String("model", n.Model), eventlog.Error(err))
 			continue
 		}
 		f.loop.Call(func() {
@@ -71,7 +72,7 @@
 func (f *Fleet) namingRead(record metastore.Record, now time.Time) {
 	var stored storedNaming
 	if err := json.Unmarshal(record.Value, &stored); err != nil {
-		f.Log.Warn(EventUnreadable, zap.String("key", record.Key), zap.Error(err))
+		f.Log.Warn(EventUnreadable, zap.String("key", record.Key), eventlog.Error(err))
 		return
 	}
 	age := time.Since(time.UnixMilli(stored.NamedMS))
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -41,7 +42,7 @@
 			clear(cursors)
 		}
 		if err := f.readThrough(ctx, pool, from, cursors); err != nil {
-			f.Log.Warn(EventCatchUpFailed, zap.String("from", from), zap.Error(err))
+			f.Log.Warn(EventCatchUpFailed, zap.String("from", from), eventlog.Error(err))
 			from = role.readers[rand.IntN(len(role.readers))]
 			clear(cursors)
 			sleep(ctx, feedRetry)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -13,6 +13,7 @@
 	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
@@ -218,7 +219,7 @@
 		return
 	}
 	g.counters.malformed.Inc(1)
-	g.log.Warn(EventMalformed, zapStatus(status), zapError(err))
+	g.log.Warn(EventMalformed, zapStatus(status), eventlog.Error(err))
 	reply := own(status)
 	reply.last = true
 	_ = c.answer(reply)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,7 +178,7 @@
 func (g *Gateway) serveMetrics() (stop func()) {
 	server, err := process.ServeMetrics(g.settings.Metrics, g.registry, g.fleet.State)
 	if err != nil {
-		g.log.Warn(EventMetricsOff, zapError(err))
+		g.log.Warn(EventMetricsOff, eventlog.Error(err))
 		return func() {}
 	}
 	return func() { _ = server.Shutdown() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
@@ -182,7 +183,7 @@
 		}
 		g.counters.retries.Inc(1)
 		g.note(info, EventRetry, r.call.ID, zap.String("server", placed.Server),
-			zap.Int("sends", r.sends), zap.Bool("ran", end.ran), zap.Int("status", end.status), zapError(end.err))
+			zap.Int("sends", r.sends), zap.Bool("ran", end.ran), zap.Int("status", end.status), eventlog.Error(end.err))
 	}
 }
 
@@ -210,6 +211,7 @@
 	}
 	g.refused(r.incoming, r.call.ID, string(refused.Reason), zap.String("route", r.route.Name), zap.Int("sends", r.sends),
 		zap.Strings("tried", r.place.Tried), zap.Duration("retry_after", refused.RetryAfter),
+		zap.String("best", refused.Server), zap.Duration("predicted", refused.Predicted), zap.Duration("wait", refused.Wait),
 		zap.Duration("left", time.Until(r.deadline)))
 	answer := refusal(refused.RetryAfter)
 	answer.last = r.last
@@ -267,13 +269,13 @@
 func (g *Gateway) failed(r *request, end *ending, status int) {
 	g.counters.failed(r, status)
 	g.note(warn, EventFailed, r.call.ID, append(g.placement(r), zapStatus(status), zap.Int("server_status", end.status), zap.Int("sends", r.sends),
-		zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.at)), zapError(end.err))...)
+		zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.at)), eventlog.Error(end.err))...)
 }
 
 func (g *Gateway) brokenOff(r *request, end *ending) {
 	g.counters.brokenOff.Inc(1)
 	g.note(warn, EventBrokenOff, r.call.ID, append(g.placement(r), zap.String("last_event", r.resumeAfter), zap.Int("sends", r.sends),
-		zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.at)), zapError(end.err))...)
+		zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.at)), eventlog.Error(end.err))...)
 }
 
 // placement returns what decided where a request went.
@@ -323,12 +325,5 @@
 
 func zapStatus(status int) zap.Field { return zap.Int("status", status) }
 
-func zapError(err error) zap.Field {
-	if err == nil {
-		return zap.Skip()
-	}
-	return zap.String("error", err.Error())
-}
-
 // isNotSent reports whether no byte of a request reached a server.
 func isNotSent(err error) bool { return errorx.IsOfType(err, ErrNotSent) }
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,8 +18,13 @@
 echo "== staticcheck"
 go tool staticcheck ./...
 
+echo "== names of the platform"
+sh scripts/wire-names.sh
+
 echo "== build"
 make build
+# As deploy/system.toml builds it for the users' platform.
+go build -ldflags=-linkmode=external -o target/ ./cmd/balsam-gateway
 
 echo "== tests"
 # Property tests without a seed of their own draw the same cases in every run.
@@ -36,5 +41,10 @@
   go test -race -timeout 20m ./...
 fi
 
+echo "== fuzzing, a few seconds a target"
+for target in FuzzDecodeConfiguration FuzzDecodeServer FuzzReadCall; do
+  go test -run '^$' -fuzz "^$target\$" -fuzztime 4s ./platform
+done
+
 echo "== model checks"
 sh scripts/model-check.sh
