Write a naming to the metadata store once, not ten times a second

Found by reading the diff: the leader's map of what it has written was never made, so it wrote again in every round, a charged call each, and read the map outside the control goroutine.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -266,3 +266,33 @@
 	}
 	c.Assert(readers, qt.Equals, readersPerDomain)
 }
+
+// The leader writes once when a weight version was named, and a gateway that starts later learns it.
+func TestNamingIsPersistedOnce(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	f := start(c, "a", &gate{store, make(chan struct{})})
+	eventually(c, "it leads", func() (leads bool) {
+		f.loop.Call(func() { leads = f.lead.fence > 0 })
+		return leads
+	})
+	f.loop.Call(func() { f.dispatcher.SetNamed("m", 2, bootclock.Now().Add(-3*time.Second)) })
+	eventually(c, "the naming is stored", func() bool {
+		_, err := store.Get(context.Background(), namingPrefix+"m")
+		return err == nil
+	})
+	writes := store.Calls().Swap
+	time.Sleep(600 * time.Millisecond)
+	c.Assert(store.Calls().Swap-writes <= 1, qt.IsTrue, qt.Commentf("%d more writes", store.Calls().Swap-writes))
+	late := start(c, "b", &gate{store, make(chan struct{})})
+	eventually(c, "the other knows when", func() (known bool) {
+		late.loop.Call(func() {
+			for _, n := range late.dispatcher.Named() {
+				known = n.Version == 2 && bootclock.Now().Sub(n.At) > 2*time.Second
+			}
+		})
+		return known
+	})
+}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -64,7 +64,8 @@
 	since time.Time
 }
 
-// leadRun campaigns for the leader lease, in large deployments only if other gateways read through this one, and does the leader's duties while it holds it.
+// leadRun campaigns for the leader lease and does the leader's duties while it holds it. In large
+// deployments only gateways that read for others campaign.
 func (f *Fleet) leadRun(ctx context.Context) {
 	lessor := lease.New(f.Platform.Metastore, lease.Options{
 		Key:        leaderKey,
@@ -113,6 +114,8 @@
 			planner: weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
 			known:   make(map[kvcache.Generation]knownShare),
 			ripe:    make(map[kvcache.Generation]int),
+
+			persisted: make(map[string]int64),
 		}
 	})
 	var err error
--- a/internal/fleet/naming.go
+++ b/internal/fleet/naming.go
@@ -24,21 +24,24 @@
 	NamedMS int64 `json:"named_ms"`
 }
 
-// persistNamings writes when the newest weight versions were named, unless that is written already.
+// persistNamings writes when the newest weight versions were named, unless this leader has done so.
 func (f *Fleet) persistNamings(ctx context.Context) {
-	var named []dispatch.NamedVersion
-	f.loop.Call(func() { named = f.dispatcher.Named() })
-	for _, n := range named {
-		if f.lead.persisted[n.Model] >= n.Version {
-			continue
+	var missing []dispatch.NamedVersion
+	f.loop.Call(func() {
+		for _, n := range f.dispatcher.Named() {
+			if f.lead.fence > 0 && f.lead.persisted[n.Model] < n.Version {
+				missing = append(missing, n)
+			}
 		}
+	})
+	for _, n := range missing {
 		if err := f.persistNaming(ctx, n); err != nil {
 			f.Counters.StoreFailures.Inc(1)
 			f.Log.Warn(EventAnnounceFailed, zap.String("model", n.Model), eventlog.Error(err))
 			continue
 		}
 		f.loop.Call(func() {
-			if f.lead.persisted != nil {
+			if f.lead.fence > 0 {
 				f.lead.persisted[n.Model] = n.Version
 			}
 		})
