Give gateways engines of their own, and count engines' memory

Cause, on the grown sites: gateways hear of each other's load every 0.5 s, across failure domains every 2 s, while a prompt waits 0.15 s. Predicted and measured first tokens had nothing to do with each other (predicted 0.05 s and 0.30 s: both 0.15 s at the median, 0.55 s at the 90th). The second cause: long answers hold an engine's memory for 3 s, and nothing counted it; with a quarter of the engines away they held 140,000 tokens of 130,000, so that engines threw requests out and read them again, and half of the short prompts were refused.

Now a gateway tells its average load, prefers engines that are dealt out by its place in the failure domain and looks at a few others; memory that requests hold is counted in tokens, shared parts once, told in beats, and prompts wait for it; less urgent prompts are refused before they take what more urgent ones need.

Ruled out: engines short of time (27 in 100 of what they can compute was planned); a beat more often (their number grows as the square).

--- a/internal/dispatch/crowd_test.go
+++ b/internal/dispatch/crowd_test.go
@@ -76,7 +76,7 @@
 			result.longestRefusalWait = max(result.longestRefusalWait, refusal.RetryAfter)
 			continue
 		}
-		d.Sent(&p)
+		d.Sent(now, &p)
 		e := engines[p.Server]
 		if e.freeAt.Before(now) {
 			e.freeAt = now
@@ -129,7 +129,7 @@
 	for b.Loop() {
 		p, refusal := d.Place(start, r)
 		if refusal == nil {
-			d.Sent(&p)
+			d.Sent(start, &p)
 			d.Ended(start, &p, Served, true)
 			d.servers[p.Server].tokens = 0
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -25,8 +25,11 @@
 	// Wall separates the KV cache of isolated organisations; empty for the shared one.
 	Wall  string
 	Parts []kvcache.Part
-	// PromptTokens is the size of the prompt.
+	// PromptTokens is the size of the prompt, OutputTokens the most that the answer may have.
 	PromptTokens int
+	OutputTokens int
+	// Priority is the rank of the request at its server, 0 first.
+	Priority int
 	// Target is the time to the first byte that the operator aims at.
 	Target time.Duration
 	// Left is the time that the caller still waits.
@@ -56,6 +59,13 @@
 	// Score is what the server was picked by, in milliseconds, and Candidates how many there were.
 	Score      float64
 	Candidates int
+	// engine is nil for plain services. parts and output are what the request holds of its memory since it
+	// was sent, holds the size of that in tokens.
+	engine *server
+	parts  []kvcache.Part
+	output int
+	holds  int
+	sentAt time.Time
 	// Alone tells that no other prompt was waiting at the server, so that the time to the first byte
 	// shows what this one took.
 	Alone bool
@@ -93,6 +103,10 @@
 	// running and tokens are this gateway's requests there and the prompt tokens it waits for.
 	running int
 	tokens  int
+	// average is the average of both over averageOver, as other gateways are told.
+	average averageLoad
+	// memory is what this gateway's requests hold of it.
+	memory memory
 	// others is the load that the other gateways have there.
 	others PeerLoad
 	load   backend.Load
@@ -106,6 +120,8 @@
 	withheldUntil time.Time
 	// slowness is the measured over the predicted time of recent requests.
 	slowness float64
+	// away tells that an engine is not one of those that this gateway prefers.
+	away bool
 	// lastGood is when the server last answered.
 	lastGood time.Time
 }
@@ -113,7 +129,9 @@
 // PeerLoad is the load that other gateways have at one server.
 type PeerLoad struct {
 	Running int
-	Tokens  int
+	// Tokens are the prompt tokens that wait to be computed, Held those that running requests hold in memory.
+	Tokens int
+	Held   int
 }
 
 // Dispatcher decides for one gateway. It is not safe for concurrent use.
@@ -131,6 +149,7 @@
 	weightsWithin time.Duration
 	peers         map[string]map[string]PeerLoad
 	recent        recentParts
+	position      Position
 	// cached and turn belong to the placement that is being made.
 	cached []cachedPrompt
 	turn   turn
@@ -143,6 +162,13 @@
 	// request to a plain service, both as measured lately.
 	tokenMS float64
 	workMS  float64
+	// holdMS is how long requests hold an engine's memory, in milliseconds, as measured lately.
+	holdMS float64
+	// awayChance is how likely a placement looks at an engine that is not one of the gateway's own.
+	awayChance float64
+	// first is the rank of the most urgent requests seen, once ranked.
+	first  int
+	ranked bool
 }
 
 // New returns a Dispatcher for a gateway in the failure domain.
@@ -178,7 +204,7 @@
 	for _, s := range services {
 		known := d.services[s.Name]
 		if known == nil {
-			known = &service{tokenMS: defaultTokenMS, workMS: defaultWorkMS}
+			known = &service{tokenMS: defaultTokenMS, workMS: defaultWorkMS, holdMS: defaultHoldMS}
 		}
 		known.Service = s
 		kept[s.Name] = known
@@ -221,6 +247,7 @@
 			group.servers = append(group.servers, s)
 		}
 	}
+	d.assignHomes()
 }
 
 // naming is the newest weight version of a model and when it was named, as far as is known.
@@ -307,17 +334,18 @@
 			if s := d.servers[id]; s != nil {
 				s.others.Running += l.Running
 				s.others.Tokens += l.Tokens
+				s.others.Held += l.Held
 			}
 		}
 	}
 }
 
-// Loads returns this gateway's own load by server, for the other gateways.
-func (d *Dispatcher) Loads() map[string]PeerLoad {
+// Loads returns this gateway's own average load by server, for the other gateways.
+func (d *Dispatcher) Loads(now time.Time) map[string]PeerLoad {
 	loads := make(map[string]PeerLoad)
 	for id, s := range d.servers {
-		if s.running > 0 || s.tokens > 0 {
-			loads[id] = PeerLoad{Running: s.running, Tokens: s.tokens}
+		if load := s.averageLoad(now); load != (PeerLoad{}) {
+			loads[id] = load
 		}
 	}
 	return loads
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -63,7 +63,7 @@
 	c.Helper()
 	p, refusal := d.Place(now, r)
 	c.Assert(refusal, qt.IsNil)
-	d.Sent(&p)
+	d.Sent(now, &p)
 	return p
 }
 
@@ -110,7 +110,7 @@
 	var last time.Duration
 	for range 3 {
 		p := Placement{Server: "e00"}
-		d.Sent(&p)
+		d.Sent(now, &p)
 		d.Ended(now, &p, Unreachable, false)
 		left := d.servers["e00"].suspectUntil.Sub(now)
 		c.Assert(left > last, qt.IsTrue)
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -44,10 +44,13 @@
 )
 
 // Sent counts a request that is on its way to the server of the placement.
-func (d *Dispatcher) Sent(p *Placement) {
+func (d *Dispatcher) Sent(now time.Time, p *Placement) {
 	if s := d.servers[p.Server]; s != nil {
-		s.running++
-		s.tokens += p.Tokens
+		s.count(now, 1, p.Tokens)
+	}
+	if p.engine != nil {
+		p.engine.memory.take(p.parts, p.output)
+		p.sentAt = now
 	}
 }
 
@@ -57,7 +60,7 @@
 	if s == nil {
 		return
 	}
-	s.tokens = max(0, s.tokens-p.Tokens)
+	s.count(now, 0, -p.Tokens)
 	s.answered(now)
 	if group := d.services[s.Service]; group != nil && p.Alone {
 		group.learn(p, took)
@@ -97,14 +100,16 @@
 
 // Ended takes the end of a request at a server. FirstByte tells whether the server had begun to answer.
 func (d *Dispatcher) Ended(now time.Time, p *Placement, result Result, firstByte bool) {
+	d.release(now, p, result)
 	s := d.servers[p.Server]
 	if s == nil {
 		return
 	}
-	s.running = max(0, s.running-1)
+	waiting := 0
 	if !firstByte {
-		s.tokens = max(0, s.tokens-p.Tokens)
+		waiting = p.Tokens
 	}
+	s.count(now, -1, -waiting)
 	switch result {
 	case Served:
 		d.health.Record(now, s.ID, health.Sample{Ratio: s.slowness})
@@ -121,6 +126,17 @@
 	}
 }
 
+// release takes back what the request held of its engine's memory.
+func (d *Dispatcher) release(now time.Time, p *Placement, result Result) {
+	if p.engine == nil {
+		return
+	}
+	p.engine.memory.release(p.parts, p.output)
+	if group := d.services[p.engine.Service]; group != nil && result == Served {
+		group.held(p, now.Sub(p.sentAt))
+	}
+}
+
 func (s *server) suspect(now time.Time) {
 	if now.Before(s.suspectUntil) {
 		return
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -41,6 +41,9 @@
 	// answer late, and engines that hold many prompts run out of memory and compute them twice.
 	lateShare = 0.6
 	waitShare = 0.1
+	// yieldShare is the share of the target latency that a prompt may wait for memory while more urgent ones
+	// need it too.
+	yieldShare = 0.1
 	// minRetryAfter and maxRetryAfter bound what a refused caller is told.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -51,17 +54,21 @@
 // Place picks a server for the request, or refuses it.
 func (d *Dispatcher) Place(now time.Time, r *Request) (Placement, *Refusal) {
 	d.cached = d.cached[:0]
-	if r.Model != "" {
-		d.turn = d.turnOf(r)
-	}
 	group := d.services[r.Service]
 	if group == nil || len(group.servers) == 0 {
 		return Placement{}, d.refuse(NoServer, maxRetryAfter)
 	}
-	best, score, candidates := d.pick(now, r, group, false)
+	if r.Model != "" {
+		d.turn = d.turnOf(r)
+		group.rank(r.Priority)
+	}
+	best, score, candidates := d.pick(now, r, group, some)
+	if best == nil || d.crowded(now, r, group, best) != nil {
+		best, score, candidates = d.pick(now, r, group, all)
+	}
 	if best == nil {
 		// Suspicion and load are beliefs: a server that may serve is better than a refusal.
-		best, score, candidates = d.pick(now, r, group, true)
+		best, score, candidates = d.pick(now, r, group, relaxed)
 	}
 	if best == nil {
 		return Placement{}, d.refuse(d.obstacle(now, r, group))
@@ -73,7 +80,7 @@
 	p.Alone = best.tokens+best.others.Tokens == 0 && (r.Model != "" || best.running+best.others.Running < best.Slots)
 	d.health.Allow(now, best.ID)
 	p.Predicted = milliseconds(d.predict(now, r, group, best))
-	if refusal := d.crowded(now, r, group, best, p.Predicted); refusal != nil {
+	if refusal := d.crowded(now, r, group, best); refusal != nil {
 		return Placement{}, refusal
 	}
 	if r.Model != "" {
@@ -82,14 +89,19 @@
 	return p, nil
 }
 
-// crowded refuses a prompt that waits for others and would be late.
-func (d *Dispatcher) crowded(now time.Time, r *Request, group *service, s *server, predicted time.Duration) *Refusal {
-	late := predicted - time.Duration(lateShare*float64(r.Target))
-	if late <= 0 || r.Model == "" {
+// crowded refuses a prompt that waits for others and would be late, or that would take the memory of more
+// urgent ones.
+func (d *Dispatcher) crowded(now time.Time, r *Request, group *service, s *server) *Refusal {
+	if r.Model == "" {
 		return nil
 	}
 	wait := d.wait(now, r, group, s)
-	if wait <= time.Duration(waitShare*float64(r.Target)) {
+	predicted := milliseconds(d.predict(now, r, group, s))
+	late := predicted - time.Duration(lateShare*float64(r.Target))
+	if r.Priority > group.first {
+		late = max(late, milliseconds(group.memoryWait(r, s))-time.Duration(yieldShare*float64(r.Target)))
+	}
+	if late <= 0 || wait <= time.Duration(waitShare*float64(r.Target)) {
 		return nil
 	}
 	refusal := d.refuse(Crowded, late)
@@ -107,14 +119,28 @@
 	plan := d.catalogue.Plan(g, p.Salt, r.Parts, s.FailureDomain, times.fetches, now)
 	p.Plan = &plan
 	p.Tokens = max(1, r.PromptTokens-plan.FetchTokens)
+	p.engine, p.parts, p.output, p.holds = s, r.Parts, r.OutputTokens, s.memory.need(r)
 	d.recent.add(p.Salt, r.Parts, s.ID, now)
 }
 
-// pick returns the usable server with the lowest score. When relaxed, servers that are only believed
-// to be bad are usable too.
-func (d *Dispatcher) pick(now time.Time, r *Request, group *service, relaxed bool) (best *server, score float64, candidates int) {
+// look says which servers a placement looks at.
+type look uint8
+
+const (
+	// some are the gateway's own engines and a few others.
+	some look = iota
+	all
+	// relaxed are also those that are only believed to be bad.
+	relaxed
+)
+
+// pick returns the usable server with the lowest score.
+func (d *Dispatcher) pick(now time.Time, r *Request, group *service, at look) (best *server, score float64, candidates int) {
 	for _, s := range group.servers {
-		if !d.usable(now, r, s, relaxed) {
+		if at == some && s.away && d.rng.Float64() > group.awayChance {
+			continue
+		}
+		if !d.usable(now, r, s, at == relaxed) {
 			continue
 		}
 		candidates++
@@ -155,6 +181,9 @@
 	if s.FailureDomain != d.domain {
 		cost += distantShare * float64(r.Target.Milliseconds())
 	}
+	if s.away {
+		cost += homeShare * float64(r.Target.Milliseconds())
+	}
 	if s.suspected > 0 {
 		cost += suspectMS
 	}
@@ -239,11 +268,13 @@
 	compute float64
 	// fetch is the time of the fetches; they go on while others are computed.
 	fetch float64
+	// memory is the time until the engine has memory for the prompt.
+	memory float64
 	// fetches tells that cached parts are fetched rather than computed.
 	fetches bool
 }
 
-func (t *engineTimes) ms() float64 { return t.compute + t.fetch }
+func (t *engineTimes) ms() float64 { return t.compute + t.fetch + t.memory }
 
 // wait returns how long a prompt is expected to wait for others at the engine.
 func (d *Dispatcher) wait(now time.Time, r *Request, group *service, s *server) time.Duration {
@@ -267,12 +298,13 @@
 		own := float64(r.PromptTokens-sharedTokens(r)) * group.tokenMS
 		read, fetch = min(read, own), fetch*(1-recentShare)
 	}
-	t := engineTimes{compute: s.slowness * (ahead + read), fetch: fetch, fetches: true}
+	memory := group.memoryWait(r, s)
+	t := engineTimes{compute: s.slowness * (ahead + read), fetch: fetch, memory: memory, fetches: true}
 	target := fetchWithin * float64(r.Target.Milliseconds())
 	if t.ms() <= target {
 		return t
 	}
-	whole := engineTimes{compute: s.slowness * (ahead + float64(r.PromptTokens)*group.tokenMS)}
+	whole := engineTimes{compute: s.slowness * (ahead + float64(r.PromptTokens)*group.tokenMS), memory: memory}
 	if whole.ms() <= target {
 		return whole
 	}
--- a/internal/fleet/beats.go
+++ b/internal/fleet/beats.go
@@ -87,8 +87,8 @@
 			beat.Known = append(beat.Known, &wire.PrefixRevision{Prefix: prefix, Revision: int64(revision)})
 		}
 	}
-	for id, load := range f.dispatcher.Loads() {
-		beat.Loads = append(beat.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), Tokens: uint32(load.Tokens)})
+	for id, load := range f.dispatcher.Loads(now) {
+		beat.Loads = append(beat.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), Tokens: uint32(load.Tokens), Held: uint32(load.Held)})
 	}
 	for g, share := range f.catalogue.Retired() {
 		beat.Retired = append(beat.Retired, &wire.RetiredShare{Model: g.Model, Version: g.Version, Thousandths: uint32(share)})
@@ -143,7 +143,7 @@
 	}
 	loads := make(map[string]dispatch.PeerLoad, len(beat.GetLoads()))
 	for _, l := range beat.GetLoads() {
-		loads[l.GetServer()] = dispatch.PeerLoad{Running: int(l.GetRunning()), Tokens: int(l.GetTokens())}
+		loads[l.GetServer()] = dispatch.PeerLoad{Running: int(l.GetRunning()), Tokens: int(l.GetTokens()), Held: int(l.GetHeld())}
 	}
 	f.dispatcher.SetPeer(member.GetInstance(), loads)
 	for _, v := range beat.GetVersions() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,9 +148,10 @@
 // Place picks a server for a request.
 func (f *Fleet) Place(r *dispatch.Request) (p dispatch.Placement, refusal *dispatch.Refusal) {
 	f.loop.Call(func() {
-		p, refusal = f.dispatcher.Place(bootclock.Now(), r)
+		now := bootclock.Now()
+		p, refusal = f.dispatcher.Place(now, r)
 		if refusal == nil {
-			f.dispatcher.Sent(&p)
+			f.dispatcher.Sent(now, &p)
 		}
 	})
 	if p.Server == "" && refusal == nil {
@@ -248,6 +249,12 @@
 	}
 }
 
+// position returns the gateway's place in its failure domain; one that leaves takes no part.
+func (f *Fleet) position(now time.Time) dispatch.Position {
+	index, of := f.members.Position(now)
+	return dispatch.Position{Index: index, Of: of}
+}
+
 func (f *Fleet) evaluateNow(now time.Time) {
 	for _, change := range f.dispatcher.Evaluate(now) {
 		f.Log.Warn(EventServerHealth, zap.String("server", change.ID), zap.String("service", change.Service),
@@ -262,6 +269,7 @@
 	}
 	f.lastExpiry = now
 	f.assignRole(now)
+	f.dispatcher.SetPosition(f.position(now))
 	f.dispatcher.SetGateways(f.members.Count())
 	f.catalogue.SetGateways(f.members.Count())
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -99,7 +99,9 @@
 	r.place.Service = r.service
 	r.place.Target = route.TargetLatency
 	if call.Model != "" {
-		r.place.Model, r.place.Parts, r.place.PromptTokens = call.Model, call.Parts, call.PromptTokens
+		r.place.Model, r.place.Parts = call.Model, call.Parts
+		r.place.PromptTokens, r.place.OutputTokens = call.PromptTokens, call.OutputTokens
+		r.place.Priority = r.priority
 	} else {
 		r.priority = noPriority
 	}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -118,6 +118,22 @@
 	return live
 }
 
+// Position returns this gateway's place among the live gateways of its failure domain, in the order of their
+// names, and how many they are. Those that are leaving don't count.
+func (m *Members) Position(now time.Time) (index, of int) {
+	of = 1
+	for name, member := range m.members {
+		if member.Leaving || now.Sub(member.HeardAt) > SilentFor || member.GetFailureDomain() != m.self.GetFailureDomain() {
+			continue
+		}
+		of++
+		if name < m.self.GetInstance() {
+			index++
+		}
+	}
+	return index, of
+}
+
 // Within returns the members that were heard from, or first heard of, no longer than d ago.
 func (m *Members) Within(now time.Time, d time.Duration) []*Member {
 	var found []*Member
