Look for any engine that isn't crowded before refusing a prompt

Cause: a prompt was refused when the engine that was best by all costs was crowded, although others weren't: the costs of another failure domain, of engines that are not the gateway's own and of other weights before its turn outweigh a wait. Now the search goes on among those that aren't crowded, a few at a time. Servers are kept in the order of their ids, so that a placement with the same seed repeats.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -8,7 +8,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/backend"
@@ -166,6 +168,8 @@
 	holdMS float64
 	// awayChance is how likely a placement looks at an engine that is not one of the gateway's own.
 	awayChance float64
+	// claims is how many gateways may claim the same room at an engine that is not their own.
+	claims int
 	// first is the rank of the most urgent requests seen, once ranked.
 	first  int
 	ranked bool
@@ -247,6 +251,9 @@
 			group.servers = append(group.servers, s)
 		}
 	}
+	for _, s := range d.services {
+		slices.SortFunc(s.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	}
 	d.assignHomes()
 }
 
--- a/internal/dispatch/homes.go
+++ b/internal/dispatch/homes.go
@@ -40,6 +40,7 @@
 }
 
 func (g *service) deal(domain string, p Position) {
+	g.claims = max(1, p.Of)
 	g.awayChance = min(1, float64(awayLooks)/float64(max(1, len(g.servers))))
 	near := make([]*server, 0, len(g.servers))
 	for _, s := range g.servers {
--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -12,7 +12,7 @@
 	memoryShare = 0.95
 	// urgentShare is the share of the memory that is left to requests that go before: an engine that has no
 	// room for them throws a running request out, which is then read once more.
-	urgentShare = 0.12
+	urgentShare = 0.14
 	// defaultHoldMS is the time that a request holds its memory until some were measured, in milliseconds.
 	defaultHoldMS = 1500.0
 	// holdLearn is the weight of one engine's memory full of tokens in what is learnt of that time.
@@ -60,7 +60,8 @@
 }
 
 // memoryWait returns how long a prompt waits at an engine until enough memory is released, in milliseconds:
-// what is missing, over the rate at which a full engine releases it.
+// what is missing, over the rate at which a full engine releases it. Room at an engine that isn't the gateway's
+// own may be claimed by each gateway of the failure domain before it hears of the others.
 func (g *service) memoryWait(r *Request, s *server) float64 {
 	if g.Engine == nil || g.Engine.CacheTokens == 0 {
 		return 0
@@ -69,7 +70,11 @@
 	if r.Priority > g.first {
 		room -= urgentShare * float64(g.Engine.CacheTokens)
 	}
-	missing := float64(s.memory.tokens+s.others.Held+s.memory.need(r)) - room
+	need := s.memory.need(r)
+	if s.away {
+		need *= g.claims
+	}
+	missing := float64(s.memory.tokens+s.others.Held+need) - room
 	if missing <= 0 {
 		return 0
 	}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -62,14 +62,7 @@
 		d.turn = d.turnOf(r)
 		group.rank(r.Priority)
 	}
-	best, score, candidates := d.pick(now, r, group, some)
-	if best == nil || d.crowded(now, r, group, best) != nil {
-		best, score, candidates = d.pick(now, r, group, all)
-	}
-	if best == nil {
-		// Suspicion and load are beliefs: a server that may serve is better than a refusal.
-		best, score, candidates = d.pick(now, r, group, relaxed)
-	}
+	best, score, candidates := d.search(now, r, group)
 	if best == nil {
 		return Placement{}, d.refuse(d.obstacle(now, r, group))
 	}
@@ -80,7 +73,9 @@
 	p.Alone = best.tokens+best.others.Tokens == 0 && (r.Model != "" || best.running+best.others.Running < best.Slots)
 	d.health.Allow(now, best.ID)
 	p.Predicted = milliseconds(d.predict(now, r, group, best))
-	if refusal := d.crowded(now, r, group, best); refusal != nil {
+	if late, wait := d.crowded(now, r, group, best); late > 0 {
+		refusal := d.refuse(Crowded, late)
+		refusal.Server, refusal.Predicted, refusal.Wait = best.ID, p.Predicted, wait
 		return Placement{}, refusal
 	}
 	if r.Model != "" {
@@ -89,24 +84,37 @@
 	return p, nil
 }
 
-// crowded refuses a prompt that waits for others and would be late, or that would take the memory of more
-// urgent ones.
-func (d *Dispatcher) crowded(now time.Time, r *Request, group *service, s *server) *Refusal {
+// search looks at a few servers, then for any that isn't crowded, whatever it costs besides, then at those that
+// are only believed to be bad: beliefs may be wrong, and a server that may serve is better than a refusal.
+func (d *Dispatcher) search(now time.Time, r *Request, group *service) (best *server, score float64, candidates int) {
+	for _, at := range []look{some, free, all, relaxed} {
+		best, score, candidates = d.pick(now, r, group, at)
+		if best == nil {
+			continue
+		}
+		if late, _ := d.crowded(now, r, group, best); late <= 0 || at >= all {
+			break
+		}
+	}
+	return best, score, candidates
+}
+
+// crowded returns by how much a prompt would be late that waits for others at the server, or for memory that
+// more urgent ones need, and how long it would wait; nothing when it may go there.
+func (d *Dispatcher) crowded(now time.Time, r *Request, group *service, s *server) (late, wait time.Duration) {
 	if r.Model == "" {
-		return nil
+		return 0, 0
 	}
-	wait := d.wait(now, r, group, s)
+	wait = d.wait(now, r, group, s)
 	predicted := milliseconds(d.predict(now, r, group, s))
-	late := predicted - time.Duration(lateShare*float64(r.Target))
+	late = predicted - time.Duration(lateShare*float64(r.Target))
 	if r.Priority > group.first {
 		late = max(late, milliseconds(group.memoryWait(r, s))-time.Duration(yieldShare*float64(r.Target)))
 	}
-	if late <= 0 || wait <= time.Duration(waitShare*float64(r.Target)) {
-		return nil
+	if wait <= time.Duration(waitShare*float64(r.Target)) {
+		return 0, wait
 	}
-	refusal := d.refuse(Crowded, late)
-	refusal.Server, refusal.Predicted, refusal.Wait = s.ID, predicted, wait
-	return refusal
+	return late, wait
 }
 
 // plan adds the weight version and the KV cache to a placement.
@@ -129,6 +137,8 @@
 const (
 	// some are the gateway's own engines and a few others.
 	some look = iota
+	// free are all that aren't crowded.
+	free
 	all
 	// relaxed are also those that are only believed to be bad.
 	relaxed
@@ -137,12 +147,17 @@
 // pick returns the usable server with the lowest score.
 func (d *Dispatcher) pick(now time.Time, r *Request, group *service, at look) (best *server, score float64, candidates int) {
 	for _, s := range group.servers {
-		if at == some && s.away && d.rng.Float64() > group.awayChance {
+		if at <= free && s.away && d.rng.Float64() > group.awayChance {
 			continue
 		}
 		if !d.usable(now, r, s, at == relaxed) {
 			continue
 		}
+		if at == free {
+			if late, _ := d.crowded(now, r, group, s); late > 0 {
+				continue
+			}
+		}
 		candidates++
 		cost := d.score(now, r, group, s)
 		if best == nil || cost < score {
