Learn the time of a prompt token from prompts that were alone

It follows the lower quartile now. Refusals log what the expectation comes from: tokens ahead and held, by this gateway and by others, and the server's slowness. Ruled out: memory that is never released (what the log holds agrees with what requests on the way hold).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -96,6 +96,11 @@
 	Server    string
 	Predicted time.Duration
 	Wait      time.Duration
+	// What the expectation comes from: prompt tokens that wait at the server, tokens of memory held there,
+	// both of this gateway and of the others, and the server's measured over predicted time.
+	AheadTokens, AheadOthers int
+	HeldTokens, HeldOthers   int
+	Slowness                 float64
 }
 
 // server is what is known of one server.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -16,6 +16,9 @@
 	fullFor = 150 * time.Millisecond
 	// learn is the weight of one request in what is learnt of times.
 	learn = 0.05
+	// tokenQuantile is the quantile of the measured times that the time of a token follows: prompts of other
+	// gateways that this one doesn't know of make many of them too long, and none too short.
+	tokenQuantile = 0.25
 	// slownessLearn is the weight of one request in a server's slowness, and slownessLimit bounds it.
 	slownessLearn = 0.1
 	slownessLimit = 3.0
@@ -89,7 +92,11 @@
 		return
 	}
 	perToken := max(0, ms-firstTokenMS-p.Plan.FetchMS) / float64(p.Tokens)
-	g.tokenMS += learn * (min(perToken, 4*g.tokenMS) - g.tokenMS)
+	if perToken < g.tokenMS {
+		g.tokenMS *= 1 - learn*(1-tokenQuantile)
+		return
+	}
+	g.tokenMS *= 1 + learn*tokenQuantile
 }
 
 func (s *server) answered(now time.Time) {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -76,6 +76,9 @@
 	if late, wait := d.crowded(now, r, group, best); late > 0 {
 		refusal := d.refuse(Crowded, late)
 		refusal.Server, refusal.Predicted, refusal.Wait = best.ID, p.Predicted, wait
+		refusal.AheadTokens, refusal.AheadOthers = best.tokens, best.others.Tokens
+		refusal.HeldTokens, refusal.HeldOthers = best.memory.tokens, best.others.Held
+		refusal.Slowness = best.slowness
 		return Placement{}, refusal
 	}
 	if r.Model != "" {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -214,6 +214,8 @@
 	g.refused(r.incoming, r.call.ID, string(refused.Reason), zap.String("route", r.route.Name), zap.Int("sends", r.sends),
 		zap.Strings("tried", r.place.Tried), zap.Duration("retry_after", refused.RetryAfter),
 		zap.String("best", refused.Server), zap.Duration("predicted", refused.Predicted), zap.Duration("wait", refused.Wait),
+		zap.Int("ahead", refused.AheadTokens), zap.Int("ahead_others", refused.AheadOthers),
+		zap.Int("held", refused.HeldTokens), zap.Int("held_others", refused.HeldOthers), zap.Float64("slowness", refused.Slowness),
 		zap.Duration("left", time.Until(r.deadline)))
 	answer := refusal(refused.RetryAfter)
 	answer.last = r.last
