Give a fetch up while there is time to read the prompt

A fetch is thrown away after half of the target now. TestSlowFetchLeavesTimeToReadThePrompt fails with 1.5 s.

--- a/internal/dispatch/learn_test.go
+++ b/internal/dispatch/learn_test.go
@@ -27,3 +27,14 @@
 	learnt := d.services["engines"].tokenMS
 	c.Assert(learnt > 0.9*tokenMS && learnt < 1.2*tokenMS, qt.IsTrue, qt.Commentf("%v ms a token, not %v", learnt, tokenMS))
 }
+
+// A store that has become slow since the last fetch: the engine must give the fetch up while there is still
+// time to read the prompt.
+func TestSlowFetchLeavesTimeToReadThePrompt(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(2)
+	r := prompt("s", 9000)
+	p := mustPlace(c, d, r, start)
+	reading := milliseconds(firstTokenMS + 9000*d.services["engines"].tokenMS)
+	c.Assert(p.Plan.Until.Sub(start)+reading <= r.Target, qt.IsTrue, qt.Commentf("%v left to read", r.Target-p.Plan.Until.Sub(start)))
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -20,6 +20,9 @@
 	// fetchWithin is the share of the target latency within which cached parts are fetched even if
 	// computing them would be quicker: computing takes the engine away from other requests.
 	fetchWithin = 0.9
+	// fetchUntil is the share of the target latency after which a fetch is thrown away: there is still time to
+	// read the prompt then.
+	fetchUntil = 0.5
 	// distantShare is the share of the target latency that a server in another failure domain costs
 	// besides: traffic between failure domains is slower and charged.
 	distantShare = 0.15
@@ -128,6 +131,7 @@
 	p.Salt = d.cachedAt(now, r, p.Version, s.FailureDomain).salt
 	g := kvcache.Generation{Model: r.Model, Version: p.Version}
 	plan := d.catalogue.Plan(g, p.Salt, r.Parts, s.FailureDomain, times.fetches, now)
+	plan.Until = now.Add(min(plan.Until.Sub(now), time.Duration(fetchUntil*float64(r.Target))))
 	p.Plan = &plan
 	p.Tokens = max(1, r.PromptTokens-plan.FetchTokens)
 	p.engine, p.parts, p.output, p.holds = s, r.Parts, r.OutputTokens, s.memory.need(r)
