--- a/internal/config/errors.go
+++ b/internal/config/errors.go
@@ -26,16 +26,6 @@
 
 var missingProperty = errorx.RegisterProperty("missing")
 
-// Missing returns the digests that an ErrIncomplete lists.
-func Missing(err error) []string {
-	value, ok := errorx.ExtractProperty(err, missingProperty)
-	if !ok {
-		return nil
-	}
-	digests, _ := value.([]string)
-	return digests
-}
-
 func newIncomplete(digests []string) error {
 	return ErrIncomplete.New("%d documents are missing", len(digests)).
 		WithProperty(missingProperty, digests)
--- a/internal/config/holder_test.go
+++ b/internal/config/holder_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/manifest/manifesttest"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -21,8 +22,8 @@
 	return &manifest.Manifest{
 		Deployment: "test",
 		Organisations: []manifest.Organisation{
-			{Name: "north", KeyDigests: []string{manifest.KeyDigest("a")}},
-			{Name: "south", KeyDigests: []string{manifest.KeyDigest("b")}, Share: 1 + float64(n)},
+			{Name: "north", KeyDigests: []string{manifesttest.KeyDigest("a")}},
+			{Name: "south", KeyDigests: []string{manifesttest.KeyDigest("b")}, Share: 1 + float64(n)},
 		},
 		Services: []manifest.Service{
 			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: fmt.Sprintf("w%d", n)},
@@ -56,8 +57,8 @@
 	delta.Documents = map[string][]byte{}
 	_, err = holder.Offer(delta)
 	c.Assert(errorx.IsOfType(err, ErrIncomplete), qt.IsTrue)
-	c.Assert(Missing(err), qt.HasLen, 2)
-	for _, digest := range Missing(err) {
+	c.Assert(missing(err), qt.HasLen, 2)
+	for _, digest := range missing(err) {
 		delta.Documents[digest] = second.Documents[digest]
 	}
 	accepted, err = holder.Offer(delta)
@@ -176,3 +177,13 @@
 	c.Assert(holder.Current().Grace(0), qt.Equals, 7*time.Second)
 	c.Assert(holder.Current().Grace(2), qt.Equals, 2*time.Second)
 }
+
+// missing returns the digests that an ErrIncomplete lists.
+func missing(err error) []string {
+	value, ok := errorx.ExtractProperty(err, missingProperty)
+	if !ok {
+		return nil
+	}
+	digests, _ := value.([]string)
+	return digests
+}
--- a/internal/config/slope_test.go
+++ b/internal/config/slope_test.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/manifest/manifesttest"
 	"balsamyoke.example/balsamyoke/internal/traffic"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -30,7 +31,7 @@
 		name := fmt.Sprintf("organisation-%04d", i)
 		m.Organisations = append(m.Organisations, manifest.Organisation{
 			Name:              name,
-			KeyDigests:        []string{manifest.KeyDigest(name + "/1"), manifest.KeyDigest(name + "/2")},
+			KeyDigests:        []string{manifesttest.KeyDigest(name + "/1"), manifesttest.KeyDigest(name + "/2")},
 			RequestsPerSecond: 100,
 			TokensPerSecond:   40000,
 		})
--- a/internal/entry/errors.go
+++ b/internal/entry/errors.go
@@ -53,9 +53,6 @@
 	settled bool
 }
 
-// Error implements error.
-func (f *Failure) Error() string { return string(f.Code) + ": " + f.Message }
-
 // refusal returns a Failure for a request that has not run.
 func refusal(code Code, status int, message string) *Failure {
 	return &Failure{Code: code, Status: status, Message: message, Outcome: wire.Outcome_OUTCOME_NOT_RUN}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,7 +38,7 @@
 			sleep(ctx, relayIdle)
 			continue
 		}
-		if reader := role.readers[0]; from == "" || !contains(role.readers, from) {
+		if reader := role.readers[0]; from == "" || !slices.Contains(role.readers, from) {
 			from = reader
 			clear(cursors)
 		}
@@ -51,15 +52,6 @@
 	}
 }
 
-func contains(list []string, wanted string) bool {
-	for _, s := range list {
-		if s == wanted {
-			return true
-		}
-	}
-	return false
-}
-
 // readThrough makes one call for the news of all stores.
 func (f *Fleet) readThrough(ctx context.Context, pool *grpcpool.Pool, from string, cursors map[string]*wire.StoreCursor) error {
 	ctx, cancel := context.WithTimeout(ctx, relayWait+peerCallTimeout)
--- a/internal/manifest/index.go
+++ b/internal/manifest/index.go
@@ -132,9 +132,3 @@
 	_, ok = ix.grants[grant{organisation, service}]
 	return ok
 }
-
-// KeyDigest returns the digest of a bearer key as a manifest lists it.
-func KeyDigest(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
--- a/internal/manifest/manifest_test.go
+++ b/internal/manifest/manifest_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/manifest/manifesttest"
 )
 
 const valid = `// a small deployment
@@ -174,7 +176,7 @@
 	c.Assert(organisation.Name, qt.Equals, "north")
 	_, ok = ix.OrganisationByKey("c")
 	c.Assert(ok, qt.IsFalse)
-	c.Assert(KeyDigest("a"), qt.Equals, digestA)
+	c.Assert(manifesttest.KeyDigest("a"), qt.Equals, digestA)
 
 	kind, ok := ix.DefaultKind("archive")
 	c.Assert(ok, qt.IsTrue)
--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -19,9 +19,6 @@
 //go:embed schema.json
 var schemaJSON []byte
 
-// Schema returns the published JSON Schema of manifests.
-func Schema() []byte { return slices.Clone(schemaJSON) }
-
 const schemaURL = "urn:balsamyoke:manifest:1"
 
 var (
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -143,9 +143,6 @@
 // ReadAt returns when the list was last read; zero before the first time.
 func (t *Table) ReadAt() time.Time { return t.readAt }
 
-// Len returns how many instances are known.
-func (t *Table) Len() int { return len(t.members) }
-
 // Lookup returns what is believed about an instance.
 func (t *Table) Lookup(instance string) (Member, bool) {
 	m := t.members[instance]
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -102,7 +102,7 @@
 
 	// An instance that is neither listed nor heard is forgotten.
 	table.Listed(start.Add(UnlistedFor), nil)
-	c.Assert(table.Len(), qt.Equals, 0)
+	c.Assert(len(table.members), qt.Equals, 0)
 }
 
 func TestShortenedListKeepsWhoIsHeard(t *testing.T) {
@@ -112,7 +112,7 @@
 	table.Listed(start, list)
 	table.Heard(start.Add(time.Minute), Evidence{Instance: list[2].ID, Incarnation: 1})
 	table.Listed(start.Add(time.Minute), list[:1])
-	c.Assert(table.Len(), qt.Equals, 2)
+	c.Assert(len(table.members), qt.Equals, 2)
 	c.Assert(open(table, list[2].ID), qt.IsTrue)
 }
 
--- a/internal/piece/name.go
+++ b/internal/piece/name.go
@@ -45,18 +45,6 @@
 // Hash returns 64 bits of the name, which are uniformly distributed.
 func (n Name) Hash() uint64 { return binary.LittleEndian.Uint64(n[:8]) }
 
-// ParseName returns the name that a hexadecimal string spells, or ErrName.
-func ParseName(text string) (Name, error) {
-	var name Name
-	if len(text) != 2*NameSize {
-		return name, ErrName.New("piece name %q has %d characters, not %d", text, len(text), 2*NameSize)
-	}
-	if _, err := hex.Decode(name[:], []byte(text)); err != nil {
-		return Name{}, ErrName.Wrap(err, "piece name %q", text)
-	}
-	return name, nil
-}
-
 // NameFromBytes returns the name that a wire message carries, or ErrName.
 func NameFromBytes(raw []byte) (Name, error) {
 	if len(raw) != NameSize {
--- a/internal/piece/piece_test.go
+++ b/internal/piece/piece_test.go
@@ -50,11 +50,6 @@
 	names := Names(Scope{Organisation: "o", WeightVersion: "v"}, make([]byte, DefaultBytes), 0)
 	c.Assert(names, qt.HasLen, 1)
 	c.Assert(names[0].String(), qt.Equals, pinnedName)
-	parsed, err := ParseName(pinnedName)
-	c.Assert(err, qt.IsNil)
-	c.Assert(parsed, qt.Equals, names[0])
-	_, err = ParseName(pinnedName + "00")
-	c.Assert(errorx.IsOfType(err, ErrName), qt.IsTrue)
 }
 
 func TestNamesShareExactlyTheCommonPieces(t *testing.T) {
--- a/internal/stream/assembler.go
+++ b/internal/stream/assembler.go
@@ -21,7 +21,6 @@
 	total    uint32
 	hasTotal bool
 	ready    [][]byte
-	dropped  int
 }
 
 // NewAssembler returns an assembler that takes frames of the attempt current only.
@@ -35,7 +34,6 @@
 // for a chunk after the attempt's end; the caller then asks for a replay or supersedes the attempt.
 func (a *Assembler) Chunk(id attempt.ID, sequence uint32, data []byte) ([][]byte, error) {
 	if id != a.current || sequence < a.next {
-		a.dropped++
 		return nil, nil
 	}
 	if a.hasTotal && sequence >= a.total {
@@ -52,7 +50,6 @@
 
 func (a *Assembler) buffer(sequence uint32, data []byte) error {
 	if _, ok := a.waiting[sequence]; ok {
-		a.dropped++
 		return nil
 	}
 	if len(a.waiting) >= maxBuffered {
@@ -82,7 +79,6 @@
 // has already sent more chunks or another total.
 func (a *Assembler) Done(id attempt.ID, total uint32) error {
 	if id != a.current {
-		a.dropped++
 		return nil
 	}
 	if a.hasTotal && a.total != total {
@@ -103,18 +99,9 @@
 // Whole reports whether the answer has ended and all of it was delivered.
 func (a *Assembler) Whole() bool { return a.hasTotal && a.next == a.total }
 
-// Missing returns the sequence number of the first missing chunk and whether later chunks or the
-// end are known, i.e. whether a chunk was lost or is late.
-func (a *Assembler) Missing() (sequence uint32, gap bool) {
-	return a.next, len(a.waiting) > 0 || (a.hasTotal && a.next < a.total)
-}
-
 // Delivered returns how many chunks were delivered: the sequence number of the next one.
 func (a *Assembler) Delivered() uint32 { return a.next }
 
-// Dropped returns how many frames were dropped as copies or as frames of superseded attempts.
-func (a *Assembler) Dropped() int { return a.dropped }
-
 // Current returns the attempt whose frames are taken.
 func (a *Assembler) Current() attempt.ID { return a.current }
 
--- a/internal/stream/assembler_test.go
+++ b/internal/stream/assembler_test.go
@@ -130,27 +130,6 @@
 	})
 }
 
-func TestMissingChunkIsSeen(t *testing.T) {
-	c := qt.New(t)
-	a := NewAssembler(firstAttempt)
-	_, gap := a.Missing()
-	c.Assert(gap, qt.IsFalse)
-	ready, err := a.Chunk(firstAttempt, 1, []byte("b"))
-	c.Assert(err, qt.IsNil)
-	c.Assert(ready, qt.HasLen, 0)
-	sequence, gap := a.Missing()
-	c.Assert(sequence, qt.Equals, uint32(0))
-	c.Assert(gap, qt.IsTrue)
-	ready, err = a.Chunk(firstAttempt, 0, []byte("a"))
-	c.Assert(err, qt.IsNil)
-	c.Assert(ready, qt.DeepEquals, [][]byte{[]byte("a"), []byte("b")})
-	_, gap = a.Missing()
-	c.Assert(gap, qt.IsFalse)
-	c.Assert(a.Done(firstAttempt, 3), qt.IsNil)
-	_, gap = a.Missing()
-	c.Assert(gap, qt.IsTrue)
-}
-
 func TestBufferBehindAGapIsBounded(t *testing.T) {
 	c := qt.New(t)
 	a := NewAssembler(firstAttempt)
@@ -176,3 +155,17 @@
 	_, err = a.Chunk(firstAttempt, 3, []byte("d"))
 	c.Assert(errorx.IsOfType(err, ErrContradiction), qt.IsTrue)
 }
+
+// A chunk that overtakes another waits for it.
+func TestOvertakingChunkWaits(t *testing.T) {
+	c := qt.New(t)
+	a := NewAssembler(firstAttempt)
+	ready, err := a.Chunk(firstAttempt, 1, []byte("b"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ready, qt.HasLen, 0)
+	ready, err = a.Chunk(firstAttempt, 0, []byte("a"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(ready, qt.DeepEquals, [][]byte{[]byte("a"), []byte("b")})
+	c.Assert(a.Done(firstAttempt, 3), qt.IsNil)
+	c.Assert(a.Whole(), qt.IsFalse)
+}
--- a/internal/systemtest/changes/fleet_test.go
+++ b/internal/systemtest/changes/fleet_test.go
@@ -12,6 +12,7 @@
 	"balsamyoke.example/balsamyoke/internal/config"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/manifest/manifesttest"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -36,7 +37,7 @@
 func testManifest(weightVersion string) *manifest.Manifest {
 	return &manifest.Manifest{
 		Deployment:    "changes",
-		Organisations: []manifest.Organisation{{Name: "ridge", KeyDigests: []string{manifest.KeyDigest(organisationKey)}}},
+		Organisations: []manifest.Organisation{{Name: "ridge", KeyDigests: []string{manifesttest.KeyDigest(organisationKey)}}},
 		Services: []manifest.Service{
 			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: weightVersion, MaxConcurrentLoads: maxLoads},
 			{Name: "archive", Type: manifest.ServicePlain},
--- a/internal/systemtest/restart/restart_test.go
+++ b/internal/systemtest/restart/restart_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"balsamyoke.example/balsamyoke/internal/manifest"
+	"balsamyoke.example/balsamyoke/internal/manifest/manifesttest"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/testbed"
 )
@@ -29,7 +30,7 @@
 func testManifest() *manifest.Manifest {
 	return &manifest.Manifest{
 		Deployment:    "restart",
-		Organisations: []manifest.Organisation{{Name: "ridge", KeyDigests: []string{manifest.KeyDigest(organisationKey)}}},
+		Organisations: []manifest.Organisation{{Name: "ridge", KeyDigests: []string{manifesttest.KeyDigest(organisationKey)}}},
 		Services: []manifest.Service{
 			{Name: "assistant", Type: manifest.ServiceModel, WeightVersion: "w1", MaxConcurrentLoads: 2},
 			{Name: "archive", Type: manifest.ServicePlain},
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -21,6 +21,9 @@
 echo "== names of the platform"
 sh scripts/wire-names.sh
 
+echo "== functions that no program reaches"
+go run ./scripts/unreached
+
 echo "== build"
 make build
 # As deploy/system.toml builds it for the users' platform.
--- /dev/null
+++ b/scripts/unreached/main.go
@@ -0,0 +1,84 @@
+// Command unreached lists the functions that no program of this module reaches, and fails when there are any.
+// Packages whose names end in "test", and those that only tests use, are left out.
+package main
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+
+	"golang.org/x/tools/go/callgraph/rta"
+	"golang.org/x/tools/go/packages"
+	"golang.org/x/tools/go/ssa"
+	"golang.org/x/tools/go/ssa/ssautil"
+)
+
+const module = "balsamyoke.example/balsamyoke/"
+
+// forTests are packages that only tests use.
+var forTests = []string{module + "internal/testbed", module + "internal/leaktest"}
+
+func main() {
+	program, roots, err := load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "unreached:", err)
+		os.Exit(2)
+	}
+	found := unreached(program, roots)
+	for _, place := range found {
+		fmt.Println(place)
+	}
+	if len(found) > 0 {
+		os.Exit(1)
+	}
+}
+
+// load returns the module's program in static single assignment form, and where its processes begin.
+func load() (program *ssa.Program, roots []*ssa.Function, err error) {
+	initial, err := packages.Load(&packages.Config{Mode: packages.LoadAllSyntax}, "./...")
+	if err != nil {
+		return nil, nil, err
+	}
+	if packages.PrintErrors(initial) > 0 {
+		return nil, nil, fmt.Errorf("packages can't be loaded")
+	}
+	program, built := ssautil.AllPackages(initial, ssa.InstantiateGenerics)
+	program.Build()
+	for _, p := range ssautil.MainPackages(built) {
+		roots = append(roots, p.Func("main"), p.Func("init"))
+	}
+	return program, roots, nil
+}
+
+// unreached returns the places and names of the module's functions that can't be called from the roots.
+func unreached(program *ssa.Program, roots []*ssa.Function) []string {
+	reached := make(map[string]bool)
+	for f := range rta.Analyze(roots, false).Reachable {
+		reached[place(program, f)] = true
+	}
+	found := make(map[string]bool)
+	for f := range ssautil.AllFunctions(program) {
+		if !written(program, f) || reached[place(program, f)] {
+			continue
+		}
+		found[place(program, f)+" "+f.Name()] = true
+	}
+	return slices.Sorted(maps.Keys(found))
+}
+
+// written reports whether a function stands in code of this module that programs use and people write.
+func written(program *ssa.Program, f *ssa.Function) bool {
+	if f.Pkg == nil || f.Synthetic != "" || f.Parent() != nil {
+		return false
+	}
+	path := f.Pkg.Pkg.Path()
+	file := program.Fset.Position(f.Pos()).Filename
+	generated := strings.HasSuffix(file, ".pb.go") || !strings.HasSuffix(file, ".go")
+	return strings.HasPrefix(path, module) && !generated && !strings.HasSuffix(path, "test") && !slices.Contains(forTests, path)
+}
+
+func place(program *ssa.Program, f *ssa.Function) string {
+	return program.Fset.Position(f.Pos()).String()
+}
