--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -7,6 +7,7 @@
 	EventServerState     = "server_state"
 	EventServers         = "servers_changed"
 	EventPeerSilent      = "peer_silent"
+	EventEnginesDealt    = "engines_dealt"
 	EventPeerHeard       = "peer_heard"
 	EventConfiguration   = "configuration_taken"
 	EventWeightsNamed    = "weights_named"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -249,7 +249,7 @@
 	}
 }
 
-// position returns the gateway's place in its failure domain; one that leaves takes no part.
+// position returns the gateway's place in its failure domain.
 func (f *Fleet) position(now time.Time) dispatch.Position {
 	index, of := f.members.Position(now)
 	return dispatch.Position{Index: index, Of: of}
@@ -269,7 +269,9 @@
 	}
 	f.lastExpiry = now
 	f.assignRole(now)
-	f.dispatcher.SetPosition(f.position(now))
+	if p := f.position(now); f.dispatcher.SetPosition(p) {
+		f.Log.Info(EventEnginesDealt, zap.Int("index", p.Index), zap.Int("of", p.Of))
+	}
 	f.dispatcher.SetGateways(f.members.Count())
 	f.catalogue.SetGateways(f.members.Count())
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -84,3 +84,16 @@
 	}
 	c.Assert(link.Close(), qt.IsNil)
 }
+
+// A gateway's place counts the live gateways of its failure domain, and none that is leaving.
+func TestPositionAmongTheLiveOfTheDomain(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(peer("g2", "a"))
+	for _, other := range []*wire.Peer{peer("g1", "a"), peer("g3", "a"), peer("g0", "b"), peer("g4", "a")} {
+		m.Heard(&wire.Beat{From: other, Incarnation: 1, Sequence: 1, Leaving: other.GetInstance() == "g4"}, start)
+	}
+	index, of := m.Position(start)
+	c.Assert([]int{index, of}, qt.DeepEquals, []int{1, 3})
+	index, of = m.Position(start.Add(SilentFor + time.Millisecond))
+	c.Assert([]int{index, of}, qt.DeepEquals, []int{0, 1})
+}
