Soak model engines, their weights and their cache stores

The soak had no engines: it now runs three with orders to change weights, and two managed cache stores whose events come late, are forgotten and lost, and which restart empty. New faults, drawn beside the others so that the seeds keep what they drew: weights named, a store or an engine restarts, its connections are delayed, cut or silenced.

--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -36,6 +36,8 @@
 	// convergeWithin is how long after the last fault every gateway has the newest configuration: the
 	// longest retry, a waiting call on a dead connection, and a margin.
 	convergeWithin = 15 * time.Second
+	// engineEvery is one fault of engines for so many others.
+	engineEvery = 2
 )
 
 // regressions are the seeds that ever failed, with the cause.
@@ -73,16 +75,15 @@
 func soak(c *qt.C, seed uint64) {
 	w := newWorld(c)
 	rng := rand.New(rand.NewPCG(seed, seed))
+	// Faults of engines have a sequence of their own, so that the seeds draw the others as they always did.
+	engineRNG := rand.New(rand.NewPCG(seed, engineEvery))
 	w.awaitNewest()
 	stop := make(chan struct{})
-	var calling sync.WaitGroup
+	var calling, striking sync.WaitGroup
 	for i := range callers {
 		calling.Go(func() { (&caller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(i))), number: i}).run(stop) })
 	}
-	until := time.Now().Add(time.Duration(*lengthMS) * time.Millisecond)
-	var striking sync.WaitGroup
-	for time.Now().Before(until) {
-		f := w.draw(rng)
+	strike := func(f fault) {
 		c.Logf("%s", f.name)
 		striking.Go(func() {
 			w.faults.Add(1)
@@ -90,12 +91,21 @@
 			f.strike()
 			w.faults.Add(-1)
 		})
+	}
+	until := time.Now().Add(time.Duration(*lengthMS) * time.Millisecond)
+	for time.Now().Before(until) {
+		strike(w.draw(rng))
+		if engineRNG.IntN(engineEvery) == 0 {
+			strike(w.drawEngine(engineRNG))
+		}
 		time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 	}
 	striking.Wait()
 	w.awaitNewest()
+	w.awaitWeights()
 	close(stop)
 	calling.Wait()
+	c.Logf("%d parts fetched", w.fetched.Load())
 	w.ran.Range(func(id, count any) bool {
 		if status, refused := w.refused.Load(id); refused && strings.HasSuffix(id.(string), "-once") {
 			c.Errorf("request %s was answered %d and has run", id, status)
@@ -173,9 +183,7 @@
 			}
 		}
 	}
-	proxied := func(p *proxy) func() {
-		return func() { p.set(m); time.Sleep(length); p.set(pass) }
-	}
+	proxied := func(p *proxy) func() { return proxiedFor(p, m, length) }
 	kinds := []fault{
 		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() })},
 		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() })},
@@ -207,6 +215,27 @@
 	return kinds[rng.IntN(len(kinds))]
 }
 
+// drawEngine draws a fault of engines, their weights and their cache stores.
+func (w *world) drawEngine(rng *rand.Rand) fault {
+	e := w.engines[rng.IntN(len(w.engines))]
+	cache := rng.IntN(len(w.caches))
+	m := mode(1 + rng.IntN(int(modes)-1))
+	length := time.Duration(100+rng.IntN(2000)) * time.Millisecond
+	kinds := []fault{
+		{"weights named", w.nameWeights},
+		{fmt.Sprintf("cache store %d restarts", cache), w.caches[cache].restart},
+		{fmt.Sprintf("cache store %d mode %d", cache, m), proxiedFor(w.caches[cache].proxy, m, length)},
+		{fmt.Sprintf("engine %s mode %d", e.id, m), proxiedFor(e.proxy, m, length)},
+		{"engine " + e.id + " restarts", e.restart},
+	}
+	return kinds[rng.IntN(len(kinds))]
+}
+
+// proxiedFor has a proxy misbehave for a while.
+func proxiedFor(p *proxy, m mode, length time.Duration) func() {
+	return func() { p.set(m); time.Sleep(length); p.set(pass) }
+}
+
 var configuring sync.Mutex
 
 func (w *world) configureNext() {
@@ -266,7 +295,7 @@
 	w := k.w
 	faults, struck := w.faults.Load(), w.struck.Load()
 	known := w.version.Load()
-	kind := []string{"get", "book", "stream", "once", "version"}[k.rng.IntN(5)]
+	kind := []string{"get", "book", "stream", "once", "version", "ask"}[k.rng.IntN(6)]
 	id := fmt.Sprintf("c%d-%d-%s", k.number, k.sent, kind)
 	path := "/" + kind + "/x"
 	version := int64(0)
@@ -277,9 +306,13 @@
 		version = 1 + k.rng.Int64N(known)
 		path = fmt.Sprintf("/v%d/x", version)
 	}
+	more := ""
+	if kind == "ask" {
+		more = promptHeaders(k.rng, id)
+	}
 	_ = k.conn.SetDeadline(time.Now().Add(8 * time.Second))
 	body := "prompt of " + id
-	_, err := fmt.Fprintf(k.conn, "POST %s HTTP/1.1\r\nHost: h\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n%s", path, id, len(body), body)
+	_, err := fmt.Fprintf(k.conn, "POST %s HTTP/1.1\r\nHost: h\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Deadline-Ms: 4000\r\n%sContent-Length: %d\r\n\r\n%s", path, id, more, len(body), body)
 	var response *http.Response
 	var text []byte
 	if err == nil {
@@ -308,7 +341,7 @@
 func (k *caller) check(id, kind string, version int64, response *http.Response, text string) {
 	w := k.w
 	switch status := response.StatusCode; {
-	case status == http.StatusOK && (kind == "stream" || kind == "once"):
+	case status == http.StatusOK && (kind == "stream" || kind == "once" || kind == "ask"):
 		var want strings.Builder
 		for i := 1; i <= streamEvents; i++ {
 			fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i, id)
--- a/internal/systemtest/soak/world_test.go
+++ b/internal/systemtest/soak/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -36,6 +35,12 @@
 	store  *standin.Metastore
 	nodes  []*node
 	back   []*server
+	// engines and caches are the model engines and their cache stores, weights the newest named version and
+	// fetched how many parts the engines were told to fetch.
+	engines []*engine
+	caches  []*cacheStore
+	weights atomic.Int64
+	fetched atomic.Int64
 	// version is the newest configuration, acked its time by version.
 	version atomic.Int64
 	ran     sync.Map // request id to *atomic.Int64
@@ -71,10 +76,17 @@
 	w.store, err = standin.StartMetastore(standin.MetastoreSettings{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0"})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(w.store.Stop)
+	for range stores {
+		w.caches = append(w.caches, w.startStore())
+	}
 	w.configure(1)
+	w.nameWeights()
 	for i := range servers {
 		w.back = append(w.back, w.startServer(fmt.Sprint("s", i)))
 	}
+	for i := range engines {
+		w.engines = append(w.engines, w.startEngine(i))
+	}
 	binaries, err := testbed.Binaries()
 	c.Assert(err, qt.IsNil)
 	for i := range gateways {
@@ -91,6 +103,14 @@
 			_ = s.http.Close()
 			s.proxy.stop()
 		}
+		for _, e := range w.engines {
+			_ = e.http.Close()
+			e.proxy.stop()
+		}
+		for _, s := range w.caches {
+			_ = s.http.Close()
+			s.proxy.stop()
+		}
 	})
 	return w
 }
@@ -146,11 +166,17 @@
 	route("book", "non_idempotent", 1, false)
 	route("stream", "streaming", 3, true)
 	route("once", "streaming", 1, false)
+	fmt.Fprintf(&routes, `,{"name":"ask","host":"h","prefix":"/ask/","kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":3,"public":true}`)
+	services := `{"name":"app"},{"name":"llm","engine":{"slots":16,"kv_capacity":20000,"kv_token_bytes":100,"models":[{"name":"m"}]}}`
+	for i, s := range w.caches {
+		services += fmt.Sprintf(`,{"name":"cache%d","kv_store_addr":%q,"zone":"d0","kv_capacity":%d,"link_mbps":10000,"max_in_flight":64,"managed":true,"first_ms":1}`,
+			i, s.proxy.address(), storeTokens)
+	}
 	for v := int64(1); v <= version; v++ {
 		route(fmt.Sprint("v", v), "idempotent", 3, false)
 	}
-	w.put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"app"}],"limits":{"max_header_bytes":8192,"max_body_bytes":100000,"header_timeout_ms":2000,"idle_timeout_ms":10000},"tenants":[]}`,
-		version, routes.String()[1:]))
+	w.put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],"limits":{"max_header_bytes":8192,"max_body_bytes":100000,"header_timeout_ms":2000,"idle_timeout_ms":10000},"tenants":[]}`,
+		version, routes.String()[1:], services))
 	w.version.Store(version)
 }
 
@@ -171,14 +197,8 @@
 
 // startServer starts a backend server that counts the runs of each request.
 func (w *world) startServer(id string) *server {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	w.c.Assert(err, qt.IsNil)
-	p, err := startProxy(listener.Addr().String())
-	w.c.Assert(err, qt.IsNil)
-	s := &server{id: id, proxy: p, http: &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, in *http.Request) {
-		w.serve(id, out, in)
-	})}}
-	go func() { _ = s.http.Serve(listener) }()
+	s := &server{id: id}
+	s.http, s.proxy = w.listen(func(out http.ResponseWriter, in *http.Request) { w.serve(id, out, in) })
 	w.register(s, "ready")
 	return s
 }
@@ -207,6 +227,13 @@
 		fmt.Fprintf(out, "answer to %s", request)
 		return
 	}
+	w.stream(out, in)
+}
+
+// stream answers with events, or with the rest of them.
+func (w *world) stream(out http.ResponseWriter, in *http.Request) {
+	request := in.Header.Get("Balsamyoke-Request-Id")
+	out.Header().Set("Balsamyoke-Response-Stamp", "stamp")
 	first := 1
 	_, _ = fmt.Sscan(in.Header.Get("Last-Event-Id"), &first)
 	if in.Header.Get("Last-Event-Id") != "" {
