Let the soak's engines load for up to three seconds and read for up to a quarter

Fetching retired parts isn't caught here: the frees come seconds after the last engine has left the weights.

--- a/internal/systemtest/soak/engines_test.go
+++ b/internal/systemtest/soak/engines_test.go
@@ -123,7 +123,7 @@
 	}
 	part.readers++
 	s.mu.Unlock()
-	time.Sleep(min(time.Duration(5+rand.IntN(60))*time.Millisecond, time.Until(until)))
+	time.Sleep(min(time.Duration(5+rand.IntN(250))*time.Millisecond, time.Until(until)))
 	s.mu.Lock()
 	part.readers--
 	s.mu.Unlock()
@@ -301,7 +301,7 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
-	time.Sleep(time.Duration(200+rand.IntN(400)) * time.Millisecond)
+	time.Sleep(time.Duration(500+rand.IntN(2500)) * time.Millisecond)
 	e.mu.Lock()
 	e.weights, e.busy = weights, false
 	e.mu.Unlock()
@@ -398,5 +398,5 @@
 
 // promptHeaders are those of a prompt that shares its first parts with others.
 func promptHeaders(rng *rand.Rand, id string) string {
-	return fmt.Sprintf("Balsamyoke-Model: m\r\nBalsamyoke-Token-Usage: 2400,20\r\nBalsamyoke-Prompt-Prefix: base:300,p%d:2000,%s:100\r\n", rng.IntN(4), id)
+	return fmt.Sprintf("Balsamyoke-Model: m\r\nBalsamyoke-Token-Usage: 2400,20\r\nBalsamyoke-Prompt-Prefix: base:300,p%d:2000,%s:100\r\n", rng.IntN(8), id)
 }
