--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -78,8 +78,12 @@
 	// Faults of engines have a sequence of their own, so that the seeds draw the others as they always did.
 	engineRNG := rand.New(rand.NewPCG(seed, engineEvery))
 	w.awaitNewest()
-	stop := make(chan struct{})
 	var calling, striking sync.WaitGroup
+	stop := make(chan struct{})
+	// Whatever ends the seed, callers end before it.
+	defer calling.Wait()
+	end := sync.OnceFunc(func() { close(stop) })
+	defer end()
 	for i := range callers {
 		calling.Go(func() { (&caller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(i))), number: i}).run(stop) })
 	}
@@ -103,7 +107,7 @@
 	striking.Wait()
 	w.awaitNewest()
 	w.awaitWeights()
-	close(stop)
+	end()
 	calling.Wait()
 	c.Logf("%d parts fetched", w.fetched.Load())
 	w.ran.Range(func(id, count any) bool {
