Save nothing to a store that was empty at first sight until others know of its restart

Found by the soak (seed 1012, 9 s): a part was fetched before it was whole. Cause: a store restarts empty, a gateway starts just after, sees the new epoch as its first, and saves a part there at once; another gateway still fetches that part by what the store held before, for as long as its reading counts. The wait after a new epoch held only for gateways that knew the old one. It holds at first sight too now, unless the store holds something: whoever saved that has waited. TestEmptyStoreAtFirstSightMayHaveRestarted fails before. The seed is kept as a regression.

The soak itself, found on the way (seeds 1000, 1006, 1014, once each, beside two other soaks): two faults that restarted a gateway at the same time both started a process, and the one that nobody knew outlived its seed. One fault starts a gateway now.

--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -31,6 +32,7 @@
 	}, 18_432)
 	c.Touch(start)
 	for _, address := range []string{quick, slow} {
+		c.Apply(address, Batch{Epoch: 1}, start.Add(-time.Minute), start.Add(-time.Minute))
 		c.Apply(address, Batch{Epoch: 1}, start, start)
 	}
 	return c
@@ -228,3 +230,30 @@
 	catalogue.Touch(later)
 	c.Assert(catalogue.Plan(gen1, salt, []Part{part, {ID: "o", Tokens: 1}}, "a", true, later).Fetch[0], qt.Equals, quick)
 }
+
+// A gateway that starts just after a store has restarted empty can't know it: other gateways may still fetch by
+// what the store held before, so nothing is saved there for as long as their reading counts. A store that holds
+// something has been up for longer.
+func TestEmptyStoreAtFirstSightMayHaveRestarted(t *testing.T) {
+	c := qt.New(t)
+	salt := Salt(gen1, "")
+	fresh := func(batch Batch) *Catalogue {
+		catalogue := New("a")
+		catalogue.SetStores([]routing.CacheStore{
+			{Address: quick, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
+		}, 18_432)
+		catalogue.Touch(start)
+		catalogue.Apply(quick, batch, start, start)
+		return catalogue
+	}
+	saves := func(catalogue *Catalogue, at time.Time) bool {
+		catalogue.Apply(quick, Batch{Epoch: 5}, at, at)
+		plan := catalogue.Plan(gen1, salt, prompt("s"), "a", true, at)
+		return slices.Contains(plan.Save, quick)
+	}
+	empty := fresh(Batch{Epoch: 5})
+	c.Assert(saves(empty, start.Add(time.Second)), qt.IsFalse)
+	c.Assert(saves(empty, start.Add(FreshFor+FetchFor)), qt.IsTrue)
+	held := fresh(Batch{Epoch: 5, Changes: []Change{{Key: Key{Salt: salt, ID: "other"}, Tokens: 500}}})
+	c.Assert(saves(held, start), qt.IsTrue)
+}
--- a/internal/kvcache/store.go
+++ b/internal/kvcache/store.go
@@ -14,8 +14,10 @@
 	epoch int64
 	// readAt is when the latest reading was asked for; zero before the first.
 	readAt time.Time
-	// saveFrom is when the first save after a restart may be planned.
+	// saveFrom is when the first save after a restart may be planned. unsure tells that the store was empty when
+	// this gateway first read it, so that it may have restarted just before.
 	saveFrom time.Time
+	unsure   bool
 	whole    map[Key]int
 	pending  map[Key]pendingSave
 	used     int
@@ -34,11 +36,11 @@
 }
 
 // restart forgets what a store held in an earlier epoch. Until every gateway has either seen the new
-// epoch or holds its reading for too old, and fetches under way have ended, nothing is saved there.
+// epoch or holds its reading for too old, and fetches under way have ended, nothing is saved there. The same
+// goes for a store that is read for the first time, unless it holds something: whoever saved that has waited.
 func (s *store) restart(epoch int64, now time.Time) {
-	if s.epoch != 0 {
-		s.saveFrom = now.Add(FreshFor + FetchFor)
-	}
+	s.saveFrom = now.Add(FreshFor + FetchFor)
+	s.unsure = s.epoch == 0
 	s.epoch = epoch
 	s.whole = make(map[Key]int)
 	s.pending = make(map[Key]pendingSave)
@@ -52,11 +54,19 @@
 	if !change.Removed {
 		s.whole[change.Key] = change.Tokens
 		s.used += change.Tokens
+		s.sawContent()
 	}
 	s.settle(change.Key)
 	s.record(change)
 }
 
+// sawContent notes that the store holds something.
+func (s *store) sawContent() {
+	if s.unsure {
+		s.unsure, s.saveFrom = false, time.Time{}
+	}
+}
+
 // settle ends the wait for a save.
 func (s *store) settle(key Key) {
 	if p, ok := s.pending[key]; ok {
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -28,6 +28,7 @@
 var (
 	seedFlag  = flag.Uint64("soak.seed", 1, "first seed; 0 draws one")
 	seedsFlag = flag.Int("soak.seeds", 1, "number of seeds to run")
+	keepFlag  = flag.String("soak.keep", "", "folder for the gateways' logs of seeds that fail")
 	lengthMS  = flag.Int("soak.length-ms", 6000, "length of the faults of one seed, in milliseconds")
 )
 
@@ -42,11 +43,12 @@
 
 // regressions are the seeds that ever failed, with the cause.
 var regressions = map[uint64]string{
-	109: "a request on a connection that a killed gateway had left counted as cut off (the check)",
-	111: "as 109",
-	115: "as 109",
-	126: "as 109",
-	156: "as 109",
+	109:  "a request on a connection that a killed gateway had left counted as cut off (the check)",
+	111:  "as 109",
+	115:  "as 109",
+	126:  "as 109",
+	156:  "as 109",
+	1012: "a gateway began just after a cache store had restarted and saved there, while others fetched by what it had held",
 }
 
 func TestMain(m *testing.M) { os.Exit(testbed.Main(m)) }
@@ -74,6 +76,7 @@
 
 func soak(c *qt.C, seed uint64) {
 	w := newWorld(c)
+	c.Cleanup(func() { w.keepLogs(seed) })
 	rng := rand.New(rand.NewPCG(seed, seed))
 	// Faults of engines have a sequence of their own, so that the seeds draw the others as they always did.
 	engineRNG := rand.New(rand.NewPCG(seed, engineEvery))
@@ -179,12 +182,7 @@
 			n.mu.Unlock()
 			end(p)
 			<-p.Ended()
-			n.mu.Lock()
-			again := n.process == p
-			n.mu.Unlock()
-			if again {
-				w.start(n, binary())
-			}
+			w.startAfter(n, p, binary())
 		}
 	}
 	proxied := func(p *proxy) func() { return proxiedFor(p, m, length) }
--- a/internal/systemtest/soak/world_test.go
+++ b/internal/systemtest/soak/world_test.go
@@ -138,6 +138,19 @@
 	return n
 }
 
+// keepLogs copies the gateways' logs of a seed that failed.
+func (w *world) keepLogs(seed uint64) {
+	if !w.c.Failed() || *keepFlag == "" {
+		return
+	}
+	for _, n := range w.nodes {
+		text, err := os.ReadFile(n.process.LogFile)
+		w.c.Check(err, qt.IsNil)
+		file := filepath.Join(*keepFlag, fmt.Sprintf("soak-%d-%s.log", seed, n.name))
+		w.c.Check(os.WriteFile(file, text, 0o600), qt.IsNil)
+	}
+}
+
 // control returns the gateway's control address, from its settings file.
 func (n *node) control() string {
 	text, _ := os.ReadFile(n.file)
@@ -146,9 +159,17 @@
 	return s.Control
 }
 
-func (w *world) start(n *node, binary string) {
+// startAfter starts a gateway whose process has ended, unless another fault has done so.
+func (w *world) startAfter(n *node, ended *testbed.Process, binary string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.process == ended {
+		w.start(n, binary)
+	}
+}
+
+// start starts a gateway; the caller holds its mutex where faults may strike.
+func (w *world) start(n *node, binary string) {
 	process, err := testbed.StartProcess(w.folder, n.name, binary, "--settings", n.file)
 	w.c.Assert(err, qt.IsNil)
 	n.process = process
