--- a/internal/dispatch/memory.go
+++ b/internal/dispatch/memory.go
@@ -19,8 +19,8 @@
 	holdLearn = 0.5
 )
 
-// memory is what this gateway's requests hold of one engine's memory. Requests that share a part share its
-// memory too.
+// memory is what this gateway's requests hold of one engine's memory, in tokens. Requests that share a part share
+// its memory too; that those of walled organisations don't is left out of account.
 type memory struct {
 	tokens int
 	uses   map[string]int
@@ -90,7 +90,7 @@
 	g.holdMS += weight * (float64(took)/float64(time.Millisecond) - g.holdMS)
 }
 
-// rank keeps the rank of the most urgent requests that the service gets; 0 goes first.
+// rank keeps the rank of the most urgent requests that the service has had; 0 goes first.
 func (g *service) rank(priority int) {
 	if !g.ranked || priority < g.first {
 		g.first, g.ranked = priority, true
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -90,8 +90,8 @@
 	return p, nil
 }
 
-// search looks at a few servers, then for any that isn't crowded, whatever it costs besides, then at those that
-// are only believed to be bad: beliefs may be wrong, and a server that may serve is better than a refusal.
+// search looks at a few servers, then at a few for one that isn't crowded, whatever it costs besides, then at all, and
+// at last at those that are only believed to be bad: a server that may serve is better than a refusal.
 func (d *Dispatcher) search(now time.Time, r *Request, group *service) (best *server, score float64, candidates int) {
 	for _, at := range []look{some, free, all, relaxed} {
 		best, score, candidates = d.pick(now, r, group, at)
@@ -144,7 +144,7 @@
 const (
 	// some are the gateway's own engines and a few others.
 	some look = iota
-	// free are all that aren't crowded.
+	// free are the same, drawn anew, of which only those that aren't crowded count.
 	free
 	all
 	// relaxed are also those that are only believed to be bad.
