Stop using servers that say they leave or are busy, and bound what a server may send

Cause: responses of a server say that it leaves (Server-Leaving) or how long it wants no requests (503 with Retry-After), and neither was read. Heads, trailers, events and bodies of refusals and of late answers were read until the request's deadline; an event was collected without bound; a plain body over 256 KiB counted as a lost connection, so that work that may not be repeated was answered 502 although it had run.

Now: a leaving run of a server gets no request from the response on, and heartbeats tell the other gateways; a busy one gets none until its time is over, without a mark on its health, and when all are busy callers are refused at once with the time of the first. A head has one second from its first byte, a skipped body 200 ms and 64 KiB, a trailer 8 KiB, an event 256 KiB; larger plain bodies are forwarded as they arrive. Malformed values are ignored, logged at most every ten seconds.

Ruled out: endless heads and chunk sizes were bounded before (fasthttp's buffer, net/http's chunk reader); their tests passed on the old code.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -82,7 +82,7 @@
 	NoServer          Reason = "no_server"
 	AllSuspect        Reason = "all_servers_suspect"
 	AllLoading        Reason = "all_servers_loading"
-	AllFull           Reason = "all_servers_full"
+	AllBusy           Reason = "all_servers_busy"
 	EnginesOverloaded Reason = "engines_crowded"
 	NoRetryBudget     Reason = "no_retry_budget"
 	AttemptsExhausted Reason = "attempts_exhausted"
@@ -129,6 +129,10 @@
 	refusedUntil time.Time
 	// excludedUntil is when a server that loads weights may be tried again, unless the leader extends the exclusion.
 	excludedUntil time.Time
+	// busyUntil is until when the server has asked this gateway to send it no requests.
+	busyUntil time.Time
+	// leaving is set once the server has stated that it is about to stop. It stays set for this run of the server.
+	leaving bool
 	// slowness is the ratio of measured to predicted time to the first byte of recent requests.
 	slowness float64
 	// unassigned reports that an engine is not assigned to this gateway.
@@ -380,7 +384,7 @@
 			Server:   s.Server,
 			Version:  s.weightVersion[model],
 			InFlight: s.running + s.peerLoad.Running,
-			Suspect:  now.Before(s.suspectUntil),
+			Suspect:  now.Before(s.suspectUntil) || s.leaving,
 		})
 	}
 	return views
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -152,9 +152,65 @@
 	s.unreachableCount++
 }
 
-// RecordLoad records the load that a server reported with a response.
-func (d *Dispatcher) RecordLoad(now time.Time, id string, load backend.Load) {
-	if s := d.servers[id]; s != nil {
-		s.reportedLoad, s.reportedLoadAt = load, now
+// ServerReport is what a server stated about itself in a response.
+type ServerReport struct {
+	// Version is the weight version of Model; 0 when not stated.
+	Model   string
+	Version int64
+	// Load is nil when not stated.
+	Load *backend.Load
+	// Leaving reports that the server is about to stop.
+	Leaving bool
+	// RetryAfter is how long the server asks this gateway to send it no requests; 0 when not stated.
+	RetryAfter time.Duration
+}
+
+// RecordReport records what a server stated about itself. It reports whether the server is now known to leave and
+// was not before.
+func (d *Dispatcher) RecordReport(now time.Time, id string, report ServerReport) (leaves bool) {
+	s := d.servers[id]
+	if s == nil {
+		return false
+	}
+	if report.Version > 0 && report.Model != "" {
+		d.SetVersion(id, report.Model, report.Version)
+	}
+	if report.Load != nil {
+		s.reportedLoad, s.reportedLoadAt = *report.Load, now
+	}
+	if busyUntil := now.Add(report.RetryAfter); report.RetryAfter > 0 && busyUntil.After(s.busyUntil) {
+		s.busyUntil = busyUntil
 	}
+	leaves = report.Leaving && !s.leaving
+	s.leaving = s.leaving || report.Leaving
+	return leaves
+}
+
+// LeavingServer identifies one run of a server that is about to stop.
+type LeavingServer struct {
+	ID string
+	// StartedMS is the start of the run, as in backend.Server.
+	StartedMS int64
+}
+
+// SetLeaving records that a server is about to stop, as another gateway reports it. It ignores other runs of the
+// server. It reports whether the server is now known to leave and was not before.
+func (d *Dispatcher) SetLeaving(leaving LeavingServer) (leaves bool) {
+	s := d.servers[leaving.ID]
+	if s == nil || s.StartedMS != leaving.StartedMS || s.leaving {
+		return false
+	}
+	s.leaving = true
+	return true
+}
+
+// Leaving returns the registered servers that are known from responses to be about to stop.
+func (d *Dispatcher) Leaving() []LeavingServer {
+	var list []LeavingServer
+	for _, s := range d.servers {
+		if s.leaving {
+			list = append(list, LeavingServer{ID: s.ID, StartedMS: s.StartedMS})
+		}
+	}
+	return list
 }
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -178,9 +178,10 @@
 }
 
 // usable reports whether the server can run the request and, unless relaxed, whether it should. When relaxed, health,
-// exclusions, full queues, recent refusals and a first failure to connect are ignored.
+// exclusions, full queues, recent refusals and a first failure to connect are ignored. A server that is about to stop,
+// or that has asked for no requests, gets none in any case.
 func (d *Dispatcher) usable(now time.Time, r *Request, s *server, relaxed bool) bool {
-	if s.State != backend.Ready || slices.Contains(r.Tried, s.ID) {
+	if s.State != backend.Ready || s.leaving || now.Before(s.busyUntil) || slices.Contains(r.Tried, s.ID) {
 		return false
 	}
 	if r.Model != "" && (s.weightVersion[r.Model] == 0 || s.weightVersion[r.Model] < r.MinVersion || d.overdue(now, s, r.Model)) {
@@ -374,13 +375,20 @@
 
 // refusalCause returns why no server is usable and the time until that may change.
 func (d *Dispatcher) refusalCause(now time.Time, r *Request, group *service) (Reason, time.Duration) {
-	tried, suspect, ready := 0, 0, 0
-	soonest := maxRetryAfter
+	tried, suspect, ready, busy := 0, 0, 0, 0
+	soonest, soonestBusy := maxRetryAfter, time.Duration(0)
 	for _, s := range group.servers {
-		if s.State != backend.Ready {
+		if s.State != backend.Ready || s.leaving {
 			continue
 		}
 		ready++
+		if left := s.busyUntil.Sub(now); left > 0 {
+			if busy == 0 || left < soonestBusy {
+				soonestBusy = left
+			}
+			busy++
+			continue
+		}
 		if slices.Contains(r.Tried, s.ID) {
 			tried++
 			continue
@@ -393,7 +401,9 @@
 	switch {
 	case ready == 0:
 		return NoServer, maxRetryAfter
-	case tried == ready:
+	case busy == ready:
+		return AllBusy, soonestBusy
+	case tried+busy == ready:
 		return AttemptsExhausted, d.untilFree(group)
 	case suspect > 0:
 		return AllSuspect, soonest
@@ -410,9 +420,13 @@
 	return time.Duration(group.workMS * float64(time.Millisecond))
 }
 
-// refuse returns a refusal. It adds jitter of up to half of RetryAfter so that callers do not all retry at once.
+// refuse returns a refusal. It adds jitter of up to half of RetryAfter so that callers do not all retry at once. The
+// time that the servers themselves have asked for is not shortened.
 func (d *Dispatcher) refuse(reason Reason, after time.Duration) *Refusal {
-	after = min(max(after, minRetryAfter), maxRetryAfter)
+	after = max(after, minRetryAfter)
+	if reason != AllBusy {
+		after = min(after, maxRetryAfter)
+	}
 	jitter := time.Duration(d.rng.Float64() * 0.5 * float64(after))
 	return &Refusal{Reason: reason, RetryAfter: after + jitter}
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -5,6 +5,7 @@
 	EventSuspended       = "machine_was_suspended"
 	EventServerHealth    = "server_health"
 	EventServerState     = "server_state"
+	EventServerLeaving   = "server_leaving"
 	EventServers         = "servers_changed"
 	EventPeerSilent      = "peer_silent"
 	EventEnginesAssigned = "engines_dealt"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -193,15 +193,14 @@
 	f.loop.Post(func() { f.dispatcher.RecordEnd(bootclock.Now(), &p, result, firstByte) })
 }
 
-// RecordServerReport records the weight version and the load that a server reported in a response. A version of 0
-// and a nil load mean that the response had none.
-func (f *Fleet) RecordServerReport(server, model string, version int64, load *backend.Load) {
+// RecordServerReport records what a server stated about itself in a response.
+func (f *Fleet) RecordServerReport(server string, report dispatch.ServerReport) {
+	if report == (dispatch.ServerReport{Model: report.Model}) {
+		return
+	}
 	f.loop.Post(func() {
-		if version > 0 && model != "" {
-			f.dispatcher.SetVersion(server, model, version)
-		}
-		if load != nil {
-			f.dispatcher.RecordLoad(bootclock.Now(), server, *load)
+		if f.dispatcher.RecordReport(bootclock.Now(), server, report) {
+			f.Log.Info(EventServerLeaving, zap.String("server", server), zap.String("source", "response"))
 		}
 	})
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/leaktest"
@@ -297,3 +298,33 @@
 		return known
 	})
 }
+
+// A server that told one gateway that it is leaving is not used by the others either, although its registration says
+// nothing of it.
+func TestLeavingServersAreReportedToPeers(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	put(c, store, "servers/s1", "127.0.0.1:1")
+	put(c, store, "servers/s2", "127.0.0.1:2")
+	a, b := startFleet(c, "a", &switchableStore{store, make(chan struct{})}), startFleet(c, "b", &switchableStore{store, make(chan struct{})})
+	usedBy := func(f *Fleet) map[string]bool {
+		used := make(map[string]bool)
+		for range 40 {
+			p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second})
+			if refusal == nil {
+				f.RecordEnd(p, dispatch.Served, true)
+				used[p.Server] = true
+			}
+		}
+		return used
+	}
+	eventually(c, "both gateways use both servers", func() bool { return len(usedBy(a)) == 2 && len(usedBy(b)) == 2 })
+	a.RecordServerReport("s1", dispatch.ServerReport{Leaving: true})
+	c.Assert(usedBy(a), qt.DeepEquals, map[string]bool{"s2": true})
+	eventually(c, "the other gateway uses only the server that stays", func() bool {
+		used := usedBy(b)
+		return len(used) == 1 && used["s2"]
+	})
+}
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -95,6 +95,9 @@
 	for g, share := range f.catalogue.RetiredShares() {
 		beat.Retired = append(beat.Retired, &wire.RetiredShare{Model: g.Model, Version: g.Version, Thousandths: uint32(share)})
 	}
+	for _, s := range f.dispatcher.Leaving() {
+		beat.LeavingServers = append(beat.LeavingServers, &wire.LeavingServer{Server: s.ID, StartedMs: s.StartedMS})
+	}
 	if f.lead.fence > 0 {
 		beat.Versions = f.reportedVersions(now)
 	}
@@ -149,6 +152,11 @@
 		loads[l.GetServer()] = dispatch.PeerLoad{Running: int(l.GetRunning()), WaitingTokens: int(l.GetTokens()), ReservedTokens: int(l.GetHeld())}
 	}
 	f.dispatcher.SetPeer(member.GetInstance(), loads)
+	for _, s := range beat.GetLeavingServers() {
+		if f.dispatcher.SetLeaving(dispatch.LeavingServer{ID: s.GetServer(), StartedMS: s.GetStartedMs()}) {
+			f.Log.Info(EventServerLeaving, zap.String("server", s.GetServer()), zap.String("source", member.GetInstance()))
+		}
+	}
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(v.GetServer(), v.GetModel(), v.GetVersion())
 	}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,4 +17,6 @@
 	EventResumed    = "stream_resumed"
 	EventMalformed  = "request_malformed"
 	EventMetricsOff = "metrics_unavailable"
+	// EventMalformedHeader reports a header of a server's response that was ignored.
+	EventMalformedHeader = "server_header_malformed"
 )
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
-// maxBufferedBody is the size limit, in bytes, of a response body that isn't a stream. Such a body is read
-// completely before anything is sent to the caller, so that another server can still respond when it breaks off.
+// maxBufferedBody is the size, in bytes, up to which a response body that isn't a stream is read completely before
+// anything is sent to the caller, so that another server can still respond when it breaks off.
 const maxBufferedBody = 256 << 10
 
 // exchangeResult is the result of sending a request to one server.
@@ -82,16 +83,20 @@
 	return res
 }
 
-// recordServerReport hands the weight version and load in a response to the fleet state.
+// recordServerReport hands what a response states about its server to the fleet state.
 func (g *Gateway) recordServerReport(r *request, meta *ResponseMeta) {
-	if meta.Version == 0 && !meta.HasLoad {
-		return
+	if meta.Malformed != "" {
+		g.malformedHeaders.Do(func() {
+			g.log.Warn(EventMalformedHeader, zap.String("server", r.placement.Server), zap.String("header", meta.Malformed))
+		})
+	}
+	report := dispatch.ServerReport{
+		Model: r.call.Model, Version: meta.Version, Leaving: meta.Leaving, RetryAfter: meta.RetryAfter,
 	}
-	load := &meta.Load
-	if !meta.HasLoad {
-		load = nil
+	if meta.HasLoad {
+		report.Load = &meta.Load
 	}
-	g.fleet.RecordServerReport(r.placement.Server, r.call.Model, meta.Version, load)
+	g.fleet.RecordServerReport(r.placement.Server, report)
 }
 
 // forwardResponse reads a response and forwards it to the caller when it is the final one.
@@ -107,7 +112,7 @@
 		if status == fasthttp.StatusMisdirectedRequest {
 			res.dispatchResult = dispatch.Misdirected
 		}
-		_, res.err = readBuffered(sc.body(header))
+		res.err = sc.skipBody(header)
 		return res
 	case success && (!meta.Signed || meta.Encoded):
 		res.dispatchResult = dispatch.Failed
@@ -126,7 +131,12 @@
 func (g *Gateway) forwardBuffered(ctx context.Context, c *callerConn, r *request, sc *serverConn,
 	header *fasthttp.ResponseHeader, res *exchangeResult, started time.Time,
 ) {
-	body, err := readBuffered(sc.body(header))
+	reader := sc.body(header)
+	body, err := readBuffered(reader)
+	if errors.Is(err, errBodyTooLarge) {
+		g.forwardLarge(ctx, c, r, header, body, reader, res, started)
+		return
+	}
 	if err != nil {
 		*res = unreachable(ctx, ErrBroken.Wrap(err, "answer of server %s", r.placement.Server), true)
 		res.status = header.StatusCode()
@@ -163,11 +173,12 @@
 // errBodyTooLarge means that a response body exceeds maxBufferedBody.
 var errBodyTooLarge = ErrTooLarge.New("answer of more than %d bytes", maxBufferedBody)
 
-// readBuffered reads a complete body. It returns errBodyTooLarge for one of more than maxBufferedBody bytes.
+// readBuffered reads a complete body. If it has more than maxBufferedBody bytes, it returns the first of them and
+// errBodyTooLarge.
 func readBuffered(body io.Reader) ([]byte, error) {
 	read, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
 	if err == nil && len(read) > maxBufferedBody {
-		return nil, errBodyTooLarge
+		return read, errBodyTooLarge
 	}
 	return read, err
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/eventlog"
@@ -30,6 +31,8 @@
 	graceShare = 0.95
 	// idleCheckInterval is the time between two expiry passes over the unused connections to servers.
 	idleCheckInterval = 2 * time.Second
+	// malformedHeaderInterval is the minimum time between two log lines about malformed headers of servers.
+	malformedHeaderInterval = 10 * time.Second
 )
 
 // Gateway is one gateway instance.
@@ -49,6 +52,9 @@
 	// leave makes Run drain and return, as the end of its context does.
 	leave chan struct{}
 
+	// malformedHeaders limits the log lines about headers of servers that can't be parsed.
+	malformedHeaders rate.Sometimes
+
 	connections sync.WaitGroup
 	mu          sync.Mutex
 	callerConns map[*callerConn]struct{}
@@ -68,6 +74,8 @@
 		decisions:   explain.NewRing(maxDecisions),
 		leave:       make(chan struct{}, 1),
 		callerConns: make(map[*callerConn]struct{}),
+
+		malformedHeaders: rate.Sometimes{First: 1, Interval: malformedHeaderInterval},
 		fleet: fleet.New(fleet.Options{
 			Platform:    platform,
 			Log:         log,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -302,7 +303,7 @@
 	complete bool
 }
 
-var requestNumber int
+var requestNumber atomic.Int64
 
 // client is a caller's connection.
 type client struct {
@@ -328,8 +329,7 @@
 
 // request writes a request with a fresh id and returns the id.
 func (k *client) request(method, path, headers, body string) string {
-	requestNumber++
-	id := fmt.Sprintf("r%d", requestNumber)
+	id := fmt.Sprintf("r%d", requestNumber.Add(1))
 	fmt.Fprintf(k, "%s %s HTTP/1.1\r\nHost: %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Credential: key-1\r\nBalsamyoke-Deadline-Ms: 5000\r\n%s", method, path, host, id, headers)
 	if body != "" {
 		fmt.Fprintf(k, "Content-Length: %d\r\n", len(body))
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -63,6 +63,12 @@
 	Version int64
 	// IdleTimeout is how long the server keeps an idle connection open; zero when not given.
 	IdleTimeout time.Duration
+	// Leaving is set when the server is about to stop and takes no new requests.
+	Leaving bool
+	// RetryAfter is how long a server that refused a request asks this gateway to send it none; zero when not given.
+	RetryAfter time.Duration
+	// Malformed is the name of a header that was ignored because its value can't be parsed; empty when there is none.
+	Malformed string
 }
 
 // Protocol translates the headers of requests and responses.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -202,6 +202,9 @@
 	if r.runs == 0 {
 		return r.sends < maxSends
 	}
+	if r.headerSent && r.route.Kind != routing.Streaming {
+		return false
+	}
 	if !r.route.Retryable() || r.runs >= r.route.MaxAttempts || r.sends >= maxSends {
 		return false
 	}
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -35,6 +35,15 @@
 	nonRetryableIdleLimit = 700 * time.Millisecond
 	// maxStaleResponses bounds the responses to earlier requests that are skipped before the expected one.
 	maxStaleResponses = 2
+	// headerTimeout bounds the time from the first byte of a response header to its end. A server sends a header at
+	// once.
+	headerTimeout = time.Second
+	// skipTimeout bounds the time in which the body of a response that isn't forwarded is read, and maxSkippedBody
+	// its size in bytes. The connection is closed when the body exceeds either.
+	skipTimeout    = 200 * time.Millisecond
+	maxSkippedBody = 64 << 10
+	// maxTrailer bounds the trailer of a chunked body, in bytes.
+	maxTrailer = 8 << 10
 )
 
 // keepAlive detects within about two seconds that a peer no longer responds.
@@ -197,9 +206,8 @@
 // maxStaleResponses responses to earlier requests, which a server may send late. The error is ErrBroken.
 func (sc *serverConn) readHeader(protocol Protocol, id string) (*fasthttp.ResponseHeader, ResponseMeta, error) {
 	for range maxStaleResponses + 1 {
-		header := &fasthttp.ResponseHeader{}
-		header.DisableNormalizing()
-		if err := header.Read(sc.reader); err != nil {
+		header, err := sc.readOneHeader()
+		if err != nil {
 			sc.noReuse = true
 			return nil, ResponseMeta{}, ErrBroken.Wrap(err, "answer of server %s", sc.server)
 		}
@@ -212,13 +220,47 @@
 			return header, meta, nil
 		}
 		sc.noReuse = true
-		if _, err := io.Copy(io.Discard, sc.body(header)); err != nil {
+		if err := sc.skipBody(header); err != nil {
 			return nil, ResponseMeta{}, ErrBroken.Wrap(err, "answer of server %s to another request", sc.server)
 		}
 	}
 	return nil, ResponseMeta{}, ErrBroken.New("server %s answers other requests than %q", sc.server, id)
 }
 
+// readOneHeader waits for the first byte of a response and then reads its header, which must fit in the read buffer and
+// arrive within headerTimeout.
+func (sc *serverConn) readOneHeader() (*fasthttp.ResponseHeader, error) {
+	if _, err := sc.reader.Peek(1); err != nil {
+		return nil, err
+	}
+	if err := sc.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
+		return nil, err
+	}
+	header := &fasthttp.ResponseHeader{}
+	header.DisableNormalizing()
+	if err := header.Read(sc.reader); err != nil {
+		return nil, err
+	}
+	return header, sc.SetReadDeadline(time.Time{})
+}
+
+// skipBody reads the body of a response that isn't forwarded, so that the connection can be used on. It returns
+// ErrTooLarge, or the connection's error, for a body that is larger than maxSkippedBody or takes longer than
+// skipTimeout.
+func (sc *serverConn) skipBody(header *fasthttp.ResponseHeader) error {
+	if err := sc.SetReadDeadline(time.Now().Add(skipTimeout)); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(sc.body(header), maxSkippedBody+1))
+	if err != nil {
+		return err
+	}
+	if n > maxSkippedBody {
+		return ErrTooLarge.New("answer of more than %d bytes is not read", maxSkippedBody)
+	}
+	return sc.SetReadDeadline(time.Time{})
+}
+
 // updateReuse records from a response whether and for how long the connection may be reused.
 func (sc *serverConn) updateReuse(header *fasthttp.ResponseHeader, meta *ResponseMeta) {
 	if header.ConnectionClose() {
@@ -292,10 +334,14 @@
 	return n, io.EOF
 }
 
-// skipTrailer reads up to and including the empty line that ends a chunked body.
+// skipTrailer reads up to and including the empty line that ends a chunked body. It returns ErrTooLarge for a trailer of
+// more than maxTrailer bytes.
 func skipTrailer(reader *bufio.Reader) error {
-	for {
+	for read := 0; ; {
 		line, err := reader.ReadSlice('\n')
+		if read += len(line); read > maxTrailer {
+			return ErrTooLarge.New("trailer of more than %d bytes", maxTrailer)
+		}
 		if errors.Is(err, io.EOF) {
 			return io.ErrUnexpectedEOF
 		}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -9,8 +9,12 @@
 	"time"
 )
 
-// streamReadBytes is the size of one read from a stream, in bytes.
-const streamReadBytes = 4 << 10
+const (
+	// streamReadBytes is the size of one read from a stream, in bytes.
+	streamReadBytes = 4 << 10
+	// maxEventBytes bounds the size of one event. An event holds a few tokens.
+	maxEventBytes = 256 << 10
+)
 
 // eventReader splits a stream of server-sent events. It returns complete events only, except that bytes without
 // a closing empty line are returned as well when the stream ends with io.EOF.
@@ -27,7 +31,8 @@
 }
 
 // next waits for at least one event and returns all that have arrived, and the id of the last one that has an
-// id. The bytes are valid until the next call. The error is that of the body, io.EOF at the end of the stream.
+// id. The bytes are valid until the next call. The error is that of the body, io.EOF at the end of the stream, or
+// ErrTooLarge for an event of more than maxEventBytes bytes.
 func (r *eventReader) next() (events []byte, id string, err error) {
 	for {
 		if end := lastEventEnd(r.buffered); end > 0 {
@@ -41,6 +46,9 @@
 			}
 			return nil, "", r.err
 		}
+		if len(r.buffered) > maxEventBytes {
+			return nil, "", ErrTooLarge.New("event of more than %d bytes", maxEventBytes)
+		}
 		n, err := r.body.Read(r.chunk)
 		r.buffered = append(r.buffered[:len(r.buffered):len(r.buffered)], r.chunk[:n]...)
 		r.err = err
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -23,6 +23,9 @@
 	defaultMaxIdle     = 64
 	maxIdleTime        = 30 * time.Second
 	bufferBytes        = 16 << 10
+	// maxBodyBytes bounds a response body that is read as a whole. The largest are listings of one page or of one
+	// cache store, a few megabytes.
+	maxBodyBytes = 32 << 20
 )
 
 // keepAlive closes a connection within about ten seconds after its peer has disappeared. Otherwise watches of the
@@ -207,7 +210,7 @@
 		return err
 	}
 	response.SkipBody = request.Header.IsHead()
-	return response.Read(conn.reader)
+	return response.ReadLimitBody(conn.reader, maxBodyBytes)
 }
 
 // preferContextCause returns the cause of the context's end if the context has ended, because that end is then the
