Order what is known of the metadata store by era and revision

Cause: in a drill the store may come back from a copy some seconds old. Revisions then go back and are given out again, leases are gone, and the header Store-Era rises by one. Everything here compared bare revisions: a gateway would have kept an entry of the old era for good, taken the reply to a lost lease's number for its own, and a new leader's fence would have been lower than one that engines have seen.

Now (era, revision) is one type, metastore.Position: the mirror, heartbeats, what peers hand on, and the fencing token of a lease, which has the era in its upper bits. Only a listing starts an era in the mirror; operator's documents whose own version is later than the listed one are kept, handed on to gateways that start later, and overtaken when the operator writes again. A run of a server that was draining stays so; a registration that was removed before is not used until it is renewed or outlives the time in which a dead one expires; missing ones may return as after an outage. Leases end with their era: the leader steps down at the first answer of the new one, the next one sends no order for the time of a lease after the era began, and announcements are written again within a second.

Ruled out: keeping leases that the copy still has; their numbers can't be told from ones given out again.

The contract suite now compares the era of records too.

--- a/cmd/balsam-gateway/main.go
+++ b/cmd/balsam-gateway/main.go
@@ -36,7 +36,7 @@
 	defer log.Close()
 	ctx, stop := process.StopContext()
 	defer stop()
-	g := gateway.New(s, platform.Connect(s.Metastore), platform.Headers{}, log)
+	g := gateway.New(s, platform.Connect(s.Metastore, log), platform.Headers{}, log)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/claim/leases.go
+++ b/internal/claim/leases.go
@@ -48,7 +48,7 @@
 	l.dropExpired(now)
 	lease, err := l.kv.Grant(ctx, bucketEnd(bucket).Sub(now))
 	if err != nil {
-		return 0, err
+		return metastore.LeaseID{}, err
 	}
 	l.byBucket[bucket] = lease
 	return lease, nil
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -15,6 +15,7 @@
 	EventUnreadable      = "document_unreadable"
 	EventStoreLost       = "metastore_lost"
 	EventStoreRegained   = "metastore_regained"
+	EventStoreRestored   = "metastore_restored"
 	EventCaughtUp        = "caught_up_from_peer"
 	EventCatchUpFailed   = "catch_up_failed"
 	EventLeaseWon        = "lease_won"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,9 @@
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
+	era           atomic.Int64 // the latest era of the metadata store that is known here; 0 before the first
+	// restored wakes announce after the metadata store has come back from a copy.
+	restored chan struct{}
 
 	// The control goroutine owns the fields below.
 	mirror     *mirror.Mirror
@@ -64,6 +67,8 @@
 	feeds      map[string]context.CancelFunc
 	sequence   uint64
 	lead       leadership
+	// eraSince is when the latest era was first seen.
+	eraSince   time.Time
 	lastExpiry time.Time
 	states     map[string]backend.State
 	background sync.WaitGroup
@@ -75,7 +80,7 @@
 	f := &Fleet{
 		Options:    o,
 		loop:       control.NewLoop(),
-		mirror:     mirror.New(),
+		restored:   make(chan struct{}, 1),
 		registry:   registry.New(),
 		catalogue:  catalogue,
 		dispatcher: dispatch.New(o.Self.GetFailureDomain(), o.Incarnation, catalogue, o.Budget),
@@ -83,6 +88,7 @@
 		feeds:      make(map[string]context.CancelFunc),
 		states:     make(map[string]backend.State),
 	}
+	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
 	f.role.Store(&role{reads: true})
 	catalogue.SetFirstChange(bootclock.Now().UnixNano())
@@ -263,7 +269,7 @@
 		f.Log.Warn(EventServerHealth, zap.String("server", change.ID), zap.String("service", change.Service),
 			zap.String("failure_domain", change.FailureDomain), zap.String("state", change.State))
 	}
-	if f.registry.HasExpired() {
+	if f.registry.IsUnsettled() {
 		f.updateServers(now)
 	}
 	for _, silent := range f.members.Expire(now, f.lastExpiry) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -91,13 +91,22 @@
 	return g.Store.Snapshot(ctx, prefix)
 }
 
-func (g *switchableStore) Changes(ctx context.Context, prefix string, from metastore.Revision, wait time.Duration) (metastore.Changes, error) {
+func (g *switchableStore) Changes(ctx context.Context, prefix string, from metastore.Position, wait time.Duration) (metastore.Changes, error) {
 	if g.isDown() {
 		return metastore.Changes{}, metastore.ErrUnavailable.New("store is down")
 	}
 	return g.Store.Changes(ctx, prefix, from, min(wait, 200*time.Millisecond))
 }
 
+// self returns a gateway that nobody can reach.
+func self(name string) *wire.Peer { return &wire.Peer{Instance: name, FailureDomain: "a"} }
+
+func newTestLog(c *qt.C) *eventlog.Log {
+	log := eventlog.New(&bytes.Buffer{})
+	c.Cleanup(log.Close)
+	return log
+}
+
 // startFleet runs a Fleet called name on the store.
 func startFleet(c *qt.C, name string, store *switchableStore, seeds ...string) *Fleet {
 	beatAddress, err := loopback.FreeAddress()
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -98,13 +98,13 @@
 		now := bootclock.Now()
 		f.recordContact(now)
 		f.registry.StoreReachable(now)
-		apply(f.mirror.Replace(prefix, listing, now), now)
+		apply(f.applyListing(prefix, listing, now), now)
 	})
 	return nil
 }
 
 func (f *Fleet) poll(ctx context.Context, prefix string, apply func([]string, time.Time)) error {
-	var from metastore.Revision
+	var from metastore.Position
 	if !f.loop.Call(func() { from = f.mirror.AsOf(prefix) }) {
 		return nil
 	}
@@ -200,6 +200,10 @@
 			f.registry.Remove(id, now)
 			continue
 		}
+		if entry.Resurrected {
+			f.registry.PutResurrected(*document.Server, now)
+			continue
+		}
 		f.registry.Put(*document.Server)
 	}
 	f.updateServers(now)
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -30,6 +31,9 @@
 	peerListInterval = 10 * time.Second
 	// announceRetry is the pause after a failed announcement.
 	announceRetry = time.Second
+	// restoredSpread is the time in which all gateways announce themselves again after the metadata store has lost
+	// their announcements.
+	restoredSpread = time.Second
 	// catchUpInterval is the interval at which the revisions of other gateways are compared with this one's.
 	// catchUpAfter is how long another gateway must be ahead before changes are pulled from it. A gateway that
 	// can reach the store receives the changes from the store earlier than that.
@@ -82,11 +86,11 @@
 	f.sequence++
 	beat := &wire.Beat{
 		From: f.Self, Incarnation: f.Incarnation, Sequence: f.sequence, Leaving: f.leaving.Load(),
-		Fence: f.lead.fence, Withheld: f.lead.excluded,
+		Fence: f.lead.fence, Withheld: f.lead.excluded, Configuration: f.configurationVersion(),
 	}
 	for _, prefix := range f.prefixes() {
-		if revision := f.mirror.AsOf(prefix); revision > 0 {
-			beat.Known = append(beat.Known, &wire.PrefixRevision{Prefix: prefix, Revision: int64(revision)})
+		if known := f.mirror.AsOf(prefix); known.Revision > 0 {
+			beat.Known = append(beat.Known, &wire.PrefixRevision{Prefix: prefix, Revision: int64(known.Revision), Era: int64(known.Era)})
 		}
 	}
 	for id, load := range f.dispatcher.Loads(now) {
@@ -107,6 +111,14 @@
 	return beat
 }
 
+// configurationVersion returns the version of the configuration in force; 0 before the first.
+func (f *Fleet) configurationVersion() int64 {
+	if table := f.table.Load(); table != nil {
+		return table.Version
+	}
+	return 0
+}
+
 func (f *Fleet) prefixes() []string {
 	return []string{f.Platform.Documents.OperatorPrefix(), f.Platform.Documents.ServerPrefix()}
 }
@@ -185,13 +197,16 @@
 	}
 }
 
-// ahead returns the control address of a gateway that is ahead of this one, and the revision that this one
+// ahead returns the control address of a gateway that is ahead of this one, and the position that this one
 // has. The address is empty unless some gateway has been ahead for catchUpAfter.
-func (f *Fleet) ahead(prefix string, behindSince map[string]time.Time) (address string, from int64) {
+func (f *Fleet) ahead(prefix string, behindSince map[string]time.Time) (address string, from metastore.Position) {
 	f.loop.Call(func() {
 		now := bootclock.Now()
-		from = int64(f.mirror.AsOf(prefix))
+		from = f.mirror.AsOf(prefix)
 		member := f.members.Ahead(prefix, from, now)
+		if member == nil && prefix == f.Platform.Documents.OperatorPrefix() {
+			member = f.members.WithLaterConfiguration(f.configurationVersion(), now)
+		}
 		if member == nil {
 			delete(behindSince, prefix)
 			return
@@ -205,32 +220,33 @@
 	return address, from
 }
 
-// pull applies the changes after revision from that the gateway at address has. It returns ErrPeer.
-func (f *Fleet) pull(ctx context.Context, pool *grpcpool.Pool, address, prefix string, from int64) error {
+// pull applies the changes after from that the gateway at address has. It returns ErrPeer.
+func (f *Fleet) pull(ctx context.Context, pool *grpcpool.Pool, address, prefix string, from metastore.Position) error {
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
 	connection, err := pool.Get(address)
 	if err != nil {
 		return ErrPeer.Wrap(err, "gateway %s", address)
 	}
-	reply, err := wire.NewGatewaysClient(connection).Changes(ctx, &wire.ChangesRequest{Prefix: prefix, After: from})
+	request := &wire.ChangesRequest{Prefix: prefix, After: int64(from.Revision), Era: int64(from.Era)}
+	reply, err := wire.NewGatewaysClient(connection).Changes(ctx, request)
 	if err != nil {
 		return ErrPeer.Wrap(err, "gateway %s", address)
 	}
 	update := mirror.Updates{Complete: reply.GetWhole()}
-	update.Revision = metastore.Revision(reply.GetAsOf())
+	update.Position = metastore.Position{Era: metastore.Era(reply.GetEra()), Revision: metastore.Revision(reply.GetAsOf())}
 	for _, c := range reply.GetChanges() {
-		update.Events = append(update.Events, metastore.Event{
-			Record:  metastore.Record{Key: c.GetKey(), Value: c.GetValue(), ModRevision: metastore.Revision(c.GetRevision())},
-			Deleted: c.GetDeleted(),
-		})
+		record := metastore.Record{
+			Key: c.GetKey(), Value: c.GetValue(), ModRevision: metastore.Revision(c.GetRevision()), Era: metastore.Era(c.GetEra()),
+		}
+		update.Events = append(update.Events, metastore.Event{Record: record, Deleted: c.GetDeleted()})
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
-		keys := f.mirror.ApplyUpdates(prefix, update, now)
+		keys := f.applyUpdates(prefix, update, now)
 		if len(keys) > 0 {
 			f.Log.Info(EventCaughtUp, zap.String("prefix", prefix), zap.String("from", address),
-				zap.Int("keys", len(keys)), zap.Int64("revision", reply.GetAsOf()), zap.Int64("had", from))
+				zap.Int("keys", len(keys)), zap.Int64("revision", reply.GetAsOf()), zap.Int64("had", int64(from.Revision)), zap.Int64("era", reply.GetEra()))
 		}
 		if prefix == f.Platform.Documents.OperatorPrefix() {
 			f.applyOperatorChanges(keys, now)
@@ -257,12 +273,13 @@
 	reply := &wire.ChangesReply{}
 	f := s.fleet
 	f.loop.Call(func() {
-		update := f.mirror.Since(request.GetPrefix(), metastore.Revision(request.GetAfter()))
-		reply.AsOf, reply.Whole = int64(update.Revision), update.Complete
+		from := metastore.Position{Era: metastore.Era(request.GetEra()), Revision: metastore.Revision(request.GetAfter())}
+		update := f.mirror.Since(request.GetPrefix(), from)
+		reply.AsOf, reply.Era, reply.Whole = int64(update.Revision), int64(update.Era), update.Complete
 		for _, event := range update.Events {
 			reply.Changes = append(reply.Changes, &wire.StoredChange{
 				Key: event.Record.Key, Value: event.Record.Value,
-				Revision: int64(event.Record.ModRevision), Deleted: event.Deleted,
+				Revision: int64(event.Record.ModRevision), Era: int64(event.Record.Era), Deleted: event.Deleted,
 			})
 		}
 	})
@@ -283,11 +300,24 @@
 		if err != nil {
 			f.Counters.StoreFailures.Inc(1)
 			f.Log.Warn(EventAnnounceFailed, eventlog.Error(err))
-			lease = 0
+			lease = metastore.LeaseID{}
 			sleep(ctx, announceRetry)
 			continue
 		}
-		sleep(ctx, peerLeaseTTL/3)
+		f.awaitAnnouncement(ctx)
+	}
+}
+
+// awaitAnnouncement waits until the announcement must be renewed. After the metadata store has come back from a copy,
+// that is within restoredSpread, at a random time so that not all gateways write at once.
+func (f *Fleet) awaitAnnouncement(ctx context.Context) {
+	timer := time.NewTimer(peerLeaseTTL / 3)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-f.restored:
+		sleep(ctx, rand.N(restoredSpread))
 	}
 }
 
@@ -297,7 +327,7 @@
 	defer cancel()
 	kv := f.Platform.Metastore
 	f.Counters.StoreCalls.Inc(1)
-	if *lease != 0 {
+	if !lease.IsZero() {
 		return kv.KeepAlive(ctx, *lease)
 	}
 	granted, err := kv.Grant(ctx, peerLeaseTTL)
@@ -370,7 +400,7 @@
 				continue
 			}
 			for _, prefix := range f.prefixes() {
-				if err := f.pull(ctx, pool, address, prefix, 0); err != nil {
+				if err := f.pull(ctx, pool, address, prefix, metastore.Position{}); err != nil {
 					f.Log.Warn(EventCatchUpFailed, zap.String("prefix", prefix), zap.String("from", address), eventlog.Error(err))
 				}
 			}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -124,7 +124,7 @@
 	})
 	var err error
 	for ctx.Err() == nil && !f.leaving.Load() {
-		if holding, err = lessor.Renew(ctx, holding); err != nil {
+		if holding, err = lessor.Renew(ctx, holding); err != nil || f.hasEnded(holding) {
 			break
 		}
 		if !bootclock.Now().Before(earliestOrder) {
@@ -147,12 +147,19 @@
 	}
 }
 
+// hasEnded reports whether a holding has ended with its era of the metadata store, in which another gateway may lead.
+func (f *Fleet) hasEnded(holding lease.Holding) bool { return int64(holding.Lease.Era) < f.era.Load() }
+
 // earliestOrder returns the time from which this leader may send orders. A gateway whose recent heartbeats reported it
 // as the leader has released its lease. The first order waits for LeaseTTL after that gateway's last heartbeat as the
 // leader. If that gateway is stopping and so won't lead again, the wait is stepTimeout, the time for which its last
-// orders may be in flight. A former leader that became silent has sent no orders since its lease ended.
+// orders may be in flight. A former leader that became silent has sent no orders since its lease ended. A lease may
+// have been lost when the era began without its holder knowing, so that orders also wait for LeaseTTL after that.
 func (f *Fleet) earliestOrder() (from time.Time) {
 	f.loop.Call(func() {
+		if !f.eraSince.IsZero() {
+			from = f.eraSince.Add(f.LeaseTTL)
+		}
 		for _, member := range f.members.Live(bootclock.Now()) {
 			gap := f.LeaseTTL
 			if member.Leaving {
@@ -282,7 +289,7 @@
 	outcome := weights.Conflict
 	var err error
 	// The lease may have ended while this goroutine was not scheduled, or while the host was suspended.
-	if bootclock.Now().Before(holding.Until) {
+	if bootclock.Now().Before(holding.Until) && !f.hasEnded(holding) {
 		f.Counters.Orders.Inc(1)
 		outcome, err = f.Platform.Engines.Switch(ctx, *step.Order)
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -10,6 +10,7 @@
 	Instance      string               `json:"instance"`
 	Configuration int64                `json:"configuration"`
 	ContactAgeMS  int64                `json:"contact_age_ms"`
+	Era           int64                `json:"era"`
 	Revisions     map[string]int64     `json:"revisions"`
 	Leader        bool                 `json:"leader"`
 	Fence         int64                `json:"fence"`
@@ -21,14 +22,14 @@
 
 // State returns the control state as a value that marshals to JSON.
 func (f *Fleet) State() any {
-	state := State{Instance: f.Self.GetInstance(), ContactAgeMS: f.ContactAge().Milliseconds(), Revisions: make(map[string]int64)}
+	state := State{Instance: f.Self.GetInstance(), ContactAgeMS: f.ContactAge().Milliseconds(), Era: f.era.Load(), Revisions: make(map[string]int64)}
 	if table := f.Table(); table != nil {
 		state.Configuration = table.Version
 	}
 	f.loop.Call(func() {
 		now := bootclock.Now()
 		for _, prefix := range f.prefixes() {
-			state.Revisions[prefix] = int64(f.mirror.AsOf(prefix))
+			state.Revisions[prefix] = int64(f.mirror.AsOf(prefix).Revision)
 		}
 		state.Leader, state.Fence, state.Excluded = f.lead.fence > 0, f.lead.fence, f.lead.excluded
 		for _, member := range f.members.Live(now) {
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -31,7 +31,7 @@
 
 // Holding is a lease that this process holds.
 type Holding struct {
-	// Fence is the create revision of the lease key.
+	// Fence is the fencing token of the position at which the lease key was created. Later holders have higher ones.
 	Fence uint64
 	// Until is the time at which the holder must stop unless the lease is renewed.
 	Until time.Time
@@ -82,12 +82,12 @@
 	return Holding{Fence: fence, Until: l.validUntil(start), Lease: lease, renewedAt: start}, nil
 }
 
-// create creates the key and returns its create revision. If the response is lost, it reads the key to find out.
+// create creates the key and returns its fencing token. If the response is lost, it reads the key to find out.
 func (l *Lessor) create(ctx context.Context, lease metastore.LeaseID) (uint64, error) {
 	result, err := l.kv.CompareAndSwap(ctx, metastore.Swap{Key: l.Key, Value: []byte(l.Owner), Lease: lease})
 	switch {
 	case err == nil && result.Swapped:
-		return uint64(result.Revision), nil
+		return metastore.Position{Era: result.Era, Revision: result.Revision}.Fence(), nil
 	case err == nil:
 		return 0, ErrHeld.New("key %q was created by %q", l.Key, result.Current.Value)
 	case !errorx.IsOfType(err, metastore.ErrOutcomeUnknown):
@@ -100,7 +100,7 @@
 	if string(record.Value) != l.Owner || record.Lease != lease {
 		return 0, ErrHeld.New("key %q was created by %q", l.Key, record.Value)
 	}
-	return uint64(record.CreateRevision), nil
+	return record.Created().Fence(), nil
 }
 
 // Renew renews a holding when that is due. It returns ErrLost when the lease has expired. While the
@@ -148,7 +148,7 @@
 	if err != nil {
 		return 0, ErrUnavailable.Wrap(err, "holder of %q cannot be read", key)
 	}
-	return uint64(record.CreateRevision), nil
+	return record.Created().Fence(), nil
 }
 
 func (l *Lessor) validUntil(start time.Time) time.Time { return start.Add(l.TTL - l.Margin) }
--- a/internal/metastore/errors.go
+++ b/internal/metastore/errors.go
@@ -14,7 +14,7 @@
 	ErrOutcomeUnknown = namespace.NewType("outcome_unknown")
 	// ErrLeaseNotFound means that a lease has expired or was revoked.
 	ErrLeaseNotFound = namespace.NewType("lease_not_found", errorx.NotFound())
-	// ErrCompacted means that the history after a revision is no longer available.
+	// ErrCompacted means that the history after a position is no longer available.
 	ErrCompacted = namespace.NewType("compacted")
 	// ErrInvalid means that the service refused a call as malformed.
 	ErrInvalid = namespace.NewType("invalid")
--- a/internal/metastore/memkv/store.go
+++ b/internal/metastore/memkv/store.go
@@ -56,8 +56,9 @@
 	compacted metastore.Revision // Changes refuses earlier revisions
 	changed   chan struct{}      // closed and replaced after each change
 	down      chan struct{}      // closed while the service is down
-	leases    map[metastore.LeaseID]*lease
-	lastLease metastore.LeaseID
+	era       metastore.Era
+	leases    map[int64]*lease // by number
+	lastLease int64
 	faults    Faults
 	calls     Calls
 }
@@ -75,7 +76,8 @@
 		records: map[string]metastore.Record{},
 		changed: make(chan struct{}),
 		down:    make(chan struct{}),
-		leases:  map[metastore.LeaseID]*lease{},
+		era:     1,
+		leases:  map[int64]*lease{},
 	}
 }
 
@@ -136,6 +138,11 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.under(prefix), nil
+}
+
+// under returns the records under prefix in key order. The mutex is held.
+func (s *Store) under(prefix string) []metastore.Record {
 	var found []metastore.Record
 	for key, record := range s.records {
 		if strings.HasPrefix(key, prefix) {
@@ -143,7 +150,7 @@
 		}
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
-	return found, nil
+	return found
 }
 
 // CompareAndSwap implements metastore.KV.
@@ -166,8 +173,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, swap := range swaps {
-		if swap.Lease != 0 && s.leases[swap.Lease] == nil {
-			return nil, metastore.ErrLeaseNotFound.New("lease %d", swap.Lease)
+		if !swap.Lease.IsZero() && s.lease(swap.Lease) == nil {
+			return nil, metastore.ErrLeaseNotFound.New("lease %d", swap.Lease.Number)
 		}
 	}
 	results := s.apply(swaps)
@@ -203,7 +210,7 @@
 			results[i].Current = current
 			continue
 		}
-		results[i] = metastore.SwapResult{Swapped: true, Revision: next}
+		results[i] = metastore.SwapResult{Swapped: true, Revision: next, Era: s.era}
 		if event, changed := s.write(swap, current, next); changed {
 			events = append(events, event)
 		}
@@ -218,7 +225,7 @@
 	if swap.Delete {
 		_, present := s.records[swap.Key]
 		delete(s.records, swap.Key)
-		return metastore.Event{Record: metastore.Record{Key: swap.Key, ModRevision: at}, Deleted: true}, present
+		return metastore.Event{Record: metastore.Record{Key: swap.Key, ModRevision: at, Era: s.era}, Deleted: true}, present
 	}
 	record := metastore.Record{
 		Key:            swap.Key,
@@ -226,6 +233,7 @@
 		CreateRevision: current.CreateRevision,
 		ModRevision:    at,
 		Lease:          swap.Lease,
+		Era:            s.era,
 	}
 	if record.CreateRevision == 0 {
 		record.CreateRevision = at
--- a/internal/metastore/memkv/swap_all.go
+++ b/internal/metastore/memkv/swap_all.go
@@ -19,8 +19,8 @@
 	holds := true
 	current := make([]metastore.SwapResult, len(swaps))
 	for i, swap := range swaps {
-		if swap.Lease != 0 && s.leases[swap.Lease] == nil {
-			return nil, metastore.ErrLeaseNotFound.New("lease %d", swap.Lease)
+		if !swap.Lease.IsZero() && s.lease(swap.Lease) == nil {
+			return nil, metastore.ErrLeaseNotFound.New("lease %d", swap.Lease.Number)
 		}
 		record, ok := s.records[swap.Key]
 		if !ok {
--- a/internal/metastore/metastore.go
+++ b/internal/metastore/metastore.go
@@ -4,6 +4,7 @@
 package metastore
 
 import (
+	"cmp"
 	"context"
 	"time"
 )
@@ -11,8 +12,39 @@
 // Revision orders the writes of the key-value service. Zero means that a key is absent.
 type Revision int64
 
-// LeaseID identifies a lease of the key-value service. Zero means no lease.
-type LeaseID int64
+// Era numbers the histories of the key-value service. It rises when the service comes back from a copy that lacks
+// its latest writes: revisions and leases of the lost writes are then given out again, so that revisions of
+// different eras can't be compared. Zero means that the service doesn't report eras.
+type Era int64
+
+// Position is a point in the service's history.
+type Position struct {
+	Era      Era
+	Revision Revision
+}
+
+// Compare returns -1 if p is before q, 1 if it is after q, and otherwise 0. A later era is after all revisions of an
+// earlier one.
+func (p Position) Compare(q Position) int {
+	return cmp.Or(cmp.Compare(p.Era, q.Era), cmp.Compare(p.Revision, q.Revision))
+}
+
+// fenceEraShift is the number of bits for the revision in a fencing token.
+const fenceEraShift = 40
+
+// Fence returns a fencing token for the position. Tokens are in the order of their positions also across eras. They
+// stay below 2^53, which every JSON number holds, for the first 2^13 eras.
+func (p Position) Fence() uint64 { return uint64(p.Era)<<fenceEraShift + uint64(p.Revision) }
+
+// LeaseID identifies a lease of the key-value service, which ends with the era in which it was granted at the latest.
+// The zero value means no lease.
+type LeaseID struct {
+	Number int64
+	Era    Era
+}
+
+// IsZero reports whether the value means no lease.
+func (l LeaseID) IsZero() bool { return l.Number == 0 }
 
 // Record is one key with its value and revisions.
 type Record struct {
@@ -21,8 +53,16 @@
 	CreateRevision Revision
 	ModRevision    Revision
 	Lease          LeaseID
+	// Era is the era to which the revisions belong.
+	Era Era
 }
 
+// Created returns the position at which the key was created.
+func (r *Record) Created() Position { return Position{r.Era, r.CreateRevision} }
+
+// Modified returns the position of the key's latest write.
+func (r *Record) Modified() Position { return Position{r.Era, r.ModRevision} }
+
 // Swap is a conditional write. It takes effect only when the key's ModRevision equals Expect.
 type Swap struct {
 	Key    string
@@ -33,11 +73,12 @@
 	Delete bool
 }
 
-// SwapResult reports whether a Swap took effect. If it did, Revision is the revision of the write. If
+// SwapResult reports whether a Swap took effect. If it did, Revision is the revision of the write, in Era. If
 // not, Current is the current record of the key, with ModRevision zero when the key is absent.
 type SwapResult struct {
 	Swapped  bool
 	Revision Revision
+	Era      Era
 	Current  Record
 }
 
@@ -72,17 +113,17 @@
 	Watch(ctx context.Context, prefix string, from Revision) (<-chan Event, error)
 }
 
-// Listing contains the records under a prefix as of Revision. It is read page by page, so records may be
-// newer than Revision.
+// Listing contains the records under a prefix as of a Position. It is read page by page, so records may be
+// newer than that. All of it is of one era.
 type Listing struct {
-	Records  []Record
-	Revision Revision
+	Records []Record
+	Position
 }
 
-// Changes are the changes under a prefix up to Revision, oldest first.
+// Changes are the changes under a prefix up to a Position, oldest first. All of them are of one era.
 type Changes struct {
-	Events   []Event
-	Revision Revision
+	Events []Event
+	Position
 }
 
 // Follower reads a prefix and then its changes, call by call, so that the caller can determine the age of
@@ -90,9 +131,9 @@
 type Follower interface {
 	// Snapshot returns all records under prefix.
 	Snapshot(ctx context.Context, prefix string) (Listing, error)
-	// Changes returns the changes after revision from. It waits up to wait for the first. It returns
-	// ErrCompacted when the service has dropped that history; the caller then takes a new Snapshot.
-	Changes(ctx context.Context, prefix string, from Revision, wait time.Duration) (Changes, error)
+	// Changes returns the changes after from. It waits up to wait for the first. It returns ErrCompacted when the
+	// service no longer has that history or is in another era; the caller then takes a new Snapshot.
+	Changes(ctx context.Context, prefix string, from Position, wait time.Duration) (Changes, error)
 }
 
 // Role is the kind of process that an instance runs.
--- a/internal/metastore/metastoretest/kv.go
+++ b/internal/metastore/metastoretest/kv.go
@@ -88,7 +88,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(refused.Swapped, qt.IsFalse)
 	c.Assert(refused.Current, qt.DeepEquals, metastore.Record{
-		Key: "a", Value: []byte("1"), CreateRevision: created.Revision, ModRevision: created.Revision,
+		Key: "a", Value: []byte("1"), CreateRevision: created.Revision, ModRevision: created.Revision, Era: created.Era,
 	})
 
 	changed, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Expect: created.Revision, Value: []byte("2")})
@@ -97,7 +97,7 @@
 	record, err := kv.Get(ctx, "a")
 	c.Assert(err, qt.IsNil)
 	c.Assert(record, qt.DeepEquals, metastore.Record{
-		Key: "a", Value: []byte("2"), CreateRevision: created.Revision, ModRevision: changed.Revision,
+		Key: "a", Value: []byte("2"), CreateRevision: created.Revision, ModRevision: changed.Revision, Era: changed.Era,
 	})
 
 	deleted, err := kv.CompareAndSwap(ctx, metastore.Swap{Key: "a", Expect: changed.Revision, Delete: true})
@@ -199,7 +199,7 @@
 	ctx := timeoutContext(c)
 	lease, err := kv.Grant(ctx, time.Second)
 	c.Assert(err, qt.IsNil)
-	c.Assert(lease, qt.Not(qt.Equals), metastore.LeaseID(0))
+	c.Assert(lease, qt.Not(qt.Equals), metastore.LeaseID{})
 	_, err = kv.CompareAndSwap(ctx, metastore.Swap{Key: "leased", Value: []byte("x"), Lease: lease})
 	c.Assert(err, qt.IsNil)
 	record, err := kv.Get(ctx, "leased")
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -2,11 +2,13 @@
 // store's own changes and from the copies of other gateways, so that a gateway whose calls the store refuses
 // still gets the changes that others receive. The gateway's control goroutine owns it.
 //
-// Invariant: no update from any source returns a key to an earlier revision.
+// Invariant: no update from any source returns a key to an earlier position. The first listing of a later era replaces
+// all keys of the earlier one, apart from those whose values supersede the listed ones: the store has lost them, and
+// their writers will write them again.
 package mirror
 
 import (
-	"cmp"
+	"bytes"
 	"maps"
 	"slices"
 	"strings"
@@ -25,24 +27,38 @@
 	Deleted bool
 	// RecordedAt is when the mirror recorded this state.
 	RecordedAt time.Time
+	// Resurrected is set when the key had been deleted in an earlier era, and the record may be the one from before
+	// the deletion.
+	Resurrected bool
 }
 
+// Supersedes reports whether the value known of a key from an earlier era is newer than the listed one by what the
+// values themselves say. A nil listed means that the key isn't listed.
+type Supersedes func(key string, known []byte, listed *metastore.Record) bool
+
 // Mirror is a copy of the keys under some prefixes. It is not safe for concurrent use.
 type Mirror struct {
 	entries map[string]Entry
-	// asOf is, by prefix, the revision up to which all changes are recorded.
-	asOf map[string]metastore.Revision
-	// deletionsFrom is, by prefix, the revision from which on all deletions are kept.
+	// asOf is, by prefix, the position up to which all changes are recorded.
+	asOf map[string]metastore.Position
+	// deletionsFrom is, by prefix, the revision of the era of asOf from which on all deletions are kept.
 	deletionsFrom map[string]metastore.Revision
+	supersedes    Supersedes
 }
 
-// New returns an empty Mirror.
-func New() *Mirror {
-	return &Mirror{entries: make(map[string]Entry), asOf: make(map[string]metastore.Revision), deletionsFrom: make(map[string]metastore.Revision)}
+// New returns an empty Mirror. A nil supersedes means that no value outlives its era.
+func New(supersedes Supersedes) *Mirror {
+	if supersedes == nil {
+		supersedes = func(string, []byte, *metastore.Record) bool { return false }
+	}
+	return &Mirror{
+		entries: make(map[string]Entry), asOf: make(map[string]metastore.Position),
+		deletionsFrom: make(map[string]metastore.Revision), supersedes: supersedes,
+	}
 }
 
-// AsOf returns the revision up to which all changes under prefix are recorded; 0 before the first listing.
-func (m *Mirror) AsOf(prefix string) metastore.Revision { return m.asOf[prefix] }
+// AsOf returns the position up to which all changes under prefix are recorded; the zero value before the first listing.
+func (m *Mirror) AsOf(prefix string) metastore.Position { return m.asOf[prefix] }
 
 // Get returns the entry of a key, and whether the key exists.
 func (m *Mirror) Get(key string) (Entry, bool) {
@@ -69,16 +85,25 @@
 	Complete bool
 }
 
-// Since returns the updates for a gateway that has all changes under prefix up to the revision from.
-func (m *Mirror) Since(prefix string, from metastore.Revision) Updates {
-	updates := Updates{Changes: metastore.Changes{Revision: m.asOf[prefix]}, Complete: from < m.deletionsFrom[prefix]}
+// Since returns the updates for a gateway that has all changes under prefix up to from. Entries of earlier eras are
+// always included.
+func (m *Mirror) Since(prefix string, from metastore.Position) Updates {
+	asOf := m.asOf[prefix]
+	updates := Updates{
+		Changes:  metastore.Changes{Position: asOf},
+		Complete: from.Era != asOf.Era || from.Revision < m.deletionsFrom[prefix],
+	}
 	for key, e := range m.entries {
-		if strings.HasPrefix(key, prefix) && (e.ModRevision > from || updates.Complete && !e.Deleted) {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		newer := e.Era < asOf.Era || e.ModRevision > from.Revision
+		if updates.Complete && !e.Deleted || !updates.Complete && newer {
 			updates.Events = append(updates.Events, metastore.Event{Record: e.Record, Deleted: e.Deleted})
 		}
 	}
 	slices.SortFunc(updates.Events, func(a, b metastore.Event) int {
-		return cmp.Compare(a.Record.ModRevision, b.Record.ModRevision)
+		return a.Record.Modified().Compare(b.Record.Modified())
 	})
 	return updates
 }
@@ -88,7 +113,7 @@
 	if !updates.Complete {
 		return m.Apply(prefix, updates.Changes, now)
 	}
-	listing := metastore.Listing{Revision: updates.Revision}
+	listing := metastore.Listing{Position: updates.Position}
 	for _, event := range updates.Events {
 		if !event.Deleted {
 			listing.Records = append(listing.Records, event.Record)
@@ -97,22 +122,33 @@
 	return m.Replace(prefix, listing, now)
 }
 
-// Apply applies all changes up to a revision and returns the keys that changed.
+// Apply applies all changes up to a position and returns the keys that changed. Changes of another era than that of
+// the prefix are ignored: only a listing starts an era.
 func (m *Mirror) Apply(prefix string, changes metastore.Changes, now time.Time) []string {
+	if asOf := m.asOf[prefix]; asOf != (metastore.Position{}) && changes.Era != asOf.Era {
+		return nil
+	}
 	var changed []string
 	for _, event := range changes.Events {
 		if m.put(prefix, event, now) {
 			changed = append(changed, event.Record.Key)
 		}
 	}
-	m.asOf[prefix] = max(m.asOf[prefix], changes.Revision)
+	m.advance(prefix, changes.Position)
 	m.removeOldTombstones(prefix, now)
 	return changed
 }
 
 // Replace applies a listing of all keys under prefix and returns the keys that changed. Keys that are not in
-// the listing are recorded as deleted, unless they were written after it.
+// the listing are recorded as deleted, unless they were written after it. A listing of an earlier era is ignored.
 func (m *Mirror) Replace(prefix string, listing metastore.Listing, now time.Time) []string {
+	known := m.asOf[prefix].Era
+	switch {
+	case listing.Era < known:
+		return nil
+	case listing.Era > known && known > 0:
+		return m.startEra(prefix, listing, now)
+	}
 	var changed []string
 	listed := make(map[string]bool, len(listing.Records))
 	for _, record := range listing.Records {
@@ -122,31 +158,88 @@
 		}
 	}
 	for key, e := range m.entries {
-		if e.Deleted || listed[key] || !strings.HasPrefix(key, prefix) || e.ModRevision > listing.Revision {
+		if e.Deleted || listed[key] || !strings.HasPrefix(key, prefix) || e.Modified().Compare(listing.Position) > 0 {
+			continue
+		}
+		if e.Era < listing.Era && m.supersedes(key, e.Value, nil) {
 			continue
 		}
-		deletion := metastore.Event{Record: metastore.Record{Key: key, ModRevision: listing.Revision}, Deleted: true}
+		deletion := metastore.Event{Record: metastore.Record{Key: key, ModRevision: listing.Revision, Era: listing.Era}, Deleted: true}
 		if m.put(prefix, deletion, now) {
 			changed = append(changed, key)
 		}
 	}
-	m.asOf[prefix] = max(m.asOf[prefix], listing.Revision)
+	m.advance(prefix, listing.Position)
 	m.deletionsFrom[prefix] = max(m.deletionsFrom[prefix], listing.Revision)
 	return changed
 }
 
+// startEra applies the first listing of a later era and returns the keys whose values changed. Entries that are
+// superseded by no listed value are kept with their earlier position.
+func (m *Mirror) startEra(prefix string, listing metastore.Listing, now time.Time) []string {
+	var changed []string
+	listed := make(map[string]bool, len(listing.Records))
+	for i := range listing.Records {
+		record := &listing.Records[i]
+		listed[record.Key] = true
+		known, ok := m.entries[record.Key]
+		if ok && !known.Deleted && m.supersedes(record.Key, known.Value, record) {
+			continue
+		}
+		m.entries[record.Key] = Entry{
+			Record: *record, RecordedAt: now,
+			Resurrected: ok && known.Deleted && record.ModRevision < known.ModRevision,
+		}
+		if !ok || known.Deleted || !bytes.Equal(known.Value, record.Value) {
+			changed = append(changed, record.Key)
+		}
+	}
+	for key, known := range m.entries {
+		if listed[key] || !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if known.Deleted {
+			delete(m.entries, key)
+			continue
+		}
+		if m.supersedes(key, known.Value, nil) {
+			continue
+		}
+		deleted := metastore.Record{Key: key, ModRevision: listing.Revision, Era: listing.Era}
+		m.entries[key] = Entry{Record: deleted, Deleted: true, RecordedAt: now}
+		changed = append(changed, key)
+	}
+	m.asOf[prefix] = listing.Position
+	m.deletionsFrom[prefix] = listing.Revision
+	return changed
+}
+
+// advance records that all changes up to a position are recorded.
+func (m *Mirror) advance(prefix string, to metastore.Position) {
+	if to.Compare(m.asOf[prefix]) > 0 {
+		m.asOf[prefix] = to
+	}
+}
+
 // put records one change if it is newer than the recorded state of its key, and reports whether it did. When
 // all changes up to the revision of the change are recorded but its key has no entry, the key was deleted,
-// before the first listing or so long ago that the deletion is no longer kept, and the change is ignored.
+// before the first listing or so long ago that the deletion is no longer kept, and the change is ignored. Across eras
+// the values decide which one is newer.
 func (m *Mirror) put(prefix string, event metastore.Event, now time.Time) bool {
-	recorded, ok := m.entries[event.Record.Key]
-	if !ok && event.Record.ModRevision <= m.asOf[prefix] {
+	record := &event.Record
+	recorded, ok := m.entries[record.Key]
+	switch {
+	case !ok && record.Era == m.asOf[prefix].Era && record.ModRevision <= m.asOf[prefix].Revision:
 		return false
-	}
-	if ok && recorded.ModRevision >= event.Record.ModRevision {
+	case !ok:
+	case record.Era == recorded.Era && recorded.ModRevision >= record.ModRevision:
+		return false
+	case record.Era < recorded.Era && (recorded.Deleted || event.Deleted || !m.supersedes(record.Key, record.Value, &recorded.Record)):
+		return false
+	case record.Era > recorded.Era && !recorded.Deleted && !event.Deleted && m.supersedes(record.Key, recorded.Value, record):
 		return false
 	}
-	m.entries[event.Record.Key] = Entry{Record: event.Record, Deleted: event.Deleted, RecordedAt: now}
+	m.entries[record.Key] = Entry{Record: event.Record, Deleted: event.Deleted, RecordedAt: now}
 	return true
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -45,8 +46,12 @@
 	addedAt     time.Time
 	incarnation uint64
 	sequence    uint64
-	// Revisions are the revisions of the metadata store up to which the gateway has all changes, by prefix.
-	Revisions map[string]int64
+	// formerIncarnation is the one before incarnation, whose heartbeats may still arrive.
+	formerIncarnation uint64
+	// Positions are the positions of the metadata store up to which the gateway has all changes, by prefix.
+	Positions map[string]metastore.Position
+	// Configuration is the version of the configuration that the gateway has in force.
+	Configuration int64
 	// Retired are the retired shares of cached parts that the gateway has received.
 	Retired []*wire.RetiredShare
 	Fence   int64
@@ -74,7 +79,7 @@
 	}
 	member := m.members[p.GetInstance()]
 	if member == nil {
-		m.members[p.GetInstance()] = &Member{Peer: p, addedAt: now, Revisions: make(map[string]int64)}
+		m.members[p.GetInstance()] = &Member{Peer: p, addedAt: now, Positions: make(map[string]metastore.Position)}
 		return
 	}
 	// The gateway's own heartbeats take precedence over what others report about it.
@@ -84,7 +89,7 @@
 }
 
 // HandleBeat updates the sender's Member from a heartbeat and returns it. It returns nil for heartbeats that are out of
-// order and for those of the gateway itself.
+// order or of the sender's previous run, and for those of the gateway itself.
 func (m *Members) HandleBeat(beat *wire.Beat, now time.Time) *Member {
 	from := beat.GetFrom()
 	m.Add(from, now)
@@ -92,8 +97,16 @@
 	if member == nil {
 		return nil
 	}
-	if member.incarnation == beat.GetIncarnation() && beat.GetSequence() <= member.sequence {
+	switch beat.GetIncarnation() {
+	case member.incarnation:
+		if beat.GetSequence() <= member.sequence {
+			return nil
+		}
+	case member.formerIncarnation:
 		return nil
+	default:
+		member.formerIncarnation = member.incarnation
+		clear(member.Positions)
 	}
 	member.Peer = from
 	member.incarnation, member.sequence = beat.GetIncarnation(), beat.GetSequence()
@@ -104,8 +117,12 @@
 		member.LastLeaderBeatAt = now
 	}
 	for _, k := range beat.GetKnown() {
-		member.Revisions[k.GetPrefix()] = max(member.Revisions[k.GetPrefix()], k.GetRevision())
+		position := metastore.Position{Era: metastore.Era(k.GetEra()), Revision: metastore.Revision(k.GetRevision())}
+		if position.Compare(member.Positions[k.GetPrefix()]) > 0 {
+			member.Positions[k.GetPrefix()] = position
+		}
 	}
+	member.Configuration = beat.GetConfiguration()
 	for _, p := range beat.GetPeers() {
 		m.Add(p, now)
 	}
@@ -211,13 +228,24 @@
 	return list
 }
 
-// Ahead returns the live member with the highest revision of a prefix if it is above revision, or nil.
-func (m *Members) Ahead(prefix string, revision int64, now time.Time) *Member {
+// Ahead returns the live member with the latest position of a prefix if it is after position, or nil.
+func (m *Members) Ahead(prefix string, position metastore.Position, now time.Time) *Member {
 	var best *Member
 	for _, member := range m.Live(now) {
-		if member.Revisions[prefix] > revision && (best == nil || member.Revisions[prefix] > best.Revisions[prefix]) {
+		if member.Positions[prefix].Compare(position) > 0 && (best == nil || member.Positions[prefix].Compare(best.Positions[prefix]) > 0) {
 			best = member
 		}
 	}
 	return best
 }
+
+// WithLaterConfiguration returns a live member that has a later configuration in force than version, or nil. After the
+// metadata store has come back from a copy, the other gateways may have a configuration that the store has lost.
+func (m *Members) WithLaterConfiguration(version int64, now time.Time) *Member {
+	for _, member := range m.Live(now) {
+		if member.Configuration > version {
+			return member
+		}
+	}
+	return nil
+}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -8,6 +8,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/leaktest"
 	"balsamyoke.example/balsamyoke/internal/loopback"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -64,8 +65,8 @@
 		b.Known = []*wire.PrefixRevision{{Prefix: "op/", Revision: int64(i + 1)}}
 		m.HandleBeat(b, start)
 	}
-	c.Assert(m.Ahead("op/", 1, start).GetInstance(), qt.Equals, "z")
-	c.Assert(m.Ahead("op/", 3, start), qt.IsNil)
+	c.Assert(m.Ahead("op/", metastore.Position{Revision: 1}, start).GetInstance(), qt.Equals, "z")
+	c.Assert(m.Ahead("op/", metastore.Position{Revision: 3}, start), qt.IsNil)
 }
 
 func TestLinkCarriesBeats(t *testing.T) {
@@ -97,3 +98,28 @@
 	index, count = m.Position(start.Add(SilenceTimeout + time.Millisecond))
 	c.Assert([]int{index, count}, qt.DeepEquals, []int{0, 1})
 }
+
+// A gateway of a later era of the metadata store is ahead of all gateways of the earlier one, whatever their revisions.
+func TestLaterEraIsAhead(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(peer("me", "a"))
+	for name, position := range map[string]metastore.Position{"old": {Era: 1, Revision: 90}, "new": {Era: 2, Revision: 7}} {
+		b := beat(name, 1, 1)
+		b.Known = []*wire.PrefixRevision{{Prefix: "op/", Revision: int64(position.Revision), Era: int64(position.Era)}}
+		m.HandleBeat(b, start)
+	}
+	c.Assert(m.Ahead("op/", metastore.Position{Era: 1, Revision: 100}, start).GetInstance(), qt.Equals, "new")
+	c.Assert(m.Ahead("op/", metastore.Position{Era: 2, Revision: 7}, start), qt.IsNil)
+}
+
+// A late heartbeat of a gateway's previous run changes nothing.
+func TestBeatsOfPreviousRunAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(peer("me", "a"))
+	m.HandleBeat(beat("x", 1, 50), start)
+	c.Assert(m.HandleBeat(beat("x", 2, 1), start), qt.IsNotNil)
+	late := beat("x", 1, 51)
+	late.Leaving = true
+	c.Assert(m.HandleBeat(late, start), qt.IsNil)
+	c.Assert(m.HandleBeat(beat("x", 2, 2), start).Leaving, qt.IsFalse)
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -20,6 +20,9 @@
 	massExpiryWindow = 1500 * time.Millisecond
 	// massExpiryMin is the number of expired registrations below which the share is not significant.
 	massExpiryMin = 3
+	// resurrectedTimeout is how long a registration that was removed before the store came back from an older copy is
+	// not used. A server that has left doesn't renew it, and it expires in that time.
+	resurrectedTimeout = 5 * time.Second
 )
 
 // expiry is a registration that was removed while its server was ready.
@@ -32,6 +35,8 @@
 type Registry struct {
 	servers map[string]backend.Server
 	expired map[string]expiry
+	// resurrected is, by id, until when a resurrected registration isn't used.
+	resurrected map[string]time.Time
 	// reachableAt is when the store became reachable again after the latest outage.
 	reachableAt time.Time
 	unreachable bool
@@ -39,7 +44,7 @@
 
 // New returns an empty Registry.
 func New() *Registry {
-	return &Registry{servers: make(map[string]backend.Server), expired: make(map[string]expiry)}
+	return &Registry{servers: make(map[string]backend.Server), expired: make(map[string]expiry), resurrected: make(map[string]time.Time)}
 }
 
 // StoreUnreachable records that the store doesn't reply. It is called after each failed call, before the retry.
@@ -53,10 +58,26 @@
 	}
 }
 
-// Put adds or replaces a registration.
+// StoreRestored records that the store has come back from a copy that may lack recent registrations.
+func (r *Registry) StoreRestored(now time.Time) { r.reachableAt = now }
+
+// Put adds or replaces a registration. A run of a server that was draining stays so: the store may have lost that
+// report.
 func (r *Registry) Put(s backend.Server) {
+	known, ok := r.servers[s.ID]
+	if ok && known.State == backend.Draining && known.StartedMS == s.StartedMS && s.StartedMS != 0 {
+		s.State = backend.Draining
+	}
 	r.servers[s.ID] = s
 	delete(r.expired, s.ID)
+	delete(r.resurrected, s.ID)
+}
+
+// PutResurrected adds a registration that had been removed before the store came back from an older copy. The server
+// may have left, so that it isn't used until its registration has outlived resurrectedTimeout.
+func (r *Registry) PutResurrected(s backend.Server, now time.Time) {
+	r.Put(s)
+	r.resurrected[s.ID] = now.Add(resurrectedTimeout)
 }
 
 // Remove removes a registration. now is when this process received the removal.
@@ -66,6 +87,10 @@
 		return
 	}
 	delete(r.servers, id)
+	if _, ok := r.resurrected[id]; ok {
+		delete(r.resurrected, id)
+		return
+	}
 	if s.State == backend.Ready {
 		r.expired[id] = expiry{server: s, at: now}
 	}
@@ -90,6 +115,13 @@
 			used[id] = e.server
 		}
 	}
+	for id, until := range r.resurrected {
+		if now.Before(until) {
+			delete(used, id)
+		} else {
+			delete(r.resurrected, id)
+		}
+	}
 	servers := make([]backend.Server, 0, len(used))
 	for _, id := range slices.Sorted(maps.Keys(used)) {
 		servers = append(servers, used[id])
@@ -97,6 +129,6 @@
 	return servers
 }
 
-// HasExpired reports whether there are expired registrations that may return. The result of Servers then changes
-// as time passes.
-func (r *Registry) HasExpired() bool { return len(r.expired) > 0 }
+// IsUnsettled reports whether the result of Servers changes as time passes: there are expired registrations that may
+// return, or resurrected ones.
+func (r *Registry) IsUnsettled() bool { return len(r.expired)+len(r.resurrected) > 0 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -50,7 +50,7 @@
 	r.StoreReachable(start)
 	r.Remove("s0", start)
 	c.Assert(r.Servers(start.Add(returnTimeout+time.Millisecond)), qt.HasLen, 5)
-	c.Assert(r.HasExpired(), qt.IsFalse)
+	c.Assert(r.IsUnsettled(), qt.IsFalse)
 }
 
 // Many registrations that expire together are treated as an outage that this process has not detected.
@@ -74,3 +74,42 @@
 	r.Remove("s0", start)
 	c.Assert(r.Servers(start), qt.HasLen, 5)
 }
+
+// Registrations that a restored store lacks may return like those that expired in an outage.
+func TestServersStayInUseAfterRestore(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(6)
+	r.StoreRestored(start)
+	r.Remove("s0", start)
+	c.Assert(r.Servers(start.Add(time.Second)), qt.HasLen, 6)
+	c.Assert(r.Servers(start.Add(returnTimeout+time.Millisecond)), qt.HasLen, 5)
+}
+
+// A restored store may list a draining server as ready. The same run of the server stays draining; a new run doesn't.
+func TestDrainingOutlivesRestore(t *testing.T) {
+	c := qt.New(t)
+	r := New()
+	r.Put(backend.Server{ID: "s", StartedMS: 1, State: backend.Draining})
+	r.Put(backend.Server{ID: "s", StartedMS: 1, State: backend.Ready})
+	c.Assert(r.Servers(start)[0].State, qt.Equals, backend.Draining)
+	r.Put(backend.Server{ID: "s", StartedMS: 2, State: backend.Ready})
+	c.Assert(r.Servers(start)[0].State, qt.Equals, backend.Ready)
+}
+
+// A registration from before a server left is not used when a restored store lists it again, unless it is renewed
+// or outlives the time in which that of a server that has left expires.
+func TestResurrectedRegistration(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(1)
+	r.Remove("s0", start)
+	r.PutResurrected(backend.Server{ID: "s0"}, start)
+	c.Assert(r.Servers(start.Add(time.Second)), qt.HasLen, 0)
+	c.Assert(r.IsUnsettled(), qt.IsTrue)
+	r.Remove("s0", start.Add(2*time.Second))
+	c.Assert(r.Servers(start.Add(2*time.Second)), qt.HasLen, 0, qt.Commentf("it doesn't count as one that may return"))
+	r.PutResurrected(backend.Server{ID: "s0"}, start)
+	r.Put(backend.Server{ID: "s0"})
+	c.Assert(r.Servers(start.Add(time.Second)), qt.HasLen, 1)
+	r.PutResurrected(backend.Server{ID: "s0"}, start)
+	c.Assert(r.Servers(start.Add(resurrectedTimeout)), qt.HasLen, 1)
+}
