Predict the wait for a slot, keep heartbeats fresh at 68 gateways, sum what peers reserve in stores

A gateway with one pending save took 68 times as much for reserved and saved little.

Now: the interval to the own domain grows with the domain only, other domains get a heartbeat in turn each 30 ms times their number, silence counts three of those, and the leader's go to all. The prediction has the expected wait for a slot, with the spread of what is known of other gateways. Heartbeats carry the tokens reserved in each store. The sum of the peers' loads is kept up, not made anew with each heartbeat.

TestRequestsAreSpreadOverFewSlots passes also without the new term; a load that needs it is to follow.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -57,8 +57,9 @@
 	ComputeTokens int
 	// PredictedTTFB is the expected time to the first byte.
 	PredictedTTFB time.Duration
-	// ComputeTime is the part of PredictedTTFB in which the engine computes; the rest is fetches and waiting for memory.
-	ComputeTime time.Duration
+	// EngineTime is the part of PredictedTTFB in which the engine computes or lets the request wait for a slot or for
+	// memory; the rest is fetches.
+	EngineTime time.Duration
 	// Score is the server's score in milliseconds, Candidates the number of servers scored in the same pass.
 	Score      float64
 	Candidates int
@@ -69,6 +70,8 @@
 	outputTokens   int
 	reservedTokens int
 	sentAt         time.Time
+	// slotWaitMS is the expected wait for a slot, in milliseconds.
+	slotWaitMS float64
 	// EmptyQueue reports that no other request was known to be waiting at the server, so that the measured time to
 	// the first byte is that of this request alone.
 	EmptyQueue bool
@@ -178,6 +181,8 @@
 	// request to a plain service, both measured on recent requests.
 	tokenMS float64
 	workMS  float64
+	// slotMS is how long recent requests occupied a slot of an engine, in milliseconds.
+	slotMS float64
 	// holdMS is how long recent requests reserved an engine's memory, in milliseconds.
 	holdMS float64
 	// unassignedProbability is the probability that an engine not assigned to the gateway is a candidate.
@@ -222,7 +227,7 @@
 	for _, s := range services {
 		current := d.services[s.Name]
 		if current == nil {
-			current = &service{tokenMS: defaultTokenMS, workMS: defaultWorkMS, holdMS: defaultHoldMS}
+			current = &service{tokenMS: defaultTokenMS, workMS: defaultWorkMS, holdMS: defaultHoldMS, slotMS: defaultSlotMS}
 		}
 		current.Service = s
 		kept[s.Name] = current
@@ -339,26 +344,33 @@
 
 // SetPeer sets the load that another gateway has at each server. Nil loads remove the gateway.
 func (d *Dispatcher) SetPeer(peer string, loads map[string]PeerLoad) {
+	d.addPeerLoads(d.peers[peer], -1)
 	if loads == nil {
 		delete(d.peers, peer)
-	} else {
-		d.peers[peer] = loads
+		return
+	}
+	d.peers[peer] = loads
+	d.addPeerLoads(loads, 1)
+}
+
+// addPeerLoads adds the loads of one gateway, times factor, to the servers.
+func (d *Dispatcher) addPeerLoads(loads map[string]PeerLoad, factor int) {
+	for id, l := range loads {
+		if s := d.servers[id]; s != nil {
+			s.peerLoad.Running += factor * l.Running
+			s.peerLoad.WaitingTokens += factor * l.WaitingTokens
+			s.peerLoad.ReservedTokens += factor * l.ReservedTokens
+		}
 	}
-	d.sumPeers()
 }
 
+// sumPeers sets the peers' load of each server anew, after servers were added.
 func (d *Dispatcher) sumPeers() {
 	for _, s := range d.servers {
 		s.peerLoad = PeerLoad{}
 	}
 	for _, loads := range d.peers {
-		for id, l := range loads {
-			if s := d.servers[id]; s != nil {
-				s.peerLoad.Running += l.Running
-				s.peerLoad.WaitingTokens += l.WaitingTokens
-				s.peerLoad.ReservedTokens += l.ReservedTokens
-			}
-		}
+		d.addPeerLoads(loads, 1)
 	}
 }
 
--- a/internal/dispatch/herding_test.go
+++ b/internal/dispatch/herding_test.go
@@ -67,6 +67,11 @@
 
 // newSimulation returns gateways and engines spread evenly over four failure domains.
 func newSimulation(gateways, engines int, domainInterval, crossDomainInterval time.Duration) *simulation {
+	return newSimulationWithSlots(gateways, engines, 128, domainInterval, crossDomainInterval)
+}
+
+// newSimulationWithSlots returns the same with engines that run at most slots requests at once.
+func newSimulationWithSlots(gateways, engines, slots int, domainInterval, crossDomainInterval time.Duration) *simulation {
 	h := &simulation{
 		engines: make(map[string]*engine), usedTokens: make(map[string]int), domainInterval: domainInterval, crossDomainInterval: crossDomainInterval,
 		rng: rand.New(rand.NewPCG(7, 7)),
@@ -74,17 +79,17 @@
 	var list []backend.Server
 	for i := range engines {
 		id := fmt.Sprintf("e%02d", i)
-		h.engines[id] = &engine{freeAt: start}
+		h.engines[id] = &engine{freeAt: start, slots: slots}
 		list = append(list, backend.Server{
 			ID: id, Service: "engines", Address: fmt.Sprintf("10.0.0.%d:1", i+1), FailureDomain: simulationDomains[i%4],
-			Slots: 128, Versions: map[string]int64{"m": 1},
+			Slots: slots, Versions: map[string]int64{"m": 1},
 		})
 	}
 	for i := range gateways {
 		d := New(simulationDomains[i%4], uint64(i), kvcache.New(simulationDomains[i%4]), BudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Gateways: 1})
 		d.SetWeightsWithin(15 * time.Second)
 		d.SetServices([]routing.Service{
-			{Name: "engines", Engine: &routing.Engine{Slots: 128, CacheTokens: simulationMemory, TokenBytes: 18_432, Models: []string{"m"}}},
+			{Name: "engines", Engine: &routing.Engine{Slots: slots, CacheTokens: simulationMemory, TokenBytes: 18_432, Models: []string{"m"}}},
 		})
 		d.services["engines"].tokenMS = simulationTokenMS
 		d.SetServers(list)
@@ -143,11 +148,12 @@
 	h.usedTokens[p.Server] += tokens
 	d.RecordSent(now, &p)
 	e := h.engines[p.Server]
-	if e.freeAt.Before(now) {
-		e.freeAt = now
+	if admitted := e.admitAt(now); e.freeAt.Before(admitted) {
+		e.freeAt = admitted
 	}
 	e.freeAt = e.freeAt.Add(milliseconds(float64(tokens) * simulationTokenMS))
 	at := e.freeAt.Add(milliseconds(firstTokenMS))
+	e.ends = append(e.ends, at.Add(k.decodeTime))
 	heap.Push(&h.events, simulationEvent{at: at, gateway: g, arrived: now, target: k.target, placed: &p, firstToken: true, decodeTime: k.decodeTime, tokens: tokens})
 }
 
@@ -213,3 +219,16 @@
 	c.Assert(h.refused[0] < h.offered[0]/20, qt.IsTrue, qt.Commentf("%v of %v refused", h.refused, h.offered))
 	c.Assert(h.refused[1] < h.offered[1]/3, qt.IsTrue, qt.Commentf("%v of %v refused", h.refused, h.offered))
 }
+
+// Guards against engines with few slots at which more requests meet than have a slot: 68 gateways place prompts on 74
+// engines with 12 slots each, of which requests occupy half on average. A prompt that finds no slot waits for the end
+// of a long response, although other engines have free slots.
+func TestRequestsAreSpreadOverFewSlots(t *testing.T) {
+	c := qt.New(t)
+	got := newSimulationWithSlots(68, 74, 12, 350*time.Millisecond, 1750*time.Millisecond).run([]promptKind{
+		{perSecond: 330, tokens: 2900, target: 600 * time.Millisecond, decodeTime: 900 * time.Millisecond, priority: 1},
+		{perSecond: 1500, tokens: 900, target: 300 * time.Millisecond, decodeTime: 60 * time.Millisecond},
+	}, 10*time.Second)
+	t.Logf("%+v", got)
+	c.Assert(got.onTime > got.offered*97/100, qt.IsTrue, qt.Commentf("%+v", got))
+}
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -69,7 +69,7 @@
 		group.updateTimes(p, took)
 	}
 	if p.Plan != nil && p.Plan.FetchTokens > minMeasuredTokens {
-		waitedMS := float64(took-p.ComputeTime)/float64(time.Millisecond) - p.Plan.TransferMS
+		waitedMS := float64(took-p.EngineTime)/float64(time.Millisecond) - p.Plan.TransferMS
 		d.catalogue.ObserveFetch(p.Plan, waitedMS, now)
 		return
 	}
@@ -141,6 +141,7 @@
 	p.engine.memory.release(p.parts, p.outputTokens)
 	if group := d.services[p.engine.Service]; group != nil && result == Served {
 		group.updateHoldTime(p, now.Sub(p.sentAt))
+		group.updateSlotTime(p, now.Sub(p.sentAt))
 	}
 }
 
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,7 +14,23 @@
 )
 
 // engine simulates an engine that computes prompts one after the other. It is idle from freeAt on.
-type engine struct{ freeAt time.Time }
+type engine struct {
+	// freeAt is when the compute time of all prompts so far has passed.
+	freeAt time.Time
+	// slots bounds the requests that run at once; 0 means no bound. ends are the times at which the requests end.
+	slots int
+	ends  []time.Time
+}
+
+// admitAt returns when a request that arrives now gets a slot.
+func (e *engine) admitAt(now time.Time) time.Time {
+	e.ends = slices.DeleteFunc(e.ends, func(end time.Time) bool { return !end.After(now) })
+	if e.slots == 0 || len(e.ends) < e.slots {
+		return now
+	}
+	slices.SortFunc(e.ends, time.Time.Compare)
+	return e.ends[len(e.ends)-e.slots]
+}
 
 // firstToken is the first token of one request at an engine.
 type firstToken struct {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -129,7 +129,7 @@
 // planCache adds the weight version and the plan of KV cache fetches and saves to a placement.
 func (d *Dispatcher) planCache(now time.Time, r *Request, group *service, s *server, p *Placement) {
 	estimate := d.estimateTTFT(now, r, group, s, d.runningAt(now, s))
-	p.PredictedTTFB, p.ComputeTime = milliseconds(estimate.totalMS()), milliseconds(estimate.computeMS)
+	p.PredictedTTFB, p.EngineTime = milliseconds(estimate.totalMS()), milliseconds(estimate.engineMS())
 	p.Version = s.weightVersion[r.Model]
 	p.Salt = d.cachedAt(now, r, p.Version, s.FailureDomain).salt
 	g := kvcache.Generation{Model: r.Model, Version: p.Version}
@@ -137,6 +137,7 @@
 	plan.Until = now.Add(min(plan.Until.Sub(now), time.Duration(fetchCutoffShare*float64(r.TargetLatency))))
 	p.Plan = &plan
 	p.ComputeTokens = max(1, r.PromptTokens-plan.FetchTokens)
+	p.slotWaitMS = estimate.slotWaitMS
 	p.engine, p.parts, p.outputTokens, p.reservedTokens = s, r.Parts, r.OutputTokens, s.memory.need(r)
 	d.recent.record(p.Salt, r.Parts, s.ID, now)
 }
@@ -300,11 +301,16 @@
 	fetchMS float64
 	// memoryWaitMS is the time until the engine has enough free memory for the prompt.
 	memoryWaitMS float64
+	// slotWaitMS is the time until the engine has a free slot.
+	slotWaitMS float64
 	// useFetch reports whether cached parts are fetched rather than computed.
 	useFetch bool
 }
 
-func (t *ttftEstimate) totalMS() float64 { return t.computeMS + t.fetchMS + t.memoryWaitMS }
+func (t *ttftEstimate) totalMS() float64 { return t.engineMS() + t.fetchMS }
+
+// engineMS returns the part of the time that the engine itself takes or lets the request wait.
+func (t *ttftEstimate) engineMS() float64 { return t.computeMS + t.memoryWaitMS + t.slotWaitMS }
 
 // queueWait returns how long a prompt is expected to wait for other prompts at the engine.
 func (d *Dispatcher) queueWait(now time.Time, r *Request, group *service, s *server) time.Duration {
@@ -328,13 +334,19 @@
 		ownMS := float64(r.PromptTokens-sharedTokens(r)) * group.tokenMS
 		computeMS, fetchMS = min(computeMS, ownMS), fetchMS*(1-recentComputeCredit)
 	}
-	memoryWaitMS := group.memoryWaitMS(r, s)
-	t := ttftEstimate{computeMS: s.slowness * (aheadMS + computeMS), fetchMS: fetchMS, memoryWaitMS: memoryWaitMS, useFetch: true}
+	memoryWaitMS, slotWaitMS := group.memoryWaitMS(r, s), group.slotWaitMS(s, running)
+	t := ttftEstimate{
+		computeMS: s.slowness * (aheadMS + computeMS), fetchMS: fetchMS,
+		memoryWaitMS: memoryWaitMS, slotWaitMS: slotWaitMS, useFetch: true,
+	}
 	limitMS := fetchTargetShare * float64(r.TargetLatency.Milliseconds())
 	if t.totalMS() <= limitMS {
 		return t
 	}
-	computeAll := ttftEstimate{computeMS: s.slowness * (aheadMS + float64(r.PromptTokens)*group.tokenMS), memoryWaitMS: memoryWaitMS}
+	computeAll := ttftEstimate{
+		computeMS:    s.slowness * (aheadMS + float64(r.PromptTokens)*group.tokenMS),
+		memoryWaitMS: memoryWaitMS, slotWaitMS: slotWaitMS,
+	}
 	if computeAll.totalMS() <= limitMS {
 		return computeAll
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -274,6 +274,7 @@
 	}
 	for _, silent := range f.members.Expire(now, f.lastExpiry) {
 		f.dispatcher.SetPeer(silent, nil)
+		f.catalogue.SetPeer(silent, nil)
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
@@ -282,5 +283,4 @@
 		f.Log.Info(EventEnginesAssigned, zap.Int("index", p.Index), zap.Int("of", p.Count))
 	}
 	f.dispatcher.SetGateways(f.members.Count())
-	f.catalogue.SetGateways(f.members.Count())
 }
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -55,7 +55,7 @@
 		if !f.loop.Call(func() {
 			now := bootclock.Now()
 			var includePeers bool
-			to, includePeers = f.members.Receivers()
+			to, includePeers = f.members.Receivers(f.lead.fence > 0)
 			beat = f.newBeat(now, includePeers)
 			interval = f.members.Interval()
 		}) {
@@ -96,6 +96,9 @@
 	for id, load := range f.dispatcher.Loads(now) {
 		beat.Loads = append(beat.Loads, &wire.ServerLoad{Server: id, Running: uint32(load.Running), Tokens: uint32(load.WaitingTokens), Held: uint32(load.ReservedTokens)})
 	}
+	for address, reserved := range f.catalogue.Reserved() {
+		beat.StoreLoads = append(beat.StoreLoads, &wire.StoreLoad{Address: address, Reserved: uint32(reserved)})
+	}
 	for g, share := range f.catalogue.RetiredShares() {
 		beat.Retired = append(beat.Retired, &wire.RetiredShare{Model: g.Model, Version: g.Version, Thousandths: uint32(share)})
 	}
@@ -146,12 +149,13 @@
 	if beat.GetFrom().GetInstance() == f.Self.GetInstance() {
 		return
 	}
-	liveBefore := len(f.members.Live(now))
+	wasLive := f.members.IsLive(beat.GetFrom().GetInstance(), now)
 	member := f.members.HandleBeat(beat, now)
 	if member == nil {
 		return
 	}
-	if live := len(f.members.Live(now)); live > liveBefore {
+	if !wasLive {
+		live := len(f.members.Live(now))
 		f.Log.Info(EventPeerLive, zap.String("peer", member.GetInstance()), zap.Int("live", live))
 		f.Counters.Peers.Update(float64(live))
 	}
@@ -164,6 +168,11 @@
 		loads[l.GetServer()] = dispatch.PeerLoad{Running: int(l.GetRunning()), WaitingTokens: int(l.GetTokens()), ReservedTokens: int(l.GetHeld())}
 	}
 	f.dispatcher.SetPeer(member.GetInstance(), loads)
+	reserved := make(map[string]int, len(beat.GetStoreLoads()))
+	for _, l := range beat.GetStoreLoads() {
+		reserved[l.GetAddress()] = int(l.GetReserved())
+	}
+	f.catalogue.SetPeer(member.GetInstance(), reserved)
 	for _, s := range beat.GetLeavingServers() {
 		if f.dispatcher.SetLeaving(dispatch.LeavingServer{ID: s.GetServer(), StartedMS: s.GetStartedMs()}) {
 			f.Log.Info(EventServerLeaving, zap.String("server", s.GetServer()), zap.String("source", member.GetInstance()))
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -34,9 +34,6 @@
 	maxLastParts = 4096
 )
 
-// SetGateways sets the number of gateways that save to the stores.
-func (c *Catalogue) SetGateways(n int) { c.gateways = max(1, n) }
-
 // Part is one part of a prompt.
 type Part struct {
 	ID     string
@@ -98,8 +95,8 @@
 type Catalogue struct {
 	stores        []*store
 	failureDomain string
-	// gateways is how many gateways save to the stores.
-	gateways int
+	// peers are the tokens that each other gateway has reserved for saves, by store address.
+	peers map[string]map[string]int
 	// tokenBytes is the size of one token of KV cache, in bytes.
 	tokenBytes int
 	// lastParts are the ids of the last parts of recent prompts, lastPartOrder the same, the oldest first.
@@ -123,7 +120,7 @@
 func New(failureDomain string) *Catalogue {
 	return &Catalogue{
 		failureDomain:  failureDomain,
-		gateways:       1,
+		peers:          make(map[string]map[string]int),
 		lastParts:      make(map[string]struct{}),
 		newestVersions: make(map[string]int64),
 		retiredShares:  make(map[Generation]int),
@@ -141,11 +138,40 @@
 			existing = &store{complete: make(map[Key]int), pending: make(map[Key]pendingSave), next: c.firstChange}
 		}
 		existing.CacheStore = s
+		existing.reservedByPeers = 0
+		for _, reserved := range c.peers {
+			existing.reservedByPeers += reserved[s.Address]
+		}
 		kept = append(kept, existing)
 	}
 	c.stores = kept
 }
 
+// SetPeer sets the tokens that another gateway has reserved for saves that no store has reported yet, by store address.
+// Nil removes the gateway.
+func (c *Catalogue) SetPeer(peer string, reserved map[string]int) {
+	before := c.peers[peer]
+	for _, s := range c.stores {
+		s.reservedByPeers += reserved[s.Address] - before[s.Address]
+	}
+	if reserved == nil {
+		delete(c.peers, peer)
+		return
+	}
+	c.peers[peer] = reserved
+}
+
+// Reserved returns the tokens that this gateway has reserved for saves, by store address, to be sent to the others.
+func (c *Catalogue) Reserved() map[string]int {
+	reserved := make(map[string]int)
+	for _, s := range c.stores {
+		if s.reserved > 0 {
+			reserved[s.Address] = s.reserved
+		}
+	}
+	return reserved
+}
+
 func (c *Catalogue) find(address string) *store {
 	for _, s := range c.stores {
 		if s.Address == address {
@@ -321,7 +347,7 @@
 		if s.savePending(key, now) {
 			return nil
 		}
-		if !s.hasCapacity(tokens, c.gateways, now) {
+		if !s.hasCapacity(tokens, now) {
 			continue
 		}
 		score := (c.transferMS(s, tokens, c.failureDomain) + s.lag(now)) * (1 + rankWeight*s.rank(key))
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -257,3 +257,27 @@
 	nonEmpty := catalogueAfter(Batch{Epoch: 5, Changes: []Change{{Key: Key{Salt: salt, ID: "other"}, Tokens: 500}}})
 	c.Assert(saves(nonEmpty, start), qt.IsTrue)
 }
+
+// What other gateways have reserved in a store counts as what they report, whatever their number: a store that is half
+// empty takes saves of 68 gateways, and one that they fill takes none.
+func TestReservationsOfOtherGateways(t *testing.T) {
+	c := qt.New(t)
+	catalogue := newCatalogue()
+	salt := Salt(gen1, "")
+	reserve := func(tokens int) {
+		for i := range 67 {
+			catalogue.SetPeer(fmt.Sprint("g", i), map[string]int{fastStore: tokens, slowStore: tokens})
+		}
+	}
+	reserve(100)
+	plan := catalogue.Plan(gen1, salt, prompt("s"), "a", true, start)
+	c.Assert(plan.Save[1], qt.Equals, fastStore)
+	reserve(2900)
+	plan = catalogue.Plan(gen1, salt, prompt("t"), "a", true, start)
+	c.Assert(plan.Save[1], qt.Equals, "")
+	for i := range 67 {
+		catalogue.SetPeer(fmt.Sprint("g", i), nil)
+	}
+	plan = catalogue.Plan(gen1, salt, prompt("u"), "a", true, start)
+	c.Assert(plan.Save[1], qt.Not(qt.Equals), "", qt.Commentf("the other gateways are gone"))
+}
--- a/internal/kvcache/store.go
+++ b/internal/kvcache/store.go
@@ -22,6 +22,8 @@
 	pending          map[Key]pendingSave
 	used             int
 	reserved         int
+	// reservedByPeers are the tokens that the other gateways have reserved for saves.
+	reservedByPeers int
 	// lagMS is by how much recent fetches took longer than their transfers, in milliseconds: the wait for the
 	// store's link. lagAt is when it was last updated.
 	lagMS float64
@@ -108,11 +110,10 @@
 	return ok
 }
 
-// hasCapacity reports whether a part may be saved to the store and probably fits. Every other gateway is assumed to
-// have reserved as many tokens for unreported saves as this one.
-func (s *store) hasCapacity(tokens, gateways int, now time.Time) bool {
+// hasCapacity reports whether a part may be saved to the store and probably fits.
+func (s *store) hasCapacity(tokens int, now time.Time) bool {
 	return s.Managed && s.fresh(now) && !now.Before(s.saveFrom) &&
-		float64(s.used+s.reserved*gateways+tokens) < maxFillRatio*float64(s.CapacityTokens)
+		float64(s.used+s.reserved+s.reservedByPeers+tokens) < maxFillRatio*float64(s.CapacityTokens)
 }
 
 // StoreState is the part of a dump about one store.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -19,16 +19,17 @@
 	// BeatInterval is the time between two heartbeats to the same failure domain while there are few gateways.
 	// Older load is of little use, because requests take some hundred milliseconds.
 	BeatInterval = 200 * time.Millisecond
-	// beatPerMember is added to the interval for each other gateway, so that the rate of heartbeats that a gateway
-	// receives doesn't grow with their number.
+	// beatPerMember is added to the interval for each other gateway of the failure domain, so that the rate of
+	// heartbeats that a gateway receives from there doesn't grow with their number.
 	beatPerMember = 12 * time.Millisecond
-	// distantDivisor reduces the heartbeats to other failure domains: with n other gateways, one heartbeat in
-	// 1+n/distantDivisor goes there. In large deployments the gateways of other domains send few requests to
-	// this domain's servers, and traffic between domains is charged.
-	distantDivisor = 8
-	// SilenceTimeout is how long after its latest heartbeat a gateway is live and its load counts. It covers a few
-	// heartbeats to another failure domain.
+	// distantPerMember is the time between two heartbeats to another failure domain, for each gateway in other
+	// domains. It bounds the rate of heartbeats received from there. The gateways of other domains send few requests
+	// to this domain's servers, and traffic between domains is charged.
+	distantPerMember = 30 * time.Millisecond
+	// SilenceTimeout is how long after its latest heartbeat a gateway is live and its load counts. In other failure
+	// domains the timeout is at least silentBeats heartbeats.
 	SilenceTimeout = 2500 * time.Millisecond
+	silentBeats    = 3
 	// removeAfter is how long a silent gateway is kept in Members and sent heartbeats.
 	removeAfter = 30 * time.Second
 	// includePeersEvery is the number of heartbeats of which one includes a list of other gateways.
@@ -129,11 +130,51 @@
 	return member
 }
 
-// Live returns the members whose latest heartbeat is no older than SilenceTimeout, in the order of their names.
+// near reports whether a member is in this gateway's failure domain.
+func (m *Members) near(member *Member) bool {
+	return member.GetFailureDomain() == m.self.GetFailureDomain()
+}
+
+// countNear returns the number of members in this gateway's failure domain.
+func (m *Members) countNear() int {
+	n := 0
+	for _, member := range m.members {
+		if m.near(member) {
+			n++
+		}
+	}
+	return n
+}
+
+// Interval returns the time to the next heartbeat.
+func (m *Members) Interval() time.Duration {
+	return BeatInterval + time.Duration(m.countNear())*beatPerMember
+}
+
+// distantInterval returns the time between two heartbeats to the same gateway of another failure domain.
+func (m *Members) distantInterval() time.Duration {
+	return max(m.Interval(), time.Duration(len(m.members)-m.countNear())*distantPerMember)
+}
+
+// silenceTimeout returns how long after its latest heartbeat a member is live.
+func (m *Members) silenceTimeout(member *Member) time.Duration {
+	if m.near(member) {
+		return SilenceTimeout
+	}
+	return max(SilenceTimeout, silentBeats*m.distantInterval())
+}
+
+// IsLive reports whether the gateway with the name is a member that isn't silent.
+func (m *Members) IsLive(name string, now time.Time) bool {
+	member := m.members[name]
+	return member != nil && now.Sub(member.LastBeatAt) <= m.silenceTimeout(member)
+}
+
+// Live returns the members that aren't silent, in the order of their names.
 func (m *Members) Live(now time.Time) []*Member {
 	var live []*Member
 	for _, name := range slices.Sorted(maps.Keys(m.members)) {
-		if member := m.members[name]; now.Sub(member.LastBeatAt) <= SilenceTimeout {
+		if member := m.members[name]; now.Sub(member.LastBeatAt) <= m.silenceTimeout(member) {
 			live = append(live, member)
 		}
 	}
@@ -175,10 +216,11 @@
 		if last.IsZero() {
 			last = member.addedAt
 		}
-		if now.Sub(last) > removeAfter {
+		timeout := m.silenceTimeout(member)
+		if now.Sub(last) > max(removeAfter, 2*timeout) {
 			delete(m.members, name)
 		}
-		if now.Sub(last) > SilenceTimeout && previous.Sub(last) <= SilenceTimeout {
+		if now.Sub(last) > timeout && previous.Sub(last) <= timeout {
 			silent = append(silent, name)
 		}
 	}
@@ -189,22 +231,18 @@
 // minute or are listed in the store.
 func (m *Members) Count() int { return len(m.members) + 1 }
 
-// Interval returns the time to the next heartbeat.
-func (m *Members) Interval() time.Duration {
-	return BeatInterval + time.Duration(len(m.members))*beatPerMember
-}
-
-// Receivers returns the addresses that get the next heartbeat, and whether it includes a list of other gateways.
-func (m *Members) Receivers() (addresses []string, includePeers bool) {
+// Receivers returns the addresses that get the next heartbeat, and whether it includes a list of other gateways. The
+// gateways of other failure domains get it in turn, each once in distantInterval. All gateways get each heartbeat of
+// the leader, so that no other one tries to lead.
+func (m *Members) Receivers(leader bool) (addresses []string, includePeers bool) {
 	m.beats++
-	distantEvery := 1 + uint64(len(m.members)/distantDivisor)
-	for _, member := range m.members {
-		near := member.GetFailureDomain() == m.self.GetFailureDomain()
-		if near || member.LastBeatAt.IsZero() || m.beats%distantEvery == 0 {
+	turns := uint64((m.distantInterval() + m.Interval() - 1) / m.Interval())
+	for i, name := range slices.Sorted(maps.Keys(m.members)) {
+		member := m.members[name]
+		if leader || m.near(member) || member.LastBeatAt.IsZero() || (m.beats+uint64(i))%turns == 0 {
 			addresses = append(addresses, member.GetBeatAddress())
 		}
 	}
-	slices.Sort(addresses)
 	return addresses, m.beats%includePeersEvery == 0
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -123,3 +124,68 @@
 	c.Assert(m.HandleBeat(late, start), qt.IsNil)
 	c.Assert(m.HandleBeat(beat("x", 2, 2), start).Leaving, qt.IsFalse)
 }
+
+// clocked is one gateway of a simulated deployment.
+type clocked struct {
+	members *Members
+	name    string
+	nextAt  time.Time
+}
+
+// In deployments of any size each gateway counts as live to all others, receives a bounded rate of heartbeats, and gets
+// each heartbeat of the leader.
+func TestHeartbeatsKeepUpWithTheNumberOfGateways(t *testing.T) {
+	for _, size := range []int{6, 68, 300} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			c := qt.New(t)
+			const length = 60 * time.Second
+			// The intervals grow with the number of gateways so that the rate approaches this sum.
+			maxPerSecond := 1/beatPerMember.Seconds() + 1/distantPerMember.Seconds()
+			gateways := make(map[string]*clocked)
+			var order []*clocked
+			for i := range size {
+				name := fmt.Sprintf("g%03d", i)
+				g := &clocked{members: NewMembers(peer(name, fmt.Sprint("d", i%6))), name: name, nextAt: start.Add(time.Duration(i) * time.Millisecond)}
+				gateways[name+":1"] = g
+				order = append(order, g)
+			}
+			for _, g := range order {
+				for i, other := range order {
+					g.members.Add(peer(other.name, fmt.Sprint("d", i%6)), start)
+				}
+			}
+			received, silent, fromLeader, sentByLeader := 0, 0, 0, 0
+			sequence := uint64(0)
+			for now := start; now.Before(start.Add(length)); now = now.Add(10 * time.Millisecond) {
+				for i, g := range order {
+					if g.nextAt.After(now) {
+						continue
+					}
+					leader := i == 0
+					to, _ := g.members.Receivers(leader)
+					sequence++
+					b := beat(g.name, 1, sequence)
+					b.From = peer(g.name, fmt.Sprint("d", i%6))
+					for _, address := range to {
+						gateways[address].members.HandleBeat(b, now)
+					}
+					if leader {
+						sentByLeader++
+						fromLeader += len(to)
+					}
+					received += len(to)
+					g.nextAt = now.Add(g.members.Interval())
+				}
+				if elapsed := now.Sub(start); elapsed > length/2 && elapsed%time.Second == 0 {
+					for _, g := range order[:min(size, 20)] {
+						silent += size - 1 - len(g.members.Live(now))
+					}
+				}
+			}
+			c.Assert(silent, qt.Equals, 0)
+			perGateway := float64(received) / float64(size) / length.Seconds()
+			c.Assert(perGateway < maxPerSecond, qt.IsTrue, qt.Commentf("%.1f heartbeats a second", perGateway))
+			c.Assert(fromLeader, qt.Equals, sentByLeader*(size-1))
+		})
+	}
+}
