Keep servers gone that left before an outage of the metadata store

Now a removal counts as one of an outage only if it came in the outage or just after it. Ruled out: late changes (all gateways had the removal within 0.12 s).

TestServerThatLeftBeforeOutageStaysGone fails without the change. Also here: gateways for which others read poll the metadata store less often the more of them there are, since each hands on what it polls.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -19,9 +19,12 @@
 const (
 	// followWait is how long one call waits for changes. It bounds the time to detect a dead connection.
 	followWait = 4 * time.Second
-	// indirectPollInterval is the interval at which a gateway that receives changes through others polls the store
-	// itself, so that it doesn't depend on them alone.
-	indirectPollInterval = 2500 * time.Millisecond
+	// indirectPollInterval is the shortest interval at which a gateway that receives changes through others polls the
+	// store itself, so that it doesn't depend on them alone. Those of a failure domain also receive what one of them has
+	// polled, so that together they poll every indirectPollSpacing, up to an interval of maxIndirectPollInterval.
+	indirectPollInterval    = 2500 * time.Millisecond
+	indirectPollSpacing     = 800 * time.Millisecond
+	maxIndirectPollInterval = 10 * time.Second
 	// followPause is the time between two calls. It lets changes accumulate, because each call is charged.
 	// readerPause applies to gateways that read for others, in deployments with many changes.
 	followPause = 120 * time.Millisecond
@@ -79,7 +82,7 @@
 func (f *Fleet) pause(ctx context.Context) {
 	switch role := f.currentRole(); {
 	case !role.reads:
-		sleep(ctx, indirectPollInterval)
+		sleep(ctx, role.indirectPollInterval())
 	case role.forOthers:
 		sleep(ctx, readerPause)
 	default:
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -27,8 +27,10 @@
 	peerPrefix = ownPrefix + "gateways/"
 	// peerLeaseTTL is the lifetime of an announcement, which is renewed three times in that time.
 	peerLeaseTTL = 15 * time.Second
-	// peerListInterval is the interval between two listings of the announcements.
-	peerListInterval = 10 * time.Second
+	// peerListInterval is the interval between two listings of the announcements, and peerListIntervalIndirect that of
+	// gateways for which others read: by then heartbeats have introduced all gateways to each other.
+	peerListInterval         = 10 * time.Second
+	peerListIntervalIndirect = 30 * time.Second
 	// announceRetry is the pause after a failed announcement.
 	announceRetry = time.Second
 	// restoredSpread is the time in which all gateways announce themselves again after the metadata store has lost
@@ -301,7 +303,11 @@
 	listedAt := time.Time{}
 	for ctx.Err() == nil {
 		err := f.announceOnce(ctx, &lease)
-		if err == nil && time.Since(listedAt) > peerListInterval {
+		interval := peerListInterval
+		if !f.currentRole().reads {
+			interval = peerListIntervalIndirect
+		}
+		if err == nil && time.Since(listedAt) > interval {
 			if err = f.listPeers(ctx); err == nil {
 				listedAt = time.Now()
 			}
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -21,6 +21,14 @@
 	forOthers bool
 	// readers are the control addresses of the gateways that read for this one.
 	readers []string
+	// indirect is the number of gateways of the failure domain for which others read.
+	indirect int
+}
+
+// indirectPollInterval returns the time between two calls by which a gateway for which others read polls the metadata
+// store itself.
+func (r role) indirectPollInterval() time.Duration {
+	return min(max(indirectPollInterval, time.Duration(r.indirect)*indirectPollSpacing), maxIndirectPollInterval)
 }
 
 // currentRole returns this gateway's role; it may be called from any goroutine.
@@ -46,7 +54,7 @@
 		}
 		return 1
 	})
-	next := &role{}
+	next := &role{indirect: max(0, len(candidates)-readersPerDomain)}
 	for _, c := range candidates[:min(readersPerDomain, len(candidates))] {
 		if c.name == f.Self.GetInstance() {
 			f.role.Store(&role{reads: true, forOthers: true})
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -29,6 +29,8 @@
 type expiry struct {
 	server backend.Server
 	at     time.Time
+	// inOutage is set when the registration was removed during an outage of the store or just after it.
+	inOutage bool
 }
 
 // Registry is the set of servers. It is not safe for concurrent use.
@@ -92,7 +94,8 @@
 		return
 	}
 	if s.State == backend.Ready {
-		r.expired[id] = expiry{server: s, at: now}
+		inOutage := r.unreachable || !r.reachableAt.IsZero() && now.Sub(r.reachableAt) < returnTimeout
+		r.expired[id] = expiry{server: s, at: now, inOutage: inOutage}
 	}
 }
 
@@ -111,7 +114,7 @@
 	total := len(r.servers) + len(r.expired)
 	massExpiry := recent >= massExpiryMin && float64(recent) >= massExpiryShare*float64(total)
 	for id, e := range r.expired {
-		if massExpiry || r.unreachable || e.at.Sub(r.reachableAt) < returnTimeout && now.Sub(r.reachableAt) < returnTimeout {
+		if massExpiry || e.inOutage && (r.unreachable || now.Sub(r.reachableAt) < returnTimeout) {
 			used[id] = e.server
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -113,3 +113,15 @@
 	r.PutResurrected(backend.Server{ID: "s0"}, start)
 	c.Assert(r.Servers(start.Add(resurrectedTimeout)), qt.HasLen, 1)
 }
+
+// A server that left while the store was reachable has left, also when an outage begins right afterwards.
+func TestServerThatLeftBeforeOutageStaysGone(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(6)
+	r.Remove("s0", start)
+	c.Assert(r.Servers(start), qt.HasLen, 5)
+	r.StoreUnreachable()
+	c.Assert(r.Servers(start.Add(1500*time.Millisecond)), qt.HasLen, 5)
+	r.StoreReachable(start.Add(1600 * time.Millisecond))
+	c.Assert(r.Servers(start.Add(1700*time.Millisecond)), qt.HasLen, 5)
+}
