Run prompts in the failure domain whose stores hold them

Five of six fetches crossed domains and occupied the store's link twice as long; with saves that is more than the sheet caches' links carry, and 10 % of the lookups waited 130 ms longer than predicted, at all stores alike, until their fetch was cut off.

Now a prompt with 1,024 or more cached tokens has a home, the domain whose stores hold most of it; a few engines there are candidates without the penalties for distance and for engines that aren't assigned, and the own domain's are the way out. Saves go to stores near the engine, which sends them.

--- a/internal/dispatch/assignment.go
+++ b/internal/dispatch/assignment.go
@@ -13,6 +13,9 @@
 // engines, they would all pick the one that was best by their last received heartbeats.
 const unassignedCandidates = 4
 
+// homeCandidates is how many engines of a prompt's home in another failure domain a placement considers on average.
+const homeCandidates = 5.0
+
 // maxClaimants bounds how many gateways are assumed to claim the same free memory. Only a few of a larger number
 // consider the same engine.
 const maxClaimants = 6
@@ -47,6 +50,13 @@
 func (g *service) assign(domain string, p Position) {
 	g.claimants = min(max(1, p.Count), maxClaimants)
 	g.unassignedProbability = min(1, float64(unassignedCandidates)/float64(max(1, len(g.servers))))
+	g.homeProbability = make(map[string]float64)
+	for _, s := range g.servers {
+		g.homeProbability[s.FailureDomain]++
+	}
+	for d, engines := range g.homeProbability {
+		g.homeProbability[d] = min(1, homeCandidates/engines)
+	}
 	sameDomain := make([]*server, 0, len(g.servers))
 	for _, s := range g.servers {
 		s.unassigned = false
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -172,6 +172,8 @@
 	// cached and migration belong to the placement in progress.
 	cached    []cachedPrompt
 	migration weightMigration
+	// home is the failure domain whose stores hold most of the prompt; empty if that is little.
+	home string
 }
 
 type service struct {
@@ -187,6 +189,9 @@
 	holdMS float64
 	// unassignedProbability is the probability that an engine not assigned to the gateway is a candidate.
 	unassignedProbability float64
+	// homeProbability is, by failure domain, the probability that an engine there is a candidate for a prompt whose home
+	// is that domain.
+	homeProbability map[string]float64
 	// claimants is how many gateways may claim the same free memory at an engine that is not assigned to them.
 	claimants int
 	// topPriority is the rank of the most urgent requests seen; valid if hasPriority is set.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -18,7 +18,7 @@
 // newDispatcher returns a dispatcher in failure domain "a" with n engines that serve model "m" at version 1,
 // half of them in domain "b", and two plain servers.
 func newDispatcher(n int) *Dispatcher {
-	d := New("a", 1, kvcache.New("a"), BudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Gateways: 1})
+	d := New("a", 1, kvcache.New(), BudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Gateways: 1})
 	d.SetWeightsWithin(15 * time.Second)
 	d.SetServices([]routing.Service{
 		{Name: "engines", Engine: &routing.Engine{Slots: 128, CacheTokens: 130_000, TokenBytes: 18_432, Models: []string{"m"}}},
--- a/internal/dispatch/herding_test.go
+++ b/internal/dispatch/herding_test.go
@@ -86,7 +86,7 @@
 		})
 	}
 	for i := range gateways {
-		d := New(simulationDomains[i%4], uint64(i), kvcache.New(simulationDomains[i%4]), BudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Gateways: 1})
+		d := New(simulationDomains[i%4], uint64(i), kvcache.New(), BudgetConfig{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Gateways: 1})
 		d.SetWeightsWithin(15 * time.Second)
 		d.SetServices([]routing.Service{
 			{Name: "engines", Engine: &routing.Engine{Slots: slots, CacheTokens: simulationMemory, TokenBytes: 18_432, Models: []string{"m"}}},
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -57,13 +57,14 @@
 
 // Place picks a server for the request. It returns a Refusal if no server is usable or the best one is overloaded.
 func (d *Dispatcher) Place(now time.Time, r *Request) (Placement, *Refusal) {
-	d.cached = d.cached[:0]
+	d.cached, d.home = d.cached[:0], ""
 	group := d.services[r.Service]
 	if group == nil || len(group.servers) == 0 {
 		return Placement{}, d.refuse(NoServer, maxRetryAfter)
 	}
 	if r.Model != "" {
 		d.migration = d.migrationOf(r)
+		d.home = d.homeOf(now, r)
 		group.observePriority(r.Priority)
 	}
 	best, score, candidates := d.search(now, r, group)
@@ -158,7 +159,7 @@
 // pick returns the usable server with the lowest score.
 func (d *Dispatcher) pick(now time.Time, r *Request, group *service, pass searchPass) (best *server, score float64, candidates int) {
 	for _, s := range group.servers {
-		if pass <= passNotOverloaded && s.unassigned && d.rng.Float64() > group.unassignedProbability {
+		if pass <= passNotOverloaded && s.unassigned && d.rng.Float64() > d.candidateProbability(group, s) {
 			continue
 		}
 		if !d.usable(now, r, s, pass == passRelaxed) {
@@ -205,13 +206,7 @@
 // score returns the predicted time to the first byte plus penalties, in milliseconds; the lowest score is best. A small
 // random term distributes requests over equal servers.
 func (d *Dispatcher) score(now time.Time, r *Request, group *service, s *server) float64 {
-	cost := d.predictMS(now, r, group, s)
-	if s.FailureDomain != d.domain {
-		cost += distantPenaltyShare * float64(r.TargetLatency.Milliseconds())
-	}
-	if s.unassigned {
-		cost += unassignedPenaltyShare * float64(r.TargetLatency.Milliseconds())
-	}
+	cost := d.predictMS(now, r, group, s) + d.distancePenalty(r, s)*float64(r.TargetLatency.Milliseconds())
 	if s.unreachableCount > 0 {
 		cost += suspectPenaltyMS
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -76,7 +76,7 @@
 
 // New returns a Fleet with an empty state.
 func New(o Options) *Fleet {
-	catalogue := kvcache.New(o.Self.GetFailureDomain())
+	catalogue := kvcache.New()
 	f := &Fleet{
 		Options:    o,
 		loop:       control.NewLoop(),
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -7,6 +7,7 @@
 package kvcache
 
 import (
+	"slices"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/routing"
@@ -30,6 +31,8 @@
 	// minPartTokens is the size of the smallest part that is worth a transfer; a shorter one is computed in
 	// one step of the engine.
 	minPartTokens = 48
+	// maxHomes limits the failure domains that are compared for one prompt, which has few parts.
+	maxHomes = 8
 	// maxLastParts limits the last parts of prompts that are kept to detect those that recur.
 	maxLastParts = 4096
 )
@@ -93,8 +96,7 @@
 
 // Catalogue is one gateway's view of all stores. It is not safe for concurrent use.
 type Catalogue struct {
-	stores        []*store
-	failureDomain string
+	stores []*store
 	// peers are the tokens that each other gateway has reserved for saves, by store address.
 	peers map[string]map[string]int
 	// tokenBytes is the size of one token of KV cache, in bytes.
@@ -115,11 +117,9 @@
 	firstChange int64
 }
 
-// New returns a Catalogue without stores for a gateway in a failure domain. Prompts return to gateways of the
-// same domain, so their parts are preferably saved there.
-func New(failureDomain string) *Catalogue {
+// New returns a Catalogue without stores.
+func New() *Catalogue {
 	return &Catalogue{
-		failureDomain:  failureDomain,
 		peers:          make(map[string]map[string]int),
 		lastParts:      make(map[string]struct{}),
 		newestVersions: make(map[string]int64),
@@ -245,6 +245,33 @@
 	e.MS += transfer + s.lag(now)
 }
 
+// Home returns the failure domain whose stores hold most of a prompt's leading parts, and how many tokens of it. The
+// domain is empty if no part can be fetched. A transfer between failure domains occupies the link of a store for
+// crossDomainFactor times as long.
+func (c *Catalogue) Home(g Generation, salt string, parts []Part, now time.Time) (domain string, tokens int) {
+	var domains [maxHomes]string
+	var held [maxHomes]int
+	best, n := 0, 0
+	for _, p := range parts {
+		source := c.source(g, Key{Salt: salt, ID: p.ID}, p.Tokens, "", now)
+		if source == nil {
+			break
+		}
+		i := slices.Index(domains[:n], source.FailureDomain)
+		if i < 0 {
+			if n == maxHomes {
+				break
+			}
+			i, n = n, n+1
+			domains[i] = source.FailureDomain
+		}
+		if held[i] += p.Tokens; held[i] > held[best] {
+			best = i
+		}
+	}
+	return domains[best], held[best]
+}
+
 // Plan decides what a request that runs in the failure domain saves and, if fetch is set, what it fetches. It
 // records the saves as pending.
 func (c *Catalogue) Plan(g Generation, salt string, parts []Part, domain string, fetch bool, now time.Time) Plan {
@@ -270,7 +297,7 @@
 		if source != nil || !saveAllowed || p.Tokens < minPartTokens || i == len(parts)-1 && !saveLastPart {
 			continue
 		}
-		if target := c.target(key, p.Tokens, now); target != nil {
+		if target := c.target(key, p.Tokens, domain, now); target != nil {
 			target.pending[key] = pendingSave{tokens: p.Tokens, at: now}
 			target.reserved += p.Tokens
 			plan.Save[i] = target.Address
@@ -338,9 +365,9 @@
 	}
 }
 
-// target returns the store to save a part to, or nil. Stores with a short transfer time from the gateway's
-// failure domain come first; among similar ones the part's rank decides, so that all gateways choose the same.
-func (c *Catalogue) target(key Key, tokens int, now time.Time) *store {
+// target returns the store to save a part to from an engine in the failure domain, or nil. Stores with a short transfer
+// time come first; among similar ones the part's rank decides, so that all gateways choose the same.
+func (c *Catalogue) target(key Key, tokens int, domain string, now time.Time) *store {
 	var best *store
 	var bestScore float64
 	for _, s := range c.stores {
@@ -350,7 +377,7 @@
 		if !s.hasCapacity(tokens, now) {
 			continue
 		}
-		score := (c.transferMS(s, tokens, c.failureDomain) + s.lag(now)) * (1 + rankWeight*s.rank(key))
+		score := (c.transferMS(s, tokens, domain) + s.lag(now)) * (1 + rankWeight*s.rank(key))
 		if best == nil || score < bestScore {
 			best, bestScore = s, score
 		}
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -25,7 +25,7 @@
 
 // newCatalogue returns a catalogue with two empty stores that were last read at start.
 func newCatalogue() *Catalogue {
-	c := New("a")
+	c := New()
 	c.SetStores([]routing.CacheStore{
 		{Address: fastStore, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
 		{Address: slowStore, FailureDomain: "b", CapacityTokens: 200_000, LinkMbps: 10_000, FirstByteDelay: 6 * time.Millisecond, Managed: true},
@@ -238,7 +238,7 @@
 	c := qt.New(t)
 	salt := Salt(gen1, "")
 	catalogueAfter := func(batch Batch) *Catalogue {
-		catalogue := New("a")
+		catalogue := New()
 		catalogue.SetStores([]routing.CacheStore{
 			{Address: fastStore, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
 		}, 18_432)
