Refuse a prompt only if computing all of it is late too, and spread the start over the readers

Besides, all 68 gateways read all cache stores at the start until they knew of each other, and 171 of those calls failed.

Now the refusal goes by the shorter of the two ways. A gateway that starts reads the metadata store only, until the others are listed or 0.6 s have passed; those that are listed but not heard yet count when readers are chosen.

TestSlowStoreIsNoReasonToRefuse fails without the change.

--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -108,3 +108,23 @@
 	fresh.TargetLatency = 2 * time.Second
 	c.Assert(d.homeOf(start, fresh), qt.Equals, "", qt.Commentf("only 300 tokens are cached"))
 }
+
+// A store whose link is slow is no reason to refuse a prompt that the engine can compute in time.
+func TestSlowStoreIsNoReasonToRefuse(t *testing.T) {
+	c := qt.New(t)
+	h := newSimulationWithSlots(4, 8, 12, 350*time.Millisecond, 1750*time.Millisecond)
+	d := h.gateways[0]
+	d.catalogue = storesPerDomain(8, start)
+	r := prompt("s1", 9000)
+	r.TargetLatency = 600 * time.Millisecond
+	for range 20 {
+		p, refusal := d.Place(start, r)
+		c.Assert(refusal, qt.IsNil)
+		d.catalogue.ObserveFetch(p.Plan, 250, start)
+	}
+	// Another session whose parts are in the same store, and were not computed recently.
+	other := prompt("s5", 9000)
+	other.TargetLatency = r.TargetLatency
+	_, refusal := d.Place(start, other)
+	c.Assert(refusal, qt.IsNil)
+}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -115,8 +115,7 @@
 	if r.Model == "" {
 		return 0, 0
 	}
-	wait = d.queueWait(now, r, group, s)
-	predicted := milliseconds(d.predictMS(now, r, group, s))
+	predicted, wait := d.shortestTTFT(now, r, group, s)
 	late = predicted - time.Duration(overloadTTFTShare*float64(r.TargetLatency))
 	if r.Priority > group.topPriority {
 		late = max(late, milliseconds(group.memoryWaitMS(r, s))-time.Duration(memoryWaitShare*float64(r.TargetLatency)))
@@ -307,20 +306,34 @@
 // engineMS returns the part of the time that the engine itself takes or lets the request wait.
 func (t *ttftEstimate) engineMS() float64 { return t.computeMS + t.memoryWaitMS + t.slotWaitMS }
 
-// queueWait returns how long a prompt is expected to wait for other prompts at the engine.
-func (d *Dispatcher) queueWait(now time.Time, r *Request, group *service, s *server) time.Duration {
+// shortestTTFT returns the expected time to first token in whichever of two ways is shorter, with the cached parts
+// fetched or with all of the prompt computed, and how much of it is waiting for other prompts. A prompt isn't refused
+// because a store is slow, as the engine can do without it.
+func (d *Dispatcher) shortestTTFT(now time.Time, r *Request, group *service, s *server) (ttft, wait time.Duration) {
 	cached := d.cachedAt(now, r, s.weightVersion[r.Model], s.FailureDomain)
-	t := d.estimateTTFT(now, r, group, s, d.runningAt(now, s))
-	unqueuedMS := firstTokenMS + cached.TransferMS + float64(r.PromptTokens-cached.Tokens)*group.tokenMS
-	if !t.useFetch {
-		unqueuedMS = firstTokenMS + float64(r.PromptTokens)*group.tokenMS
+	fetched, computed := d.estimates(now, r, group, s, d.runningAt(now, s))
+	if computed.totalMS() < fetched.totalMS() {
+		unqueuedMS := firstTokenMS + float64(r.PromptTokens)*group.tokenMS
+		return milliseconds(computed.totalMS()), milliseconds(computed.totalMS() - unqueuedMS)
 	}
-	return milliseconds(t.totalMS() - unqueuedMS)
+	unqueuedMS := firstTokenMS + cached.TransferMS + float64(r.PromptTokens-cached.Tokens)*group.tokenMS
+	return milliseconds(fetched.totalMS()), milliseconds(fetched.totalMS() - unqueuedMS)
 }
 
 // estimateTTFT predicts the time to first token at an engine. The cached parts of the prompt are fetched, unless only
 // computing them keeps the time within fetchTargetShare.
 func (d *Dispatcher) estimateTTFT(now time.Time, r *Request, group *service, s *server, running int) ttftEstimate {
+	fetched, computed := d.estimates(now, r, group, s, running)
+	limitMS := fetchTargetShare * float64(r.TargetLatency.Milliseconds())
+	if fetched.totalMS() > limitMS && computed.totalMS() <= limitMS {
+		return computed
+	}
+	return fetched
+}
+
+// estimates predicts the time to first token at an engine when the cached parts of the prompt are fetched, and when all
+// of it is computed.
+func (d *Dispatcher) estimates(now time.Time, r *Request, group *service, s *server, running int) (fetched, computed ttftEstimate) {
 	cached := d.cachedAt(now, r, s.weightVersion[r.Model], s.FailureDomain)
 	aheadMS := firstTokenMS + float64(s.waitingTokens+s.peerLoad.WaitingTokens)*group.tokenMS + float64(running)*runningRequestMS
 	computeMS := float64(max(0, r.PromptTokens-cached.Tokens)) * group.tokenMS
@@ -330,22 +343,15 @@
 		computeMS, fetchMS = min(computeMS, ownMS), fetchMS*(1-recentComputeCredit)
 	}
 	memoryWaitMS, slotWaitMS := group.memoryWaitMS(r, s), group.slotWaitMS(s, running)
-	t := ttftEstimate{
+	fetched = ttftEstimate{
 		computeMS: s.slowness * (aheadMS + computeMS), fetchMS: fetchMS,
 		memoryWaitMS: memoryWaitMS, slotWaitMS: slotWaitMS, useFetch: true,
 	}
-	limitMS := fetchTargetShare * float64(r.TargetLatency.Milliseconds())
-	if t.totalMS() <= limitMS {
-		return t
-	}
-	computeAll := ttftEstimate{
+	computed = ttftEstimate{
 		computeMS:    s.slowness * (aheadMS + float64(r.PromptTokens)*group.tokenMS),
 		memoryWaitMS: memoryWaitMS, slotWaitMS: slotWaitMS,
 	}
-	if computeAll.totalMS() <= limitMS {
-		return computeAll
-	}
-	return t
+	return fetched, computed
 }
 
 // cachedPrompt is the part of the prompt being placed that the stores hold, for one weight version and one failure
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -49,9 +49,9 @@
 	var since int64
 	unreachable := false
 	for ctx.Err() == nil {
-		if !f.currentRole().reads {
+		if role := f.currentRole(); !role.reads || role.starting {
 			since = 0
-			sleep(ctx, roleCheckInterval)
+			sleep(ctx, role.checkInterval())
 			continue
 		}
 		next, err := f.readFeed(ctx, address, since)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,6 +67,9 @@
 	feeds      map[string]context.CancelFunc
 	sequence   uint64
 	lead       leadership
+	// startedAt is when this run began; peersListed is set after the first listing of the other gateways.
+	startedAt   time.Time
+	peersListed bool
 	// eraSince is when the latest era was first seen.
 	eraSince   time.Time
 	lastExpiry time.Time
@@ -90,7 +93,8 @@
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
-	f.role.Store(&role{reads: true})
+	f.role.Store(&role{reads: true, starting: true})
+	f.startedAt = bootclock.Now()
 	catalogue.SetFirstChange(bootclock.Now().UnixNano())
 	return f
 }
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -250,7 +250,8 @@
 	c.Assert(ms, qt.Equals, serverNow+1000)
 }
 
-// In large deployments two gateways of each failure domain read for the others.
+// In large deployments two gateways of each failure domain read for the others. A gateway that starts takes a role only
+// when it knows the others, or after a while.
 func TestReadersPerFailureDomain(t *testing.T) {
 	c := qt.New(t)
 	readers := 0
@@ -266,6 +267,9 @@
 				Instance: name, BeatAddress: name, ControlAddress: fmt.Sprintf("10.0.0.%d:1", other), FailureDomain: "a",
 			}}, now)
 		}
+		f.assignRole(f.startedAt)
+		c.Check(f.currentRole().starting, qt.IsTrue, qt.Commentf("the other gateways aren't listed yet"))
+		f.peersListed = true
 		f.assignRole(now)
 		if role := f.currentRole(); role.reads {
 			readers++
@@ -275,6 +279,9 @@
 		f.Log.Close()
 	}
 	c.Assert(readers, qt.Equals, readersPerDomain)
+	alone := New(Options{Self: self("a"), Log: newTestLog(c), Counters: NewCounters(tally.NoopScope)})
+	alone.assignRole(alone.startedAt.Add(startTimeout))
+	c.Assert(alone.currentRole().starting, qt.IsFalse)
 }
 
 // The leader stores the time at which a weight version became the target only once. A gateway that starts later
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -397,6 +397,10 @@
 			}
 			f.members.Add(peer, now)
 		}
+		if !f.peersListed {
+			f.peersListed = true
+			f.assignRole(now)
+		}
 	})
 	return nil
 }
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -23,8 +23,18 @@
 	relayPollInterval = 50 * time.Millisecond
 	// roleCheckInterval is the interval at which a reading loop that the role disables checks for a new role.
 	roleCheckInterval = 500 * time.Millisecond
+	// startCheckInterval is that interval while the gateway starts.
+	startCheckInterval = 50 * time.Millisecond
 )
 
+// checkInterval returns the interval at which a loop that the role disables checks for a new role.
+func (r role) checkInterval() time.Duration {
+	if r.starting {
+		return startCheckInterval
+	}
+	return roleCheckInterval
+}
+
 // readViaPeers reads the cache stores through another gateway of the failure domain while that is this
 // gateway's role.
 func (f *Fleet) readViaPeers(ctx context.Context) {
@@ -36,7 +46,7 @@
 		role := f.currentRole()
 		if role.reads || len(role.readers) == 0 || f.Table() == nil {
 			clear(cursors)
-			sleep(ctx, roleCheckInterval)
+			sleep(ctx, role.checkInterval())
 			continue
 		}
 		if reader := role.readers[0]; from == "" || !slices.Contains(role.readers, from) {
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -17,6 +17,9 @@
 type role struct {
 	// reads reports whether the gateway reads the stores itself.
 	reads bool
+	// starting is set until the gateway knows how many others there may be. It then reads the metadata store only: if all
+	// gateways start at once, the cache stores can't serve them all.
+	starting bool
 	// forOthers reports whether other gateways read through it.
 	forOthers bool
 	// readers are the control addresses of the gateways that read for this one.
@@ -34,16 +37,22 @@
 // currentRole returns this gateway's role; it may be called from any goroutine.
 func (f *Fleet) currentRole() role { return *f.role.Load() }
 
+// startTimeout is how long a gateway that starts waits for the listing of the others.
+const startTimeout = 600 * time.Millisecond
+
 // assignRole determines which gateways of the failure domain read for the others. These are the gateways with the
 // lowest names, so that all gateways choose the same ones.
 func (f *Fleet) assignRole(now time.Time) {
+	if f.currentRole().starting && !f.peersListed && now.Sub(f.startedAt) < startTimeout {
+		return
+	}
 	if f.members.Count() <= maxDirectGateways {
 		f.role.Store(&role{reads: true})
 		return
 	}
 	type candidate struct{ name, address string }
 	candidates := []candidate{{f.Self.GetInstance(), f.Self.GetControlAddress()}}
-	for _, member := range f.members.Live(now) {
+	for _, member := range f.members.Expected(now) {
 		if member.GetFailureDomain() == f.Self.GetFailureDomain() && !member.Leaving {
 			candidates = append(candidates, candidate{member.GetInstance(), member.GetControlAddress()})
 		}
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -32,10 +32,12 @@
 			other := startServer(c, okResponse)
 			d := deploy(c, leaving, other)
 			d.eventually(func() bool {
+				other.discardRequests()
 				d.mustSend("GET", "/get/x", "", "")
 				return atLeaving.Load() > 0
 			})
 			for range 30 {
+				other.discardRequests()
 				c.Assert(d.mustSend("GET", "/get/x", "", "").status, qt.Equals, 200)
 			}
 			c.Assert(atLeaving.Load(), qt.Equals, int64(1))
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -164,6 +164,18 @@
 	return max(SilenceTimeout, silentBeats*m.distantInterval())
 }
 
+// Expected returns the members that are live or were added no longer than SilenceTimeout ago, in the order of their
+// names.
+func (m *Members) Expected(now time.Time) []*Member {
+	var expected []*Member
+	for _, name := range slices.Sorted(maps.Keys(m.members)) {
+		if member := m.members[name]; m.IsLive(name, now) || member.LastBeatAt.IsZero() && now.Sub(member.addedAt) <= SilenceTimeout {
+			expected = append(expected, member)
+		}
+	}
+	return expected
+}
+
 // IsLive reports whether the gateway with the name is a member that isn't silent.
 func (m *Members) IsLive(name string, now time.Time) bool {
 	member := m.members[name]
