--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -140,8 +140,6 @@
 	slowness float64
 	// unassigned reports that an engine is not assigned to this gateway.
 	unassigned bool
-	// lastResponseAt is when the server last responded.
-	lastResponseAt time.Time
 }
 
 // PeerLoad is the load that other gateways have at one server.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -64,7 +64,7 @@
 		return
 	}
 	s.addLoad(now, 0, -p.ComputeTokens)
-	s.recordResponse(now)
+	s.recordResponse()
 	if group := d.services[s.Service]; group != nil && p.EmptyQueue {
 		group.updateTimes(p, took)
 	}
@@ -99,8 +99,7 @@
 	g.tokenMS *= 1 + timeSmoothing*tokenQuantile
 }
 
-func (s *server) recordResponse(now time.Time) {
-	s.lastResponseAt = now
+func (s *server) recordResponse() {
 	s.unreachableCount = 0
 	s.suspectUntil = time.Time{}
 }
@@ -121,7 +120,7 @@
 	case Served:
 		d.health.Record(now, s.ID, health.Sample{Ratio: s.slowness})
 	case Failed:
-		s.recordResponse(now)
+		s.recordResponse()
 		d.health.Record(now, s.ID, health.Sample{Failed: true})
 	case Refused:
 		s.refusedUntil = now.Add(refusedFor)
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -14,6 +14,8 @@
 	Peers               tally.Gauge
 	Servers             tally.Gauge
 	LogLinesLost        tally.Gauge
+	Era                 tally.Gauge
+	ServersLeaving      tally.Gauge
 	scope               tally.Scope
 }
 
@@ -30,6 +32,8 @@
 		Peers:               scope.Gauge("peers_live"),
 		Servers:             scope.Gauge("servers"),
 		LogLinesLost:        scope.Gauge("log_lines_lost"),
+		Era:                 scope.Gauge("metastore_era"),
+		ServersLeaving:      scope.Gauge("servers_leaving"),
 		scope:               scope,
 	}
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -6,7 +6,6 @@
 	EventServerHealth    = "server_health"
 	EventServerState     = "server_state"
 	EventServerLeaving   = "server_leaving"
-	EventServers         = "servers_changed"
 	EventPeerSilent      = "peer_silent"
 	EventEnginesAssigned = "engines_dealt"
 	EventPeerLive        = "peer_heard"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -282,6 +282,11 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	f.Counters.ContactAgeMS.Update(float64(f.ContactAge().Milliseconds()))
+	f.Counters.LogLinesLost.Update(float64(f.Log.Lost()))
+	f.Counters.Peers.Update(float64(len(f.members.Live(now))))
+	f.Counters.Era.Update(float64(f.era.Load()))
+	f.Counters.ServersLeaving.Update(float64(len(f.dispatcher.Leaving())))
 	f.assignRole(now)
 	if p := f.position(now); f.dispatcher.SetPosition(p) {
 		f.Log.Info(EventEnginesAssigned, zap.Int("index", p.Index), zap.Int("of", p.Count))
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -66,7 +66,6 @@
 			time.Sleep(5 * time.Millisecond)
 			continue
 		}
-		g.connections.Add(1)
 		go g.serveConnection(conn)
 	}
 }
@@ -83,7 +82,6 @@
 
 // serveConnection serves the requests of one connection one after the other and closes it.
 func (g *Gateway) serveConnection(conn net.Conn) {
-	defer g.connections.Done()
 	c := &callerConn{
 		Conn:   conn,
 		reader: bufio.NewReaderSize(conn, max(callerBufferBytes, g.limits().HeaderBytes)),
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -41,6 +41,11 @@
 	kind := c.scope.Tagged(map[string]string{"kind": r.route.Kind.String()})
 	kind.Histogram("first_byte", metrics.LatencyBuckets).RecordDuration(res.firstByteAfter)
 	kind.Histogram("whole_answer", metrics.LatencyBuckets).RecordDuration(took)
+	if over := res.firstByteAfter - r.placement.PredictedTTFB; over > 0 {
+		kind.Histogram("first_byte_over_prediction", metrics.LatencyBuckets).RecordDuration(over)
+	} else {
+		kind.Histogram("first_byte_under_prediction", metrics.LatencyBuckets).RecordDuration(-over)
+	}
 	if p := r.placement.Plan; p != nil {
 		c.fetchedTokens.Inc(int64(p.FetchTokens))
 		c.prefillTokens.Inc(int64(p.PrefillTokens))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,6 @@
 	// malformedHeaders limits the log lines about headers of servers that can't be parsed.
 	malformedHeaders rate.Sometimes
 
-	connections sync.WaitGroup
 	mu          sync.Mutex
 	callerConns map[*callerConn]struct{}
 }
@@ -162,15 +161,14 @@
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "listen for readiness checks on %s", g.settings.Ready)
 	}
-	lastReady := false
+	var lastReady atomic.Bool
 	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != g.protocol.ReadyPath() {
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 			return
 		}
 		ready := g.fleet.Table() != nil && !g.draining.Load()
-		if ready != lastReady {
-			lastReady = ready
+		if lastReady.Swap(ready) != ready {
 			g.log.Info(EventReady, zap.Bool("ready", ready))
 		}
 		if !ready {
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -54,7 +54,6 @@
 	net.Conn
 	reader    *bufio.Reader
 	server    string
-	reused    bool
 	idleSince time.Time
 	// idleLimit is how long the connection may be unused.
 	idleLimit time.Duration
@@ -81,7 +80,6 @@
 		}
 		idleTime := time.Since(sc.idleSince)
 		if idleTime < sc.idleLimit && (!nonRetryable || idleTime < nonRetryableIdleLimit) && usable(sc.Conn) {
-			sc.reused = true
 			return sc, nil
 		}
 		_ = sc.Close()
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -102,11 +102,8 @@
 	// tokenBytes is the size of one token of KV cache, in bytes.
 	tokenBytes int
 	// lastParts are the ids of the last parts of recent prompts, lastPartOrder the same, the oldest first.
-	// lastPartCount counts all last parts, recurringCount those that were already in lastParts.
-	lastParts      map[string]struct{}
-	lastPartOrder  []string
-	lastPartCount  int
-	recurringCount int
+	lastParts     map[string]struct{}
+	lastPartOrder []string
 	// newestVersions is the newest target weight version by model, retiredShares the retired share by
 	// generation, in thousandths.
 	newestVersions map[string]int64
@@ -396,9 +393,7 @@
 		return false
 	}
 	id := parts[len(parts)-1].ID
-	c.lastPartCount++
 	if _, again := c.lastParts[id]; again {
-		c.recurringCount++
 		return true
 	}
 	c.lastParts[id] = struct{}{}
