Refuse prompts only from three quarters of the target on

With slots, homes and the shorter of two ways in the prediction, fewer prompts are predicted to be late that aren't.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -43,7 +43,7 @@
 	// time to first token exceeds the first and its wait for other prompts exceeds the second. Without refusals
 	// queues grow until nearly every response is late, and engines with many prompts run out of memory and compute
 	// them twice.
-	overloadTTFTShare = 0.6
+	overloadTTFTShare = 0.75
 	overloadWaitShare = 0.1
 	// memoryWaitShare is the share of the target latency that a prompt may wait for memory that more urgent prompts
 	// need too.
