Learn of the end of an outage at the first reply, not at the next change

A gateway that the store had turned away until 11.5 s sent a waiting call then; its reply came with the next change at 15.08 s, the removal of a server, which therefore counted as one of the outage, so that the server was used until 17.38 s. The first call after an outage now doesn't wait. TestRemovalLongAfterOutageIsFinal: 2.2 s before, at once now.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -109,6 +109,11 @@
 
 // startFleet runs a Fleet called name on the store.
 func startFleet(c *qt.C, name string, store *switchableStore, seeds ...string) *Fleet {
+	return startFleetOn(c, name, store, seeds...)
+}
+
+// startFleetOn runs a Fleet called name on any metadata store.
+func startFleetOn(c *qt.C, name string, store Metastore, seeds ...string) *Fleet {
 	beatAddress, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	controlAddress, err := loopback.FreeAddress()
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -49,7 +49,7 @@
 			err = f.list(ctx, prefix, apply)
 			listed = err == nil
 		} else {
-			err = f.poll(ctx, prefix, apply)
+			err = f.poll(ctx, prefix, f.pollWait(unreachable), apply)
 		}
 		if ctx.Err() != nil {
 			return
@@ -106,15 +106,20 @@
 	return nil
 }
 
-func (f *Fleet) poll(ctx context.Context, prefix string, apply func([]string, time.Time)) error {
+// pollWait returns how long a call waits for changes. The first call after an outage doesn't wait: if it did, the store
+// would count as unreachable until the next change, and that change as one of the outage.
+func (f *Fleet) pollWait(afterOutage bool) time.Duration {
+	if afterOutage || !f.currentRole().reads {
+		return 0
+	}
+	return followWait
+}
+
+func (f *Fleet) poll(ctx context.Context, prefix string, wait time.Duration, apply func([]string, time.Time)) error {
 	var from metastore.Position
 	if !f.loop.Call(func() { from = f.mirror.AsOf(prefix) }) {
 		return nil
 	}
-	wait := followWait
-	if !f.currentRole().reads {
-		wait = 0
-	}
 	changes, err := f.Platform.Metastore.Changes(ctx, prefix, from, wait)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/fleet/outage_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
+)
+
+// A server leaves long after an outage in which nothing changed. It isn't used any more at once, although its removal is
+// the first change since the outage.
+func TestRemovalLongAfterOutageIsFinal(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	for _, id := range []string{"s1", "s2", "s3"} {
+		put(c, store, "servers/"+id, "127.0.0.1:1")
+	}
+	f := startFleetOn(c, "a", store)
+	servers := func() (n int) {
+		f.loop.Call(func() { n = len(f.registry.Servers(bootclock.Now())) })
+		return n
+	}
+	eventually(c, "all servers are known", func() bool { return servers() == 3 })
+	store.SetFaults(memkv.Faults{Down: true})
+	time.Sleep(500 * time.Millisecond)
+	store.SetFaults(memkv.Faults{})
+	time.Sleep(maxFollowRetry + returnedFor)
+	record, err := store.Get(context.Background(), "servers/s1")
+	c.Assert(err, qt.IsNil)
+	_, err = store.CompareAndSwap(context.Background(), metastore.Swap{Key: "servers/s1", Expect: record.ModRevision, Delete: true})
+	c.Assert(err, qt.IsNil)
+	removedAt := time.Now()
+	eventually(c, "the server is gone", func() bool { return servers() == 2 })
+	c.Assert(time.Since(removedAt) < time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(removedAt)))
+}
+
+// The first call after an outage returns at once, so that the end of the outage is known before the next change.
+func TestFirstCallAfterOutageDoesNotWait(t *testing.T) {
+	c := qt.New(t)
+	f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c)})
+	c.Assert(f.pollWait(false), qt.Equals, followWait)
+	c.Assert(f.pollWait(true), qt.Equals, time.Duration(0))
+}
