Save to a store after its restart only when another gateway has known its epoch for long enough

Now the first reading of an epoch always starts the wait of 3.3 s, and a heartbeat of a gateway that has known the epoch for that long ends it; gateways send how long they have known the epochs once after they hear a new run of another one.

TestNoPartIsFetchedWhileItIsSavedAgainAfterRestart plays it and fails without the change. TestStoreMayHaveRestartedBeforeFirstReading replaces TestStoreEmptyAtFirstReadMayHaveRestarted, which demanded the wrong assumption (that content proves age); it is stricter.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -70,6 +70,8 @@
 	// startedAt is when this run began; peersListed is set after the first listing of the other gateways.
 	startedAt   time.Time
 	peersListed bool
+	// sendEpochs makes the next heartbeat include the epochs of the cache stores, for a gateway that has started.
+	sendEpochs bool
 	// eraSince is when the latest era was first seen.
 	eraSince   time.Time
 	lastExpiry time.Time
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -59,6 +59,10 @@
 			var includePeers bool
 			to, includePeers = f.members.Receivers(f.lead.fence > 0)
 			beat = f.newBeat(now, includePeers)
+			if f.sendEpochs {
+				f.sendEpochs = false
+				f.addEpochs(beat)
+			}
 			interval = f.members.Interval()
 		}) {
 			return
@@ -84,6 +88,13 @@
 	}()
 }
 
+// addEpochs adds to a heartbeat how long this gateway has known the epochs of the cache stores.
+func (f *Fleet) addEpochs(beat *wire.Beat) {
+	for _, e := range f.catalogue.Epochs() {
+		beat.StoreEpochs = append(beat.StoreEpochs, &wire.StoreEpoch{Address: e.Address, Epoch: e.Epoch, AgeMs: uint32(e.Age.Milliseconds())})
+	}
+}
+
 func (f *Fleet) newBeat(now time.Time, includePeers bool) *wire.Beat {
 	f.sequence++
 	beat := &wire.Beat{
@@ -175,6 +186,10 @@
 		reserved[l.GetAddress()] = int(l.GetReserved())
 	}
 	f.catalogue.SetPeer(member.GetInstance(), reserved)
+	f.sendEpochs = f.sendEpochs || member.NewRun
+	for _, e := range beat.GetStoreEpochs() {
+		f.catalogue.ConfirmEpoch(kvcache.Epoch{Address: e.GetAddress(), Epoch: e.GetEpoch(), Age: time.Duration(e.GetAgeMs()) * time.Millisecond})
+	}
 	for _, s := range beat.GetLeavingServers() {
 		if f.dispatcher.SetLeaving(dispatch.LeavingServer{ID: s.GetServer(), StartedMS: s.GetStartedMs()}) {
 			f.Log.Info(EventServerLeaving, zap.String("server", s.GetServer()), zap.String("source", member.GetInstance()))
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -99,6 +99,8 @@
 	stores []*store
 	// peers are the tokens that each other gateway has reserved for saves, by store address.
 	peers map[string]map[string]int
+	// confirmedEpochs are, by store address, epochs that another gateway has known for restartWait.
+	confirmedEpochs map[string]int64
 	// tokenBytes is the size of one token of KV cache, in bytes.
 	tokenBytes int
 	// lastParts are the ids of the last parts of recent prompts, lastPartOrder the same, the oldest first.
@@ -117,10 +119,11 @@
 // New returns a Catalogue without stores.
 func New() *Catalogue {
 	return &Catalogue{
-		peers:          make(map[string]map[string]int),
-		lastParts:      make(map[string]struct{}),
-		newestVersions: make(map[string]int64),
-		retiredShares:  make(map[Generation]int),
+		peers:           make(map[string]map[string]int),
+		confirmedEpochs: make(map[string]int64),
+		lastParts:       make(map[string]struct{}),
+		newestVersions:  make(map[string]int64),
+		retiredShares:   make(map[Generation]int),
 	}
 }
 
@@ -158,6 +161,44 @@
 	c.peers[peer] = reserved
 }
 
+// Epoch is how long a gateway has known the epoch of a store.
+type Epoch struct {
+	Address string
+	Epoch   int64
+	// Age is the time from its first to its latest reading.
+	Age time.Duration
+}
+
+// Epochs returns how long this gateway has known the epoch of each store, to be sent to gateways that have started.
+func (c *Catalogue) Epochs() []Epoch {
+	var epochs []Epoch
+	for _, s := range c.stores {
+		if s.epoch != 0 {
+			epochs = append(epochs, Epoch{Address: s.Address, Epoch: s.epoch, Age: s.readAt.Sub(s.epochFrom)})
+		}
+	}
+	return epochs
+}
+
+// ConfirmEpoch ends the wait before the first save to a store whose epoch another gateway has known for restartWait.
+func (c *Catalogue) ConfirmEpoch(e Epoch) {
+	if e.Age < restartWait {
+		return
+	}
+	c.confirmedEpochs[e.Address] = e.Epoch
+	if s := c.find(e.Address); s != nil && s.epoch == e.Epoch {
+		s.saveFrom = time.Time{}
+	}
+}
+
+// restart starts the epoch of a store that was just read.
+func (c *Catalogue) restart(s *store, epoch int64, now time.Time) {
+	s.restart(epoch, now)
+	if confirmed, ok := c.confirmedEpochs[s.Address]; ok && confirmed == epoch {
+		s.saveFrom = time.Time{}
+	}
+}
+
 // Reserved returns the tokens that this gateway has reserved for saves, by store address, to be sent to the others.
 func (c *Catalogue) Reserved() map[string]int {
 	reserved := make(map[string]int)
@@ -186,7 +227,7 @@
 		return false
 	}
 	if s.epoch != batch.Epoch {
-		s.restart(batch.Epoch, now)
+		c.restart(s, batch.Epoch, now)
 	}
 	for _, change := range batch.Changes {
 		s.apply(change)
@@ -202,7 +243,7 @@
 		return
 	}
 	if s.epoch != batch.Epoch {
-		s.restart(batch.Epoch, now)
+		c.restart(s, batch.Epoch, now)
 	}
 	s.complete = make(map[Key]int, len(batch.Changes))
 	s.used = 0
--- a/internal/kvcache/store.go
+++ b/internal/kvcache/store.go
@@ -14,14 +14,13 @@
 	epoch int64
 	// readAt is when the latest reading was requested; zero before the first.
 	readAt time.Time
-	// saveFrom is when the first save after a restart may be planned. mayHaveRestarted means that the store was
-	// empty when this gateway first read it, so that it may have restarted just before.
-	saveFrom         time.Time
-	mayHaveRestarted bool
-	complete         map[Key]int
-	pending          map[Key]pendingSave
-	used             int
-	reserved         int
+	// epochFrom is when this gateway first read the epoch. saveFrom is when the first save in the epoch may be planned.
+	epochFrom time.Time
+	saveFrom  time.Time
+	complete  map[Key]int
+	pending   map[Key]pendingSave
+	used      int
+	reserved  int
 	// reservedByPeers are the tokens that the other gateways have reserved for saves.
 	reservedByPeers int
 	// lagMS is by how much recent fetches took longer than their transfers, in milliseconds: the wait for the
@@ -38,12 +37,15 @@
 	at     time.Time
 }
 
-// restart drops the content of an earlier epoch. Nothing is saved to the store until every gateway has either
-// seen the new epoch or treats its reading as stale, and active fetches have ended. The same applies to a store
-// that is read for the first time, unless it has content: the gateway that saved it has already waited.
+// restartWait is how long after a store has restarted nothing may be saved to it: until every gateway has either seen
+// the new epoch or treats its reading as stale, and active fetches have ended.
+const restartWait = ReadingTTL + FetchTimeout
+
+// restart drops the content of an earlier epoch. The store may have restarted just before this reading, also if it is
+// this gateway's first one and has content: a gateway that hasn't noticed the restart may have saved that. Unless
+// another gateway has known the epoch for long enough, nothing is saved for restartWait.
 func (s *store) restart(epoch int64, now time.Time) {
-	s.saveFrom = now.Add(ReadingTTL + FetchTimeout)
-	s.mayHaveRestarted = s.epoch == 0
+	s.epochFrom, s.saveFrom = now, now.Add(restartWait)
 	s.epoch = epoch
 	s.complete = make(map[Key]int)
 	s.pending = make(map[Key]pendingSave)
@@ -57,19 +59,11 @@
 	if !change.Removed {
 		s.complete[change.Key] = change.Tokens
 		s.used += change.Tokens
-		s.confirmRunning()
 	}
 	s.removePending(change.Key)
 	s.recordChange(change)
 }
 
-// confirmRunning ends the wait before the first save, since the store has content and so hasn't just restarted.
-func (s *store) confirmRunning() {
-	if s.mayHaveRestarted {
-		s.mayHaveRestarted, s.saveFrom = false, time.Time{}
-	}
-}
-
 // removePending removes a pending save and its reservation.
 func (s *store) removePending(key Key) {
 	if p, ok := s.pending[key]; ok {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -49,6 +49,8 @@
 	sequence    uint64
 	// formerIncarnation is the one before incarnation, whose heartbeats may still arrive.
 	formerIncarnation uint64
+	// NewRun is set if the latest heartbeat was the first one of the gateway's run.
+	NewRun bool
 	// Positions are the positions of the metadata store up to which the gateway has all changes, by prefix.
 	Positions map[string]metastore.Position
 	// Configuration is the version of the configuration that the gateway has in force.
@@ -98,6 +100,7 @@
 	if member == nil {
 		return nil
 	}
+	member.NewRun = member.incarnation != beat.GetIncarnation()
 	switch beat.GetIncarnation() {
 	case member.incarnation:
 		if beat.GetSequence() <= member.sequence {
