--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -168,9 +168,7 @@
 		return
 	}
 	if !wasLive {
-		live := len(f.members.Live(now))
-		f.Log.Info(EventPeerLive, zap.String("peer", member.GetInstance()), zap.Int("live", live))
-		f.Counters.Peers.Update(float64(live))
+		f.Log.Info(EventPeerLive, zap.String("peer", member.GetInstance()), zap.Int("known", f.members.Count()))
 	}
 	f.recordContact(now)
 	for _, r := range beat.GetRetired() {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -67,7 +67,9 @@
 type Members struct {
 	self    *wire.Peer
 	members map[string]*Member
-	beats   uint64
+	// nearCount is the number of members in this gateway's failure domain.
+	nearCount int
+	beats     uint64
 }
 
 // NewMembers returns empty Members for the gateway self.
@@ -83,11 +85,20 @@
 	member := m.members[p.GetInstance()]
 	if member == nil {
 		m.members[p.GetInstance()] = &Member{Peer: p, addedAt: now, Positions: make(map[string]metastore.Position)}
+		m.countNear()
 		return
 	}
 	// The gateway's own heartbeats take precedence over what others report about it.
 	if member.LastBeatAt.IsZero() {
-		member.Peer = p
+		m.setPeer(member, p)
+	}
+}
+
+func (m *Members) setPeer(member *Member, p *wire.Peer) {
+	moved := member.GetFailureDomain() != p.GetFailureDomain()
+	member.Peer = p
+	if moved {
+		m.countNear()
 	}
 }
 
@@ -112,7 +123,7 @@
 		member.formerIncarnation = member.incarnation
 		clear(member.Positions)
 	}
-	member.Peer = from
+	m.setPeer(member, from)
 	member.incarnation, member.sequence = beat.GetIncarnation(), beat.GetSequence()
 	member.LastBeatAt = now
 	member.Retired = beat.GetRetired()
@@ -138,25 +149,24 @@
 	return member.GetFailureDomain() == m.self.GetFailureDomain()
 }
 
-// countNear returns the number of members in this gateway's failure domain.
-func (m *Members) countNear() int {
-	n := 0
+// countNear sets nearCount after a member was added, removed or moved.
+func (m *Members) countNear() {
+	m.nearCount = 0
 	for _, member := range m.members {
 		if m.near(member) {
-			n++
+			m.nearCount++
 		}
 	}
-	return n
 }
 
 // Interval returns the time to the next heartbeat.
 func (m *Members) Interval() time.Duration {
-	return BeatInterval + time.Duration(m.countNear())*beatPerMember
+	return BeatInterval + time.Duration(m.nearCount)*beatPerMember
 }
 
 // distantInterval returns the time between two heartbeats to the same gateway of another failure domain.
 func (m *Members) distantInterval() time.Duration {
-	return max(m.Interval(), time.Duration(len(m.members)-m.countNear())*distantPerMember)
+	return max(m.Interval(), time.Duration(len(m.members)-m.nearCount)*distantPerMember)
 }
 
 // silenceTimeout returns how long after its latest heartbeat a member is live.
@@ -226,6 +236,7 @@
 // Expire removes members that have been silent for longer than removeAfter. It returns the names of those that
 // have become silent since the previous call.
 func (m *Members) Expire(now time.Time, previous time.Time) (silent []string) {
+	defer m.countNear()
 	for name, member := range m.members {
 		last := member.LastBeatAt
 		if last.IsZero() {
