--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -174,8 +174,8 @@
 	return changed
 }
 
-// startEra applies the first listing of a later era and returns the keys whose values changed. Entries that are
-// superseded by no listed value are kept with their earlier position.
+// startEra applies the first listing of a later era and returns the keys whose values changed. A known value that
+// supersedes the listed one is kept with its earlier position.
 func (m *Mirror) startEra(prefix string, listing metastore.Listing, now time.Time) []string {
 	var changed []string
 	listed := make(map[string]bool, len(listing.Records))
