--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -34,7 +34,11 @@
 	// resp is the server's response if it was not forwarded yet; nil otherwise.
 	resp   *response
 	status int
-	err    error
+	// framing is empty without a response, partialEvent is the size in bytes of the incomplete event at the end of a
+	// stream.
+	framing      framing
+	partialEvent int
+	err          error
 }
 
 // exchange sends the request to the server that it is placed on and forwards the response.
@@ -83,6 +87,15 @@
 	return res
 }
 
+// breakOff records that the response ended early. What is known of its beginning is kept.
+func (res *exchangeResult) breakOff(ctx context.Context, err error) {
+	res.dispatchResult = dispatch.Unreachable
+	if ctx.Err() != nil {
+		res.dispatchResult = dispatch.Cancelled
+	}
+	res.maybeSent, res.maybeRan, res.err = true, true, err
+}
+
 // recordServerReport hands what a response states about its server to the fleet state.
 func (g *Gateway) recordServerReport(r *request, meta *ResponseMeta) {
 	if meta.Malformed != "" {
@@ -104,7 +117,7 @@
 	header *fasthttp.ResponseHeader, meta *ResponseMeta, started time.Time,
 ) exchangeResult {
 	status := header.StatusCode()
-	res := exchangeResult{maybeSent: true, maybeRan: !meta.NotRun, status: status}
+	res := exchangeResult{maybeSent: true, maybeRan: !meta.NotRun, status: status, framing: framingOf(header)}
 	success := status >= 200 && status < 300
 	switch {
 	case meta.NotRun:
@@ -138,8 +151,7 @@
 		return
 	}
 	if err != nil {
-		*res = unreachable(ctx, ErrBroken.Wrap(err, "answer of server %s", r.placement.Server), true)
-		res.status = header.StatusCode()
+		res.breakOff(ctx, ErrBroken.Wrap(err, "answer of server %s", r.placement.Server))
 		return
 	}
 	g.recordFirstByte(r, res, started)
@@ -204,14 +216,13 @@
 				r.lastEventID = id
 			}
 		}
+		res.partialEvent = reader.partial
 		if errors.Is(err, io.EOF) {
 			g.endStream(c, r, header, out, res)
 			return
 		}
 		if err != nil {
-			first, after := res.gotFirstByte, res.firstByteAfter
-			*res = unreachable(ctx, ErrBroken.Wrap(err, "stream of server %s", r.placement.Server), true)
-			res.status, res.gotFirstByte, res.firstByteAfter = header.StatusCode(), first, after
+			res.breakOff(ctx, ErrBroken.Wrap(err, "stream of server %s", r.placement.Server))
 			return
 		}
 	}
--- a/internal/gateway/large.go
+++ b/internal/gateway/large.go
@@ -40,9 +40,7 @@
 	case err == nil:
 		res.dispatchResult, res.complete = dispatch.Served, true
 	case errors.As(err, &broken):
-		first := res.firstByteAfter
-		*res = unreachable(ctx, ErrBroken.Wrap(broken.err, "answer of server %s", r.placement.Server), true)
-		res.status, res.gotFirstByte, res.firstByteAfter = header.StatusCode(), true, first
+		res.breakOff(ctx, ErrBroken.Wrap(broken.err, "answer of server %s", r.placement.Server))
 	default:
 		res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(err, "write to the caller")
 		res.dispatchResult = dispatch.Cancelled
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -191,7 +191,7 @@
 		}
 		g.counters.retries.Inc(1)
 		g.recordDecision(info, EventRetry, r.call.ID, zap.String("server", placement.Server),
-			zap.Int("sends", r.sends), zap.Bool("ran", res.maybeRan), zap.Int("status", res.status), eventlog.Error(res.err))
+			zap.Int("sends", r.sends), zap.Bool("ran", res.maybeRan), zap.Int("status", res.status), res.framingField(), eventlog.Error(res.err))
 	}
 }
 
@@ -278,19 +278,22 @@
 	took := time.Since(r.receivedAt)
 	g.counters.recordServed(r, res, took)
 	g.recordDecision(info, EventServed, r.call.ID, append(g.placementFields(r),
-		zap.Int("status", res.status), zap.Duration("first_byte", res.firstByteAfter), zap.Duration("took", took), zap.Int("sends", r.sends))...)
+		zap.Int("status", res.status), zap.Duration("first_byte", res.firstByteAfter), zap.Duration("took", took),
+		zap.Int("sends", r.sends), res.framingField(), zap.Int("partial_event", res.partialEvent))...)
 }
 
 func (g *Gateway) recordFailed(r *request, res *exchangeResult, status int) {
 	g.counters.recordFailed(r, status)
 	g.recordDecision(warn, EventFailed, r.call.ID, append(g.placementFields(r),
-		zapStatus(status), zap.Int("server_status", res.status), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)), eventlog.Error(res.err))...)
+		zapStatus(status), zap.Int("server_status", res.status), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
+		res.framingField(), eventlog.Error(res.err))...)
 }
 
 func (g *Gateway) recordBrokenOff(r *request, res *exchangeResult) {
 	g.counters.brokenOff.Inc(1)
 	g.recordDecision(warn, EventBrokenOff, r.call.ID, append(g.placementFields(r),
-		zap.String("last_event", r.lastEventID), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)), eventlog.Error(res.err))...)
+		zap.String("last_event", r.lastEventID), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
+		res.framingField(), zap.Int("partial_event", res.partialEvent), eventlog.Error(res.err))...)
 }
 
 // placementFields returns the log fields of the latest placement of a request.
@@ -340,6 +343,11 @@
 	return d
 }
 
+// framingField returns the log field for how the response's end was determined.
+func (res *exchangeResult) framingField() zap.Field {
+	return zap.String("framing", string(res.framing))
+}
+
 func zapStatus(status int) zap.Field { return zap.Int("status", status) }
 
 // isNotSent reports whether err is ErrNotSent: no byte of the request reached a server.
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -269,14 +269,38 @@
 	}
 }
 
-// body returns a reader of the body that follows a header. The reader returns io.EOF only after the complete body.
-func (sc *serverConn) body(header *fasthttp.ResponseHeader) io.Reader {
+// framing is how the end of a response body is determined. Its values appear in the log.
+type framing string
+
+const (
+	framedEmpty  framing = "empty"
+	framedLength framing = "length"
+	framedChunks framing = "chunks"
+	// framedClose is a body that ends when the server closes the connection.
+	framedClose framing = "close"
+)
+
+func framingOf(header *fasthttp.ResponseHeader) framing {
 	switch length := header.ContentLength(); {
 	case header.StatusCode() == fasthttp.StatusNoContent || header.StatusCode() == fasthttp.StatusNotModified:
-		return emptyBody{}
+		return framedEmpty
 	case length >= 0:
-		return &sizedBody{reader: sc.reader, left: length}
+		return framedLength
 	case length == -1:
+		return framedChunks
+	default:
+		return framedClose
+	}
+}
+
+// body returns a reader of the body that follows a header. The reader returns io.EOF only after the complete body.
+func (sc *serverConn) body(header *fasthttp.ResponseHeader) io.Reader {
+	switch framingOf(header) {
+	case framedEmpty:
+		return emptyBody{}
+	case framedLength:
+		return &sizedBody{reader: sc.reader, left: header.ContentLength()}
+	case framedChunks:
 		return &chunkedBody{chunks: httputil.NewChunkedReader(sc.reader), reader: sc.reader}
 	default:
 		sc.noReuse = true
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -22,6 +22,8 @@
 	body     io.Reader
 	buffered []byte
 	err      error
+	// partial is the number of bytes after the last complete event when the stream has ended.
+	partial int
 	// chunk is the buffer for one read.
 	chunk []byte
 }
@@ -40,6 +42,7 @@
 			return events, lastID(events), nil
 		}
 		if r.err != nil {
+			r.partial += len(r.buffered)
 			if errors.Is(r.err, io.EOF) && len(r.buffered) > 0 {
 				events, r.buffered = r.buffered, nil
 				return events, lastID(events), nil
