Test that a stream that ends inside an event is broken; it fails on this code

All 12 combinations of framing and partial event fail, so do the three of a resumable stream and the empty stream that ends with its connection.

--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -117,6 +118,97 @@
 	c.Assert(got.complete, qt.IsFalse)
 }
 
+// streamFramings are the ways in which a server can state where a stream ends. Each writes a header and body, and ends
+// the response in the orderly way of its framing.
+var streamFramings = map[string]func(r *received, body string){
+	"close": func(r *received, body string) {
+		r.streamHeader("")
+		r.write("%s", body)
+		_ = r.conn.Close()
+	},
+	"chunks": func(r *received, body string) {
+		r.streamHeader("Transfer-Encoding: chunked\r\n")
+		r.chunk(body)
+		r.endStream()
+	},
+	"length": func(r *received, body string) {
+		r.streamHeader(fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+		r.write("%s", body)
+	},
+}
+
+func (r *received) streamHeader(framing string) {
+	r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n%s\r\n", r.id(), framing)
+}
+
+// partialEvents are ends of streams whose last event lacks its closing empty line.
+var partialEvents = map[string]string{
+	"in a field name": "i",
+	"in a value":      "id: 3\ndata: tok",
+	"after a field":   "id: 3\ndata: token 3\n",
+	"carriage return": "id: 3\r\ndata: token 3\r\n\r",
+}
+
+// Guards against inc1: a stream that ends inside an event reached its caller as complete.
+func TestStreamThatEndsInsideAnEventIsBroken(t *testing.T) {
+	for framing, respond := range streamFramings {
+		for name, partial := range partialEvents {
+			t.Run(framing+" "+name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				s := startServer(c, func(r *received) {
+					if isProbe(r) {
+						r.respondOK("x")
+						return
+					}
+					respond(r, event(1)+event(2)+partial)
+				})
+				got := deploy(c, s).mustSend("POST", "/once/x", "", "prompt")
+				c.Assert(got.complete, qt.IsFalse)
+				c.Assert(got.body, qt.Equals, event(1)+event(2))
+			})
+		}
+	}
+}
+
+// Guards against inc1: the rest of a resumable stream was lost when the server ended it inside an event.
+func TestResumableStreamThatEndsInsideAnEventGoesOnElsewhere(t *testing.T) {
+	for framing, respond := range streamFramings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			serve := func(r *received) {
+				switch {
+				case isProbe(r):
+					r.respondOK("x")
+				case r.header["last-event-id"] == "2":
+					respond(r, event(3)+event(4))
+				default:
+					respond(r, event(1)+event(2)+"id: 3\ndata: tok")
+				}
+			}
+			a, b := startServer(c, serve), startServer(c, serve)
+			got := deploy(c, a, b).mustSend("POST", "/stream/x", "", "prompt")
+			c.Assert(got.complete, qt.IsTrue)
+			c.Assert(got.body, qt.Equals, event(1)+event(2)+event(3)+event(4))
+		})
+	}
+}
+
+// A close without any event can't be told from a crash before the first one.
+func TestStreamWithoutEventsThatEndsWithItsConnectionIsBroken(t *testing.T) {
+	c := qt.New(t)
+	s := startServer(c, func(r *received) {
+		if isProbe(r) {
+			r.respondOK("x")
+			return
+		}
+		streamFramings["close"](r, "")
+	})
+	got := deploy(c, s).mustSend("POST", "/once/x", "", "prompt")
+	c.Assert(got.status, qt.Equals, 502)
+}
+
 // In a planned stop a gateway first reports not ready to the load balancer. It still serves running requests, requests
 // on open connections and requests on connections that the balancer opens during the stop.
 func TestPlannedStopCutsNobodyOff(t *testing.T) {
