Treat a stream that ends inside an event as broken off

Cause: eventReader took any orderly end of a body for the end of the stream and returned the bytes after the last complete event as if they were one; endStream then framed them as complete. A server that crashes closes a connection without length or chunks in the same way in which it ends an answer, so only the incomplete event shows the difference.

Now an end inside an event is io.ErrUnexpectedEOF whatever the framing: a resumable stream goes on elsewhere after its last complete event, any other breaks off visibly. So does a stream that closes before its first event. Since incomplete events are no longer forwarded, events may end in LF, CR LF or CR; before, only the first two were recognised and the others passed as the unfinished rest.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,7 +216,11 @@
 				r.lastEventID = id
 			}
 		}
-		res.partialEvent = reader.partial
+		res.partialEvent = reader.partial()
+		if errors.Is(err, io.EOF) && res.framing == framedClose && r.lastEventID == "" && !res.gotFirstByte {
+			// A generation has at least one event, and a close alone doesn't show that it ended.
+			err = io.ErrUnexpectedEOF
+		}
 		if errors.Is(err, io.EOF) {
 			g.endStream(c, r, header, out, res)
 			return
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -16,14 +16,11 @@
 	maxEventBytes = 256 << 10
 )
 
-// eventReader splits a stream of server-sent events. It returns complete events only, except that bytes without
-// a closing empty line are returned as well when the stream ends with io.EOF.
+// eventReader splits a stream of server-sent events. It returns complete events only.
 type eventReader struct {
 	body     io.Reader
 	buffered []byte
 	err      error
-	// partial is the number of bytes after the last complete event when the stream has ended.
-	partial int
 	// chunk is the buffer for one read.
 	chunk []byte
 }
@@ -33,20 +30,22 @@
 }
 
 // next waits for at least one event and returns all that have arrived, and the id of the last one that has an
-// id. The bytes are valid until the next call. The error is that of the body, io.EOF at the end of the stream, or
-// ErrTooLarge for an event of more than maxEventBytes bytes.
+// id. The bytes are valid until the next call. The error is that of the body, io.EOF at the end of a stream whose last
+// event is complete, io.ErrUnexpectedEOF at any other end, or ErrTooLarge for an event of more than maxEventBytes bytes.
 func (r *eventReader) next() (events []byte, id string, err error) {
 	for {
 		if end := lastEventEnd(r.buffered); end > 0 {
 			events, r.buffered = r.buffered[:end], r.buffered[end:]
 			return events, lastID(events), nil
 		}
+		if errors.Is(r.err, io.EOF) && r.partial() > 0 {
+			return nil, "", io.ErrUnexpectedEOF
+		}
+		if errors.Is(r.err, io.EOF) && len(r.buffered) > 0 {
+			events, r.buffered = r.buffered, nil
+			return events, "", nil
+		}
 		if r.err != nil {
-			r.partial += len(r.buffered)
-			if errors.Is(r.err, io.EOF) && len(r.buffered) > 0 {
-				events, r.buffered = r.buffered, nil
-				return events, lastID(events), nil
-			}
 			return nil, "", r.err
 		}
 		if len(r.buffered) > maxEventBytes {
@@ -58,22 +57,51 @@
 	}
 }
 
-// lastEventEnd returns the index after the last complete event in buffered, 0 when there is none.
+// partial returns the number of bytes after the last complete event, zero when they are empty lines only.
+func (r *eventReader) partial() int {
+	if len(bytes.Trim(r.buffered, "\r\n")) == 0 {
+		return 0
+	}
+	return len(r.buffered)
+}
+
+// lastEventEnd returns the index after the last empty line in buffered, 0 when there is none. Lines end with LF, CR LF
+// or CR, as in the server-sent events section of the HTML standard.
 func lastEventEnd(buffered []byte) int {
-	end := 0
-	if at := bytes.LastIndex(buffered, []byte("\n\n")); at >= 0 {
-		end = at + len("\n\n")
+	for end := len(buffered); end > 1; end-- {
+		if end < len(buffered) && buffered[end-1] == '\r' && buffered[end] == '\n' {
+			continue
+		}
+		last := lineEndLength(buffered[:end])
+		if last == 0 {
+			continue
+		}
+		before := lineEndLength(buffered[:end-last])
+		// After CR LF, a CR at the end of what has arrived still lacks its LF.
+		cut := end == len(buffered) && buffered[end-1] == '\r' && before == len("\r\n")
+		if before > 0 && !cut {
+			return end
+		}
 	}
-	if at := bytes.LastIndex(buffered, []byte("\r\n\r\n")); at >= 0 {
-		end = max(end, at+len("\r\n\r\n"))
+	return 0
+}
+
+// lineEndLength returns the length of the line end that closes text, 0 when there is none.
+func lineEndLength(text []byte) int {
+	switch {
+	case bytes.HasSuffix(text, []byte("\r\n")):
+		return len("\r\n")
+	case bytes.HasSuffix(text, []byte("\n")), bytes.HasSuffix(text, []byte("\r")):
+		return 1
+	default:
+		return 0
 	}
-	return end
 }
 
 // lastID returns the value of the last id field in events, "" when there is none.
 func lastID(events []byte) string {
 	id := ""
-	for line := range bytes.SplitSeq(events, []byte("\n")) {
+	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			id = string(bytes.TrimSpace(value))
 		}
