--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -293,3 +293,88 @@
 		})
 	}
 }
+
+// plainEnds are the ways in which a plain response ends. Only complete ones may reach the caller as a success.
+var plainEnds = map[string]struct {
+	send     func(r *received, body string)
+	complete bool
+}{
+	"close": {complete: true, send: func(r *received, body string) {
+		r.plainHeader("")
+		r.write("%s", body)
+		_ = r.conn.Close()
+	}},
+	"close, reset": {send: func(r *received, body string) {
+		r.plainHeader("")
+		r.write("%s", body)
+		time.Sleep(50 * time.Millisecond)
+		reset(r.conn)
+	}},
+	"length": {complete: true, send: func(r *received, body string) {
+		r.plainHeader(fmt.Sprintf("Content-Length: %d\r\n", len(body)))
+		r.write("%s", body)
+	}},
+	"length, short": {send: func(r *received, body string) {
+		r.plainHeader(fmt.Sprintf("Content-Length: %d\r\n", len(body)+1))
+		r.write("%s", body)
+		_ = r.conn.Close()
+	}},
+	"chunks": {complete: true, send: func(r *received, body string) {
+		r.plainHeader("Transfer-Encoding: chunked\r\n")
+		r.chunk(body)
+		r.endStream()
+	}},
+	"chunks, no last one": {send: func(r *received, body string) {
+		r.plainHeader("Transfer-Encoding: chunked\r\n")
+		r.chunk(body)
+		_ = r.conn.Close()
+	}},
+	"chunks, unfinished trailer": {send: func(r *received, body string) {
+		r.plainHeader("Transfer-Encoding: chunked\r\n")
+		r.chunk(body)
+		r.write("0\r\nX-Digest: ab")
+		_ = r.conn.Close()
+	}},
+	"two lengths": {send: func(r *received, body string) {
+		r.plainHeader(fmt.Sprintf("Content-Length: %d\r\nContent-Length: %d\r\n", len(body), len(body)+1))
+		r.write("%s", body)
+		_ = r.conn.Close()
+	}},
+	"malformed length": {send: func(r *received, body string) {
+		r.plainHeader("Content-Length: all\r\n")
+		r.write("%s", body)
+		_ = r.conn.Close()
+	}},
+}
+
+func (r *received) plainHeader(framing string) {
+	r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n%s\r\n", r.id(), framing)
+}
+
+// Guards against a plain response that broke off and reaches its caller as complete, buffered or forwarded while it
+// arrives.
+func TestBrokenPlainResponsesAreNotComplete(t *testing.T) {
+	for size, body := range map[string]string{"small": "whole", "large": strings.Repeat("0123456789abcdef", 100<<10)} {
+		for name, end := range plainEnds {
+			t.Run(size+" "+name, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				s := startServer(c, func(r *received) {
+					if isProbe(r) {
+						r.respondOK("x")
+						return
+					}
+					end.send(r, body)
+				})
+				got := deploy(c, s).mustSend("POST", "/book/x", "", "b")
+				if end.complete {
+					c.Assert(got.status, qt.Equals, 200)
+					c.Assert(got.complete, qt.IsTrue)
+					c.Assert(got.body == body, qt.IsTrue, qt.Commentf("%d bytes of %d", len(got.body), len(body)))
+					return
+				}
+				c.Assert(got.status == 502 || !got.complete, qt.IsTrue, qt.Commentf("status %d, %d bytes", got.status, len(got.body)))
+			})
+		}
+	}
+}
