Answer HEAD requests without waiting for a body

A response to HEAD has no body, whatever length its header states (RFC 9110, 9.3.2). The gateway waited for that body until the route's timeout and answered 504. TestHeadResponseHasNoBody failed before with 504 after 2 s; now the length is passed on and the connections stay open.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -117,7 +117,7 @@
 	header *fasthttp.ResponseHeader, meta *ResponseMeta, started time.Time,
 ) exchangeResult {
 	status := header.StatusCode()
-	res := exchangeResult{maybeSent: true, maybeRan: !meta.NotRun, status: status, framing: framingOf(header)}
+	res := exchangeResult{maybeSent: true, maybeRan: !meta.NotRun, status: status, framing: sc.framing(header)}
 	success := status >= 200 && status < 300
 	switch {
 	case meta.NotRun:
@@ -131,7 +131,7 @@
 		res.dispatchResult = dispatch.Failed
 		res.err = ErrBroken.New("answer of server %s isn't signed", r.placement.Server)
 		return res
-	case success && r.route.Kind == routing.Streaming:
+	case success && r.route.Kind == routing.Streaming && !sc.head:
 		g.forwardStream(ctx, c, r, sc, header, &res, started)
 		return res
 	}
@@ -156,8 +156,11 @@
 	}
 	g.recordFirstByte(r, res, started)
 	res.dispatchResult = dispatch.Served
-	resp := &response{body: body, closeAfter: r.closeAfter}
+	resp := &response{body: body, length: len(body), closeAfter: r.closeAfter}
 	g.protocol.ForwardResponse(&resp.header, header)
+	if sc.head {
+		resp.length = max(chunkedLength, header.ContentLength())
+	}
 	if res.status >= fasthttp.StatusInternalServerError {
 		res.dispatchResult = dispatch.Failed
 		res.resp = resp
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -339,6 +339,22 @@
 }
 
 func (k *client) readResponse() (callerResponse, error) {
+	resp, err := k.readHeader()
+	if err != nil {
+		return resp, err
+	}
+	if resp.header["transfer-encoding"] == "chunked" {
+		return k.readChunks(resp)
+	}
+	var length int
+	_, _ = fmt.Sscan(resp.header["content-length"], &length)
+	body := make([]byte, length)
+	_, err = io.ReadFull(k.reader, body)
+	resp.body, resp.complete = string(body), err == nil
+	return resp, nil
+}
+
+func (k *client) readHeader() (callerResponse, error) {
 	resp := callerResponse{header: make(map[string]string)}
 	line, err := k.reader.ReadString('\n')
 	if err != nil {
@@ -358,14 +374,6 @@
 		}
 		resp.header[strings.ToLower(name)] = strings.TrimSpace(value)
 	}
-	if resp.header["transfer-encoding"] == "chunked" {
-		return k.readChunks(resp)
-	}
-	var length int
-	_, _ = fmt.Sscan(resp.header["content-length"], &length)
-	body := make([]byte, length)
-	_, err = io.ReadFull(k.reader, body)
-	resp.body, resp.complete = string(body), err == nil
 	return resp, nil
 }
 
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -11,6 +11,9 @@
 type response struct {
 	header fasthttp.ResponseHeader
 	body   []byte
+	// length is the length that the header states. It differs from that of body in the response to a HEAD request, and
+	// is chunkedLength when that response's server states none.
+	length int
 	// closeAfter is set when the connection closes after the response.
 	closeAfter bool
 }
@@ -34,9 +37,12 @@
 	return r
 }
 
+// chunkedLength is fasthttp's content length of a body in chunks.
+const chunkedLength = -1
+
 // writeResponse writes a complete response.
 func (c *callerConn) writeResponse(r *response) error {
-	r.header.SetContentLength(len(r.body))
+	r.header.SetContentLength(r.length)
 	if err := c.writeHeader(&r.header, r.closeAfter); err != nil {
 		return err
 	}
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -57,6 +57,8 @@
 	idleSince time.Time
 	// idleLimit is how long the connection may be unused.
 	idleLimit time.Duration
+	// head is set when the latest request is a HEAD request, whose response has no body.
+	head bool
 	// noReuse is set when the connection can't carry another request: after an error, after a response to another
 	// request, or when the server closes it.
 	noReuse bool
@@ -187,6 +189,7 @@
 
 // send writes a request. It returns ErrNotSent when no byte was written, and ErrBroken when a part was.
 func (sc *serverConn) send(header *fasthttp.RequestHeader, body []byte) error {
+	sc.head = header.IsHead()
 	message := header.AppendBytes(make([]byte, 0, 1024+len(body)))
 	message = append(message, body...)
 	n, err := sc.Write(message)
@@ -280,9 +283,9 @@
 	framedClose framing = "close"
 )
 
-func framingOf(header *fasthttp.ResponseHeader) framing {
+func (sc *serverConn) framing(header *fasthttp.ResponseHeader) framing {
 	switch length := header.ContentLength(); {
-	case header.StatusCode() == fasthttp.StatusNoContent || header.StatusCode() == fasthttp.StatusNotModified:
+	case sc.head || header.StatusCode() == fasthttp.StatusNoContent || header.StatusCode() == fasthttp.StatusNotModified:
 		return framedEmpty
 	case length >= 0:
 		return framedLength
@@ -295,7 +298,7 @@
 
 // body returns a reader of the body that follows a header. The reader returns io.EOF only after the complete body.
 func (sc *serverConn) body(header *fasthttp.ResponseHeader) io.Reader {
-	switch framingOf(header) {
+	switch sc.framing(header) {
 	case framedEmpty:
 		return emptyBody{}
 	case framedLength:
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -378,3 +378,25 @@
 		}
 	}
 }
+
+// A response to HEAD ends with its header, whatever length it states.
+func TestHeadResponseHasNoBody(t *testing.T) {
+	c := qt.New(t)
+	s := startServer(c, func(r *received) {
+		if isProbe(r) {
+			r.respondOK("x")
+			return
+		}
+		r.plainHeader("Content-Length: 5\r\n")
+	})
+	k := deploy(c, s).dial()
+	for range 2 {
+		started := time.Now()
+		k.request("HEAD", "/get/x", "", "")
+		header, err := k.readHeader()
+		c.Assert(err, qt.IsNil)
+		c.Assert(header.status, qt.Equals, 200)
+		c.Assert(header.header["content-length"], qt.Equals, "5")
+		c.Assert(time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+	}
+}
