--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -52,6 +52,8 @@
 	receivedAt time.Time
 	// closeAfter is set when the connection closes after the response.
 	closeAfter bool
+	// takesChunks is set for callers with HTTP/1.1. A body of unknown length ends with the connection for any others.
+	takesChunks bool
 }
 
 // accept serves connections until the listener closes.
@@ -164,7 +166,8 @@
 		return nil, err
 	}
 	in.body = body
-	in.closeAfter = in.header.ConnectionClose() || !in.header.IsHTTP11()
+	in.takesChunks = in.header.IsHTTP11()
+	in.closeAfter = in.header.ConnectionClose() || !in.takesChunks
 	return in, nil
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -203,7 +203,7 @@
 	header *fasthttp.ResponseHeader, res *exchangeResult, started time.Time,
 ) {
 	reader := newEventReader(sc.body(header))
-	out := &streamWriter{callerConn: c}
+	out := &streamWriter{callerConn: c, length: r.unknownLength()}
 	for {
 		events, id, err := reader.next()
 		if len(events) > 0 {
@@ -249,7 +249,7 @@
 	}
 	var callerHeader fasthttp.ResponseHeader
 	g.protocol.ForwardResponse(&callerHeader, header)
-	callerHeader.SetContentLength(-1)
+	callerHeader.SetContentLength(r.unknownLength())
 	r.headerSent = true
 	return c.writeHeader(&callerHeader, r.closeAfter)
 }
--- a/internal/gateway/large.go
+++ b/internal/gateway/large.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http/httputil"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -28,6 +27,9 @@
 		return
 	}
 	length := header.ContentLength()
+	if length < 0 {
+		length = r.unknownLength()
+	}
 	out, err := c.startBody(g.protocol, header, length, r)
 	if err == nil {
 		err = copyBody(c, out, start, rest)
@@ -47,30 +49,16 @@
 	}
 }
 
-// startBody writes the response header to the caller and returns the writer of its body. A negative length means that
-// the body is sent in chunks.
+// startBody writes the response header to the caller, with the given content length, and returns the writer of its body.
 func (c *callerConn) startBody(protocol Protocol, header *fasthttp.ResponseHeader, length int, r *request) (io.Writer, error) {
 	var callerHeader fasthttp.ResponseHeader
 	protocol.ForwardResponse(&callerHeader, header)
-	callerHeader.SetContentLength(max(-1, length))
+	callerHeader.SetContentLength(length)
 	r.headerSent = true
 	if err := c.writeHeader(&callerHeader, r.closeAfter); err != nil {
 		return nil, err
 	}
-	if length >= 0 {
-		return c.writer, nil
-	}
-	return httputil.NewChunkedWriter(c.writer), nil
-}
-
-// endBody ends a body that startBody started.
-func (c *callerConn) endBody(length int) error {
-	if length < 0 {
-		if _, err := c.writer.WriteString("0\r\n\r\n"); err != nil {
-			return err
-		}
-	}
-	return c.writer.Flush()
+	return c.bodyWriter(length), nil
 }
 
 // bodyError is the error of a server's body, as opposed to one of the caller's connection.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"io"
+	"net"
+	"net/http/httputil"
 	"strconv"
 	"time"
 
@@ -37,8 +40,45 @@
 	return r
 }
 
-// chunkedLength is fasthttp's content length of a body in chunks.
-const chunkedLength = -1
+// Values of fasthttp's content length for a body of unknown length, which is sent in chunks or ends with the connection.
+const (
+	chunkedLength  = -1
+	identityLength = -2
+)
+
+// unknownLength returns the content length for a body of unknown length.
+func (in *incoming) unknownLength() int {
+	if in.takesChunks {
+		return chunkedLength
+	}
+	return identityLength
+}
+
+// bodyWriter returns the writer of a body whose header states the given content length.
+func (c *callerConn) bodyWriter(length int) io.Writer {
+	if length == chunkedLength {
+		return httputil.NewChunkedWriter(c.writer)
+	}
+	return c.writer
+}
+
+// endBody ends and flushes a body whose header states the given content length.
+func (c *callerConn) endBody(length int) error {
+	if length == chunkedLength {
+		if _, err := c.writer.WriteString("0\r\n\r\n"); err != nil {
+			return err
+		}
+	}
+	return c.writer.Flush()
+}
+
+// resetOnClose makes the close of the connection a reset, which shows that a body without chunks or a length is incomplete.
+func (c *callerConn) resetOnClose() error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetLinger(0)
+	}
+	return nil
+}
 
 // writeResponse writes a complete response.
 func (c *callerConn) writeResponse(r *response) error {
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -235,9 +235,7 @@
 // if there is one, a 502 when a server may have run the request, and otherwise a 503 with Retry-After.
 func (g *Gateway) respondFailed(c *callerConn, r *request, res *exchangeResult) bool {
 	if r.headerSent {
-		// Closing the connection without the last chunk shows the caller that the stream is incomplete.
-		g.recordBrokenOff(r, res)
-		return false
+		return g.breakOff(c, r, res)
 	}
 	resp := res.resp
 	switch {
@@ -262,8 +260,7 @@
 		return false
 	}
 	if r.headerSent {
-		g.recordBrokenOff(r, res)
-		return false
+		return g.breakOff(c, r, res)
 	}
 	resp := gatewayResponse(fasthttp.StatusGatewayTimeout)
 	if r.runs == 0 && !res.maybeSent {
@@ -274,6 +271,18 @@
 	return c.writeResponse(resp) == nil
 }
 
+// breakOff ends a response whose start the caller has. The close of its connection shows that the response is incomplete.
+func (g *Gateway) breakOff(c *callerConn, r *request, res *exchangeResult) (keepOpen bool) {
+	g.recordBrokenOff(r, res)
+	if r.takesChunks {
+		return false
+	}
+	if err := c.resetOnClose(); err != nil {
+		g.log.Warn(EventResetFailed, zap.String("request", r.call.ID), eventlog.Error(err))
+	}
+	return false
+}
+
 func (g *Gateway) recordServed(r *request, res *exchangeResult) {
 	took := time.Since(r.receivedAt)
 	g.counters.recordServed(r, res, took)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http/httputil"
 	"strconv"
 	"time"
 )
@@ -109,31 +108,29 @@
 	return id
 }
 
-// streamWriter writes the body of a streamed response to a caller in chunks.
+// streamWriter writes the body of a streamed response to a caller. length is the content length in its header.
 type streamWriter struct {
 	callerConn *callerConn
+	length     int
 }
 
-// write sends events to the caller as one chunk and flushes it.
+// write sends events to the caller as one chunk, if it takes chunks, and flushes them.
 func (s *streamWriter) write(events []byte) error {
 	if err := s.callerConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	if _, err := httputil.NewChunkedWriter(s.callerConn.writer).Write(events); err != nil {
+	if _, err := s.callerConn.bodyWriter(s.length).Write(events); err != nil {
 		return err
 	}
 	return s.callerConn.writer.Flush()
 }
 
-// end writes the last chunk, by which the caller detects that the stream is complete.
+// end writes the last chunk, by which the caller detects that the stream is complete, if it takes chunks.
 func (s *streamWriter) end() error {
 	if err := s.callerConn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	if _, err := s.callerConn.writer.WriteString("0\r\n\r\n"); err != nil {
-		return err
-	}
-	return s.callerConn.writer.Flush()
+	return s.callerConn.endBody(s.length)
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -400,3 +401,34 @@
 		c.Assert(time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
 	}
 }
+
+// A caller with HTTP/1.0 knows no chunks: its response ends with the connection, which is reset when the response broke off.
+func TestStreamToHTTP10Caller(t *testing.T) {
+	for name, broken := range map[string]bool{"complete": false, "broken off": true} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startServer(c, func(r *received) {
+				if isProbe(r) {
+					r.respondOK("x")
+					return
+				}
+				r.startStream()
+				r.chunk(event(1))
+				if broken {
+					time.Sleep(50 * time.Millisecond)
+					_ = r.conn.Close()
+					return
+				}
+				r.endStream()
+			})
+			k := deploy(c, s).dial()
+			fmt.Fprintf(k, "POST /once/x HTTP/1.0\r\nHost: %s\r\nBalsamyoke-Request-Id: old-1\r\nBalsamyoke-Credential: key-1\r\nContent-Length: 0\r\n\r\n", host)
+			header, err := k.readHeader()
+			c.Assert(err, qt.IsNil)
+			c.Assert(header.header["transfer-encoding"], qt.Equals, "")
+			body, err := io.ReadAll(k.reader)
+			c.Assert(string(body), qt.Equals, event(1))
+			c.Assert(err != nil, qt.Equals, broken, qt.Commentf("%v", err))
+		})
+	}
+}
