--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -191,7 +191,7 @@
 		}
 		g.counters.retries.Inc(1)
 		g.recordDecision(info, EventRetry, r.call.ID, zap.String("server", placement.Server),
-			zap.Int("sends", r.sends), zap.Bool("ran", res.maybeRan), zap.Int("status", res.status), res.framingField(), eventlog.Error(res.err))
+			zap.Int("sends", r.sends), zap.Bool("ran", res.maybeRan), zap.Int("status", res.status), res.framingField(), r.partsField(), eventlog.Error(res.err))
 	}
 }
 
@@ -295,14 +295,14 @@
 	g.counters.recordFailed(r, status)
 	g.recordDecision(warn, EventFailed, r.call.ID, append(g.placementFields(r),
 		zapStatus(status), zap.Int("server_status", res.status), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
-		res.framingField(), eventlog.Error(res.err))...)
+		res.framingField(), r.partsField(), eventlog.Error(res.err))...)
 }
 
 func (g *Gateway) recordBrokenOff(r *request, res *exchangeResult) {
 	g.counters.brokenOff.Inc(1)
 	g.recordDecision(warn, EventBrokenOff, r.call.ID, append(g.placementFields(r),
 		zap.String("last_event", r.lastEventID), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
-		res.framingField(), zap.Int("partial_event", res.partialEvent), eventlog.Error(res.err))...)
+		res.framingField(), zap.Int("partial_event", res.partialEvent), r.partsField(), eventlog.Error(res.err))...)
 }
 
 // placementFields returns the log fields of the latest placement of a request.
@@ -352,6 +352,15 @@
 	return d
 }
 
+// partsField returns the log field for the ids of the prompt's parts.
+func (r *request) partsField() zap.Field {
+	ids := make([]string, len(r.call.Parts))
+	for i, part := range r.call.Parts {
+		ids[i] = part.ID
+	}
+	return zap.Strings("parts", ids)
+}
+
 // framingField returns the log field for how the response's end was determined.
 func (res *exchangeResult) framingField() zap.Field {
 	return zap.String("framing", string(res.framing))
