--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,188 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/metastore"
+)
+
+const (
+	// contactTime is the time in which the gateways must have told each other what they know.
+	contactTime = 3 * time.Second
+	// maxLatePrompts is how many prompts may reach engines later than contactTime after maxCrashes of them have ended.
+	maxLatePrompts = 3
+	maxCrashes     = 5
+	// crashingPart is the part of prompts under which the engines of these tests end.
+	crashingPart = "bad"
+)
+
+// crashingEngines are engines that end when they begin to answer a prompt with crashingPart, and are back under another
+// id after restartAfter.
+type crashingEngines struct {
+	d            *deployment
+	restartAfter time.Duration
+
+	mu sync.Mutex
+	// reached are the times at which prompts with crashingPart arrived, crashed those at which engines ended.
+	reached, crashed []time.Time
+	runs             int
+	stopped          bool
+	restarting       sync.WaitGroup
+}
+
+func (d *deployment) startCrashingEngines(count int, restartAfter time.Duration) *crashingEngines {
+	e := &crashingEngines{d: d, restartAfter: restartAfter}
+	d.put("op/version/m", `{"model":"m","version":1}`)
+	for range count {
+		e.start()
+	}
+	d.c.Cleanup(func() {
+		e.mu.Lock()
+		e.stopped = true
+		e.mu.Unlock()
+		e.restarting.Wait()
+	})
+	return e
+}
+
+func (e *crashingEngines) start() {
+	e.mu.Lock()
+	e.runs++
+	id := fmt.Sprintf("e%d", e.runs)
+	e.mu.Unlock()
+	var s *server
+	end := sync.OnceFunc(func() { e.crash(id, s) })
+	s = startServer(e.d.c, func(r *received) { e.respond(s, r, end) })
+	e.d.put("servers/"+id, fmt.Sprintf(`{"service":"llm","address":%q,"zone":"a","slots":16,"state":"ready","born":%d,"models":[{"name":"m","version":1}]}`,
+		s.listener.Addr(), time.Now().UnixMilli()))
+}
+
+// respond serves a prompt. It calls end for one with crashingPart.
+func (e *crashingEngines) respond(s *server, r *received, end func()) {
+	<-s.requests
+	crashes := strings.Contains(r.header["balsamyoke-prompt-prefix"], crashingPart+":")
+	if crashes {
+		e.mu.Lock()
+		e.reached = append(e.reached, time.Now())
+		e.mu.Unlock()
+	}
+	time.Sleep(30 * time.Millisecond)
+	if !crashes {
+		r.startStream()
+		r.chunk(event(1))
+		time.Sleep(10 * time.Millisecond)
+		r.chunk(event(2))
+		r.endStream()
+		return
+	}
+	r.startStream()
+	end()
+}
+
+// crash ends an engine and starts another one later.
+func (e *crashingEngines) crash(id string, s *server) {
+	s.crash()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = append(e.crashed, time.Now())
+	if !e.stopped {
+		e.restarting.Go(func() { e.restart(id) })
+	}
+}
+
+func (e *crashingEngines) restart(id string) {
+	time.Sleep(e.restartAfter)
+	key := "servers/" + id
+	record, err := e.d.store.Get(context.Background(), key)
+	if err == nil {
+		_, err = e.d.store.CompareAndSwap(context.Background(), metastore.Swap{Key: key, Expect: record.ModRevision, Delete: true})
+	}
+	e.d.c.Check(err, qt.IsNil)
+	e.start()
+}
+
+// latePrompts returns how many prompts with crashingPart reached engines when they should have been kept away.
+func (e *crashingEngines) latePrompts() (late, crashes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(e.crashed) < maxCrashes {
+		return 0, len(e.crashed)
+	}
+	deadline := e.crashed[maxCrashes-1].Add(contactTime)
+	for _, at := range e.reached {
+		if at.After(deadline) {
+			late++
+		}
+	}
+	return late, len(e.crashed)
+}
+
+// crash closes the listener and all connections, as the end of a process does.
+func (s *server) crash() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.Close()
+	}
+}
+
+// prompt returns the headers of a prompt whose first part is shared with all others.
+func prompt(parts ...string) string {
+	return "Balsamyoke-Model: m\r\nBalsamyoke-Token-Usage: 300,2\r\nBalsamyoke-Prompt-Prefix: base:100," + strings.Join(parts, ":100,") + ":100\r\n"
+}
+
+// Guards against second1: requests with one part in their prompts crashed one engine after the other.
+func TestPromptsThatCrashEnginesAreKeptAway(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	d := deploy(c, startServer(c, okResponse))
+	gateways := []*deployment{d, d.addGateway("h")}
+	engines := d.startCrashingEngines(8, time.Second)
+	for _, g := range gateways {
+		g.eventually(func() bool { return g.mustSend("POST", "/ask/x", prompt("warm"), "p").status == 200 })
+	}
+	var mu sync.Mutex
+	var soundAfter, soundServed int
+	var calls sync.WaitGroup
+	send := func(i int, headers string, done func(resp callerResponse, at time.Time)) {
+		calls.Go(func() {
+			at := time.Now()
+			resp, err := gateways[i%len(gateways)].send("POST", "/ask/x", headers, "p")
+			if err == nil {
+				done(resp, at)
+			}
+		})
+	}
+	started := time.Now()
+	settled := started.Add(2*contactTime + time.Second)
+	for i := 0; time.Since(started) < 2*contactTime+3*time.Second; i++ {
+		send(i, prompt("doc", crashingPart, fmt.Sprintf("q%d", i)), func(callerResponse, time.Time) {})
+		for j := range 2 {
+			send(i+j, prompt("doc", fmt.Sprintf("s%d-%d", i, j)), func(resp callerResponse, at time.Time) {
+				mu.Lock()
+				defer mu.Unlock()
+				if at.After(settled) {
+					soundAfter++
+					if resp.status == 200 && resp.complete {
+						soundServed++
+					}
+				}
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	calls.Wait()
+	late, crashes := engines.latePrompts()
+	c.Logf("%d engines ended, %d prompts reached engines too late, %d of %d sound prompts served", crashes, late, soundServed, soundAfter)
+	c.Assert(late <= maxLatePrompts, qt.IsTrue, qt.Commentf("%d prompts too late, %d engines ended", late, crashes))
+	c.Assert(soundAfter > 0, qt.IsTrue)
+	c.Assert(soundServed, qt.Equals, soundAfter)
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -199,10 +199,17 @@
 	for i, s := range servers {
 		d.register(fmt.Sprint("s", i), s, "ready")
 	}
-	d.start()
+	d.start("g")
 	return d
 }
 
+// addGateway starts another gateway on the same metadata store. Its deployment has the address of that gateway.
+func (d *deployment) addGateway(instance string) *deployment {
+	other := &deployment{c: d.c, store: d.store, ended: make(chan error, 1), graceMS: d.graceMS}
+	other.start(instance)
+	return other
+}
+
 func (d *deployment) put(key, value string) {
 	record, err := d.store.Get(context.Background(), key)
 	if err != nil {
@@ -227,13 +234,15 @@
 	{"name":"book","host":"site.example","prefix":"/book/","kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":2},
 	{"name":"stream","host":"site.example","prefix":"/stream/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,"priority":1,"service":"app","max_attempts":2,"resumable":true},
 	{"name":"once","host":"site.example","prefix":"/once/","kind":"streaming","timeout_ms":5000,"target_latency_ms":300,"priority":1,"service":"app","max_attempts":2},
+	{"name":"ask","host":"site.example","prefix":"/ask/","kind":"streaming","timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":2,"resumable":true},
 	{"name":"open","host":"site.example","prefix":"/open/","kind":"idempotent","timeout_ms":400,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":1,"public":true}],
-	"services":[{"name":"app","health_path":"/health","max_connections":100}],
+	"services":[{"name":"app","health_path":"/health","max_connections":100},
+	{"name":"llm","engine":{"slots":16,"kv_capacity":100000,"kv_token_bytes":100,"models":[{"name":"m"}]}}],
 	"limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":5000},
 	"tenants":[{"name":"org","api_keys":[%s],"priority":1}]}`, version, keys)
 }
 
-func (d *deployment) start() {
+func (d *deployment) start(instance string) {
 	var addresses [5]string
 	for i := range addresses {
 		address, err := loopback.FreeAddress()
@@ -241,7 +250,7 @@
 		addresses[i] = address
 	}
 	s := gateway.DefaultSettings()
-	s.Instance, s.FailureDomain = "g", "a"
+	s.Instance, s.FailureDomain = instance, "a"
 	s.Listen, s.Ready, s.Control, s.Beats, s.Metrics = addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
 	s.GraceMS = d.graceMS
 	d.address, d.readyAddress = s.Listen, s.Ready
