Keep requests away from servers when a part they share crashes one server after the other

Cause: a broken answer was held against its server alone. Nothing related the crashes to what the requests had in common, so each gateway sent the next request with the part, and each one's repeat, to the next server.

Now a gateway checks whether a server whose answer broke off refuses connections, and records the parts of the requests that were in flight there. Heartbeats exchange these crashes and when suspected parts were last served. internal/quarantine holds a part after three crashes in a row under different requests with it while others are served (eight, if the part was ever served before), one part explaining each crash; requests with it are refused at once, not run.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -89,6 +89,8 @@
 	EnginesOverloaded Reason = "engines_crowded"
 	NoRetryBudget     Reason = "no_retry_budget"
 	AttemptsExhausted Reason = "attempts_exhausted"
+	// Quarantined means that servers have crashed under requests that share a part with this one.
+	Quarantined Reason = "quarantined"
 )
 
 // Refusal states that a request has not run, why, and when the caller may retry.
@@ -105,6 +107,8 @@
 	WaitingTokens, PeerWaitingTokens   int
 	ReservedTokens, PeerReservedTokens int
 	Slowness                           float64
+	// Part is the part for which the request was refused; empty unless Reason is Quarantined.
+	Part string
 }
 
 // server is the gateway's view of one server.
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -16,6 +16,8 @@
 	LogLinesLost        tally.Gauge
 	Era                 tally.Gauge
 	ServersLeaving      tally.Gauge
+	ServerCrashes       tally.Counter
+	PartsHeld           tally.Gauge
 	scope               tally.Scope
 }
 
@@ -34,6 +36,8 @@
 		LogLinesLost:        scope.Gauge("log_lines_lost"),
 		Era:                 scope.Gauge("metastore_era"),
 		ServersLeaving:      scope.Gauge("servers_leaving"),
+		ServerCrashes:       scope.Counter("server_crashes"),
+		PartsHeld:           scope.Gauge("parts_held"),
 		scope:               scope,
 	}
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -25,6 +25,9 @@
 	EventPartsFreed      = "parts_freed"
 	EventCacheStoreLost  = "cache_store_lost"
 	EventCacheStoreFound = "cache_store_found"
+	EventServerCrashed   = "server_crashed"
+	EventPartHeld        = "part_held"
+	EventPartReleased    = "part_released"
 	EventBeatFailed      = "beat_failed"
 	EventAnnounceFailed  = "announce_failed"
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/mirror"
 	"balsamyoke.example/balsamyoke/internal/peers"
+	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/registry"
 	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -54,7 +55,9 @@
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
-	era           atomic.Int64 // the latest era of the metadata store that is known here; 0 before the first
+	// quarantineIdle is read by the request path.
+	quarantineIdle atomic.Bool
+	era            atomic.Int64 // the latest era of the metadata store that is known here; 0 before the first
 	// restored wakes announce after the metadata store has come back from a copy.
 	restored chan struct{}
 
@@ -64,9 +67,12 @@
 	dispatcher *dispatch.Dispatcher
 	catalogue  *kvcache.Catalogue
 	members    *peers.Members
-	feeds      map[string]context.CancelFunc
-	sequence   uint64
-	lead       leadership
+	quarantine *quarantine.Tracker
+	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
+	crashReportedAt time.Time
+	feeds           map[string]context.CancelFunc
+	sequence        uint64
+	lead            leadership
 	// startedAt is when this run began; peersListed is set after the first listing of the other gateways.
 	startedAt   time.Time
 	peersListed bool
@@ -90,12 +96,14 @@
 		catalogue:  catalogue,
 		dispatcher: dispatch.New(o.Self.GetFailureDomain(), o.Incarnation, catalogue, o.Budget),
 		members:    peers.NewMembers(o.Self),
+		quarantine: quarantine.New(),
 		feeds:      make(map[string]context.CancelFunc),
 		states:     make(map[string]backend.State),
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
 	f.role.Store(&role{reads: true, starting: true})
+	f.quarantineIdle.Store(true)
 	f.startedAt = bootclock.Now()
 	catalogue.SetFirstChange(bootclock.Now().UnixNano())
 	return f
@@ -160,10 +168,13 @@
 // Leave announces to the other gateways that this one is about to stop, and releases the leader lease.
 func (f *Fleet) Leave() { f.leaving.Store(true) }
 
-// Place picks a server for a request, or returns the reason for its refusal.
-func (f *Fleet) Place(r *dispatch.Request) (p dispatch.Placement, refusal *dispatch.Refusal) {
+// Place picks a server for a request with the parts, or returns the reason for its refusal.
+func (f *Fleet) Place(r *dispatch.Request, parts []quarantine.Part) (p dispatch.Placement, refusal *dispatch.Refusal) {
 	f.loop.Call(func() {
 		now := bootclock.Now()
+		if refusal = f.refuseHeld(now, parts); refusal != nil {
+			return
+		}
 		p, refusal = f.dispatcher.Place(now, r)
 		if refusal == nil {
 			f.dispatcher.RecordSent(now, &p)
@@ -284,6 +295,7 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	f.evaluateQuarantine(now)
 	f.Counters.ContactAgeMS.Update(float64(f.ContactAge().Milliseconds()))
 	f.Counters.LogLinesLost.Update(float64(f.Log.Lost()))
 	f.Counters.Peers.Update(float64(len(f.members.Live(now))))
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -77,7 +77,8 @@
 }
 
 // broadcastBeat sends a heartbeat to all gateways immediately. The leader calls it when the set of servers that are
-// excluded from new requests has changed, and when an engine has loaded its target weight version.
+// excluded from new requests has changed, and when an engine has loaded its target weight version; any gateway does when a
+// server has crashed or a part is held.
 func (f *Fleet) broadcastBeat() {
 	beat := f.newBeat(bootclock.Now(), false)
 	to := f.members.BeatAddresses()
@@ -118,6 +119,7 @@
 	for _, s := range f.dispatcher.Leaving() {
 		beat.LeavingServers = append(beat.LeavingServers, &wire.LeavingServer{Server: s.ID, StartedMs: s.StartedMS})
 	}
+	f.addQuarantine(beat, now)
 	if f.lead.fence > 0 {
 		beat.Versions = f.reportedVersions(now)
 	}
@@ -193,6 +195,7 @@
 			f.Log.Info(EventServerLeaving, zap.String("server", s.GetServer()), zap.String("source", member.GetInstance()))
 		}
 	}
+	f.mergeQuarantine(beat, now)
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(v.GetServer(), v.GetModel(), v.GetVersion())
 	}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -18,6 +18,19 @@
 	Peers         []string             `json:"live_peers"`
 	Servers       any                  `json:"servers"`
 	Stores        []kvcache.StoreState `json:"stores"`
+	HeldParts     []HeldPart           `json:"held_parts"`
+	// RecentCrashes is the number of crashes of servers that count as evidence against parts.
+	RecentCrashes int `json:"recent_crashes"`
+}
+
+// HeldPart is a part in a dump whose requests are kept away from servers.
+type HeldPart struct {
+	Scope   string `json:"scope"`
+	Part    string `json:"part"`
+	Crashes int    `json:"crashes"`
+	// CrashAgeMS is the time since the latest crash, TrialInMS the time until a request is tried.
+	CrashAgeMS int64 `json:"crash_age_ms"`
+	TrialInMS  int64 `json:"trial_in_ms"`
 }
 
 // State returns the control state as a value that marshals to JSON.
@@ -37,6 +50,13 @@
 		}
 		state.Servers = f.dispatcher.State(now)
 		state.Stores = f.catalogue.State(now)
+		state.RecentCrashes = f.quarantine.CrashCount()
+		for _, hold := range f.quarantine.Holds() {
+			state.HeldParts = append(state.HeldParts, HeldPart{
+				Scope: hold.Part.Scope, Part: hold.Part.ID, Crashes: hold.Crashes, CrashAgeMS: now.Sub(hold.CrashedAt).Milliseconds(),
+				TrialInMS: max(0, hold.Until().Sub(now).Milliseconds()),
+			})
+		}
 	})
 	return state
 }
--- /dev/null
+++ b/internal/gateway/crash.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"hash/fnv"
+	"sync"
+	"syscall"
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/fleet"
+	"balsamyoke.example/balsamyoke/internal/quarantine"
+)
+
+// crashCheckTTL is how long the result of a crash check is used for further requests that break off at the same server.
+const crashCheckTTL = time.Second
+
+// crashDetector finds out whether a server has crashed when a response of it breaks off: its address then refuses
+// connections. A server that only broke off a response accepts them. It is safe for concurrent use.
+type crashDetector struct {
+	fleet *fleet.Fleet
+	pool  *pool
+
+	mu      sync.Mutex
+	checks  map[string]*crashCheck
+	running sync.WaitGroup
+}
+
+// crashCheck is the check of one server. suspects are those of the requests that broke off there before its result.
+type crashCheck struct {
+	at       time.Time
+	done     bool
+	crashed  bool
+	suspects []quarantine.Suspect
+}
+
+func newCrashDetector(f *fleet.Fleet, p *pool) *crashDetector {
+	return &crashDetector{fleet: f, pool: p, checks: make(map[string]*crashCheck)}
+}
+
+// observe records that the response to a request broke off at a server. It reports the request's parts to the fleet state if
+// the server has crashed.
+func (d *crashDetector) observe(server, address string, suspects []quarantine.Suspect) {
+	now := bootclock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	check := d.checks[server]
+	if check == nil || now.Sub(check.at) > crashCheckTTL {
+		d.expire(now)
+		check = &crashCheck{at: now, suspects: suspects}
+		d.checks[server] = check
+		d.running.Go(func() { d.run(check, server, address) })
+		return
+	}
+	if !check.done {
+		check.suspects = append(check.suspects, suspects...)
+		return
+	}
+	if check.crashed {
+		d.fleet.RecordCrash(quarantine.Crash{Server: server, At: check.at, Suspects: suspects})
+	}
+}
+
+func (d *crashDetector) expire(now time.Time) {
+	for server, check := range d.checks {
+		if now.Sub(check.at) > crashCheckTTL {
+			delete(d.checks, server)
+		}
+	}
+}
+
+func (d *crashDetector) run(check *crashCheck, server, address string) {
+	sc, err := connect(context.Background(), server, address)
+	if err == nil {
+		d.pool.put(sc)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	check.done, check.crashed = true, errors.Is(err, syscall.ECONNREFUSED)
+	if check.crashed {
+		d.fleet.RecordCrash(quarantine.Crash{Server: server, At: check.at, Suspects: check.suspects})
+	}
+	check.suspects = nil
+}
+
+// wait waits until no check is running.
+func (d *crashDetector) wait() { d.running.Wait() }
+
+// identify sets what the request may have in common with others: the parts of its prompt, or for a plain service its whole
+// content.
+func (r *request) identify() {
+	if r.parts != nil {
+		return
+	}
+	if r.call.Model == "" {
+		r.parts = []quarantine.Part{{Scope: r.service, ID: r.digest()}}
+		return
+	}
+	r.parts = make([]quarantine.Part, len(r.call.Parts))
+	for i, part := range r.call.Parts {
+		r.parts[i] = quarantine.Part{Scope: r.call.Model, ID: part.ID}
+	}
+}
+
+// digest returns a digest of the request's method, path and body.
+func (r *request) digest() string {
+	h := sha256.New()
+	h.Write(r.header.Method())
+	h.Write([]byte{' '})
+	h.Write(r.header.RequestURI())
+	h.Write([]byte{'\n'})
+	h.Write(r.body)
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// suspects returns the request's parts as suspects of a crash.
+func (r *request) suspects() []quarantine.Suspect {
+	r.identify()
+	h := fnv.New64a()
+	h.Write([]byte(r.call.ID))
+	number := h.Sum64()
+	list := make([]quarantine.Suspect, len(r.parts))
+	for i, part := range r.parts {
+		list[i] = quarantine.Suspect{Part: part, Request: number, SentAt: r.sentAt, Depth: i}
+	}
+	return list
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	counters *counters
 	registry *metrics.Registry
 	pool     *pool
+	crashes  *crashDetector
 	draining atomic.Bool
 	// decisions holds the latest decisions about requests, for balsamctl.
 	decisions *explain.Ring
@@ -89,6 +90,7 @@
 			Budget:        s.budget(),
 		}),
 	}
+	g.crashes = newCrashDetector(g.fleet, g.pool)
 	g.grace.Store(int64(s.grace()))
 	return g
 }
@@ -122,6 +124,7 @@
 	defer g.serveMetrics()()
 	defer g.registry.Close()
 	defer g.pool.close()
+	defer g.crashes.wait()
 	background, stop := context.WithCancel(context.Background())
 	fleetDone := make(chan error, 1)
 	go func() { fleetDone <- g.fleet.Run(background) }()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,8 +11,10 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
@@ -43,8 +45,11 @@
 	// sends counts the servers that the request was sent to, runs those that may have run it.
 	sends int
 	runs  int
-	// placement is the one of the latest attempt.
+	// placement is the one of the latest attempt, sentAt the time from which it was sent.
 	placement dispatch.Placement
+	sentAt    time.Time
+	// parts are what the request may have in common with others; nil until identify.
+	parts []quarantine.Part
 	// lastEventID is the id of the last event that the caller has received, in this or an earlier request.
 	lastEventID string
 	// headerSent is set when the header of a streamed response is written to the caller.
@@ -164,11 +169,14 @@
 func (g *Gateway) runAttempts(ctx context.Context, c *callerConn, r *request) bool {
 	for {
 		r.placeRequest.TimeLeft = time.Until(r.deadline)
-		placement, refusal := g.fleet.Place(&r.placeRequest)
+		if r.call.Model != "" || !g.fleet.IsQuarantineIdle() {
+			r.identify()
+		}
+		placement, refusal := g.fleet.Place(&r.placeRequest, r.parts)
 		if refusal != nil {
 			return g.respondUnplaced(c, r, refusal, nil)
 		}
-		r.placement = placement
+		r.placement, r.sentAt = placement, bootclock.Now()
 		r.sends++
 		res := g.exchange(ctx, c, r)
 		g.fleet.RecordEnd(placement, res.dispatchResult, res.gotFirstByte)
@@ -180,6 +188,9 @@
 			g.recordServed(r, &res)
 			return true
 		}
+		if res.maybeSent && res.dispatchResult == dispatch.Unreachable {
+			g.crashes.observe(placement.Server, placement.Address, r.suspects())
+		}
 		if ctx.Err() != nil || res.callerFailed {
 			return g.respondInterrupted(ctx, c, r, &res)
 		}
@@ -225,7 +236,8 @@
 		zap.String("best", refusal.Server), zap.Duration("predicted", refusal.PredictedTTFT), zap.Duration("wait", refusal.Wait),
 		zap.Int("ahead", refusal.WaitingTokens), zap.Int("ahead_others", refusal.PeerWaitingTokens),
 		zap.Int("held", refusal.ReservedTokens), zap.Int("held_others", refusal.PeerReservedTokens), zap.Float64("slowness", refusal.Slowness),
-		zap.Duration("left", time.Until(r.deadline)))
+		zap.Duration("left", time.Until(r.deadline)),
+		zap.String("part", refusal.Part))
 	resp := refusalResponse(refusal.RetryAfter)
 	resp.closeAfter = r.closeAfter
 	return c.writeResponse(resp) == nil
@@ -286,6 +298,9 @@
 func (g *Gateway) recordServed(r *request, res *exchangeResult) {
 	took := time.Since(r.receivedAt)
 	g.counters.recordServed(r, res, took)
+	if r.parts != nil && res.status < fasthttp.StatusMultipleChoices {
+		g.fleet.RecordServed(r.parts)
+	}
 	g.recordDecision(info, EventServed, r.call.ID, append(g.placementFields(r),
 		zap.Int("status", res.status), zap.Duration("first_byte", res.firstByteAfter), zap.Duration("took", took),
 		zap.Int("sends", r.sends), res.framingField(), zap.Int("partial_event", res.partialEvent))...)
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -152,11 +152,21 @@
 	}
 }
 
+// dial opens a connection to a server. The error is ErrNotSent.
 func dial(ctx context.Context, server, address string) (*serverConn, error) {
+	sc, err := connect(ctx, server, address)
+	if err != nil {
+		return nil, ErrNotSent.Wrap(err, "server %s at %s", server, address)
+	}
+	return sc, nil
+}
+
+// connect opens a connection to a server. The error is that of package net.
+func connect(ctx context.Context, server, address string) (*serverConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive, Control: setUnackedTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, ErrNotSent.Wrap(err, "server %s at %s", server, address)
+		return nil, err
 	}
 	return &serverConn{Conn: conn, reader: bufio.NewReaderSize(conn, serverBufferBytes), server: server, idleLimit: defaultIdleLimit}, nil
 }
--- /dev/null
+++ b/internal/quarantine/blame.go
@@ -0,0 +1,162 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// minCrashes is the number of crashes in a row after which a part that was never served is held. Two servers may
+	// crash under one request by chance, as the request is sent to a second server after the first.
+	minCrashes = 3
+	// minCrashesServed is that number for a part that was served before, which the crashes more likely hit by chance.
+	minCrashesServed = 8
+	// minRequests is the number of different requests among them.
+	minRequests = 2
+	// minOthers and minOthersServed are the numbers of other requests that this gateway must have served since the first
+	// of these crashes. Without any, the servers may be failing under every request.
+	minOthers       = 1
+	minOthersServed = 8
+	// minRequestsAlone is the number of different requests if no others were served since. The part must then have been in
+	// flight at minShareAlone of all crashes of its scope.
+	minRequestsAlone = 3
+	minShareAlone    = 0.9
+)
+
+// evidence is what speaks against one part.
+type evidence struct {
+	part  Part
+	depth int
+	// crashes counts those of which each was caused by a request that was sent after the one before, so that servers
+	// that fail at the same moment count once. first and last are the times of the first and last of them.
+	crashes     int
+	first, last time.Time
+	requests    []uint64
+	everServed  bool
+}
+
+// holdCulprits holds the parts that the crashes speak against. A crash that is explained by one of them doesn't count
+// against the others that were in flight there.
+func (t *Tracker) holdCulprits(now time.Time) []Hold {
+	// A crash that hasn't settled yet is left out in the same way as an explained one.
+	explained := make(map[*Crash]bool)
+	for _, c := range t.crashes {
+		explained[c] = now.Sub(c.At) < settleTime
+	}
+	for part := range t.holds {
+		t.explain(part, explained)
+	}
+	var added []Hold
+	for {
+		worst := t.worst(explained)
+		if worst == nil {
+			return added
+		}
+		hold := Hold{Part: worst.part, CrashedAt: worst.last, Crashes: worst.crashes, Length: firstHold}
+		if t.addHold(hold) {
+			added = append(added, hold)
+		}
+		t.explain(worst.part, explained)
+	}
+}
+
+// explain marks the crashes at which requests with the part were in flight.
+func (t *Tracker) explain(part Part, explained map[*Crash]bool) {
+	for _, c := range t.crashes {
+		if slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Part == part }) {
+			explained[c] = true
+		}
+	}
+}
+
+// worst returns the strongest evidence that suffices to hold a part, or nil.
+func (t *Tracker) worst(explained map[*Crash]bool) *evidence {
+	var worst *evidence
+	for _, e := range t.collect(explained) {
+		if t.suffices(e) && (worst == nil || stronger(e, worst)) {
+			worst = e
+		}
+	}
+	return worst
+}
+
+// collect returns the evidence against each part from the crashes that aren't explained.
+func (t *Tracker) collect(explained map[*Crash]bool) map[Part]*evidence {
+	all := make(map[Part]*evidence)
+	for _, c := range t.crashes {
+		if explained[c] {
+			continue
+		}
+		for i := range c.Suspects {
+			s := &c.Suspects[i]
+			e := all[s.Part]
+			if e == nil {
+				e = &evidence{part: s.Part, depth: s.Depth}
+				all[s.Part] = e
+			}
+			t.add(e, c, s)
+		}
+	}
+	return all
+}
+
+// add adds a suspect of a crash to the evidence against its part. Crashes are added in the order of their times.
+func (t *Tracker) add(e *evidence, c *Crash, s *Suspect) {
+	servedAt := t.served.lastAt(s.Part)
+	e.everServed = !servedAt.IsZero()
+	counted := e.crashes > 0 && c.At.Equal(e.last)
+	if !c.At.After(servedAt) || e.crashes > 0 && !counted && s.SentAt.Before(e.last) {
+		return
+	}
+	if e.crashes == 0 {
+		e.first = c.At
+	}
+	if !counted {
+		e.crashes++
+		e.last = c.At
+	}
+	if !slices.Contains(e.requests, s.Request) {
+		e.requests = append(e.requests, s.Request)
+	}
+}
+
+func (t *Tracker) suffices(e *evidence) bool {
+	crashes, others := minCrashes, minOthers
+	if e.everServed {
+		crashes, others = minCrashesServed, minOthersServed
+	}
+	if e.crashes < crashes || len(e.requests) < minRequests {
+		return false
+	}
+	return t.served.countOthers(e.part, e.first) >= others || !e.everServed && t.explainsAll(e)
+}
+
+// explainsAll reports whether nearly all crashes of the part's scope since the first one under it were under it.
+func (t *Tracker) explainsAll(e *evidence) bool {
+	all, under := 0, 0
+	for _, c := range t.crashes {
+		if c.At.Before(e.first) || !slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Part.Scope == e.part.Scope }) {
+			continue
+		}
+		all++
+		if slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Part == e.part }) {
+			under++
+		}
+	}
+	return len(e.requests) >= minRequestsAlone && float64(under) >= minShareAlone*float64(all)
+}
+
+// stronger reports whether a is stronger evidence than b. Of parts that always occur together the later one in the prompt
+// is blamed, because fewer other requests share it.
+func stronger(a, b *evidence) bool {
+	switch {
+	case a.everServed != b.everServed:
+		return !a.everServed
+	case a.crashes != b.crashes:
+		return a.crashes > b.crashes
+	case len(a.requests) != len(b.requests):
+		return len(a.requests) > len(b.requests)
+	default:
+		return a.depth > b.depth
+	}
+}
--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,252 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var epoch = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time { return epoch.Add(time.Duration(seconds * float64(time.Second))) }
+
+func part(id string) Part { return Part{Scope: "m", ID: id} }
+
+func parts(ids ...string) []Part {
+	list := make([]Part, len(ids))
+	for i, id := range ids {
+		list[i] = part(id)
+	}
+	return list
+}
+
+// crash returns a crash at which one request with the parts was in flight since sentAt.
+func crash(server string, crashedAt, sentAt float64, request uint64, ids ...string) Crash {
+	c := Crash{Server: server, At: at(crashedAt)}
+	for depth, id := range ids {
+		c.Suspects = append(c.Suspects, Suspect{Part: part(id), Request: request, SentAt: at(sentAt), Depth: depth})
+	}
+	return c
+}
+
+// heldParts returns the ids of the held parts.
+func heldParts(t *Tracker) map[string]bool {
+	ids := make(map[string]bool)
+	for _, hold := range t.Holds() {
+		ids[hold.Part.ID] = true
+	}
+	return ids
+}
+
+func record(t *Tracker, crashes ...Crash) {
+	for _, c := range crashes {
+		t.RecordCrash(c.At, c)
+		t.Decide(c.At.Add(settleTime))
+	}
+}
+
+func TestPartOfCrashesInARowIsHeld(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	tracker.RecordServed(at(0), parts("base", "doc", "q0"))
+	record(tracker, crash("s1", 1, 0.9, 1, "base", "doc", "bad", "q1"))
+	tracker.RecordServed(at(1.1), parts("base", "doc", "q2"))
+	record(tracker, crash("s2", 1.2, 1.05, 1, "base", "doc", "bad", "q1"))
+	c.Assert(heldParts(tracker), qt.HasLen, 0)
+	record(tracker, crash("s3", 1.5, 1.3, 2, "base", "doc", "bad", "q3"))
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
+	hold, held := tracker.Held(at(1.6), parts("base", "doc", "bad", "q4"), false)
+	c.Assert(held, qt.IsTrue)
+	c.Assert(hold.Part, qt.Equals, part("bad"))
+	_, held = tracker.Held(at(1.6), parts("base", "doc", "q5"), false)
+	c.Assert(held, qt.IsFalse)
+	_, held = tracker.Held(at(1.6), []Part{{Scope: "other", ID: "bad"}}, false)
+	c.Assert(held, qt.IsFalse)
+}
+
+func TestNothingIsHeldWithoutEnoughEvidence(t *testing.T) {
+	for name, play := range map[string]func(t *Tracker){
+		"servers that fail at the same moment": func(t *Tracker) {
+			t.RecordServed(at(0.5), parts("other"))
+			for i := range 8 {
+				record(t, crash(fmt.Sprint("s", i), 1+float64(i)/1000, 0.9, uint64(i), "session"))
+			}
+			t.RecordServed(at(1.5), parts("other"))
+			record(t, crash("s9", 2, 1.9, 9, "another"))
+		},
+		"one request that is sent again and again": func(t *Tracker) {
+			for i := range 8 {
+				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), 1, "session"))
+				t.RecordServed(at(1.1+float64(i)), parts("other"))
+			}
+		},
+		"nothing is served at all": func(t *Tracker) {
+			for i := range 8 {
+				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), uint64(i), "session"))
+				record(t, crash(fmt.Sprint("t", i), 1.2+float64(i), 0.5+float64(i), uint64(i), "another"))
+			}
+		},
+		"the part is served in between": func(t *Tracker) {
+			for i := range 8 {
+				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), uint64(i), "session"))
+				t.RecordServed(at(1.1+float64(i)), parts("other"))
+				if i%2 == 1 {
+					t.RecordServed(at(1.2+float64(i)), parts("session"))
+				}
+			}
+		},
+		"another gateway has served the part in between": func(t *Tracker) {
+			for i := range 8 {
+				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), uint64(i), "session"))
+				t.RecordServed(at(1.1+float64(i)), parts("other"))
+				if i%2 == 1 {
+					t.MergeServed(part("session"), at(1.2+float64(i)))
+				}
+			}
+		},
+		"the crashes are long ago": func(t *Tracker) {
+			for i := range 8 {
+				record(t, crash(fmt.Sprint("s", i), 1+40*float64(i), 0.5+40*float64(i), uint64(i), "session"))
+				t.RecordServed(at(1.1+40*float64(i)), parts("other"))
+			}
+		},
+		"reports about one crash": func(t *Tracker) {
+			for i := range 8 {
+				record(t, crash("s1", 1+float64(i)/10, 0.9+float64(i)/10, uint64(i), "session"))
+				t.RecordServed(at(1.05+float64(i)/10), parts("other"))
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tracker := New()
+			play(tracker)
+			c.Assert(heldParts(tracker), qt.HasLen, 0)
+		})
+	}
+}
+
+// A part that was served before and crashes servers from some moment on, such as after a change of weights, is held as
+// well, with more evidence.
+func TestPartThatWasServedBeforeIsHeldLater(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	tracker.RecordServed(at(0), parts("base", "doc"))
+	for i := range minCrashesServed {
+		c.Assert(heldParts(tracker), qt.HasLen, 0)
+		second := 1 + float64(i)
+		record(tracker, crash(fmt.Sprint("s", i), second, second-0.5, uint64(i), "base", "doc", fmt.Sprint("q", i)))
+		tracker.RecordServed(at(second+0.1), parts("base", "sound"))
+	}
+	record(tracker, crash("s9", 9, 8.5, 9, "base", "doc", "q9"))
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"doc": true})
+}
+
+// Of parts that are always in flight together only one is held.
+func TestOnePartExplainsTheCrashes(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	for i := range 6 {
+		second := 1 + float64(i)
+		crashed := crash(fmt.Sprint("s", i), second, second-0.5, uint64(i), "first", "bad", fmt.Sprint("q", i))
+		// A victim that was in flight at three of these servers.
+		if i < 3 {
+			crashed.Suspects = append(crashed.Suspects, Suspect{Part: part("victim"), Request: uint64(100 + i), SentAt: at(second - 0.4)})
+		}
+		tracker.RecordServed(at(second-0.2), parts("other"))
+		record(tracker, crashed)
+	}
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
+}
+
+func heldTracker() *Tracker {
+	tracker := New()
+	for i := range minCrashes {
+		second := 1 + float64(i)
+		record(tracker, crash(fmt.Sprint("s", i), second, second-0.5, uint64(i), "bad"))
+		tracker.RecordServed(at(second+0.1), parts("other"))
+	}
+	record(tracker, crash("s9", 4, 3.9, 9, "bad"))
+	return tracker
+}
+
+func TestHeldPartIsTriedAndReleasedOrHeldForLonger(t *testing.T) {
+	c := qt.New(t)
+	tracker := heldTracker()
+	end := 4 + firstHold.Seconds()
+	_, held := tracker.Held(at(end-1), parts("bad"), true)
+	c.Assert(held, qt.IsTrue, qt.Commentf("before the end of the hold"))
+	_, held = tracker.Held(at(end+1), parts("bad"), false)
+	c.Assert(held, qt.IsTrue, qt.Commentf("at a gateway that may not try"))
+	_, held = tracker.Held(at(end+1), parts("bad"), true)
+	c.Assert(held, qt.IsFalse, qt.Commentf("the trial"))
+	_, held = tracker.Held(at(end+2), parts("bad"), true)
+	c.Assert(held, qt.IsTrue, qt.Commentf("during the trial"))
+	record(tracker, crash("s10", end+2.5, end+1, 10, "bad"))
+	_, held = tracker.Held(at(end+2.5+1.5*firstHold.Seconds()), parts("bad"), true)
+	c.Assert(held, qt.IsTrue, qt.Commentf("after a trial that crashed a server"))
+	later := end + 3 + 2*firstHold.Seconds()
+	_, held = tracker.Held(at(later), parts("bad"), true)
+	c.Assert(held, qt.IsFalse, qt.Commentf("the second trial"))
+	c.Assert(tracker.RecordServed(at(later+1), parts("bad")), qt.DeepEquals, parts("bad"))
+	_, held = tracker.Held(at(later+2), parts("bad"), false)
+	c.Assert(held, qt.IsFalse)
+}
+
+// Gateways that exchange reports hold and release the same parts, whatever the order of the reports.
+func TestHoldsAndReleasesReachOtherGateways(t *testing.T) {
+	c := qt.New(t)
+	first, second := heldTracker(), New()
+	hold := first.Holds()[0]
+	c.Assert(second.MergeHold(at(5), hold), qt.IsTrue)
+	c.Assert(second.MergeHold(at(5), hold), qt.IsFalse)
+	c.Assert(heldParts(second), qt.DeepEquals, map[string]bool{"bad": true})
+	second.RecordServed(at(6), parts("bad"))
+	c.Assert(second.MergeHold(at(6), hold), qt.IsFalse, qt.Commentf("an old report about a released part"))
+	var served []ServedPart
+	second.RecordCrash(at(6.5), crash("s11", 6.4, 6.3, 11, "bad"))
+	c.Assert(second.Decide(at(7)), qt.HasLen, 0)
+	served = second.Report(at(6.6)).Served
+	c.Assert(served, qt.DeepEquals, []ServedPart{{part("bad"), at(6)}})
+	c.Assert(first.MergeServed(served[0].Part, served[0].At), qt.IsTrue)
+	c.Assert(heldParts(first), qt.HasLen, 0)
+}
+
+func TestHoldEndsWhenNoRequestComes(t *testing.T) {
+	c := qt.New(t)
+	tracker := heldTracker()
+	hold := tracker.Holds()[0]
+	c.Assert(tracker.Expire(at(4+firstHold.Seconds())), qt.HasLen, 0)
+	end := hold.expiresAt().Add(time.Second)
+	c.Assert(tracker.Expire(end), qt.DeepEquals, parts("bad"))
+	c.Assert(tracker.MergeHold(end, hold), qt.IsFalse)
+	c.Assert(tracker.IsIdle(), qt.IsTrue)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	for i := range 4 * servedGeneration {
+		tracker.RecordServed(at(float64(i)/1000), parts(fmt.Sprint("p", i)))
+	}
+	c.Assert(len(tracker.served.current)+len(tracker.served.previous) <= 2*servedGeneration, qt.IsTrue)
+	for i := range 4 * maxCrashes {
+		crashed := crash(fmt.Sprint("s", i), 100+float64(i)/100, 99, uint64(i))
+		for j := range 4 * maxSuspects {
+			crashed.Suspects = append(crashed.Suspects, Suspect{Part: part(fmt.Sprint("p", i, j)), SentAt: at(99)})
+		}
+		tracker.RecordCrash(at(110), crashed)
+	}
+	c.Assert(len(tracker.crashes) <= maxCrashes, qt.IsTrue)
+	reported := 0
+	for _, crashed := range tracker.Report(at(110)).Crashes {
+		reported += len(crashed.Suspects)
+	}
+	c.Assert(reported <= maxReported, qt.IsTrue)
+	for i := range 4 * maxHolds {
+		tracker.MergeHold(at(110), Hold{Part: part(fmt.Sprint("h", i)), CrashedAt: at(100 + float64(i)/100), Length: firstHold})
+	}
+	c.Assert(tracker.Holds(), qt.HasLen, maxHolds)
+}
