--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -186,3 +187,57 @@
 	c.Assert(soundAfter > 0, qt.IsTrue)
 	c.Assert(soundServed, qt.Equals, soundAfter)
 }
+
+// A request to a plain service that crashes each server that runs it is kept away when its callers send it again and again.
+func TestPlainRequestThatCrashesServersIsKeptAway(t *testing.T) {
+	t.Parallel()
+	const serverCount = 8
+	c := qt.New(t)
+	var crashes atomic.Int64
+	servers := make([]*server, serverCount)
+	for i := range servers {
+		end := sync.OnceFunc(func() {
+			crashes.Add(1)
+			servers[i].crash()
+		})
+		servers[i] = startServer(c, func(r *received) {
+			<-servers[i].requests
+			if r.body == crashingPart {
+				end()
+				return
+			}
+			r.respondOK("x")
+		})
+	}
+	d := deploy(c, servers...)
+	var resp callerResponse
+	for range 2 * serverCount {
+		c.Assert(d.mustSend("GET", "/get/x", "", "").status, qt.Equals, 200)
+		resp = d.mustSend("POST", "/book/x", "", crashingPart)
+		time.Sleep(200 * time.Millisecond)
+	}
+	c.Assert(resp.status, qt.Equals, 503)
+	c.Assert(crashes.Load() <= maxCrashes+maxLatePrompts, qt.IsTrue, qt.Commentf("%d servers ended", crashes.Load()))
+	c.Assert(d.mustSend("POST", "/book/x", "", "another").status, qt.Equals, 200)
+}
+
+// A server that breaks off responses but lives isn't one that has crashed.
+func TestBrokenResponsesOfLiveServersHoldNothing(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	breakOff := func(r *received) {
+		if r.body == crashingPart {
+			_ = r.conn.Close()
+			return
+		}
+		r.respondOK("x")
+	}
+	a, b := startServer(c, breakOff), startServer(c, breakOff)
+	d := deploy(c, a, b)
+	for range 20 {
+		a.discardRequests()
+		b.discardRequests()
+		c.Assert(d.mustSend("POST", "/book/x", "", crashingPart).status, qt.Not(qt.Equals), 200)
+		d.eventually(func() bool { return d.mustSend("POST", "/book/x", "", "another").status == 200 })
+	}
+}
