Record served parts with the end of their request; bound the digest of large requests

One message to the control goroutine a request instead of two, and at most 64 KiB of a body are digested. No change of what is held; go test of gateway, fleet and quarantine passes.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -211,9 +211,14 @@
 	f.loop.Post(func() { f.dispatcher.RecordFirstByte(bootclock.Now(), &p, took) })
 }
 
-// RecordEnd records the end of a request at a server.
-func (f *Fleet) RecordEnd(p dispatch.Placement, result dispatch.Result, firstByte bool) {
-	f.loop.Post(func() { f.dispatcher.RecordEnd(bootclock.Now(), &p, result, firstByte) })
+// RecordEnd records the end of a request at a server. served are its parts if the caller got a complete successful
+// response, and nil otherwise.
+func (f *Fleet) RecordEnd(p dispatch.Placement, result dispatch.Result, firstByte bool, served []quarantine.Part) {
+	f.loop.Post(func() {
+		now := bootclock.Now()
+		f.dispatcher.RecordEnd(now, &p, result, firstByte)
+		f.logReleased(f.quarantine.RecordServed(now, served))
+	})
 }
 
 // RecordServerReport records what a server stated about itself in a response.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -335,7 +335,7 @@
 		for range 40 {
 			p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, nil)
 			if refusal == nil {
-				f.RecordEnd(p, dispatch.Served, true)
+				f.RecordEnd(p, dispatch.Served, true, nil)
 				used[p.Server] = true
 			}
 		}
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -24,11 +24,6 @@
 	}
 }
 
-// RecordServed records that a caller got the complete successful response to a request with the parts.
-func (f *Fleet) RecordServed(parts []quarantine.Part) {
-	f.loop.Post(func() { f.logReleased(f.quarantine.RecordServed(bootclock.Now(), parts)) })
-}
-
 // RecordCrash records the end of a server while it ran requests of this gateway, and tells the other gateways.
 func (f *Fleet) RecordCrash(crash quarantine.Crash) {
 	f.loop.Post(func() {
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -5,11 +5,14 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/fleet"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
@@ -105,17 +108,25 @@
 	}
 }
 
-// digest returns a digest of the request's method, path and body.
+// maxDigestedBody is the number of bytes of a body that a digest covers. It bounds the processor time of large requests.
+const maxDigestedBody = 64 << 10
+
+// digest returns a digest of the request's method, path, and the start and length of its body.
 func (r *request) digest() string {
 	h := sha256.New()
-	h.Write(r.header.Method())
-	h.Write([]byte{' '})
-	h.Write(r.header.RequestURI())
-	h.Write([]byte{'\n'})
-	h.Write(r.body)
+	fmt.Fprintf(h, "%s %s\n%d\n", r.header.Method(), r.header.RequestURI(), len(r.body))
+	h.Write(r.body[:min(len(r.body), maxDigestedBody)])
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
+// servedParts returns the request's parts if the caller got a complete successful response, and nil otherwise.
+func (r *request) servedParts(res *exchangeResult) []quarantine.Part {
+	if !res.complete || res.status >= fasthttp.StatusMultipleChoices {
+		return nil
+	}
+	return r.parts
+}
+
 // suspects returns the request's parts as suspects of a crash.
 func (r *request) suspects() []quarantine.Suspect {
 	r.identify()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -179,7 +179,7 @@
 		r.placement, r.sentAt = placement, bootclock.Now()
 		r.sends++
 		res := g.exchange(ctx, c, r)
-		g.fleet.RecordEnd(placement, res.dispatchResult, res.gotFirstByte)
+		g.fleet.RecordEnd(placement, res.dispatchResult, res.gotFirstByte, r.servedParts(&res))
 		r.placeRequest.Tried = append(r.placeRequest.Tried, placement.Server)
 		if res.maybeRan {
 			r.runs++
@@ -298,9 +298,6 @@
 func (g *Gateway) recordServed(r *request, res *exchangeResult) {
 	took := time.Since(r.receivedAt)
 	g.counters.recordServed(r, res, took)
-	if r.parts != nil && res.status < fasthttp.StatusMultipleChoices {
-		g.fleet.RecordServed(r.parts)
-	}
 	g.recordDecision(info, EventServed, r.call.ID, append(g.placementFields(r),
 		zap.Int("status", res.status), zap.Duration("first_byte", res.firstByteAfter), zap.Duration("took", took),
 		zap.Int("sends", r.sends), res.framingField(), zap.Int("partial_event", res.partialEvent))...)
