Report only suspects that may be culprits, in short messages

With 68 gateways a crash made each of those with requests there send a whole heartbeat with up to 48 suspects to all others, and each of these, having served most of them, answered in kind: up to 3 MB a second at one gateway, where the smallest links carry 2.5. Now a suspect is reported if it was not served here in the ten seconds before the crash and isn't a request's own part, or from the second crash on; answers name only what others have reported; both go in a message without loads and positions. The simulations hold as before (TestSimulated...), TestGatewaysHoldAndReleasePartsTogether passes three times with the race detector.

--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -77,10 +77,11 @@
 }
 
 // broadcastBeat sends a heartbeat to all gateways immediately. The leader calls it when the set of servers that are
-// excluded from new requests has changed, and when an engine has loaded its target weight version; any gateway does when a
-// server has crashed or a part is held.
-func (f *Fleet) broadcastBeat() {
-	beat := f.newBeat(bootclock.Now(), false)
+// excluded from new requests has changed, and when an engine has loaded its target weight version.
+func (f *Fleet) broadcastBeat() { f.broadcast(f.newBeat(bootclock.Now(), false)) }
+
+// broadcast sends a heartbeat to all gateways.
+func (f *Fleet) broadcast(beat *wire.Beat) {
 	to := f.members.BeatAddresses()
 	go func() {
 		if err := f.link.Send(beat, to); err != nil {
@@ -164,6 +165,10 @@
 	if beat.GetFrom().GetInstance() == f.Self.GetInstance() {
 		return
 	}
+	if beat.GetOnlyEvidence() {
+		f.mergeQuarantine(beat, now)
+		return
+	}
 	wasLive := f.members.IsLive(beat.GetFrom().GetInstance(), now)
 	member := f.members.HandleBeat(beat, now)
 	if member == nil {
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -12,16 +12,20 @@
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-// crashReportInterval is the minimum interval between two heartbeats that are sent at once because of a crash. Regular
+// crashReportInterval is the minimum interval between two reports that are sent at once because of a crash. Regular
 // heartbeats bring what came in between.
-const crashReportInterval = 100 * time.Millisecond
+const crashReportInterval = 150 * time.Millisecond
 
 // reportCrashes sends the evidence of this gateway to all others at once, unless it did so just now.
 func (f *Fleet) reportCrashes(now time.Time) {
-	if now.Sub(f.crashReportedAt) >= crashReportInterval {
-		f.crashReportedAt = now
-		f.broadcastBeat()
+	if now.Sub(f.crashReportedAt) < crashReportInterval {
+		return
 	}
+	f.crashReportedAt = now
+	f.sequence++
+	beat := &wire.Beat{From: f.Self, Incarnation: f.Incarnation, Sequence: f.sequence, OnlyEvidence: true}
+	f.addQuarantine(beat, now)
+	f.broadcast(beat)
 }
 
 // RecordCrash records the end of a server while it ran requests of this gateway, and tells the other gateways.
@@ -82,7 +86,7 @@
 		reported := &wire.ServerCrash{Server: crash.Server, AgeMs: ageMS(now, crash.At)}
 		for _, s := range crash.Suspects {
 			reported.Suspects = append(reported.Suspects, &wire.CrashSuspect{
-				Part: requestPart(s.Part), Request: s.Request, SentBeforeMs: ageMS(crash.At, s.SentAt), Depth: uint32(s.Depth),
+				Part: requestPart(s.Part), Request: s.Request, SentBeforeMs: ageMS(crash.At, s.SentAt), Depth: uint32(s.Depth), Own: s.Own,
 			})
 		}
 		beat.Crashes = append(beat.Crashes, reported)
@@ -112,6 +116,7 @@
 		for _, s := range reported.GetSuspects() {
 			crash.Suspects = append(crash.Suspects, quarantine.Suspect{
 				Part: commonPart(s.GetPart()), Request: s.GetRequest(), SentAt: timeBefore(crash.At, s.GetSentBeforeMs()), Depth: int(s.GetDepth()),
+				Own: s.GetOwn(), Reported: true,
 			})
 		}
 		answer = f.quarantine.RecordCrash(now, crash) || answer
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -135,7 +135,7 @@
 	number := h.Sum64()
 	list := make([]quarantine.Suspect, len(r.parts))
 	for i, part := range r.parts {
-		list[i] = quarantine.Suspect{Part: part, Request: number, SentAt: r.sentAt, Depth: i}
+		list[i] = quarantine.Suspect{Part: part, Request: number, SentAt: r.sentAt, Depth: i, Own: i > 0 && i == len(r.parts)-1}
 	}
 	return list
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -54,6 +54,10 @@
 	SentAt  time.Time
 	// Depth is the number of parts before it in the prompt.
 	Depth int
+	// Own is set for the last one of several parts, which belongs to its request or session alone.
+	Own bool
+	// Reported is set for suspects that another gateway has reported.
+	Reported bool
 }
 
 // Crash is the end of a server's process while it ran requests.
@@ -130,7 +134,7 @@
 }
 
 // RecordCrash records a crash that this gateway or another one has seen. Reports about the same crash are merged. It reports
-// whether this gateway has served requests with a part that is suspected anew, which the others must be told.
+// whether this gateway has served requests with a part that another one suspects anew and must be told of.
 func (t *Tracker) RecordCrash(now time.Time, c Crash) (answer bool) {
 	t.expireCrashes(now)
 	if now.Sub(c.At) > evidenceTTL {
@@ -182,7 +186,7 @@
 }
 
 // addSuspects adds the suspects that aren't known yet, those that were never served first. It reports whether it added any,
-// and any that was served.
+// and any of another gateway that was served here.
 func (t *Tracker) addSuspects(c *Crash, suspects []Suspect) (added, addedServed bool) {
 	for _, served := range []bool{false, true} {
 		for _, s := range suspects {
@@ -193,14 +197,20 @@
 				continue
 			}
 			c.Suspects = append(c.Suspects, s)
-			added, addedServed = true, addedServed || served
+			added, addedServed = true, addedServed || served && s.Reported
 		}
 	}
 	return added, addedServed
 }
 
+// hasSuspect reports whether a crash has the suspect already, which is then marked if it is reported.
 func hasSuspect(c *Crash, s *Suspect) bool {
-	return slices.ContainsFunc(c.Suspects, func(known Suspect) bool { return known.Part == s.Part && known.Request == s.Request })
+	i := slices.IndexFunc(c.Suspects, func(known Suspect) bool { return known.Part == s.Part && known.Request == s.Request })
+	if i < 0 {
+		return false
+	}
+	c.Suspects[i].Reported = c.Suspects[i].Reported || s.Reported
+	return true
 }
 
 // extend prolongs the hold of a part under which a server has crashed again. A crash after the hold's end was a trial.
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -9,6 +9,8 @@
 const (
 	// reportFor is how long a crash is reported to the other gateways.
 	reportFor = 5 * time.Second
+	// trustServedFor is how long before a crash a part may have been served to be an unlikely culprit.
+	trustServedFor = 10 * time.Second
 	// maxReported bounds the suspects, and the served parts, of one report.
 	maxReported = 48
 )
@@ -24,7 +26,7 @@
 	// Crashes are the latest crashes, the newest first.
 	Crashes []Crash
 	Holds   []Hold
-	// Served are the suspected and held parts that requests were served with.
+	// Served are the parts that other gateways suspect, and held ones, that requests were served with.
 	Served []ServedPart
 }
 
@@ -32,17 +34,20 @@
 func (t *Tracker) Report(now time.Time) Report {
 	var r Report
 	seen := make(map[Part]bool)
+	crashes := t.countCrashes()
 	suspects := 0
 	for _, c := range slices.Backward(t.crashes) {
-		if now.Sub(c.At) > reportFor || suspects >= maxReported {
+		if now.Sub(c.At) > reportFor {
 			break
 		}
 		reported := Crash{Server: c.Server, At: c.At}
-		for _, s := range c.Suspects {
-			at := t.served.lastAt(s.Part)
-			r.addServed(s.Part, at, seen)
-			if !at.After(c.At) && suspects < maxReported {
-				reported.Suspects = append(reported.Suspects, s)
+		for i := range c.Suspects {
+			s := &c.Suspects[i]
+			if s.Reported {
+				r.addServed(s.Part, t.served.lastAt(s.Part), seen)
+			}
+			if suspects < maxReported && t.isWorthReporting(c, s, crashes[s.Part]) {
+				reported.Suspects = append(reported.Suspects, *s)
 				suspects++
 			}
 		}
@@ -57,6 +62,30 @@
 	return r
 }
 
+// countCrashes returns the number of crashes under each part since it was last served.
+func (t *Tracker) countCrashes() map[Part]int {
+	counts := make(map[Part]int)
+	for _, c := range t.crashes {
+		for i, s := range c.Suspects {
+			again := slices.ContainsFunc(c.Suspects[:i], func(other Suspect) bool { return other.Part == s.Part })
+			if !again && c.At.After(t.served.lastAt(s.Part)) {
+				counts[s.Part]++
+			}
+		}
+	}
+	return counts
+}
+
+// isWorthReporting reports whether the other gateways need a suspect. A part that this gateway served just before the crash,
+// or that belongs to one request alone, is an unlikely culprit until there are several crashes under it.
+func (t *Tracker) isWorthReporting(c *Crash, s *Suspect, crashes int) bool {
+	servedAt := t.served.lastAt(s.Part)
+	if servedAt.After(c.At) {
+		return false
+	}
+	return crashes > 1 || !s.Own && c.At.Sub(servedAt) > trustServedFor
+}
+
 func (r *Report) addServed(part Part, at time.Time, seen map[Part]bool) {
 	if !at.IsZero() && !seen[part] && len(r.Served) < maxReported {
 		seen[part] = true
