Spread the catching-up of gateways over all that are ahead

Now one is picked at random among those that are ahead, of the own failure domain first, and one that failed in the last five seconds last.

TestAheadSpreadsOverGatewaysThatAnswer fails before.

--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -41,6 +41,8 @@
 	// can reach the store receives the changes from the store earlier than that.
 	catchUpInterval = 100 * time.Millisecond
 	catchUpAfter    = 250 * time.Millisecond
+	// avoidFailedFor is how long a gateway that didn't answer in time is asked only if no other one is ahead.
+	avoidFailedFor = 5 * time.Second
 	// peerCallTimeout bounds a call to another gateway.
 	peerCallTimeout = time.Second
 	// maxPeerConnections bounds the open connections to other gateways.
@@ -213,15 +215,17 @@
 func (f *Fleet) catchUp(ctx context.Context) {
 	pool := grpcpool.New(maxPeerConnections)
 	defer pool.Close()
-	behindSince := make(map[string]time.Time)
+	behindSince, failedAt := make(map[string]time.Time), make(map[string]time.Time)
 	for ctx.Err() == nil {
 		sleep(ctx, catchUpInterval)
 		for _, prefix := range f.prefixes() {
-			address, from := f.ahead(prefix, behindSince)
-			if address == "" {
+			source, from := f.ahead(prefix, behindSince, failedAt)
+			if source == nil {
 				continue
 			}
+			address := source.GetControlAddress()
 			if err := f.pull(ctx, pool, address, prefix, from); err != nil {
+				failedAt[source.GetInstance()] = bootclock.Now()
 				f.Log.Warn(EventCatchUpFailed, zap.String("prefix", prefix), zap.String("from", address), eventlog.Error(err))
 			}
 			delete(behindSince, prefix)
@@ -229,15 +233,16 @@
 	}
 }
 
-// ahead returns the control address of a gateway that is ahead of this one, and the position that this one
-// has. The address is empty unless some gateway has been ahead for catchUpAfter.
-func (f *Fleet) ahead(prefix string, behindSince map[string]time.Time) (address string, from metastore.Position) {
+// ahead returns a gateway that is ahead of this one, and the position that this one has. The gateway is nil unless some
+// gateway has been ahead for catchUpAfter. failedAt are the times of the latest failed calls by gateway.
+func (f *Fleet) ahead(prefix string, behindSince, failedAt map[string]time.Time) (source *wire.Peer, from metastore.Position) {
 	f.loop.Call(func() {
 		now := bootclock.Now()
 		from = f.mirror.AsOf(prefix)
-		member := f.members.Ahead(prefix, from, now)
+		failed := func(instance string) bool { return now.Sub(failedAt[instance]) < avoidFailedFor }
+		member := f.members.Ahead(prefix, from, now, failed)
 		if member == nil && prefix == f.Platform.Documents.OperatorPrefix() {
-			member = f.members.WithLaterConfiguration(f.configurationVersion(), now)
+			member = f.members.WithLaterConfiguration(f.configurationVersion(), now, failed)
 		}
 		if member == nil {
 			delete(behindSince, prefix)
@@ -246,10 +251,10 @@
 		if since, ok := behindSince[prefix]; !ok {
 			behindSince[prefix] = now
 		} else if now.Sub(since) >= catchUpAfter {
-			address = member.GetControlAddress()
+			source = member.Peer
 		}
 	})
-	return address, from
+	return source, from
 }
 
 // pull applies the changes after from that the gateway at address has. It returns ErrPeer.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,7 +7,9 @@
 package peers
 
 import (
+	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -292,24 +294,55 @@
 	return list
 }
 
-// Ahead returns the live member with the latest position of a prefix if it is after position, or nil.
-func (m *Members) Ahead(prefix string, position metastore.Position, now time.Time) *Member {
-	var best *Member
+// Ahead returns a live member that has a later position of a prefix than position, or nil. failed reports whether a call to a
+// gateway has failed recently. Members for which it doesn't are preferred, then those with the latest position, then those
+// of this failure domain. Of several such members one is picked at random, so that not all gateways ask the same one.
+func (m *Members) Ahead(prefix string, position metastore.Position, now time.Time, failed func(instance string) bool) *Member {
+	return m.pick(now, failed, func(member *Member) (metastore.Position, bool) {
+		known := member.Positions[prefix]
+		return known, known.Compare(position) > 0
+	})
+}
+
+// WithLaterConfiguration returns a live member that has a later configuration in force than version, or nil. It picks
+// among them as Ahead does. After the metadata store has come back from a copy, the other gateways may have a
+// configuration that the store has lost.
+func (m *Members) WithLaterConfiguration(version int64, now time.Time, failed func(instance string) bool) *Member {
+	return m.pick(now, failed, func(member *Member) (metastore.Position, bool) {
+		return metastore.Position{}, member.Configuration > version
+	})
+}
+
+func (m *Members) pick(now time.Time, failed func(instance string) bool, eligible func(*Member) (metastore.Position, bool)) *Member {
+	type candidate struct {
+		member   *Member
+		position metastore.Position
+		failed   bool
+	}
+	var candidates []candidate
 	for _, member := range m.Live(now) {
-		if member.Positions[prefix].Compare(position) > 0 && (best == nil || member.Positions[prefix].Compare(best.Positions[prefix]) > 0) {
-			best = member
+		if position, ok := eligible(member); ok {
+			candidates = append(candidates, candidate{member, position, failed(member.GetInstance())})
 		}
 	}
-	return best
+	if len(candidates) == 0 {
+		return nil
+	}
+	rand.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	best := slices.MinFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(compareBool(a.failed, b.failed), b.position.Compare(a.position), compareBool(!m.near(a.member), !m.near(b.member)))
+	})
+	return best.member
 }
 
-// WithLaterConfiguration returns a live member that has a later configuration in force than version, or nil. After the
-// metadata store has come back from a copy, the other gateways may have a configuration that the store has lost.
-func (m *Members) WithLaterConfiguration(version int64, now time.Time) *Member {
-	for _, member := range m.Live(now) {
-		if member.Configuration > version {
-			return member
-		}
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	return nil
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -58,6 +59,32 @@
 	c.Assert(m.BeatAddresses(), qt.HasLen, 2)
 }
 
+func noneFailed(string) bool { return false }
+
+// Guards against all gateways pulling a change from the same one, and again after it failed to answer in time.
+func TestAheadSpreadsOverGatewaysThatAnswer(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(peer("me", "a"))
+	for _, other := range []*wire.Peer{peer("far", "b"), peer("x", "a"), peer("y", "a"), peer("z", "a")} {
+		m.HandleBeat(&wire.Beat{
+			From: other, Incarnation: 1, Sequence: 1, Configuration: 2, Known: []*wire.PrefixRevision{{Prefix: "op/", Revision: 2}},
+		}, start)
+	}
+	picked := func(failed ...string) map[string]bool {
+		names := make(map[string]bool)
+		for range 200 {
+			isFailed := func(instance string) bool { return slices.Contains(failed, instance) }
+			names[m.Ahead("op/", metastore.Position{Revision: 1}, start, isFailed).GetInstance()] = true
+			names[m.WithLaterConfiguration(1, start, isFailed).GetInstance()] = true
+		}
+		return names
+	}
+	c.Assert(picked(), qt.DeepEquals, map[string]bool{"x": true, "y": true, "z": true})
+	c.Assert(picked("x", "z"), qt.DeepEquals, map[string]bool{"y": true})
+	c.Assert(picked("x", "y", "z"), qt.DeepEquals, map[string]bool{"far": true})
+	c.Assert(picked("far", "x", "y", "z"), qt.DeepEquals, map[string]bool{"x": true, "y": true, "z": true})
+}
+
 func TestAheadReturnsHighestRevision(t *testing.T) {
 	c := qt.New(t)
 	m := NewMembers(peer("me", "a"))
@@ -66,8 +93,8 @@
 		b.Known = []*wire.PrefixRevision{{Prefix: "op/", Revision: int64(i + 1)}}
 		m.HandleBeat(b, start)
 	}
-	c.Assert(m.Ahead("op/", metastore.Position{Revision: 1}, start).GetInstance(), qt.Equals, "z")
-	c.Assert(m.Ahead("op/", metastore.Position{Revision: 3}, start), qt.IsNil)
+	c.Assert(m.Ahead("op/", metastore.Position{Revision: 1}, start, noneFailed).GetInstance(), qt.Equals, "z")
+	c.Assert(m.Ahead("op/", metastore.Position{Revision: 3}, start, noneFailed), qt.IsNil)
 }
 
 func TestLinkCarriesBeats(t *testing.T) {
@@ -109,8 +136,8 @@
 		b.Known = []*wire.PrefixRevision{{Prefix: "op/", Revision: int64(position.Revision), Era: int64(position.Era)}}
 		m.HandleBeat(b, start)
 	}
-	c.Assert(m.Ahead("op/", metastore.Position{Era: 1, Revision: 100}, start).GetInstance(), qt.Equals, "new")
-	c.Assert(m.Ahead("op/", metastore.Position{Era: 2, Revision: 7}, start), qt.IsNil)
+	c.Assert(m.Ahead("op/", metastore.Position{Era: 1, Revision: 100}, start, noneFailed).GetInstance(), qt.Equals, "new")
+	c.Assert(m.Ahead("op/", metastore.Position{Era: 2, Revision: 7}, start, noneFailed), qt.IsNil)
 }
 
 // A late heartbeat of a gateway's previous run changes nothing.
