Search only new bytes of a stream for the end of an event

A server in trouble could keep a core busy with it.

Now a search covers the new bytes and those before them that may change their meaning, and appending doesn't copy.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -19,6 +19,8 @@
 type eventReader struct {
 	body     io.Reader
 	buffered []byte
+	// searched is the number of buffered bytes in which no event ends.
+	searched int
 	err      error
 	// chunk is the buffer for one read.
 	chunk []byte
@@ -33,10 +35,11 @@
 // event is complete, io.ErrUnexpectedEOF at any other end, or ErrTooLarge for an event of more than maxEventBytes bytes.
 func (r *eventReader) next() (events []byte, id string, err error) {
 	for {
-		if end := lastEventEnd(r.buffered); end > 0 {
-			events, r.buffered = r.buffered[:end], r.buffered[end:]
+		if end := lastEventEnd(r.buffered, r.searched); end > 0 {
+			events, r.buffered, r.searched = r.buffered[:end], r.buffered[end:], 0
 			return events, lastID(events), nil
 		}
+		r.searched = len(r.buffered)
 		if errors.Is(r.err, io.EOF) && r.partial() > 0 {
 			return nil, "", io.ErrUnexpectedEOF
 		}
@@ -51,7 +54,7 @@
 			return nil, "", ErrTooLarge.New("event of more than %d bytes", maxEventBytes)
 		}
 		n, err := r.body.Read(r.chunk)
-		r.buffered = append(r.buffered[:len(r.buffered):len(r.buffered)], r.chunk[:n]...)
+		r.buffered = append(r.buffered, r.chunk[:n]...)
 		r.err = err
 	}
 }
@@ -64,10 +67,11 @@
 	return len(r.buffered)
 }
 
-// lastEventEnd returns the index after the last empty line in buffered, 0 when there is none. Lines end with LF, CR LF
-// or CR, as in the server-sent events section of the HTML standard.
-func lastEventEnd(buffered []byte) int {
-	for end := len(buffered); end > 1; end-- {
+// lastEventEnd returns the index after the last empty line in buffered, 0 when there is none. searched is the number of bytes
+// in which none was found earlier; a CR at their end may be one now. Lines end with LF, CR LF or CR, as in the
+// server-sent events section of the HTML standard.
+func lastEventEnd(buffered []byte, searched int) int {
+	for end := len(buffered); end > 1 && end >= searched; end-- {
 		if end < len(buffered) && buffered[end-1] == '\r' && buffered[end] == '\n' {
 			continue
 		}
--- a/internal/gateway/stream_internal_test.go
+++ b/internal/gateway/stream_internal_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -78,3 +79,15 @@
 	_, _, err := readEvents(io.MultiReader(strings.NewReader("id: 1\n\nid: 2"), iotest.ErrReader(reset)))
 	c.Assert(err, qt.Equals, reset)
 }
+
+// Guards against a search that begins anew with each read, which took seconds for a long event in small pieces.
+func TestLongEventInSmallPiecesIsReadInLinearTime(t *testing.T) {
+	c := qt.New(t)
+	event := "id: 1\ndata: " + strings.Repeat("x", maxEventBytes-100) + "\n\n"
+	started := time.Now()
+	batches, id, err := readEvents(iotest.OneByteReader(strings.NewReader(event)))
+	c.Assert(err, qt.Equals, io.EOF)
+	c.Assert(strings.Join(batches, "") == event, qt.IsTrue)
+	c.Assert(id, qt.Equals, "1")
+	c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+}
