Decide nothing when all evidence has expired

A gateway whose host was suspended for a minute between a crash and its evaluation would have ended itself: Decide read the latest of no crashes. Found by reading; TestEvidenceMayExpireBeforeItIsEvaluated panicked before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -158,7 +158,8 @@
 
 // Decide returns the parts that are held from now on because of the evidence. It is called a few times a second.
 func (t *Tracker) Decide(now time.Time) []Hold {
-	if !t.undecided {
+	if !t.undecided || len(t.crashes) == 0 {
+		t.undecided = false
 		return nil
 	}
 	t.undecided = now.Sub(t.crashes[len(t.crashes)-1].At) < settleTime
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -227,6 +227,17 @@
 	c.Assert(tracker.IsIdle(), qt.IsTrue)
 }
 
+// A host that is suspended between a crash and its evaluation finds the evidence expired.
+func TestEvidenceMayExpireBeforeItIsEvaluated(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	tracker.RecordCrash(at(1), crash("s1", 1, 0.5, 1, "bad"))
+	later := at(2).Add(evidenceTTL)
+	tracker.Expire(later)
+	c.Assert(tracker.Decide(later), qt.HasLen, 0)
+	c.Assert(tracker.IsIdle(), qt.IsTrue)
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	c := qt.New(t)
 	tracker := New()
