Test that a part which is served just before each crash is held; it fails on this code

TestSimulatedPartThatCrashesBusyServersIsHeld, looked at as another possible cause (crowded tables of suspects), passes.

--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -31,7 +31,9 @@
 	servers  []*simServer
 	// returnAfter is how long a server takes to start again.
 	returnAfter float64
-	sequence    uint64
+	// completeFirst is the share of the requests with badPart that are served just before their server crashes.
+	completeFirst float64
+	sequence      uint64
 
 	badCrashes []float64
 	// badReached are the times at which requests with badPart reached servers.
@@ -163,6 +165,10 @@
 		return
 	}
 	if !r.sound {
+		if s.rng.Float64() < s.completeFirst {
+			delete(server.running, r)
+			g.tracker.RecordServed(at(s.now), r.parts)
+		}
 		s.in(0.1*s.rng.Float64(), func() {
 			if server.up {
 				s.badCrashes = append(s.badCrashes, s.now)
@@ -267,13 +273,18 @@
 const simulatedSeconds = 30
 
 // soundLoad sends requests of ten sessions, of which some come often and some rarely, with the same first part.
-func (s *simulation) soundLoad(servers int) {
+func (s *simulation) soundLoad(servers int, factor float64) {
 	for i := range 10 {
 		session := fmt.Sprint("session", i)
-		s.every(0.4*float64(servers)/float64(i+1), 0, simulatedSeconds, func() { s.request(true, "base", session) })
+		s.every(factor*0.4*float64(servers)/float64(i+1), 0, simulatedSeconds, func() { s.request(true, "base", session) })
 	}
 }
 
+// rareSessions sends requests of sessions that come a few times each, so that most gateways have never served them.
+func (s *simulation) rareSessions(perSecond float64) {
+	s.every(perSecond, 0, simulatedSeconds, func() { s.request(true, "base", fmt.Sprint("rare", int(s.now/2)*100+s.rng.IntN(100))) })
+}
+
 // Requests with one part crash each server that begins to answer them. They come often or rarely, and share their other parts
 // with sound requests.
 func TestSimulatedPartThatCrashesServersIsHeld(t *testing.T) {
@@ -283,7 +294,7 @@
 				t.Parallel()
 				c := qt.New(t)
 				s := newSimulation(seed, site.gateways, site.servers)
-				s.soundLoad(site.servers)
+				s.soundLoad(site.servers, 1)
 				perSecond := []float64{1, 4, 10, 20}[seed%4]
 				s.every(perSecond, 5, simulatedSeconds, func() {
 					s.request(false, "base", fmt.Sprint("session", s.rng.IntN(10)), badPart)
@@ -301,6 +312,50 @@
 	}
 }
 
+// The same where some of the requests are served before their servers crash: a short answer may be faster than the end of the
+// process.
+func TestSimulatedPartThatIsServedBeforeTheCrashIsHeld(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := newSimulation(seed, 5, 18)
+			s.completeFirst = []float64{0.2, 0.5, 0.9}[seed%3]
+			s.soundLoad(18, 2)
+			s.every(10, 5, simulatedSeconds, func() {
+				s.request(false, "base", fmt.Sprint("session", s.rng.IntN(10)), badPart)
+			})
+			s.run(simulatedSeconds + 5)
+			c.Assert(s.late() <= maxLate, qt.IsTrue, qt.Commentf("%d requests too late, %d crashes", s.late(), len(s.badCrashes)))
+			c.Assert(s.wronglyHeld, qt.HasLen, 0)
+		})
+	}
+}
+
+// The same at busy servers, which run dozens of requests each, many of them of sessions that are new to most gateways.
+func TestSimulatedPartThatCrashesBusyServersIsHeld(t *testing.T) {
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			s := newSimulation(seed, 5, 18)
+			s.soundLoad(18, 4)
+			s.rareSessions(200)
+			s.every([]float64{4, 10, 20}[seed%3], 5, simulatedSeconds, func() {
+				s.request(false, "base", fmt.Sprint("session", s.rng.IntN(10)), badPart)
+			})
+			s.run(simulatedSeconds + 5)
+			c.Assert(s.late() <= maxLate, qt.IsTrue, qt.Commentf("%d requests too late, %d crashes", s.late(), len(s.badCrashes)))
+			held, sound := 0, 0
+			for second := 15; second < simulatedSeconds; second++ {
+				held, sound = held+s.held[second], sound+s.sound[second]
+			}
+			c.Logf("%d crashes, %d late, %d of %d sound held, wrongly %d", len(s.badCrashes), s.late(), held, sound, len(s.wronglyHeld))
+			c.Assert(2*held < sound, qt.IsTrue, qt.Commentf("%d of %d sound requests were held: %v", held, sound, s.wronglyHeld))
+		})
+	}
+}
+
 // Servers crash for reasons of their own: alone, many at the same moment, in turn. No part is held.
 func TestSimulatedCrashesWithoutACulpritHoldNothing(t *testing.T) {
 	for _, site := range sites {
@@ -309,7 +364,7 @@
 				t.Parallel()
 				c := qt.New(t)
 				s := newSimulation(seed, site.gateways, site.servers)
-				s.soundLoad(site.servers)
+				s.soundLoad(site.servers, 1)
 				crashShare := func(share float64) {
 					for _, server := range s.servers {
 						if server.up && s.rng.Float64() < share {
