Count parts as served only when their server goes on

Now the parts of a request count as served 0.3 s after it, and if its server crashes within that time they are suspects instead. A refused connection is a crash too, so that a server which ran nothing else is noticed.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -213,11 +213,11 @@
 
 // RecordEnd records the end of a request at a server. served are its parts if the caller got a complete successful
 // response, and nil otherwise.
-func (f *Fleet) RecordEnd(p dispatch.Placement, result dispatch.Result, firstByte bool, served []quarantine.Part) {
+func (f *Fleet) RecordEnd(p dispatch.Placement, result dispatch.Result, firstByte bool, served []quarantine.Suspect) {
 	f.loop.Post(func() {
 		now := bootclock.Now()
 		f.dispatcher.RecordEnd(now, &p, result, firstByte)
-		f.logReleased(f.quarantine.RecordServed(now, served))
+		f.quarantine.RecordServed(now, p.Server, served)
 	})
 }
 
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -26,10 +26,11 @@
 		fleets[i] = startFleet(c, fmt.Sprint("g", i), &switchableStore{store, make(chan struct{})})
 	}
 	bad, sound := []quarantine.Part{{Scope: "m", ID: "bad"}}, []quarantine.Part{{Scope: "m", ID: "sound"}}
+	served := func(parts []quarantine.Part) []quarantine.Suspect { return []quarantine.Suspect{{Part: parts[0]}} }
 	refused := func(f *Fleet, parts []quarantine.Part) bool {
 		p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, parts)
 		if refusal == nil {
-			f.RecordEnd(p, dispatch.Served, true, sound)
+			f.RecordEnd(p, dispatch.Served, true, served(sound))
 			return false
 		}
 		return refusal.Reason == dispatch.Quarantined
@@ -57,7 +58,7 @@
 		c.Assert(refused(f, sound), qt.IsFalse)
 	}
 	c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
-	fleets[1].loop.Post(func() { fleets[1].quarantine.RecordServed(bootclock.Now(), bad) })
+	fleets[1].loop.Post(func() { fleets[1].quarantine.RecordServed(bootclock.Now(), "s1", served(bad)) })
 	for _, f := range fleets {
 		eventually(c, "each gateway releases the part", func() bool { return !refused(f, bad) })
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -67,6 +67,20 @@
 	}
 }
 
+// observeRefused records that a server's address refused a connection, so that the server has crashed if it was in use. The
+// requests that it served just before may be the cause.
+func (d *crashDetector) observeRefused(server string) {
+	now := bootclock.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if check := d.checks[server]; check != nil && now.Sub(check.at) <= crashCheckTTL {
+		return
+	}
+	d.expire(now)
+	d.checks[server] = &crashCheck{at: now, done: true, crashed: true}
+	d.fleet.RecordCrash(quarantine.Crash{Server: server, At: now})
+}
+
 func (d *crashDetector) expire(now time.Time) {
 	for server, check := range d.checks {
 		if now.Sub(check.at) > crashCheckTTL {
@@ -120,11 +134,11 @@
 }
 
 // servedParts returns the request's parts if the caller got a complete successful response, and nil otherwise.
-func (r *request) servedParts(res *exchangeResult) []quarantine.Part {
-	if !res.complete || res.status >= fasthttp.StatusMultipleChoices {
+func (r *request) servedParts(res *exchangeResult) []quarantine.Suspect {
+	if r.parts == nil || !res.complete || res.status >= fasthttp.StatusMultipleChoices {
 		return nil
 	}
-	return r.parts
+	return r.suspects()
 }
 
 // suspects returns the request's parts as suspects of a crash.
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -29,6 +29,8 @@
 type crashingEngines struct {
 	d            *deployment
 	restartAfter time.Duration
+	// answerFirst makes the engines complete their answers just before they end.
+	answerFirst bool
 
 	mu sync.Mutex
 	// reached are the times at which prompts with crashingPart arrived, crashed those at which engines ended.
@@ -38,8 +40,8 @@
 	restarting       sync.WaitGroup
 }
 
-func (d *deployment) startCrashingEngines(count int, restartAfter time.Duration) *crashingEngines {
-	e := &crashingEngines{d: d, restartAfter: restartAfter}
+func (d *deployment) startCrashingEngines(count int, restartAfter time.Duration, answerFirst bool) *crashingEngines {
+	e := &crashingEngines{d: d, restartAfter: restartAfter, answerFirst: answerFirst}
 	d.put("op/version/m", `{"model":"m","version":1}`)
 	for range count {
 		e.start()
@@ -75,16 +77,17 @@
 		e.mu.Unlock()
 	}
 	time.Sleep(30 * time.Millisecond)
-	if !crashes {
-		r.startStream()
+	r.startStream()
+	if !crashes || e.answerFirst {
 		r.chunk(event(1))
 		time.Sleep(10 * time.Millisecond)
 		r.chunk(event(2))
 		r.endStream()
-		return
 	}
-	r.startStream()
-	end()
+	if crashes {
+		time.Sleep(50 * time.Millisecond)
+		end()
+	}
 }
 
 // crash ends an engine and starts another one later.
@@ -142,11 +145,18 @@
 
 // Guards against second1: requests with one part in their prompts crashed one engine after the other.
 func TestPromptsThatCrashEnginesAreKeptAway(t *testing.T) {
-	t.Parallel()
-	c := qt.New(t)
+	for name, answerFirst := range map[string]bool{"before the answer": false, "after the answer": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			testCrashingPrompts(qt.New(t), answerFirst)
+		})
+	}
+}
+
+func testCrashingPrompts(c *qt.C, answerFirst bool) {
 	d := deploy(c, startServer(c, okResponse))
 	gateways := []*deployment{d, d.addGateway("h")}
-	engines := d.startCrashingEngines(8, time.Second)
+	engines := d.startCrashingEngines(8, time.Second, answerFirst)
 	for _, g := range gateways {
 		g.eventually(func() bool { return g.mustSend("POST", "/ask/x", prompt("warm"), "p").status == 200 })
 	}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -14,6 +14,8 @@
 	ErrListen = namespace.NewType("listen")
 	// ErrNotSent means that no byte of a request reached the server.
 	ErrNotSent = namespace.NewType("not_sent", errorx.Temporary())
+	// ErrConnRefused means that a server's address accepts no connections, as after the end of its process.
+	ErrConnRefused = ErrNotSent.NewSubtype("connection_refused")
 	// ErrBroken means that a server's response broke off or is invalid; the request may have run.
 	ErrBroken = namespace.NewType("broken")
 	// ErrCallerDisconnected means that the caller closed its connection.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -191,6 +191,9 @@
 		if res.maybeSent && res.dispatchResult == dispatch.Unreachable {
 			g.crashes.observe(placement.Server, placement.Address, r.suspects())
 		}
+		if errorx.IsOfType(res.err, ErrConnRefused) {
+			g.crashes.observeRefused(placement.Server)
+		}
 		if ctx.Err() != nil || res.callerFailed {
 			return g.respondInterrupted(ctx, c, r, &res)
 		}
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -155,6 +155,9 @@
 // dial opens a connection to a server. The error is ErrNotSent.
 func dial(ctx context.Context, server, address string) (*serverConn, error) {
 	sc, err := connect(ctx, server, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, ErrConnRefused.Wrap(err, "server %s at %s", server, address)
+	}
 	if err != nil {
 		return nil, ErrNotSent.Wrap(err, "server %s at %s", server, address)
 	}
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -21,6 +21,9 @@
 	// flight at minShareAlone of all crashes of its scope.
 	minRequestsAlone = 3
 	minShareAlone    = 0.9
+	// comparableShare is the share of the crashes under the part with most of them from which another part explains them as
+	// well.
+	comparableShare = 0.75
 )
 
 // evidence is what speaks against one part.
@@ -31,8 +34,11 @@
 	// that fail at the same moment count once. first and last are the times of the first and last of them.
 	crashes     int
 	first, last time.Time
-	requests    []uint64
-	everServed  bool
+	// under is the number of all crashes under the part, latest the latest of them.
+	under      int
+	latest     *Crash
+	requests   []uint64
+	everServed bool
 }
 
 // holdCulprits holds the parts that the crashes speak against. A crash that is explained by one of them doesn't count
@@ -69,11 +75,28 @@
 	}
 }
 
-// worst returns the strongest evidence that suffices to hold a part, or nil.
+// worst returns the strongest evidence that suffices to hold a part, or nil. Of parts that explain about as many crashes it
+// is the one in the fewest requests: the others are shared with requests that were victims.
 func (t *Tracker) worst(explained map[*Crash]bool) *evidence {
-	var worst *evidence
+	var sufficient []*evidence
+	everServed, most := true, 0
 	for _, e := range t.collect(explained) {
-		if t.suffices(e) && (worst == nil || stronger(e, worst)) {
+		if t.suffices(e) {
+			sufficient = append(sufficient, e)
+			everServed = everServed && e.everServed
+		}
+	}
+	for _, e := range sufficient {
+		if e.everServed == everServed {
+			most = max(most, e.under)
+		}
+	}
+	var worst *evidence
+	for _, e := range sufficient {
+		if e.everServed != everServed || float64(e.under) < comparableShare*float64(most) {
+			continue
+		}
+		if worst == nil || stronger(e, worst) {
 			worst = e
 		}
 	}
@@ -104,6 +127,10 @@
 func (t *Tracker) add(e *evidence, c *Crash, s *Suspect) {
 	servedAt := t.served.lastAt(s.Part)
 	e.everServed = !servedAt.IsZero()
+	if c.At.After(servedAt) && e.latest != c {
+		e.under++
+		e.latest = c
+	}
 	counted := e.crashes > 0 && c.At.Equal(e.last)
 	if !c.At.After(servedAt) || e.crashes > 0 && !counted && s.SentAt.Before(e.last) {
 		return
@@ -149,14 +176,8 @@
 // stronger reports whether a is stronger evidence than b. Of parts that always occur together the later one in the prompt
 // is blamed, because fewer other requests share it.
 func stronger(a, b *evidence) bool {
-	switch {
-	case a.everServed != b.everServed:
-		return !a.everServed
-	case a.crashes != b.crashes:
-		return a.crashes > b.crashes
-	case len(a.requests) != len(b.requests):
-		return len(a.requests) > len(b.requests)
-	default:
-		return a.depth > b.depth
+	if len(a.requests) != len(b.requests) {
+		return len(a.requests) < len(b.requests)
 	}
+	return a.depth > b.depth
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -20,6 +20,9 @@
 	// settleTime is how long a crash is reported before it counts, so that gateways that have served a suspected part can
 	// say so.
 	settleTime = 400 * time.Millisecond
+	// surviveTime is how long a server must go on after it has served a request until the request's parts count as served.
+	// A short answer may be complete before the process ends, and the end is noticed by the next request only.
+	surviveTime = 300 * time.Millisecond
 	// evidenceTTL is how long a crash counts.
 	evidenceTTL = time.Minute
 	// sameCrashWithin is the time in which reports about one server are about the same crash. A server takes longer
@@ -88,7 +91,9 @@
 	// crashes are in the order of their times.
 	crashes []*Crash
 	served  *servedMemory
-	holds   map[Part]*Hold
+	// unconfirmed are the requests that were served less than surviveTime ago, in the order of their times.
+	unconfirmed []servedRequest
+	holds       map[Part]*Hold
 	// undecided is set when evidence was added since the latest decision.
 	undecided bool
 	// triedAt is when a request with a held part was last tried by this gateway.
@@ -103,18 +108,46 @@
 // IsIdle reports whether there is neither evidence nor a hold.
 func (t *Tracker) IsIdle() bool { return len(t.crashes) == 0 && len(t.holds) == 0 }
 
-// RecordServed records that this gateway has forwarded a complete successful response to a request with the parts. It
-// returns the parts that are no longer held.
-func (t *Tracker) RecordServed(now time.Time, parts []Part) (released []Part) {
-	t.served.recordRequest(now, parts)
-	for _, part := range parts {
-		if t.release(part, now) {
-			released = append(released, part)
+// RecordServed records that this gateway has forwarded a server's complete successful response to a request, whose parts are
+// given as suspects. They count as served if the server goes on.
+func (t *Tracker) RecordServed(now time.Time, server string, parts []Suspect) {
+	if len(parts) == 0 {
+		return
+	}
+	request := servedRequest{at: now, server: server, parts: parts}
+	t.served.recordRequest(request)
+	t.unconfirmed = append(t.unconfirmed, request)
+}
+
+// confirm counts the parts of requests as served whose servers went on for surviveTime. It returns the parts that are no
+// longer held.
+func (t *Tracker) confirm(now time.Time) (released []Part) {
+	confirmed := 0
+	for confirmed < len(t.unconfirmed) && now.Sub(t.unconfirmed[confirmed].at) > surviveTime {
+		request := &t.unconfirmed[confirmed]
+		for _, s := range request.parts {
+			if t.MergeServed(s.Part, request.at) {
+				released = append(released, s.Part)
+			}
 		}
+		confirmed++
 	}
+	t.unconfirmed = slices.Delete(t.unconfirmed, 0, confirmed)
 	return released
 }
 
+// takeUnconfirmed removes the requests that a server served within surviveTime of its crash, and returns their parts.
+func (t *Tracker) takeUnconfirmed(c *Crash) (suspects []Suspect) {
+	t.unconfirmed = slices.DeleteFunc(t.unconfirmed, func(r servedRequest) bool {
+		if r.server != c.Server || r.at.Sub(c.At).Abs() > surviveTime {
+			return false
+		}
+		suspects = append(suspects, r.parts...)
+		return true
+	})
+	return suspects
+}
+
 // MergeServed records when another gateway last had a complete response to a request with the part. It reports whether
 // the part is no longer held.
 func (t *Tracker) MergeServed(part Part, at time.Time) (released bool) {
@@ -145,7 +178,7 @@
 		known = &Crash{Server: c.Server, At: c.At}
 		t.insert(known)
 	}
-	added, answer := t.addSuspects(known, c.Suspects)
+	added, answer := t.addSuspects(known, append(t.takeUnconfirmed(known), c.Suspects...))
 	if !added {
 		return false
 	}
@@ -227,9 +260,11 @@
 	hold.Crashes++
 }
 
-// Expire drops the crashes that no longer count and the holds that have ended. It returns the latter's parts.
+// Expire drops the crashes that no longer count and the holds that have ended, and counts the parts as served whose servers
+// went on. It returns the parts that are no longer held. It is called a few times a second.
 func (t *Tracker) Expire(now time.Time) (released []Part) {
 	t.expireCrashes(now)
+	released = t.confirm(now)
 	for part, hold := range t.holds {
 		if now.After(hold.expiresAt()) {
 			delete(t.holds, part)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -31,6 +31,16 @@
 	return c
 }
 
+// served records that a request with the parts was served by a server that goes on.
+func served(t *Tracker, now time.Time, ids []Part) (released []Part) {
+	list := make([]Suspect, len(ids))
+	for i, p := range ids {
+		list[i] = Suspect{Part: p, Depth: i}
+	}
+	t.RecordServed(now, "sound", list)
+	return t.Expire(now.Add(surviveTime + time.Millisecond))
+}
+
 // heldParts returns the ids of the held parts.
 func heldParts(t *Tracker) map[string]bool {
 	ids := make(map[string]bool)
@@ -50,9 +60,9 @@
 func TestPartOfCrashesInARowIsHeld(t *testing.T) {
 	c := qt.New(t)
 	tracker := New()
-	tracker.RecordServed(at(0), parts("base", "doc", "q0"))
+	served(tracker, at(0), parts("base", "doc", "q0"))
 	record(tracker, crash("s1", 1, 0.9, 1, "base", "doc", "bad", "q1"))
-	tracker.RecordServed(at(1.1), parts("base", "doc", "q2"))
+	served(tracker, at(1.1), parts("base", "doc", "q2"))
 	record(tracker, crash("s2", 1.2, 1.05, 1, "base", "doc", "bad", "q1"))
 	c.Assert(heldParts(tracker), qt.HasLen, 0)
 	record(tracker, crash("s3", 1.5, 1.3, 2, "base", "doc", "bad", "q3"))
@@ -69,17 +79,17 @@
 func TestNothingIsHeldWithoutEnoughEvidence(t *testing.T) {
 	for name, play := range map[string]func(t *Tracker){
 		"servers that fail at the same moment": func(t *Tracker) {
-			t.RecordServed(at(0.5), parts("other"))
+			served(t, at(0.5), parts("other"))
 			for i := range 8 {
 				record(t, crash(fmt.Sprint("s", i), 1+float64(i)/1000, 0.9, uint64(i), "session"))
 			}
-			t.RecordServed(at(1.5), parts("other"))
+			served(t, at(1.5), parts("other"))
 			record(t, crash("s9", 2, 1.9, 9, "another"))
 		},
 		"one request that is sent again and again": func(t *Tracker) {
 			for i := range 8 {
 				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), 1, "session"))
-				t.RecordServed(at(1.1+float64(i)), parts("other"))
+				served(t, at(1.1+float64(i)), parts("other"))
 			}
 		},
 		"nothing is served at all": func(t *Tracker) {
@@ -91,16 +101,16 @@
 		"the part is served in between": func(t *Tracker) {
 			for i := range 8 {
 				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), uint64(i), "session"))
-				t.RecordServed(at(1.1+float64(i)), parts("other"))
+				served(t, at(1.1+float64(i)), parts("other"))
 				if i%2 == 1 {
-					t.RecordServed(at(1.2+float64(i)), parts("session"))
+					served(t, at(1.2+float64(i)), parts("session"))
 				}
 			}
 		},
 		"another gateway has served the part in between": func(t *Tracker) {
 			for i := range 8 {
 				record(t, crash(fmt.Sprint("s", i), 1+float64(i), 0.5+float64(i), uint64(i), "session"))
-				t.RecordServed(at(1.1+float64(i)), parts("other"))
+				served(t, at(1.1+float64(i)), parts("other"))
 				if i%2 == 1 {
 					t.MergeServed(part("session"), at(1.2+float64(i)))
 				}
@@ -109,13 +119,13 @@
 		"the crashes are long ago": func(t *Tracker) {
 			for i := range 8 {
 				record(t, crash(fmt.Sprint("s", i), 1+40*float64(i), 0.5+40*float64(i), uint64(i), "session"))
-				t.RecordServed(at(1.1+40*float64(i)), parts("other"))
+				served(t, at(1.1+40*float64(i)), parts("other"))
 			}
 		},
 		"reports about one crash": func(t *Tracker) {
 			for i := range 8 {
 				record(t, crash("s1", 1+float64(i)/10, 0.9+float64(i)/10, uint64(i), "session"))
-				t.RecordServed(at(1.05+float64(i)/10), parts("other"))
+				served(t, at(1.05+float64(i)/10), parts("other"))
 			}
 		},
 	} {
@@ -133,12 +143,12 @@
 func TestPartThatWasServedBeforeIsHeldLater(t *testing.T) {
 	c := qt.New(t)
 	tracker := New()
-	tracker.RecordServed(at(0), parts("base", "doc"))
+	served(tracker, at(0), parts("base", "doc"))
 	for i := range minCrashesServed {
 		c.Assert(heldParts(tracker), qt.HasLen, 0)
 		second := 1 + float64(i)
 		record(tracker, crash(fmt.Sprint("s", i), second, second-0.5, uint64(i), "base", "doc", fmt.Sprint("q", i)))
-		tracker.RecordServed(at(second+0.1), parts("base", "sound"))
+		served(tracker, at(second+0.1), parts("base", "sound"))
 	}
 	record(tracker, crash("s9", 9, 8.5, 9, "base", "doc", "q9"))
 	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"doc": true})
@@ -155,7 +165,7 @@
 		if i < 3 {
 			crashed.Suspects = append(crashed.Suspects, Suspect{Part: part("victim"), Request: uint64(100 + i), SentAt: at(second - 0.4)})
 		}
-		tracker.RecordServed(at(second-0.2), parts("other"))
+		served(tracker, at(second-0.2), parts("other"))
 		record(tracker, crashed)
 	}
 	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
@@ -166,7 +176,7 @@
 	for i := range minCrashes {
 		second := 1 + float64(i)
 		record(tracker, crash(fmt.Sprint("s", i), second, second-0.5, uint64(i), "bad"))
-		tracker.RecordServed(at(second+0.1), parts("other"))
+		served(tracker, at(second+0.1), parts("other"))
 	}
 	record(tracker, crash("s9", 4, 3.9, 9, "bad"))
 	return tracker
@@ -190,7 +200,7 @@
 	later := end + 3 + 2*firstHold.Seconds()
 	_, held = tracker.Held(at(later), parts("bad"), true)
 	c.Assert(held, qt.IsFalse, qt.Commentf("the second trial"))
-	c.Assert(tracker.RecordServed(at(later+1), parts("bad")), qt.DeepEquals, parts("bad"))
+	c.Assert(served(tracker, at(later+1), parts("bad")), qt.DeepEquals, parts("bad"))
 	_, held = tracker.Held(at(later+2), parts("bad"), false)
 	c.Assert(held, qt.IsFalse)
 }
@@ -203,7 +213,7 @@
 	c.Assert(second.MergeHold(at(5), hold), qt.IsTrue)
 	c.Assert(second.MergeHold(at(5), hold), qt.IsFalse)
 	c.Assert(heldParts(second), qt.DeepEquals, map[string]bool{"bad": true})
-	second.RecordServed(at(6), parts("bad"))
+	served(second, at(6), parts("bad"))
 	c.Assert(second.MergeHold(at(6), hold), qt.IsFalse, qt.Commentf("an old report about a released part"))
 	var served []ServedPart
 	crashed := crash("s11", 6.4, 6.3, 11, "bad")
@@ -238,11 +248,25 @@
 	c.Assert(tracker.IsIdle(), qt.IsTrue)
 }
 
+// A server that crashes just after it has served a request may have crashed under it, also when no other request was there.
+func TestPartServedJustBeforeACrashIsSuspected(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	for i := range minCrashes {
+		second, server := 1+float64(i), fmt.Sprint("s", i)
+		served(tracker, at(second-0.5), parts("other"))
+		tracker.RecordServed(at(second), server, []Suspect{{Part: part("bad"), Request: uint64(i), SentAt: at(second - 0.2)}})
+		record(tracker, Crash{Server: server, At: at(second + 0.2)})
+	}
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
+	c.Assert(tracker.Expire(at(10)), qt.HasLen, 0)
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	c := qt.New(t)
 	tracker := New()
 	for i := range 4 * servedGeneration {
-		tracker.RecordServed(at(float64(i)/1000), parts(fmt.Sprint("p", i)))
+		served(tracker, at(float64(i)/1000), parts(fmt.Sprint("p", i)))
 	}
 	c.Assert(len(tracker.served.current)+len(tracker.served.previous) <= 2*servedGeneration, qt.IsTrue)
 	for i := range 4 * maxCrashes {
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -54,9 +54,8 @@
 				suspects++
 			}
 		}
-		if len(reported.Suspects) > 0 {
-			r.Crashes = append(r.Crashes, reported)
-		}
+		// A crash without suspects tells other gateways that what the server has just served isn't sound.
+		r.Crashes = append(r.Crashes, reported)
 	}
 	for part, hold := range t.holds {
 		r.Holds = append(r.Holds, *hold)
--- a/internal/quarantine/served.go
+++ b/internal/quarantine/served.go
@@ -28,29 +28,25 @@
 	next     int
 }
 
+// servedRequest is one request to which a server gave a complete successful response.
 type servedRequest struct {
-	at    time.Time
-	parts []Part
+	at     time.Time
+	server string
+	parts  []Suspect
 }
 
 func newServedMemory() *servedMemory {
 	return &servedMemory{seed: maphash.MakeSeed(), current: make(map[uint64]int64), recent: make(map[string]*requestRing)}
 }
 
-func (m *servedMemory) recordRequest(now time.Time, parts []Part) {
-	if len(parts) == 0 {
-		return
-	}
-	for _, part := range parts {
-		m.record(part, now)
-	}
-	scope := parts[0].Scope
+func (m *servedMemory) recordRequest(r servedRequest) {
+	scope := r.parts[0].Part.Scope
 	ring := m.recent[scope]
 	if ring == nil {
 		ring = &requestRing{}
 		m.recent[scope] = ring
 	}
-	ring.requests[ring.next] = servedRequest{now, parts}
+	ring.requests[ring.next] = r
 	ring.next = (ring.next + 1) % recentRequests
 }
 
@@ -86,7 +82,7 @@
 	}
 	count := 0
 	for i := range ring.requests {
-		if r := &ring.requests[i]; r.at.After(after) && !slices.Contains(r.parts, part) {
+		if r := &ring.requests[i]; r.at.After(after) && !slices.ContainsFunc(r.parts, func(s Suspect) bool { return s.Part == part }) {
 			count++
 		}
 	}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -63,6 +63,14 @@
 	sends   int
 }
 
+func (r *simRequest) suspects() []Suspect {
+	list := make([]Suspect, len(r.parts))
+	for i, p := range r.parts {
+		list[i] = Suspect{Part: p, Request: r.number, SentAt: at(r.sentAt), Depth: i, Own: i == len(r.parts)-1}
+	}
+	return list
+}
+
 type event struct {
 	at  float64
 	run func()
@@ -167,7 +175,7 @@
 	if !r.sound {
 		if s.rng.Float64() < s.completeFirst {
 			delete(server.running, r)
-			g.tracker.RecordServed(at(s.now), r.parts)
+			g.tracker.RecordServed(at(s.now), server.id, r.suspects())
 		}
 		s.in(0.1*s.rng.Float64(), func() {
 			if server.up {
@@ -183,7 +191,7 @@
 		}
 		delete(server.running, r)
 		s.served[int(r.arrived)]++
-		g.tracker.RecordServed(at(s.now), r.parts)
+		g.tracker.RecordServed(at(s.now), server.id, r.suspects())
 	})
 }
 
@@ -193,14 +201,21 @@
 	suspects := make(map[*simGateway][]Suspect)
 	for _, r := range slices.SortedFunc(maps.Keys(server.running), func(a, b *simRequest) int { return cmp.Compare(a.number, b.number) }) {
 		g := server.running[r]
-		for depth, p := range r.parts {
-			suspects[g] = append(suspects[g], Suspect{Part: p, Request: r.number, SentAt: at(r.sentAt), Depth: depth, Own: depth == len(r.parts)-1})
-		}
+		suspects[g] = append(suspects[g], r.suspects()...)
 		if r.sends < 2 {
 			s.in(0.005, func() { s.place(g, r) })
 		}
 	}
 	clear(server.running)
+	if len(suspects) == 0 {
+		// The next request to the server's address is refused.
+		g := s.gateways[s.rng.IntN(len(s.gateways))]
+		refused := Crash{Server: server.id, At: at(s.now + 0.2)}
+		s.in(0.2, func() {
+			g.tracker.RecordCrash(at(s.now), refused)
+			s.report(g, 1)
+		})
+	}
 	// The gateways are visited in a fixed order, so that a seed repeats its run.
 	for _, g := range s.gateways {
 		if list := suspects[g]; list != nil {
@@ -216,6 +231,7 @@
 
 // beat sends a gateway's report to a part of the others, as heartbeats do in turn.
 func (s *simulation) beat(g *simGateway) {
+	g.tracker.Expire(at(s.now))
 	g.tracker.Decide(at(s.now))
 	s.report(g, 0.2)
 	s.in(0.2, func() { s.beat(g) })
