Report no crash to other gateways for a refused connection alone

A link that is cut with resets refuses the connections of one gateway to all servers; the others would have taken what these servers had just served for suspect.

--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -54,8 +54,10 @@
 				suspects++
 			}
 		}
-		// A crash without suspects tells other gateways that what the server has just served isn't sound.
-		r.Crashes = append(r.Crashes, reported)
+		// A refused connection alone isn't reported: a cut link refuses them as well, for one gateway only.
+		if len(reported.Suspects) > 0 {
+			r.Crashes = append(r.Crashes, reported)
+		}
 	}
 	for part, hold := range t.holds {
 		r.Holds = append(r.Holds, *hold)
