Wait for the agent's control server before draining it in a test

The entry counts the agent in as soon as its frame server listens; the control server follows, and the test didn't wait for it. Shown with a pause of 1.5 s before ServeControl: the old test fails with the same error, this one passes. The check is the same.

--- a/internal/entry/drain_test.go
+++ b/internal/entry/drain_test.go
@@ -1,12 +1,12 @@
 package entry_test
 
 import (
-	"context"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/grpc"
 
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/standin/engineserver"
@@ -26,7 +26,7 @@
 		}
 		connection, err := pool.Get(member.ControlAddress)
 		c.Assert(err, qt.IsNil)
-		_, err = wire.NewAdminClient(connection).Drain(context.Background(), &wire.DrainRequest{})
+		_, err = wire.NewAdminClient(connection).Drain(c.Context(), &wire.DrainRequest{}, grpc.WaitForReady(true))
 		c.Assert(err, qt.IsNil)
 	}
 	served := 0
