--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -28,7 +28,8 @@
 	f.broadcast(beat)
 }
 
-// RecordCrash records the end of a server while it ran requests of this gateway, and tells the other gateways.
+// RecordCrash records that a server has crashed and which requests of this gateway were in flight there, and tells the other
+// gateways.
 func (f *Fleet) RecordCrash(crash quarantine.Crash) {
 	f.loop.Post(func() {
 		now := bootclock.Now()
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -49,7 +49,7 @@
 	ID string
 }
 
-// Suspect is one part of a request that was in flight at a server when it crashed.
+// Suspect is one part of a request that was in flight at a server when it crashed, or had just been served by it.
 type Suspect struct {
 	Part Part
 	// Request is a hash of the request's id.
