Keep the parts of a served request as they are instead of as suspects

Each served prompt was copied into a list of suspects, with a place in the prompt and a mark for its last part, which only a crash needs. quarantine.Request holds the request as it was sent; Suspects derives the rest, once, for the gateway and the simulation alike. One slice less for each served prompt. go test -race of gateway and fleet and go test of quarantine pass, the simulations among them; nothing else is held or released.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -211,9 +211,9 @@
 	f.loop.Post(func() { f.dispatcher.RecordFirstByte(bootclock.Now(), &p, took) })
 }
 
-// RecordEnd records the end of a request at a server. served are its parts if the caller got a complete successful
-// response, and nil otherwise.
-func (f *Fleet) RecordEnd(p dispatch.Placement, result dispatch.Result, firstByte bool, served []quarantine.Suspect) {
+// RecordEnd records the end of a request at a server. served is the request if the caller got a complete successful
+// response, and has no parts otherwise.
+func (f *Fleet) RecordEnd(p dispatch.Placement, result dispatch.Result, firstByte bool, served quarantine.Request) {
 	f.loop.Post(func() {
 		now := bootclock.Now()
 		f.dispatcher.RecordEnd(now, &p, result, firstByte)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -22,6 +22,7 @@
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 	"balsamyoke.example/balsamyoke/internal/process"
+	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/weights"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -341,7 +342,7 @@
 		for range 40 {
 			p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, nil)
 			if refusal == nil {
-				f.RecordEnd(p, dispatch.Served, true, nil)
+				f.RecordEnd(p, dispatch.Served, true, quarantine.Request{})
 				used[p.Server] = true
 			}
 		}
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -26,11 +26,10 @@
 		fleets[i] = startFleet(c, fmt.Sprint("g", i), &switchableStore{store, make(chan struct{})})
 	}
 	bad, sound := []quarantine.Part{{Scope: "m", ID: "bad"}}, []quarantine.Part{{Scope: "m", ID: "sound"}}
-	served := func(parts []quarantine.Part) []quarantine.Suspect { return []quarantine.Suspect{{Part: parts[0]}} }
 	refused := func(f *Fleet, parts []quarantine.Part) bool {
 		p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, parts)
 		if refusal == nil {
-			f.RecordEnd(p, dispatch.Served, true, served(sound))
+			f.RecordEnd(p, dispatch.Served, true, quarantine.Request{Parts: sound})
 			return false
 		}
 		return refusal.Reason == dispatch.Quarantined
@@ -58,7 +57,7 @@
 		c.Assert(refused(f, sound), qt.IsFalse)
 	}
 	c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
-	fleets[1].loop.Post(func() { fleets[1].quarantine.RecordServed(bootclock.Now(), "s1", served(bad)) })
+	fleets[1].loop.Post(func() { fleets[1].quarantine.RecordServed(bootclock.Now(), "s1", quarantine.Request{Parts: bad}) })
 	for _, f := range fleets {
 		eventually(c, "each gateway releases the part", func() bool { return !refused(f, bad) })
 	}
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -133,23 +133,24 @@
 	return hex.EncodeToString(h.Sum(nil)[:16])
 }
 
-// servedParts returns the request's parts if the caller got a complete successful response, and nil otherwise.
-func (r *request) servedParts(res *exchangeResult) []quarantine.Suspect {
-	if r.parts == nil || !res.complete || res.status >= fasthttp.StatusMultipleChoices {
-		return nil
+// sent returns the request as it was sent to the server of its placement.
+func (r *request) sent() quarantine.Request {
+	h := fnv.New64a()
+	h.Write([]byte(r.call.ID))
+	return quarantine.Request{Number: h.Sum64(), SentAt: r.sentAt, Parts: r.parts}
+}
+
+// served returns the request as it was sent if the caller got a complete successful response, and none otherwise.
+func (r *request) served(res *exchangeResult) quarantine.Request {
+	if !res.complete || res.status >= fasthttp.StatusMultipleChoices {
+		return quarantine.Request{}
 	}
-	return r.suspects()
+	return r.sent()
 }
 
 // suspects returns the request's parts as suspects of a crash.
 func (r *request) suspects() []quarantine.Suspect {
 	r.identify()
-	h := fnv.New64a()
-	h.Write([]byte(r.call.ID))
-	number := h.Sum64()
-	list := make([]quarantine.Suspect, len(r.parts))
-	for i, part := range r.parts {
-		list[i] = quarantine.Suspect{Part: part, Request: number, SentAt: r.sentAt, Depth: i, Own: i > 0 && i == len(r.parts)-1}
-	}
-	return list
+	sent := r.sent()
+	return sent.Suspects()
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -179,7 +179,7 @@
 		r.placement, r.sentAt = placement, bootclock.Now()
 		r.sends++
 		res := g.exchange(ctx, c, r)
-		g.fleet.RecordEnd(placement, res.dispatchResult, res.gotFirstByte, r.servedParts(&res))
+		g.fleet.RecordEnd(placement, res.dispatchResult, res.gotFirstByte, r.served(&res))
 		r.placeRequest.Tried = append(r.placeRequest.Tried, placement.Server)
 		if res.maybeRan {
 			r.runs++
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -49,10 +49,28 @@
 	ID string
 }
 
+// Request is a request as it was sent to a server.
+type Request struct {
+	// Number is a hash of the request's id.
+	Number uint64
+	SentAt time.Time
+	// Parts are in the order of the prompt.
+	Parts []Part
+}
+
+// Suspects returns the request's parts as suspects.
+func (r *Request) Suspects() []Suspect {
+	list := make([]Suspect, len(r.Parts))
+	for i, part := range r.Parts {
+		list[i] = Suspect{Part: part, Request: r.Number, SentAt: r.SentAt, Depth: i, Own: i > 0 && i == len(r.Parts)-1}
+	}
+	return list
+}
+
 // Suspect is one part of a request that was in flight at a server when it crashed, or had just been served by it.
 type Suspect struct {
 	Part Part
-	// Request is a hash of the request's id.
+	// Request is the request's number.
 	Request uint64
 	SentAt  time.Time
 	// Depth is the number of parts before it in the prompt.
@@ -108,15 +126,15 @@
 // IsIdle reports whether there is neither evidence nor a hold.
 func (t *Tracker) IsIdle() bool { return len(t.crashes) == 0 && len(t.holds) == 0 }
 
-// RecordServed records that this gateway has forwarded a server's complete successful response to a request, whose parts are
-// given as suspects. They count as served if the server goes on.
-func (t *Tracker) RecordServed(now time.Time, server string, parts []Suspect) {
-	if len(parts) == 0 {
+// RecordServed records that this gateway has forwarded a server's complete successful response to a request. Its parts
+// count as served if the server goes on.
+func (t *Tracker) RecordServed(now time.Time, server string, r Request) {
+	if len(r.Parts) == 0 {
 		return
 	}
-	request := servedRequest{at: now, server: server, parts: parts}
-	t.served.recordRequest(request)
-	t.unconfirmed = append(t.unconfirmed, request)
+	served := servedRequest{Request: r, at: now, server: server}
+	t.served.recordRequest(served)
+	t.unconfirmed = append(t.unconfirmed, served)
 }
 
 // confirm counts the parts of requests as served whose servers went on for surviveTime. It returns the parts that are no
@@ -125,9 +143,9 @@
 	confirmed := 0
 	for confirmed < len(t.unconfirmed) && now.Sub(t.unconfirmed[confirmed].at) > surviveTime {
 		request := &t.unconfirmed[confirmed]
-		for _, s := range request.parts {
-			if t.MergeServed(s.Part, request.at) {
-				released = append(released, s.Part)
+		for _, part := range request.Parts {
+			if t.MergeServed(part, request.at) {
+				released = append(released, part)
 			}
 		}
 		confirmed++
@@ -142,7 +160,7 @@
 		if r.server != c.Server || r.at.Sub(c.At).Abs() > surviveTime {
 			return false
 		}
-		suspects = append(suspects, r.parts...)
+		suspects = append(suspects, r.Suspects()...)
 		return true
 	})
 	return suspects
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -33,11 +33,7 @@
 
 // served records that a request with the parts was served by a server that goes on.
 func served(t *Tracker, now time.Time, ids []Part) (released []Part) {
-	list := make([]Suspect, len(ids))
-	for i, p := range ids {
-		list[i] = Suspect{Part: p, Depth: i}
-	}
-	t.RecordServed(now, "sound", list)
+	t.RecordServed(now, "sound", Request{Parts: ids})
 	return t.Expire(now.Add(surviveTime + time.Millisecond))
 }
 
@@ -255,7 +251,7 @@
 	for i := range minCrashes {
 		second, server := 1+float64(i), fmt.Sprint("s", i)
 		served(tracker, at(second-0.5), parts("other"))
-		tracker.RecordServed(at(second), server, []Suspect{{Part: part("bad"), Request: uint64(i), SentAt: at(second - 0.2)}})
+		tracker.RecordServed(at(second), server, Request{Parts: parts("bad"), Number: uint64(i), SentAt: at(second - 0.2)})
 		record(tracker, Crash{Server: server, At: at(second + 0.2)})
 	}
 	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
--- a/internal/quarantine/served.go
+++ b/internal/quarantine/served.go
@@ -30,9 +30,9 @@
 
 // servedRequest is one request to which a server gave a complete successful response.
 type servedRequest struct {
+	Request
 	at     time.Time
 	server string
-	parts  []Suspect
 }
 
 func newServedMemory() *servedMemory {
@@ -40,7 +40,7 @@
 }
 
 func (m *servedMemory) recordRequest(r servedRequest) {
-	scope := r.parts[0].Part.Scope
+	scope := r.Parts[0].Scope
 	ring := m.recent[scope]
 	if ring == nil {
 		ring = &requestRing{}
@@ -82,7 +82,7 @@
 	}
 	count := 0
 	for i := range ring.requests {
-		if r := &ring.requests[i]; r.at.After(after) && !slices.ContainsFunc(r.parts, func(s Suspect) bool { return s.Part == part }) {
+		if r := &ring.requests[i]; r.at.After(after) && !slices.Contains(r.Parts, part) {
 			count++
 		}
 	}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -55,22 +55,12 @@
 }
 
 type simRequest struct {
-	number  uint64
-	parts   []Part
+	sent    Request
 	sound   bool
 	arrived float64
-	sentAt  float64
 	sends   int
 }
 
-func (r *simRequest) suspects() []Suspect {
-	list := make([]Suspect, len(r.parts))
-	for i, p := range r.parts {
-		list[i] = Suspect{Part: p, Request: r.number, SentAt: at(r.sentAt), Depth: i, Own: i == len(r.parts)-1}
-	}
-	return list
-}
-
 type event struct {
 	at  float64
 	run func()
@@ -133,7 +123,9 @@
 // request sends a request to a random gateway.
 func (s *simulation) request(sound bool, ids ...string) {
 	s.sequence++
-	r := &simRequest{number: s.sequence, parts: parts(append(ids, fmt.Sprint("q", s.sequence))...), sound: sound, arrived: s.now}
+	r := &simRequest{
+		sent: Request{Number: s.sequence, Parts: parts(append(ids, fmt.Sprint("q", s.sequence))...)}, sound: sound, arrived: s.now,
+	}
 	if sound {
 		s.sound[int(s.now)]++
 	}
@@ -141,7 +133,7 @@
 }
 
 func (s *simulation) place(g *simGateway, r *simRequest) {
-	if hold, held := g.tracker.Held(at(s.now), r.parts, g.leads); held {
+	if hold, held := g.tracker.Held(at(s.now), r.sent.Parts, g.leads); held {
 		if r.sound {
 			s.held[int(r.arrived)]++
 			s.wronglyHeld[hold.Part.ID] = true
@@ -159,7 +151,7 @@
 	}
 	server := up[s.rng.IntN(len(up))]
 	r.sends++
-	r.sentAt = s.now
+	r.sent.SentAt = at(s.now)
 	server.running[r] = g
 	if !r.sound {
 		s.badReached = append(s.badReached, s.now)
@@ -175,7 +167,7 @@
 	if !r.sound {
 		if s.rng.Float64() < s.completeFirst {
 			delete(server.running, r)
-			g.tracker.RecordServed(at(s.now), server.id, r.suspects())
+			g.tracker.RecordServed(at(s.now), server.id, r.sent)
 		}
 		s.in(0.1*s.rng.Float64(), func() {
 			if server.up {
@@ -191,7 +183,7 @@
 		}
 		delete(server.running, r)
 		s.served[int(r.arrived)]++
-		g.tracker.RecordServed(at(s.now), server.id, r.suspects())
+		g.tracker.RecordServed(at(s.now), server.id, r.sent)
 	})
 }
 
@@ -199,9 +191,9 @@
 func (s *simulation) crash(server *simServer) {
 	server.up = false
 	suspects := make(map[*simGateway][]Suspect)
-	for _, r := range slices.SortedFunc(maps.Keys(server.running), func(a, b *simRequest) int { return cmp.Compare(a.number, b.number) }) {
+	for _, r := range slices.SortedFunc(maps.Keys(server.running), func(a, b *simRequest) int { return cmp.Compare(a.sent.Number, b.sent.Number) }) {
 		g := server.running[r]
-		suspects[g] = append(suspects[g], r.suspects()...)
+		suspects[g] = append(suspects[g], r.sent.Suspects()...)
 		if r.sends < 2 {
 			s.in(0.005, func() { s.place(g, r) })
 		}
