--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -34,6 +34,9 @@
 const (
 	host        = "site.example"
 	testTimeout = 10 * time.Second
+	// probePath is the path of the requests by which a test waits for the gateway to know its servers. Every server
+	// responds to them.
+	probePath = "/open/probe"
 )
 
 // received is one request as a backend server received it.
@@ -121,7 +124,11 @@
 			}
 			close(done)
 		}()
-		s.respond(r)
+		if strings.HasPrefix(r.requestLine, "GET "+probePath+" ") {
+			r.respondOK("x")
+		} else {
+			s.respond(r)
+		}
 		<-done
 		select {
 		case <-r.closed:
@@ -275,7 +282,7 @@
 	d.eventually(func() bool { return d.readiness() == 200 })
 	// The servers are registered before the gateway starts. A successful request shows that it has read them.
 	d.eventually(func() bool {
-		resp, err := d.send("GET", "/open/probe", "", "")
+		resp, err := d.send("GET", probePath, "", "")
 		return err == nil && resp.status != 503
 	})
 }
--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -185,10 +185,6 @@
 		"nonsense":  "%s nonsense\r\n\r\n",
 	} {
 		s := startServer(c, func(r *received) {
-			if strings.Contains(r.requestLine, "/open/") {
-				r.respondOK("x")
-				return
-			}
 			r.write(text, r.id())
 			_ = r.conn.Close()
 		})
@@ -222,10 +218,6 @@
 	c := qt.New(t)
 	release := make(chan struct{})
 	s := startServer(c, func(r *received) {
-		if strings.Contains(r.requestLine, "/open/") {
-			r.respondOK("x")
-			return
-		}
 		select {
 		case <-r.closed:
 		case <-release:
--- a/internal/gateway/stream_test.go
+++ b/internal/gateway/stream_test.go
@@ -14,10 +14,6 @@
 	c := qt.New(t)
 	sendSecond := make(chan struct{})
 	s := startServer(c, func(r *received) {
-		if strings.Contains(r.requestLine, "/open/") {
-			r.respondOK("x")
-			return
-		}
 		r.startStream()
 		r.chunk(event(1))
 		<-sendSecond
@@ -49,8 +45,6 @@
 	c := qt.New(t)
 	breakOff := func(r *received) {
 		switch {
-		case strings.Contains(r.requestLine, "/open/"):
-			r.respondOK("x")
 		case r.header["last-event-id"] == "":
 			r.startStream()
 			r.chunk(event(1))
@@ -76,10 +70,6 @@
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	c := qt.New(t)
 	breakOff := func(r *received) {
-		if strings.Contains(r.requestLine, "/open/") {
-			r.respondOK("x")
-			return
-		}
 		r.startStream()
 		r.chunk(event(1))
 		_ = r.conn.Close()
@@ -98,10 +88,6 @@
 func TestStreamWithoutLength(t *testing.T) {
 	c := qt.New(t)
 	s := startServer(c, func(r *received) {
-		if strings.Contains(r.requestLine, "/open/") {
-			r.respondOK("x")
-			return
-		}
 		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\n%s%s", r.id(), event(1), event(2))
 		if strings.Contains(r.requestLine, "/reset") {
 			time.Sleep(100 * time.Millisecond)
@@ -157,10 +143,6 @@
 				t.Parallel()
 				c := qt.New(t)
 				s := startServer(c, func(r *received) {
-					if isProbe(r) {
-						r.respondOK("x")
-						return
-					}
 					respond(r, event(1)+event(2)+partial)
 				})
 				got := deploy(c, s).mustSend("POST", "/once/x", "", "prompt")
@@ -179,8 +161,6 @@
 			c := qt.New(t)
 			serve := func(r *received) {
 				switch {
-				case isProbe(r):
-					r.respondOK("x")
 				case r.header["last-event-id"] == "2":
 					respond(r, event(3)+event(4))
 				default:
@@ -199,10 +179,6 @@
 func TestStreamWithoutEventsThatEndsWithItsConnectionIsBroken(t *testing.T) {
 	c := qt.New(t)
 	s := startServer(c, func(r *received) {
-		if isProbe(r) {
-			r.respondOK("x")
-			return
-		}
 		streamFramings["close"](r, "")
 	})
 	got := deploy(c, s).mustSend("POST", "/once/x", "", "prompt")
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -12,9 +12,6 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// isProbe reports whether a request is one by which a test waits for the gateway to know its servers.
-func isProbe(r *received) bool { return strings.Contains(r.requestLine, "/open/") }
-
 // A server that states in any response that it is leaving gets no further request, although its registration still
 // says that it is ready.
 func TestLeavingServerGetsNoRequests(t *testing.T) {
@@ -23,10 +20,6 @@
 			c := qt.New(t)
 			var atLeaving atomic.Int64
 			leaving := startServer(c, func(r *received) {
-				if isProbe(r) {
-					r.respondOK("x")
-					return
-				}
 				atLeaving.Add(1)
 				r.write("HTTP/1.1 %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nServer-Leaving: 1\r\nContent-Length: 1\r\n\r\nx", header, r.id())
 			})
@@ -58,10 +51,6 @@
 	var busySince atomic.Int64
 	var early, late atomic.Int64
 	busy := startServer(c, func(r *received) {
-		if isProbe(r) {
-			r.respondOK("x")
-			return
-		}
 		now := time.Now().UnixMilli()
 		if busySince.CompareAndSwap(0, now) {
 			r.respondBusy("1.5")
@@ -89,10 +78,6 @@
 func TestCallersReturnWhenBusyServersTakeRequestsAgain(t *testing.T) {
 	c := qt.New(t)
 	s := startServer(c, func(r *received) {
-		if isProbe(r) {
-			r.respondOK("x")
-			return
-		}
 		r.respondBusy("3")
 	})
 	d := deploy(c, s)
@@ -119,7 +104,7 @@
 			c := qt.New(t)
 			var refused atomic.Bool
 			s := startServer(c, func(r *received) {
-				if isProbe(r) || refused.Swap(true) {
+				if refused.Swap(true) {
 					r.respondOK("x")
 					return
 				}
@@ -185,10 +170,6 @@
 			var sent, times atomic.Int64
 			closed := make(chan struct{}, 1)
 			trouble := startServer(c, func(r *received) {
-				if isProbe(r) {
-					r.respondOK("x")
-					return
-				}
 				times.Add(1)
 				start := test.start
 				if strings.Contains(start, "%") {
@@ -228,10 +209,6 @@
 	c := qt.New(t)
 	sent := make(chan int, 1)
 	s := startServer(c, func(r *received) {
-		if isProbe(r) {
-			r.respondOK("x")
-			return
-		}
 		r.startStream()
 		r.chunk(event(1))
 		piece := strings.Repeat("x", 1<<10)
@@ -255,10 +232,6 @@
 			body := strings.Repeat("0123456789abcdef", 100<<10)
 			var served atomic.Int64
 			s := startServer(c, func(r *received) {
-				if isProbe(r) {
-					r.respondOK("x")
-					return
-				}
 				served.Add(1)
 				header := framing
 				if name == "sized" {
@@ -361,10 +334,6 @@
 				t.Parallel()
 				c := qt.New(t)
 				s := startServer(c, func(r *received) {
-					if isProbe(r) {
-						r.respondOK("x")
-						return
-					}
 					end.send(r, body)
 				})
 				got := deploy(c, s).mustSend("POST", "/book/x", "", "b")
@@ -384,10 +353,6 @@
 func TestHeadResponseHasNoBody(t *testing.T) {
 	c := qt.New(t)
 	s := startServer(c, func(r *received) {
-		if isProbe(r) {
-			r.respondOK("x")
-			return
-		}
 		r.plainHeader("Content-Length: 5\r\n")
 	})
 	k := deploy(c, s).dial()
@@ -408,10 +373,6 @@
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
 			s := startServer(c, func(r *received) {
-				if isProbe(r) {
-					r.respondOK("x")
-					return
-				}
 				r.startStream()
 				r.chunk(event(1))
 				if broken {
