Read the limits that servers state and log their changes

Nothing else depends on it yet. A response without a limit ends it only if its request was sent after the limit was last stated: responses may overtake each other.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -138,6 +138,7 @@
 	excludedUntil time.Time
 	// busyUntil is until when the server has asked this gateway to send it no requests.
 	busyUntil time.Time
+	limit     limit
 	// leaving is set once the server has stated that it is about to stop. It stays set for this run of the server.
 	leaving bool
 	// slowness is the ratio of measured to predicted time to the first byte of recent requests.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -163,14 +163,27 @@
 	Leaving bool
 	// RetryAfter is how long the server asks this gateway to send it no requests; 0 when not stated.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the server takes from all gateways together. Without HasLimit it
+	// takes any number.
+	Limit    float64
+	HasLimit bool
+	// SentAt is when the request was sent that the server responded to.
+	SentAt time.Time
 }
 
-// RecordReport records what a server stated about itself. It reports whether the server is now known to leave and
-// was not before.
-func (d *Dispatcher) RecordReport(now time.Time, id string, report ServerReport) (leaves bool) {
+// ReportChanges is what a report of a server has changed.
+type ReportChanges struct {
+	// Leaves is set when the server is now known to leave and was not before.
+	Leaves bool
+	// Limit is set when the server now states a limit and stated another or none before, or the reverse.
+	Limit bool
+}
+
+// RecordReport records what a server stated about itself.
+func (d *Dispatcher) RecordReport(now time.Time, id string, report ServerReport) (changes ReportChanges) {
 	s := d.servers[id]
 	if s == nil {
-		return false
+		return changes
 	}
 	if report.Version > 0 && report.Model != "" {
 		d.SetVersion(id, report.Model, report.Version)
@@ -181,9 +194,10 @@
 	if busyUntil := now.Add(report.RetryAfter); report.RetryAfter > 0 && busyUntil.After(s.busyUntil) {
 		s.busyUntil = busyUntil
 	}
-	leaves = report.Leaving && !s.leaving
+	changes.Limit = s.recordLimit(now, &report)
+	changes.Leaves = report.Leaving && !s.leaving
 	s.leaving = s.leaving || report.Leaving
-	return leaves
+	return changes
 }
 
 // LeavingServer identifies one run of a server that is about to stop.
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -5,6 +5,7 @@
 	EventSuspended       = "machine_was_suspended"
 	EventServerHealth    = "server_health"
 	EventServerState     = "server_state"
+	EventServerLimit     = "server_limit"
 	EventServerLeaving   = "server_leaving"
 	EventPeerSilent      = "peer_silent"
 	EventEnginesAssigned = "engines_dealt"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -223,13 +223,15 @@
 
 // RecordServerReport records what a server stated about itself in a response.
 func (f *Fleet) RecordServerReport(server string, report dispatch.ServerReport) {
-	if report == (dispatch.ServerReport{Model: report.Model}) {
-		return
-	}
 	f.loop.Post(func() {
-		if f.dispatcher.RecordReport(bootclock.Now(), server, report) {
+		now := bootclock.Now()
+		changes := f.dispatcher.RecordReport(now, server, report)
+		if changes.Leaves {
 			f.Log.Info(EventServerLeaving, zap.String("server", server), zap.String("source", "response"))
 		}
+		if changes.Limit {
+			f.logLimit(server, "response")
+		}
 	})
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -105,6 +105,7 @@
 	}
 	report := dispatch.ServerReport{
 		Model: r.call.Model, Version: meta.Version, Leaving: meta.Leaving, RetryAfter: meta.RetryAfter,
+		Limit: meta.Limit, HasLimit: meta.HasLimit, SentAt: r.sentAt,
 	}
 	if meta.HasLoad {
 		report.Load = &meta.Load
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -67,6 +67,9 @@
 	Leaving bool
 	// RetryAfter is how long a server that refused a request asks this gateway to send it none; zero when not given.
 	RetryAfter time.Duration
+	// Limit is the number of requests a second that the server takes from all gateways together; valid when HasLimit is set.
+	Limit    float64
+	HasLimit bool
 	// Malformed is the name of a header that was ignored because its value can't be parsed; empty when there is none.
 	Malformed string
 }
--- a/internal/gateway/trouble_test.go
+++ b/internal/gateway/trouble_test.go
@@ -94,11 +94,12 @@
 	c.Assert(took < time.Second, qt.IsTrue, qt.Commentf("the refusals took %s", took))
 }
 
-// A Retry-After or Server-Leaving that can't be read, or is beyond reason, makes no server unreachable for good.
+// A Retry-After, Server-Leaving or Server-Limit that can't be read, or is beyond reason, makes no server unreachable for good.
 func TestMalformedHeadersDontExcludeServers(t *testing.T) {
 	for _, headers := range []string{
 		"Retry-After: -5", "Retry-After: soon", "Retry-After: Fri, 31 Dec 2027 23:59:59 GMT", "Retry-After: NaN",
 		"Retry-After: 1,5", "Server-Leaving: maybe", "Server-Leaving: 0", "Server-Leaving: 11",
+		"Server-Limit: few", "Server-Limit: -1", "Server-Limit: NaN", "Server-Limit: 1e400",
 	} {
 		t.Run(headers, func(t *testing.T) {
 			c := qt.New(t)
