Keep the limits that servers state over all gateways together

Cause: no gateway read the statement. With the statement read, each of n gateways for itself would still send n times as much, and an n-th of 1.4 a second can't be used by a gateway that sends one request at a time; so the limit is divided by single requests.

One gateway owns the limit of a server, by rendezvous among the live ones, and grants requests of it to whichever gateway has one to send (internal/quota, pure code). Placement takes servers without a limit first, then one with a limit under a grant, then overloaded and suspected ones; retries and trials pass through the same place. A request that no server may take is refused at once, and an owner that has refused isn't asked again before it can grant. Owners grant the share of the limit that the gateways they reach are of all, none while they start or leave, so that cuts and restarts promise no more in sum. Limits and their ends spread by heartbeat; when the other servers suffice, a request now and then finds out whether a limit is still in force.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,6 +1,9 @@
 // Package dispatch decides which backend server runs a request, whether the request is retried and when it is
 // refused. The gateway's control goroutine owns the Dispatcher, which uses no clock and no network.
 //
+// A server that limits its requests is chosen only when no other one can take the request in time, and only under a grant of
+// its limit (package quota).
+//
 // A server is chosen in three steps: filters remove servers that cannot or should not run the request, each
 // remaining server is scored by its predicted time to the first byte, and the lowest score is picked. The
 // package is designed for many prompts whose parts are cached in stores, so that any engine can take any
@@ -16,6 +19,7 @@
 	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/health"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/quota"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
@@ -88,6 +92,8 @@
 	AllBusy           Reason = "all_servers_busy"
 	EnginesOverloaded Reason = "engines_crowded"
 	NoRetryBudget     Reason = "no_retry_budget"
+	// AllLimited means that the servers take no more requests a second, as they have stated.
+	AllLimited        Reason = "all_servers_limited"
 	AttemptsExhausted Reason = "attempts_exhausted"
 	// Quarantined means that servers have crashed under requests that share a part with this one.
 	Quarantined Reason = "quarantined"
@@ -107,6 +113,8 @@
 	WaitingTokens, PeerWaitingTokens   int
 	ReservedTokens, PeerReservedTokens int
 	Slowness                           float64
+	// GrantFrom is the server to which the request could be sent under a grant of its limit; empty when there is none.
+	GrantFrom string
 	// Part is the part for which the request was refused; empty unless Reason is Quarantined.
 	Part string
 }
@@ -172,6 +180,7 @@
 	peers         map[string]map[string]PeerLoad
 	recent        recentParts
 	position      Position
+	grants        *quota.Holder
 	// cached and migration belong to the placement in progress.
 	cached    []cachedPrompt
 	migration weightMigration
@@ -216,6 +225,7 @@
 		targets:   make(map[string]weightTarget),
 		peers:     make(map[string]map[string]PeerLoad),
 		recent:    newRecentParts(),
+		grants:    quota.NewHolder(),
 	}
 }
 
@@ -262,6 +272,7 @@
 	for id := range d.servers {
 		if kept[id] == nil {
 			d.health.Remove(id)
+			d.grants.Forget(id)
 		}
 	}
 	d.servers = kept
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -51,6 +51,9 @@
 	// minRetryAfter and maxRetryAfter bound the RetryAfter of a refusal before jitter is added.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
+	// limitedRetryAfter is the RetryAfter of a request that the limits of all servers leave no room for. What they allow
+	// is used by then, and the callers that come back share what comes after.
+	limitedRetryAfter = time.Second
 	// loadReportTTL is how long a load that a server reported is used.
 	loadReportTTL = 300 * time.Millisecond
 )
@@ -71,6 +74,11 @@
 	if best == nil {
 		return Placement{}, d.refuse(d.refusalCause(now, r, group))
 	}
+	if best.limit.stated && !d.grants.Take(now, best.ID) {
+		refusal := d.refuse(AllLimited, limitedRetryAfter)
+		refusal.GrantFrom = best.ID
+		return Placement{}, refusal
+	}
 	p := Placement{
 		Server: best.ID, Address: best.Address, FailureDomain: best.FailureDomain,
 		Score: score, Candidates: candidates,
@@ -94,9 +102,9 @@
 
 // search runs the passes in order until one finds a server that is not overloaded; from passAll on it takes any server
 // found. The last pass includes servers that are only suspected to be unusable, because trying one of them is better
-// than a refusal.
+// than a refusal. Servers with a limit come before overloaded and suspected ones.
 func (d *Dispatcher) search(now time.Time, r *Request, group *service) (best *server, score float64, candidates int) {
-	for _, pass := range []searchPass{passSampled, passNotOverloaded, passAll, passRelaxed} {
+	for _, pass := range []searchPass{passRechecked, passSampled, passNotOverloaded, passLimited, passAll, passRelaxed} {
 		best, score, candidates = d.pick(now, r, group, pass)
 		if best == nil {
 			continue
@@ -146,10 +154,14 @@
 type searchPass uint8
 
 const (
+	// passRechecked considers servers with a limit that a request must show to be still in force.
+	passRechecked searchPass = iota
 	// passSampled considers the gateway's assigned engines and a random sample of the others.
-	passSampled searchPass = iota
+	passSampled
 	// passNotOverloaded draws a new sample and skips overloaded engines.
 	passNotOverloaded
+	// passLimited considers servers with a limit that aren't overloaded.
+	passLimited
 	passAll
 	// passRelaxed also considers servers that are only suspected to be unusable.
 	passRelaxed
@@ -158,13 +170,16 @@
 // pick returns the usable server with the lowest score.
 func (d *Dispatcher) pick(now time.Time, r *Request, group *service, pass searchPass) (best *server, score float64, candidates int) {
 	for _, s := range group.servers {
+		if !d.inPass(now, s, pass) {
+			continue
+		}
 		if pass <= passNotOverloaded && s.unassigned && d.rng.Float64() > d.candidateProbability(group, s) {
 			continue
 		}
 		if !d.usable(now, r, s, pass == passRelaxed) {
 			continue
 		}
-		if pass == passNotOverloaded {
+		if pass == passNotOverloaded || s.limit.stated {
 			if late, _ := d.overload(now, r, group, s); late > 0 {
 				continue
 			}
@@ -178,6 +193,19 @@
 	return best, score, candidates
 }
 
+// inPass reports whether the pass considers the server. Passes other than passRechecked and passLimited are for servers
+// without a limit.
+func (d *Dispatcher) inPass(now time.Time, s *server, pass searchPass) bool {
+	switch pass {
+	case passRechecked:
+		return s.limit.stated && s.limit.recheck && d.mayBeGranted(now, s)
+	case passLimited:
+		return s.limit.stated && d.mayBeGranted(now, s)
+	default:
+		return !s.limit.stated
+	}
+}
+
 // usable reports whether the server can run the request and, unless relaxed, whether it should. When relaxed, health,
 // exclusions, full queues, recent refusals and a first failure to connect are ignored. A server that is about to stop,
 // or that has asked for no requests, gets none in any case.
@@ -388,8 +416,8 @@
 
 // refusalCause returns why no server is usable and the time until that may change.
 func (d *Dispatcher) refusalCause(now time.Time, r *Request, group *service) (Reason, time.Duration) {
-	tried, suspect, ready, busy := 0, 0, 0, 0
-	soonest, soonestBusy := maxRetryAfter, time.Duration(0)
+	tried, suspect, ready, busy, limited := 0, 0, 0, 0, 0
+	soonest, soonestBusy, soonestGrant := maxRetryAfter, time.Duration(0), maxRetryAfter
 	for _, s := range group.servers {
 		if s.State != backend.Ready || s.leaving {
 			continue
@@ -406,6 +434,11 @@
 			tried++
 			continue
 		}
+		if s.limit.stated {
+			limited++
+			soonestGrant = min(soonestGrant, d.grants.AskAt(s.ID).Sub(now))
+			continue
+		}
 		if now.Before(s.suspectUntil) {
 			suspect++
 			soonest = min(soonest, s.suspectUntil.Sub(now))
@@ -418,6 +451,8 @@
 		return AllBusy, soonestBusy
 	case tried+busy == ready:
 		return AttemptsExhausted, d.untilFree(group)
+	case limited > 0:
+		return AllLimited, max(soonestGrant, limitedRetryAfter)
 	case suspect > 0:
 		return AllSuspect, soonest
 	default:
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -18,7 +18,13 @@
 	ServersLeaving      tally.Gauge
 	ServerCrashes       tally.Counter
 	PartsHeld           tally.Gauge
-	scope               tally.Scope
+	ServersLimited      tally.Gauge
+	// LimitGrants counts the requests of limits that this gateway has granted, LimitRefusals the asks that it has refused,
+	// LimitAskFailures those that their owner didn't answer.
+	LimitGrants      tally.Counter
+	LimitRefusals    tally.Counter
+	LimitAskFailures tally.Counter
+	scope            tally.Scope
 }
 
 // NewCounters returns Counters that report to scope.
@@ -38,6 +44,10 @@
 		ServersLeaving:      scope.Gauge("servers_leaving"),
 		ServerCrashes:       scope.Counter("server_crashes"),
 		PartsHeld:           scope.Gauge("parts_held"),
+		ServersLimited:      scope.Gauge("servers_limited"),
+		LimitGrants:         scope.Counter("limit_grants"),
+		LimitRefusals:       scope.Counter("limit_refusals"),
+		LimitAskFailures:    scope.Counter("limit_ask_failures"),
 		scope:               scope,
 	}
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -29,6 +29,7 @@
 	EventServerCrashed   = "server_crashed"
 	EventPartHeld        = "part_held"
 	EventPartReleased    = "part_released"
+	EventAskFailed       = "limit_ask_failed"
 	EventBeatFailed      = "beat_failed"
 	EventAnnounceFailed  = "announce_failed"
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,10 +17,12 @@
 	"balsamyoke.example/balsamyoke/internal/control"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/mirror"
 	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
+	"balsamyoke.example/balsamyoke/internal/quota"
 	"balsamyoke.example/balsamyoke/internal/registry"
 	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -48,6 +50,8 @@
 	Options
 	loop *control.Loop
 	link *peers.Link
+	// owners are the connections to the gateways that own limits of servers.
+	owners *grpcpool.Pool
 	// table and contact are read by the request path. contact is the time of the latest update from the
 	// metadata store or another gateway, in Unix nanoseconds of bootclock; 0 before the first.
 	table         atomic.Pointer[routing.Table]
@@ -68,6 +72,7 @@
 	catalogue  *kvcache.Catalogue
 	members    *peers.Members
 	quarantine *quarantine.Tracker
+	owner      *quota.Owner
 	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
 	crashReportedAt time.Time
 	feeds           map[string]context.CancelFunc
@@ -97,6 +102,8 @@
 		dispatcher: dispatch.New(o.Self.GetFailureDomain(), o.Incarnation, catalogue, o.Budget),
 		members:    peers.NewMembers(o.Self),
 		quarantine: quarantine.New(),
+		owner:      quota.NewOwner(),
+		owners:     grpcpool.New(maxOwnerConnections),
 		feeds:      make(map[string]context.CancelFunc),
 		states:     make(map[string]backend.State),
 	}
@@ -144,6 +151,7 @@
 	f.loop.Run(ctx)
 	f.setFeeds(nil)
 	f.background.Wait()
+	f.owners.Close()
 	return link.Close()
 }
 
@@ -168,24 +176,6 @@
 // Leave announces to the other gateways that this one is about to stop, and releases the leader lease.
 func (f *Fleet) Leave() { f.leaving.Store(true) }
 
-// Place picks a server for a request with the parts, or returns the reason for its refusal.
-func (f *Fleet) Place(r *dispatch.Request, parts []quarantine.Part) (p dispatch.Placement, refusal *dispatch.Refusal) {
-	f.loop.Call(func() {
-		now := bootclock.Now()
-		if refusal = f.refuseHeld(now, parts); refusal != nil {
-			return
-		}
-		p, refusal = f.dispatcher.Place(now, r)
-		if refusal == nil {
-			f.dispatcher.RecordSent(now, &p)
-		}
-	})
-	if p.Server == "" && refusal == nil {
-		refusal = &dispatch.Refusal{Reason: dispatch.NoServer, RetryAfter: time.Second}
-	}
-	return p, refusal
-}
-
 // CountRequest counts a caller's request to a service.
 func (f *Fleet) CountRequest(service string) {
 	f.loop.Post(func() { f.dispatcher.CountRequest(bootclock.Now(), service) })
@@ -231,6 +221,7 @@
 		}
 		if changes.Limit {
 			f.logLimit(server, "response")
+			f.broadcastBeat()
 		}
 	})
 }
@@ -303,10 +294,12 @@
 	}
 	f.lastExpiry = now
 	f.evaluateQuarantine(now)
+	f.recheckLimits(now)
 	f.Counters.ContactAgeMS.Update(float64(f.ContactAge().Milliseconds()))
 	f.Counters.LogLinesLost.Update(float64(f.Log.Lost()))
 	f.Counters.Peers.Update(float64(len(f.members.Live(now))))
 	f.Counters.Era.Update(float64(f.era.Load()))
+	f.Counters.ServersLimited.Update(float64(f.dispatcher.LimitedCount()))
 	f.Counters.ServersLeaving.Update(float64(len(f.dispatcher.Leaving())))
 	f.assignRole(now)
 	if p := f.position(now); f.dispatcher.SetPosition(p) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -340,7 +340,7 @@
 	usedBy := func(f *Fleet) map[string]bool {
 		used := make(map[string]bool)
 		for range 40 {
-			p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, nil)
+			p, refusal := f.Place(context.Background(), &dispatch.Request{Service: "app", TargetLatency: time.Second}, nil)
 			if refusal == nil {
 				f.RecordEnd(p, dispatch.Served, true, quarantine.Request{})
 				used[p.Server] = true
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -124,6 +124,7 @@
 		beat.LeavingServers = append(beat.LeavingServers, &wire.LeavingServer{Server: s.ID, StartedMs: s.StartedMS})
 	}
 	f.addQuarantine(beat, now)
+	f.addLimits(beat, now)
 	if f.lead.fence > 0 {
 		beat.Versions = f.reportedVersions(now)
 	}
@@ -204,6 +205,7 @@
 		}
 	}
 	f.mergeQuarantine(beat, now)
+	f.mergeLimits(beat, now)
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(v.GetServer(), v.GetModel(), v.GetVersion())
 	}
--- a/internal/fleet/quarantine_test.go
+++ b/internal/fleet/quarantine_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -27,7 +28,7 @@
 	}
 	bad, sound := []quarantine.Part{{Scope: "m", ID: "bad"}}, []quarantine.Part{{Scope: "m", ID: "sound"}}
 	refused := func(f *Fleet, parts []quarantine.Part) bool {
-		p, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, parts)
+		p, refusal := f.Place(context.Background(), &dispatch.Request{Service: "app", TargetLatency: time.Second}, parts)
 		if refusal == nil {
 			f.RecordEnd(p, dispatch.Served, true, quarantine.Request{Parts: sound})
 			return false
@@ -38,7 +39,7 @@
 		eventually(c, "each gateway knows the others and the server", func() bool {
 			var known int
 			f.loop.Call(func() { known = len(f.members.Live(bootclock.Now())) })
-			_, refusal := f.Place(&dispatch.Request{Service: "app", TargetLatency: time.Second}, bad)
+			_, refusal := f.Place(context.Background(), &dispatch.Request{Service: "app", TargetLatency: time.Second}, bad)
 			return known == len(fleets)-1 && refusal == nil
 		})
 	}
--- a/internal/gateway/limit_test.go
+++ b/internal/gateway/limit_test.go
@@ -132,10 +132,9 @@
 				method, path, headers, body = "POST", "/stream/x", "X-Stream: 1\r\n", "b"
 			}
 			at := time.Now()
-			resp, err := gateways[i%len(gateways)].send(method, path, headers, body)
-			if err == nil {
-				result.record(resp, time.Since(at))
-			}
+			// Without a response the status is 0.
+			resp, _ := gateways[i%len(gateways)].send(method, path, headers, body)
+			result.record(resp, time.Since(at))
 		})
 	}
 	calls.Wait()
@@ -215,3 +214,22 @@
 	c.Assert(result.byStatus, qt.HasLen, 1)
 	c.Assert(result.byStatus[200] > 0, qt.IsTrue)
 }
+
+// Gateways that start, stop and own limits in turn promise servers no more than their limits together.
+func TestServerLimitHoldsWhileGatewaysComeAndGo(t *testing.T) {
+	t.Parallel()
+	const limit = 1.4
+	c := qt.New(t)
+	limited := startLimitingServer(c, fmt.Sprint(limit))
+	gateways := deployGateways(c, 3, limited.server)
+	sendLoad(gateways, 30, contactTime)
+	from := time.Now()
+	for i := range 3 {
+		gateways[0].stop()
+		gateways = append(gateways[1:], gateways[1].addGateway(fmt.Sprint("n", i)))
+		sendLoad(gateways, 30, 2*time.Second)
+	}
+	count, inWindow := limited.arrivals(from, time.Now())
+	c.Logf("%d requests at the limited server, %d in a window", count, inWindow)
+	c.Check(inWindow <= allowedInWindow(limit), qt.IsTrue, qt.Commentf("%d requests in %s, %d allowed", inWindow, limitWindow, allowedInWindow(limit)))
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -172,7 +172,7 @@
 		if r.call.Model != "" || !g.fleet.IsQuarantineIdle() {
 			r.identify()
 		}
-		placement, refusal := g.fleet.Place(&r.placeRequest, r.parts)
+		placement, refusal := g.fleet.Place(ctx, &r.placeRequest, r.parts)
 		if refusal != nil {
 			return g.respondUnplaced(c, r, refusal, nil)
 		}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -255,6 +255,22 @@
 	return silent
 }
 
+// ReachableShare returns the part of the gateways that this one reaches, itself included: the live ones among all that aren't
+// leaving. The shares of groups of gateways that can't reach each other add up to no more than 1.
+func (m *Members) ReachableShare(now time.Time) float64 {
+	reachable, all := 1, 1
+	for name, member := range m.members {
+		if member.Leaving {
+			continue
+		}
+		all++
+		if m.IsLive(name, now) {
+			reachable++
+		}
+	}
+	return float64(reachable) / float64(all)
+}
+
 // Count returns how many gateways there may be, including this one: those that sent a heartbeat in the last half
 // minute or are listed in the store.
 func (m *Members) Count() int { return len(m.members) + 1 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -216,3 +216,29 @@
 		})
 	}
 }
+
+// Groups of gateways that can't reach each other have shares that add up to no more than 1.
+func TestReachableSharesAddUpToOne(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	names := []string{"a", "b", "c", "d", "e"}
+	views := make(map[string]*Members)
+	for _, name := range names {
+		views[name] = NewMembers(&wire.Peer{Instance: name, BeatAddress: name})
+		for i, other := range names {
+			views[name].HandleBeat(&wire.Beat{From: &wire.Peer{Instance: other, BeatAddress: other}, Incarnation: 1, Sequence: uint64(i + 1)}, now)
+		}
+		c.Assert(views[name].ReachableShare(now), qt.Equals, 1.0)
+	}
+	later := now.Add(2 * SilenceTimeout)
+	for _, heard := range []string{"a", "b"} {
+		for _, by := range []string{"a", "b"} {
+			views[by].HandleBeat(&wire.Beat{From: &wire.Peer{Instance: heard, BeatAddress: heard}, Incarnation: 1, Sequence: 9}, later)
+		}
+	}
+	c.Assert(views["a"].ReachableShare(later), qt.Equals, 2.0/5)
+	c.Assert(views["c"].ReachableShare(later), qt.Equals, 1.0/5)
+	// A gateway that has said that it leaves is no longer counted.
+	views["a"].HandleBeat(&wire.Beat{From: &wire.Peer{Instance: "b", BeatAddress: "b"}, Incarnation: 1, Sequence: 10, Leaving: true}, later)
+	c.Assert(views["a"].ReachableShare(later), qt.Equals, 1.0/4)
+}
