Play servers that limit their requests in the soak

In half of its runs the soak's servers and engines now state limits of 0.7 to 20 requests a second; in the second half of these no gateway ends or stands still, and the limits must hold without exception.

--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -50,6 +50,7 @@
 	// startedFaults counts all faults that have started, so that a caller can detect a fault that started during its
 	// request.
 	startedFaults atomic.Int64
+	disturbances  disturbances
 }
 
 // gatewayProcess is one gateway with the proxy between it and the metadata store.
@@ -69,6 +70,7 @@
 	id    string
 	http  *http.Server
 	proxy *proxy
+	limit requestLimit
 }
 
 func newDeployment(c *qt.C) *deployment {
@@ -220,7 +222,7 @@
 // startServer starts a backend server that counts the runs of each request, and registers it.
 func (w *deployment) startServer(id string) *server {
 	s := &server{id: id}
-	s.http, s.proxy = w.serveBehindProxy(func(out http.ResponseWriter, in *http.Request) { w.serve(id, out, in) })
+	s.http, s.proxy = w.serveBehindProxy(func(out http.ResponseWriter, in *http.Request) { w.serve(s, out, in) })
 	w.register(s, "ready")
 	return s
 }
@@ -229,10 +231,11 @@
 	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1}`, s.proxy.address(), state))
 }
 
-func (w *deployment) serve(id string, out http.ResponseWriter, in *http.Request) {
+func (w *deployment) serve(s *server, out http.ResponseWriter, in *http.Request) {
+	s.limit.record(out)
 	request := in.Header.Get("Balsamyoke-Request-Id")
 	out.Header().Set("Balsamyoke-Request-Id", request)
-	if in.Header.Get("Balsamyoke-Expect-Instance") != id {
+	if in.Header.Get("Balsamyoke-Expect-Instance") != s.id {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
--- a/internal/systemtest/soak/engines_test.go
+++ b/internal/systemtest/soak/engines_test.go
@@ -330,6 +330,7 @@
 // servePrompt fetches and saves the parts of a prompt as the request's headers specify, then streams the response.
 func (e *engine) servePrompt(out http.ResponseWriter, in *http.Request) {
 	out.Header().Set("Balsamyoke-Request-Id", in.Header.Get("Balsamyoke-Request-Id"))
+	e.limit.record(out)
 	weightVersion, ok := e.admit(out, in)
 	if !ok {
 		return
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -39,6 +39,8 @@
 	convergenceTimeout = 15 * time.Second
 	// faultsPerEngineFault is the average number of other faults for each engine fault.
 	faultsPerEngineFault = 2
+	// limitSequence selects the random sequence of the servers' limits.
+	limitSequence = 3
 )
 
 // regressionSeeds are all seeds that have failed before, with the cause. Every run of the test includes them.
@@ -69,12 +71,21 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(qt.New(t), seed)
+			runSeed(qt.New(t), seed, false)
+		})
+	}
+	// In the second half of these runs all gateways know the limits, so that the servers' promises hold without exception.
+	for i := range *seedsFlag {
+		t.Run(fmt.Sprint("limits-", first+uint64(i)), func(t *testing.T) {
+			t.Parallel()
+			runSeed(qt.New(t), first+uint64(i), true)
 		})
 	}
 }
 
-func runSeed(c *qt.C, seed uint64) {
+// runSeed plays the faults of a seed. With limits, servers state limits, the faults last twice as long, and in their second
+// half no gateway ends or stands still and no link to a server is disturbed.
+func runSeed(c *qt.C, seed uint64, limits bool) {
 	w := newDeployment(c)
 	c.Cleanup(func() { w.keepLogs(seed) })
 	rng := rand.New(rand.NewPCG(seed, seed))
@@ -99,20 +110,32 @@
 			w.activeFaults.Add(-1)
 		})
 	}
-	until := time.Now().Add(time.Duration(*lengthMS) * time.Millisecond)
+	half := time.Duration(*lengthMS) * time.Millisecond
+	until, calmFrom := time.Now().Add(half), time.Now().Add(half)
+	if limits {
+		w.setLimits(rand.New(rand.NewPCG(seed, limitSequence)))
+		until = until.Add(max(half, limitContactTime+2*limitWindow))
+	}
 	for time.Now().Before(until) {
-		injectFault(w.drawFault(rng))
+		faults := []fault{w.drawFault(rng)}
 		if engineRNG.IntN(faultsPerEngineFault) == 0 {
-			injectFault(w.drawEngineFault(engineRNG))
+			faults = append(faults, w.drawEngineFault(engineRNG))
+		}
+		for _, f := range faults {
+			if !f.excuses || time.Now().Before(calmFrom) {
+				injectFault(f)
+			}
 		}
 		time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 	}
 	injecting.Wait()
+	w.endLimits()
 	w.awaitConfiguration()
 	w.awaitWeights()
 	end()
 	calling.Wait()
 	c.Logf("%d parts fetched", w.fetchedParts.Load())
+	w.checkLimits()
 	w.runCounts.Range(func(id, count any) bool {
 		if status, refused := w.refusedStatus.Load(id); refused && strings.HasSuffix(id.(string), "-once") {
 			c.Errorf("request %s was refused with status %d but has run", id, status)
@@ -163,6 +186,9 @@
 type fault struct {
 	name   string
 	inject func()
+	// excuses is set for faults after which requests to servers may come late or from a gateway that doesn't know their
+	// limits.
+	excuses bool
 }
 
 func (w *deployment) drawFault(rng *rand.Rand) fault {
@@ -176,43 +202,43 @@
 		return filepath.Join(folder, "balsam-gateway")
 	}
 	restart := func(stop func(p *testbed.Process)) func() {
-		return func() {
+		return w.disturbances.during("", func() {
 			n.mu.Lock()
 			p := n.process
 			n.mu.Unlock()
 			stop(p)
 			<-p.Ended()
 			w.restartGateway(n, p, binary())
-		}
+		})
 	}
 	proxyFault := func(p *proxy) func() { return modeFault(p, m, duration) }
 	faults := []fault{
-		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() })},
-		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() })},
-		{"pause " + n.name, func() {
+		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() }), true},
+		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() }), true},
+		{"pause " + n.name, w.disturbances.during("", func() {
 			n.mu.Lock()
 			p := n.process
 			n.mu.Unlock()
 			p.Freeze()
 			time.Sleep(duration)
 			p.Thaw()
-		}},
+		}), true},
 		{"hangup " + n.name, func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			_ = syscall.Kill(n.process.PID(), syscall.SIGHUP)
-		}},
-		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy)},
-		{fmt.Sprintf("server %s mode %d", s.id, m), proxyFault(s.proxy)},
+		}, false},
+		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false},
+		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true},
 		{"metadata store down", func() {
 			_ = w.store.SetFaults(memkv.Faults{Down: true})
 			time.Sleep(duration)
 			_ = w.store.SetFaults(memkv.Faults{})
-		}},
-		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }},
-		{"metadata store compacted", func() { w.store.Store().Compact() }},
-		{"configuration change", func() { w.changeConfiguration() }},
-		{"server " + s.id + " drains", func() { w.register(s, "draining"); time.Sleep(duration); w.register(s, "ready") }},
+		}, false},
+		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false},
+		{"metadata store compacted", func() { w.store.Store().Compact() }, false},
+		{"configuration change", func() { w.changeConfiguration() }, false},
+		{"server " + s.id + " drains", func() { w.register(s, "draining"); time.Sleep(duration); w.register(s, "ready") }, false},
 	}
 	return faults[rng.IntN(len(faults))]
 }
@@ -224,11 +250,11 @@
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
 	faults := []fault{
-		{"target weights change", w.setTargetWeights},
-		{fmt.Sprintf("cache store %d restarts", cache), w.cacheStores[cache].restart},
-		{fmt.Sprintf("cache store %d mode %d", cache, m), modeFault(w.cacheStores[cache].proxy, m, duration)},
-		{fmt.Sprintf("engine %s mode %d", e.id, m), modeFault(e.proxy, m, duration)},
-		{"engine " + e.id + " restarts", e.restart},
+		{"target weights change", w.setTargetWeights, false},
+		{fmt.Sprintf("cache store %d restarts", cache), w.cacheStores[cache].restart, false},
+		{fmt.Sprintf("cache store %d mode %d", cache, m), modeFault(w.cacheStores[cache].proxy, m, duration), false},
+		{fmt.Sprintf("engine %s mode %d", e.id, m), w.disturbances.during(e.id, modeFault(e.proxy, m, duration)), true},
+		{"engine " + e.id + " restarts", e.restart, false},
 	}
 	return faults[rng.IntN(len(faults))]
 }
