--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -31,6 +31,8 @@
 	restartAfter time.Duration
 	// answerFirst makes the engines complete their answers just before they end.
 	answerFirst bool
+	// startOne starts another engine.
+	startOne func()
 
 	mu sync.Mutex
 	// reached are the times at which prompts with crashingPart arrived, crashed those at which engines ended.
@@ -42,24 +44,33 @@
 
 func (d *deployment) startCrashingEngines(count int, restartAfter time.Duration, answerFirst bool) *crashingEngines {
 	e := &crashingEngines{d: d, restartAfter: restartAfter, answerFirst: answerFirst}
+	e.startOne = e.start
 	d.put("op/version/m", `{"model":"m","version":1}`)
 	for range count {
 		e.start()
 	}
-	d.c.Cleanup(func() {
-		e.mu.Lock()
-		e.stopped = true
-		e.mu.Unlock()
-		e.restarting.Wait()
-	})
+	d.c.Cleanup(e.stop)
 	return e
 }
 
-func (e *crashingEngines) start() {
+// stop starts no more engines.
+func (e *crashingEngines) stop() {
 	e.mu.Lock()
-	e.runs++
-	id := fmt.Sprintf("e%d", e.runs)
+	e.stopped = true
 	e.mu.Unlock()
+	e.restarting.Wait()
+}
+
+// nextID returns the id of the next engine.
+func (e *crashingEngines) nextID() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.runs++
+	return fmt.Sprintf("e%d", e.runs)
+}
+
+func (e *crashingEngines) start() {
+	id := e.nextID()
 	var s *server
 	end := sync.OnceFunc(func() { e.crash(id, s) })
 	s = startServer(e.d.c, func(r *received) { e.respond(s, r, end) })
@@ -72,9 +83,7 @@
 	<-s.requests
 	crashes := strings.Contains(r.header["balsamyoke-prompt-prefix"], crashingPart+":")
 	if crashes {
-		e.mu.Lock()
-		e.reached = append(e.reached, time.Now())
-		e.mu.Unlock()
+		e.recordReached()
 	}
 	time.Sleep(30 * time.Millisecond)
 	r.startStream()
@@ -90,6 +99,13 @@
 	}
 }
 
+// recordReached records that a request that crashes engines has reached one.
+func (e *crashingEngines) recordReached() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reached = append(e.reached, time.Now())
+}
+
 // crash ends an engine and starts another one later.
 func (e *crashingEngines) crash(id string, s *server) {
 	s.crash()
@@ -103,23 +119,28 @@
 
 func (e *crashingEngines) restart(id string) {
 	time.Sleep(e.restartAfter)
+	e.d.remove(id)
+	e.startOne()
+}
+
+// remove removes a server's registration.
+func (d *deployment) remove(id string) {
 	key := "servers/" + id
-	record, err := e.d.store.Get(context.Background(), key)
+	record, err := d.store.Get(context.Background(), key)
 	if err == nil {
-		_, err = e.d.store.CompareAndSwap(context.Background(), metastore.Swap{Key: key, Expect: record.ModRevision, Delete: true})
+		_, err = d.store.CompareAndSwap(context.Background(), metastore.Swap{Key: key, Expect: record.ModRevision, Delete: true})
 	}
-	e.d.c.Check(err, qt.IsNil)
-	e.start()
+	d.c.Check(err, qt.IsNil)
 }
 
-// latePrompts returns how many prompts with crashingPart reached engines when they should have been kept away.
-func (e *crashingEngines) latePrompts() (late, crashes int) {
+// late returns how many requests that crash engines reached them later than contactTime after allowed had ended.
+func (e *crashingEngines) late(allowed int) (late, crashes int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if len(e.crashed) < maxCrashes {
+	if len(e.crashed) < allowed {
 		return 0, len(e.crashed)
 	}
-	deadline := e.crashed[maxCrashes-1].Add(contactTime)
+	deadline := e.crashed[allowed-1].Add(contactTime)
 	for _, at := range e.reached {
 		if at.After(deadline) {
 			late++
@@ -191,7 +212,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	calls.Wait()
-	late, crashes := engines.latePrompts()
+	late, crashes := engines.late(maxCrashes)
 	c.Logf("%d engines ended, %d prompts reached engines too late, %d of %d sound prompts served", crashes, late, soundServed, soundAfter)
 	c.Assert(late <= maxLatePrompts, qt.IsTrue, qt.Commentf("%d prompts too late, %d engines ended", late, crashes))
 	c.Assert(soundAfter > 0, qt.IsTrue)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -246,7 +246,7 @@
 	"services":[{"name":"app","health_path":"/health","max_connections":100},
 	{"name":"llm","engine":{"slots":16,"kv_capacity":100000,"kv_token_bytes":100,"models":[{"name":"m"}]}}],
 	"limits":{"max_header_bytes":4096,"max_body_bytes":100000,"header_timeout_ms":1000,"idle_timeout_ms":5000},
-	"tenants":[{"name":"org","api_keys":[%s],"priority":1}]}`, version, keys)
+	"tenants":[{"name":"org","api_keys":[%s],"priority":1},{"name":"others","api_keys":["key-of-others"],"priority":1}]}`, version, keys)
 }
 
 func (d *deployment) start(instance string) {
@@ -346,12 +346,17 @@
 // request writes a request with a fresh id and returns the id.
 func (k *client) request(method, path, headers, body string) string {
 	id := fmt.Sprintf("r%d", requestNumber.Add(1))
-	fmt.Fprintf(k, "%s %s HTTP/1.1\r\nHost: %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Credential: key-1\r\nBalsamyoke-Deadline-Ms: 5000\r\n%s", method, path, host, id, headers)
+	k.requestAs(id, "key-1", method, path, headers, body)
+	return id
+}
+
+// requestAs writes a request with an id and an API key.
+func (k *client) requestAs(id, key, method, path, headers, body string) {
+	fmt.Fprintf(k, "%s %s HTTP/1.1\r\nHost: %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Credential: %s\r\nBalsamyoke-Deadline-Ms: 5000\r\n%s", method, path, host, id, key, headers)
 	if body != "" {
 		fmt.Fprintf(k, "Content-Length: %d\r\n", len(body))
 	}
 	fmt.Fprintf(k, "\r\n%s", body)
-	return id
 }
 
 func (k *client) readResponse() (callerResponse, error) {
@@ -425,6 +430,17 @@
 	return k.readResponse()
 }
 
+// sendAs sends a request with an id and an API key.
+func (d *deployment) sendAs(id, key, method, path, body string) (callerResponse, error) {
+	k, err := d.tryDial()
+	if err != nil {
+		return callerResponse{}, err
+	}
+	defer k.Close()
+	k.requestAs(id, key, method, path, "", body)
+	return k.readResponse()
+}
+
 func (d *deployment) mustSend(method, path, headers, body string) callerResponse {
 	d.c.Helper()
 	resp, err := d.send(method, path, headers, body)
