--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -34,13 +35,27 @@
 	f.loop.Post(func() {
 		now := bootclock.Now()
 		f.Counters.ServerCrashes.Inc(1)
-		f.Log.Warn(EventServerCrashed, zap.String("server", crash.Server), zap.Int("suspects", len(crash.Suspects)))
+		f.Log.Warn(EventServerCrashed, zap.String("server", crash.Server), zap.Int("suspects", len(crash.Suspects)), suspectsField(crash.Suspects))
 		f.quarantine.RecordCrash(now, crash)
 		f.quarantineIdle.Store(false)
 		f.reportCrashes(now)
 	})
 }
 
+// maxLoggedSuspects bounds the suspects that a log line names.
+const maxLoggedSuspects = 8
+
+// suspectsField returns the log field for the parts of a crash's suspects, each once.
+func suspectsField(suspects []quarantine.Suspect) zap.Field {
+	var ids []string
+	for i := range suspects {
+		if id := suspects[i].Part.ID; len(ids) < maxLoggedSuspects && !slices.Contains(ids, id) {
+			ids = append(ids, id)
+		}
+	}
+	return zap.Strings("parts", ids)
+}
+
 // IsQuarantineIdle reports whether no crash is being looked into and no part is held. Requests to plain services needn't be
 // identified then.
 func (f *Fleet) IsQuarantineIdle() bool { return f.quarantineIdle.Load() }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -367,11 +367,12 @@
 	return d
 }
 
-// partsField returns the log field for the ids of the prompt's parts.
+// partsField returns the log field for what the request may have in common with others: the ids of the prompt's parts, or for
+// a plain service its digests, if it was identified.
 func (r *request) partsField() zap.Field {
-	ids := make([]string, len(r.call.Parts))
-	for i, part := range r.call.Parts {
-		ids[i] = part.ID
+	var ids []string
+	for _, part := range r.parts {
+		ids = append(ids, part.ID)
 	}
 	return zap.Strings("parts", ids)
 }
