Decide again on crashes when other requests are served later

Callers saw a request crash the three servers of a service again when they came back. A part is held only if other requests were served since its first crash, so that a failure of all requests holds none; but that was decided only when a crash was reported. With all servers down at once nothing is served until they are back, and nothing was decided before the next crash.

--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -42,8 +42,9 @@
 }
 
 // holdCulprits holds the parts that the crashes speak against. A crash that is explained by one of them doesn't count
-// against the others that were in flight there.
-func (t *Tracker) holdCulprits(now time.Time) []Hold {
+// against the others that were in flight there. lacksOthers reports that other requests, once they are served, may add to the
+// holds.
+func (t *Tracker) holdCulprits(now time.Time) (added []Hold, lacksOthers bool) {
 	// A crash that hasn't settled yet is left out in the same way as an explained one.
 	explained := make(map[*Crash]bool)
 	for _, c := range t.crashes {
@@ -52,11 +53,10 @@
 	for part := range t.holds {
 		t.explain(part, explained)
 	}
-	var added []Hold
 	for {
-		worst := t.worst(explained)
-		if worst == nil {
-			return added
+		var worst *evidence
+		if worst, lacksOthers = t.worst(explained); worst == nil {
+			return added, lacksOthers
 		}
 		hold := Hold{Part: worst.part, CrashedAt: worst.last, Crashes: worst.crashes, Length: firstHold}
 		if t.addHold(hold) {
@@ -76,14 +76,19 @@
 }
 
 // worst returns the strongest evidence that suffices to hold a part, or nil. Of parts that explain about as many crashes it
-// is the one in the fewest requests: the others are shared with requests that were victims.
-func (t *Tracker) worst(explained map[*Crash]bool) *evidence {
+// is the one in the fewest requests: the others are shared with requests that were victims. lacksOthers reports that evidence
+// lacks nothing but other requests that were served.
+func (t *Tracker) worst(explained map[*Crash]bool) (worst *evidence, lacksOthers bool) {
 	var sufficient []*evidence
 	everServed, most := true, 0
 	for _, e := range t.collect(explained) {
-		if t.suffices(e) {
+		switch {
+		case !t.hasCrashes(e):
+		case t.hasOthers(e):
 			sufficient = append(sufficient, e)
 			everServed = everServed && e.everServed
+		default:
+			lacksOthers = true
 		}
 	}
 	for _, e := range sufficient {
@@ -91,7 +96,6 @@
 			most = max(most, e.under)
 		}
 	}
-	var worst *evidence
 	for _, e := range sufficient {
 		if e.everServed != everServed || float64(e.under) < comparableShare*float64(most) {
 			continue
@@ -100,7 +104,7 @@
 			worst = e
 		}
 	}
-	return worst
+	return worst, lacksOthers
 }
 
 // collect returns the evidence against each part from the crashes that aren't explained.
@@ -147,13 +151,21 @@
 	}
 }
 
-func (t *Tracker) suffices(e *evidence) bool {
-	crashes, others := minCrashes, minOthers
+// hasCrashes reports whether there are enough crashes under a part to hold it.
+func (t *Tracker) hasCrashes(e *evidence) bool {
+	crashes := minCrashes
 	if e.everServed {
-		crashes, others = minCrashesServed, minOthersServed
+		crashes = minCrashesServed
 	}
-	if e.crashes < crashes || len(e.requests) < minRequests {
-		return false
+	return e.crashes >= crashes && len(e.requests) >= minRequests
+}
+
+// hasOthers reports whether enough other requests were served since the first crash under a part, or whether the crashes
+// speak against it without them.
+func (t *Tracker) hasOthers(e *evidence) bool {
+	others := minOthers
+	if e.everServed {
+		others = minOthersServed
 	}
 	return t.served.countOthers(e.part, e.first) >= others || !e.everServed && t.explainsAll(e)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -112,7 +112,8 @@
 	// unconfirmed are the requests that were served less than surviveTime ago, in the order of their times.
 	unconfirmed []servedRequest
 	holds       map[Part]*Hold
-	// undecided is set when evidence was added since the latest decision.
+	// undecided is set when evidence was added since the latest decision, or when all that it lacked were other requests that
+	// are served.
 	undecided bool
 	// triedAt is when a request with a held part was last tried by this gateway.
 	triedAt map[Part]time.Time
@@ -213,8 +214,9 @@
 		t.undecided = false
 		return nil
 	}
-	t.undecided = now.Sub(t.crashes[len(t.crashes)-1].At) < settleTime
-	return t.holdCulprits(now)
+	holds, lacksOthers := t.holdCulprits(now)
+	t.undecided = lacksOthers || now.Sub(t.crashes[len(t.crashes)-1].At) < settleTime
+	return holds
 }
 
 func (t *Tracker) crashOf(server string, at time.Time) *Crash {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -283,3 +283,18 @@
 	}
 	c.Assert(tracker.Holds(), qt.HasLen, maxHolds)
 }
+
+// When all servers of a service are down at once, no other request is served until they are back. The part is held then, before
+// it crashes them again.
+func TestPartIsHeldWhenOthersAreServedLater(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	record(tracker,
+		crash("s1", 1, 0.9, 1, "base", "bad", "q1"), crash("s2", 1.1, 1.05, 1, "base", "bad", "q1"), crash("s3", 1.2, 1.15, 2, "base", "bad", "q2"),
+	)
+	tracker.Decide(at(2))
+	c.Assert(heldParts(tracker), qt.HasLen, 0)
+	served(tracker, at(4.5), parts("base", "sound", "q3"))
+	tracker.Decide(at(4.75))
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
+}
