Recognise repeats of a whole request that come under one id

Callers saw one request crash 13 servers of a service of three when all its repeats had one id: a part was held only after crashes under two different ids, as retries of one request may meet two crashes by chance. For a prompt's parts that stays. The digest of a request to a plain service identifies the whole request, so three crashes in a row under it are enough, whatever the ids. If nothing else is served, a fourth is needed, as all three may fail at once for reasons of their own.

--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -153,11 +153,11 @@
 }
 
 func requestPart(part quarantine.Part) *wire.RequestPart {
-	return &wire.RequestPart{Scope: part.Scope, Id: part.ID}
+	return &wire.RequestPart{Scope: part.Scope, Id: part.ID, Whole: part.Whole}
 }
 
 func commonPart(part *wire.RequestPart) quarantine.Part {
-	return quarantine.Part{Scope: part.GetScope(), ID: part.GetId()}
+	return quarantine.Part{Scope: part.GetScope(), ID: part.GetId(), Whole: part.GetWhole()}
 }
 
 // ageMS returns the time from at to now in milliseconds, zero if at is later.
--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -113,7 +113,7 @@
 		return
 	}
 	if r.call.Model == "" {
-		r.parts = []quarantine.Part{{Scope: r.service, ID: r.digest()}}
+		r.parts = []quarantine.Part{{Scope: r.service, ID: r.digest(), Whole: true}}
 		return
 	}
 	r.parts = make([]quarantine.Part, len(r.call.Parts))
--- a/internal/quarantine/blame.go
+++ b/internal/quarantine/blame.go
@@ -11,8 +11,11 @@
 	minCrashes = 3
 	// minCrashesServed is that number for a part that was served before, which the crashes more likely hit by chance.
 	minCrashesServed = 8
-	// minRequests is the number of different requests among them.
+	// minRequests is the number of different requests among them, unless the part is a whole request.
 	minRequests = 2
+	// minCrashesAlone is the number of crashes in a row after which a whole request is held if no others were served since.
+	// More than the servers of a small service, which may all fail at once.
+	minCrashesAlone = 4
 	// minOthers and minOthersServed are the numbers of other requests that this gateway must have served since the first
 	// of these crashes. Without any, the servers may be failing under every request.
 	minOthers       = 1
@@ -157,7 +160,7 @@
 	if e.everServed {
 		crashes = minCrashesServed
 	}
-	return e.crashes >= crashes && len(e.requests) >= minRequests
+	return e.crashes >= crashes && (e.part.Whole || len(e.requests) >= minRequests)
 }
 
 // hasOthers reports whether enough other requests were served since the first crash under a part, or whether the crashes
@@ -182,7 +185,11 @@
 			under++
 		}
 	}
-	return len(e.requests) >= minRequestsAlone && float64(under) >= minShareAlone*float64(all)
+	repeated := len(e.requests) >= minRequestsAlone
+	if e.part.Whole {
+		repeated = e.crashes >= minCrashesAlone
+	}
+	return repeated && float64(under) >= minShareAlone*float64(all)
 }
 
 // stronger reports whether a is stronger evidence than b. Of parts that always occur together the later one in the prompt
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -47,6 +47,8 @@
 	Scope string
 	// ID is the id of a part of the prompt, or the digest of a whole request to a plain service.
 	ID string
+	// Whole is set for a digest. Requests with it are repeats of one request, whatever their ids.
+	Whole bool
 }
 
 // Request is a request as it was sent to a server.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -298,3 +298,36 @@
 	tracker.Decide(at(4.75))
 	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
 }
+
+// crashWhole returns a crash at which a whole request was in flight since sentAt.
+func crashWhole(server string, crashedAt, sentAt float64, request uint64, ids ...string) Crash {
+	c := crash(server, crashedAt, sentAt, request, ids...)
+	for i := range c.Suspects {
+		c.Suspects[i].Part.Whole = true
+	}
+	return c
+}
+
+// Repeats of a whole request count whether they come under one id or several.
+func TestWholeRequestWithOneIDIsHeld(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	for i := range 3 {
+		c.Assert(heldParts(tracker), qt.HasLen, 0)
+		record(tracker, crashWhole(fmt.Sprint("s", i), 1+float64(i), 0.9+float64(i), 1, "bad"))
+		served(tracker, at(1.5+float64(i)), parts("other"))
+	}
+	tracker.Decide(at(4))
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
+}
+
+// If nothing else comes, one more crash is needed than a small service has servers.
+func TestWholeRequestThatComesAloneIsHeldLater(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	for i := range minCrashesAlone {
+		c.Assert(heldParts(tracker), qt.HasLen, 0)
+		record(tracker, crashWhole(fmt.Sprint("s", i), 1+float64(i), 0.9+float64(i), 1, "bad"))
+	}
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
+}
