Tell requests of different callers apart in the quarantine

Callers of a GET that was sound for them were refused because the same GET of another caller had crashed servers, and without a hold their responses counted as evidence that the request is sound. The digest of a request to a plain service now includes its caller, once as its organisation and once as its API key, and the host. Of two that explain the crashes equally the key's is held.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/base64"
 	"errors"
 	"fmt"
 	"hash/fnv"
@@ -113,7 +113,7 @@
 		return
 	}
 	if r.call.Model == "" {
-		r.parts = []quarantine.Part{{Scope: r.service, ID: r.digest(), Whole: true}}
+		r.parts = r.digests()
 		return
 	}
 	r.parts = make([]quarantine.Part, len(r.call.Parts))
@@ -125,12 +125,25 @@
 // maxDigestedBody is the number of bytes of a body that a digest covers. It bounds the processor time of large requests.
 const maxDigestedBody = 64 << 10
 
-// digest returns a digest of the request's method, path, and the start and length of its body.
-func (r *request) digest() string {
-	h := sha256.New()
-	fmt.Fprintf(h, "%s %s\n%d\n", r.header.Method(), r.header.RequestURI(), len(r.body))
-	h.Write(r.body[:min(len(r.body), maxDigestedBody)])
-	return hex.EncodeToString(h.Sum(nil)[:16])
+// digestBytes is the size of the digest of a request.
+const digestBytes = 12
+
+// digests returns what repeats of a request to a plain service have in common, the wider digest first: its organisation, or its API
+// key, with method, host, path, and the start and length of the body. Others may send the same request soundly.
+func (r *request) digests() []quarantine.Part {
+	body := sha256.Sum256(r.body[:min(len(r.body), maxDigestedBody)])
+	content := fmt.Sprintf("%s %s%s %d %x", r.header.Method(), r.header.Host(), r.header.RequestURI(), len(r.body), body)
+	parts := []quarantine.Part{r.whole("organisation", r.organisation, content)}
+	if r.call.APIKey != "" {
+		parts = append(parts, r.whole("key", r.call.APIKey, content))
+	}
+	return parts
+}
+
+// whole returns the digest of a request's content and its caller, which is identified by an organisation or a key.
+func (r *request) whole(callerKind, caller, content string) quarantine.Part {
+	digest := sha256.Sum256(fmt.Appendf(nil, "%s %q %s", callerKind, caller, content))
+	return quarantine.Part{Scope: r.service, ID: base64.RawURLEncoding.EncodeToString(digest[:digestBytes]), Whole: true}
 }
 
 // sent returns the request as it was sent to the server of its placement.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -64,7 +64,8 @@
 func (r *Request) Suspects() []Suspect {
 	list := make([]Suspect, len(r.Parts))
 	for i, part := range r.Parts {
-		list[i] = Suspect{Part: part, Request: r.Number, SentAt: r.SentAt, Depth: i, Own: i > 0 && i == len(r.Parts)-1}
+		own := i > 0 && i == len(r.Parts)-1 && !part.Whole
+		list[i] = Suspect{Part: part, Request: r.Number, SentAt: r.SentAt, Depth: i, Own: own}
 	}
 	return list
 }
