Recognise repeats of a request whose query strings differ

Callers saw a request with another query string each time crash 13 servers of a service of three: each repeat had a digest of its own. The path without the query is now one more thing that requests have in common, wider than the request with its query, as it is for a prompt's parts: the narrowest that explains the crashes is held, so that a caller's sound requests with other queries aren't.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/base64"
@@ -128,15 +129,20 @@
 // digestBytes is the size of the digest of a request.
 const digestBytes = 12
 
-// digests returns what repeats of a request to a plain service have in common, the wider digest first: its organisation, or its API
-// key, with method, host, path, and the start and length of the body. Others may send the same request soundly.
+// digests returns what repeats of a request to a plain service have in common, wider digests first: its organisation, or its API
+// key, with method, host, path, and the start and length of the body; and that with the query string. Others may send the same
+// request soundly, and the caller itself with another query.
 func (r *request) digests() []quarantine.Part {
 	body := sha256.Sum256(r.body[:min(len(r.body), maxDigestedBody)])
-	content := fmt.Sprintf("%s %s%s %d %x", r.header.Method(), r.header.Host(), r.header.RequestURI(), len(r.body), body)
+	path, query, _ := bytes.Cut(r.header.RequestURI(), []byte("?"))
+	content := fmt.Sprintf("%s %s%s %d %x", r.header.Method(), r.header.Host(), path, len(r.body), body)
 	parts := []quarantine.Part{r.whole("organisation", r.organisation, content)}
 	if r.call.APIKey != "" {
 		parts = append(parts, r.whole("key", r.call.APIKey, content))
 	}
+	if len(query) > 0 {
+		parts = append(parts, r.whole("key", r.call.APIKey, fmt.Sprintf("%s ?%s", content, query)))
+	}
 	return parts
 }
 
