Pause a whole request while the decision on its crashes is pending

A crash counts 0.4 s after it was seen, so that other gateways can say what they have served. In that time a request that has crashed three servers in a row crashed all servers of a service of three once more. It is now refused, as not run, for two seconds after the latest of these crashes. A sound request pays only if it was in flight at three crashes, each time sent after the one before, and wasn't served since.

TestWholeRequestIsPausedAfterCrashesInARow fails before (no such pause).

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -37,6 +37,9 @@
 	// that crashes a server.
 	firstHold = time.Minute
 	maxHold   = 30 * time.Minute
+	// pauseAfterCrashes is how long a whole request isn't sent again after its latest crash, once it has crashed as many servers
+	// as may lead to a hold. The decision needs settleTime, in which a small service could lose all its servers again.
+	pauseAfterCrashes = 2 * time.Second
 	// trialTimeout is the time after which the next request is tried if a trial had no result.
 	trialTimeout = 15 * time.Second
 )
@@ -343,12 +346,15 @@
 // Held returns the hold that keeps a request with the parts away from servers, if there is one. With mayTry it lets
 // one request pass, as a trial, after the hold's end. Only one gateway at a time may try.
 func (t *Tracker) Held(now time.Time, parts []Part, mayTry bool) (Hold, bool) {
-	if len(t.holds) == 0 {
+	if t.IsIdle() {
 		return Hold{}, false
 	}
 	for _, part := range parts {
 		hold := t.holds[part]
 		if hold == nil {
+			if pause, paused := t.paused(now, part); paused {
+				return pause, true
+			}
 			continue
 		}
 		if !mayTry || now.Before(hold.Until()) || now.Sub(t.triedAt[part]) < trialTimeout {
@@ -358,3 +364,20 @@
 	}
 	return Hold{}, false
 }
+
+// paused returns the pause of a whole request that has crashed minCrashes servers in a row, the latest just now.
+func (t *Tracker) paused(now time.Time, part Part) (Hold, bool) {
+	if !part.Whole || len(t.crashes) == 0 || now.Sub(t.crashes[len(t.crashes)-1].At) >= pauseAfterCrashes {
+		return Hold{}, false
+	}
+	e := &evidence{part: part}
+	for _, c := range t.crashes {
+		for i := range c.Suspects {
+			if c.Suspects[i].Part == part {
+				t.add(e, c, &c.Suspects[i])
+			}
+		}
+	}
+	pause := Hold{Part: part, CrashedAt: e.last, Crashes: e.crashes, Length: pauseAfterCrashes}
+	return pause, e.crashes >= minCrashes && now.Before(pause.Until())
+}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -331,3 +331,22 @@
 	}
 	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"bad": true})
 }
+
+// While the decision on a whole request is pending, it isn't sent to the next server.
+func TestWholeRequestIsPausedAfterCrashesInARow(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	bad := Part{Scope: "m", ID: "bad", Whole: true}
+	for i := range 3 {
+		_, held := tracker.Held(at(0.95+float64(i)/10), []Part{bad}, false)
+		c.Assert(held, qt.IsFalse)
+		record(tracker, crashWhole(fmt.Sprint("s", i), 1+float64(i)/10, 0.95+float64(i)/10, 1, "bad"))
+	}
+	hold, held := tracker.Held(at(1.25), []Part{bad}, false)
+	c.Assert(held, qt.IsTrue)
+	c.Assert(hold.Until(), qt.Equals, at(1.2).Add(pauseAfterCrashes))
+	_, held = tracker.Held(at(1.25), []Part{{Scope: "m", ID: "another", Whole: true}}, false)
+	c.Assert(held, qt.IsFalse)
+	_, held = tracker.Held(at(3.3), []Part{bad}, false)
+	c.Assert(held, qt.IsFalse)
+}
