Take a crash just after a restart for a new one

A server that crashed, started again and crashed at once under the next request was reported with that request's parts at the time of the earlier crash, and the new crash without them: the gateway reused the result of its latest check of the server for a second, also when that check had begun before the request was sent. For a whole request such a crash counts as one without it, which demands two more.

--- a/internal/gateway/crash.go
+++ b/internal/gateway/crash.go
@@ -15,7 +15,6 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
-	"balsamyoke.example/balsamyoke/internal/fleet"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
 )
 
@@ -25,8 +24,9 @@
 // crashDetector finds out whether a server has crashed when a response of it breaks off: its address then refuses
 // connections. A server that only broke off a response accepts them. It is safe for concurrent use.
 type crashDetector struct {
-	fleet *fleet.Fleet
-	pool  *pool
+	// record is called for each crash and for each further request that was in flight at one.
+	record func(quarantine.Crash)
+	pool   *pool
 
 	mu      sync.Mutex
 	checks  map[string]*crashCheck
@@ -41,18 +41,19 @@
 	suspects []quarantine.Suspect
 }
 
-func newCrashDetector(f *fleet.Fleet, p *pool) *crashDetector {
-	return &crashDetector{fleet: f, pool: p, checks: make(map[string]*crashCheck)}
+func newCrashDetector(record func(quarantine.Crash), p *pool) *crashDetector {
+	return &crashDetector{record: record, pool: p, checks: make(map[string]*crashCheck)}
 }
 
-// observe records that the response to a request broke off at a server. It reports the request's parts to the fleet state if
-// the server has crashed.
-func (d *crashDetector) observe(server, address string, suspects []quarantine.Suspect) {
+// observe records that the response to a request broke off at a server. It records the request's parts if the server has crashed.
+// A check that began before the request was sent is about an earlier crash, after which the server has started again.
+func (d *crashDetector) observe(server, address string, sent quarantine.Request) {
 	now := bootclock.Now()
+	suspects := sent.Suspects()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	check := d.checks[server]
-	if check == nil || now.Sub(check.at) > crashCheckTTL {
+	if check == nil || now.Sub(check.at) > crashCheckTTL || check.at.Before(sent.SentAt) {
 		d.expire(now)
 		check = &crashCheck{at: now, suspects: suspects}
 		d.checks[server] = check
@@ -64,7 +65,7 @@
 		return
 	}
 	if check.crashed {
-		d.fleet.RecordCrash(quarantine.Crash{Server: server, At: check.at, Suspects: suspects})
+		d.record(quarantine.Crash{Server: server, At: check.at, Suspects: suspects})
 	}
 }
 
@@ -79,7 +80,7 @@
 	}
 	d.expire(now)
 	d.checks[server] = &crashCheck{at: now, done: true, crashed: true}
-	d.fleet.RecordCrash(quarantine.Crash{Server: server, At: now})
+	d.record(quarantine.Crash{Server: server, At: now})
 }
 
 func (d *crashDetector) expire(now time.Time) {
@@ -99,7 +100,7 @@
 	defer d.mu.Unlock()
 	check.done, check.crashed = true, errors.Is(err, syscall.ECONNREFUSED)
 	if check.crashed {
-		d.fleet.RecordCrash(quarantine.Crash{Server: server, At: check.at, Suspects: check.suspects})
+		d.record(quarantine.Crash{Server: server, At: check.at, Suspects: check.suspects})
 	}
 	check.suspects = nil
 }
@@ -154,6 +155,7 @@
 
 // sent returns the request as it was sent to the server of its placement.
 func (r *request) sent() quarantine.Request {
+	r.identify()
 	h := fnv.New64a()
 	h.Write([]byte(r.call.ID))
 	return quarantine.Request{Number: h.Sum64(), SentAt: r.sentAt, Parts: r.parts}
@@ -161,15 +163,8 @@
 
 // served returns the request as it was sent if the caller got a complete successful response, and none otherwise.
 func (r *request) served(res *exchangeResult) quarantine.Request {
-	if !res.complete || res.status >= fasthttp.StatusMultipleChoices {
+	if !res.complete || res.status >= fasthttp.StatusMultipleChoices || r.parts == nil {
 		return quarantine.Request{}
 	}
 	return r.sent()
 }
-
-// suspects returns the request's parts as suspects of a crash.
-func (r *request) suspects() []quarantine.Suspect {
-	r.identify()
-	sent := r.sent()
-	return sent.Suspects()
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,7 @@
 			Budget:        s.budget(),
 		}),
 	}
-	g.crashes = newCrashDetector(g.fleet, g.pool)
+	g.crashes = newCrashDetector(g.fleet.RecordCrash, g.pool)
 	g.grace.Store(int64(s.grace()))
 	return g
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -189,7 +189,7 @@
 			return true
 		}
 		if res.maybeSent && res.dispatchResult == dispatch.Unreachable {
-			g.crashes.observe(placement.Server, placement.Address, r.suspects())
+			g.crashes.observe(placement.Server, placement.Address, r.sent())
 		}
 		if errorx.IsOfType(res.err, ErrConnRefused) {
 			g.crashes.observeRefused(placement.Server)
