Tell the crash of a server's next run from refusals of the run before

A server that is back under its id and crashes at once was merged with the crash that a refused connection had shown less than 1.5 s before, so that its suspects were listed at a time before they were sent and the crash itself was missed. Suspects that were all sent after a refusal are now those of another crash.

TestCrashOfTheNextRunIsAnotherOne fails before.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -200,7 +200,7 @@
 	if now.Sub(c.At) > evidenceTTL {
 		return false
 	}
-	known := t.crashOf(c.Server, c.At)
+	known := t.crashOf(&c)
 	if known == nil {
 		known = &Crash{Server: c.Server, At: c.At}
 		t.insert(known)
@@ -230,15 +230,22 @@
 	return holds
 }
 
-func (t *Tracker) crashOf(server string, at time.Time) *Crash {
-	for _, c := range t.crashes {
-		if c.Server == server && c.At.Sub(at).Abs() < sameCrashWithin {
+// crashOf returns the known crash that a report is about, or nil. A server that refused a connection has started again if a
+// request was sent to it later.
+func (t *Tracker) crashOf(report *Crash) *Crash {
+	for _, c := range slices.Backward(t.crashes) {
+		if c.Server == report.Server && c.At.Sub(report.At).Abs() < sameCrashWithin && (len(c.Suspects) > 0 || !sentAfter(report, c.At)) {
 			return c
 		}
 	}
 	return nil
 }
 
+// sentAfter reports whether all requests that were in flight at a crash were sent after a time.
+func sentAfter(c *Crash, at time.Time) bool {
+	return len(c.Suspects) > 0 && !slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return !s.SentAt.After(at) })
+}
+
 func (t *Tracker) insert(c *Crash) {
 	at := len(t.crashes)
 	for at > 0 && t.crashes[at-1].At.After(c.At) {
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -436,3 +436,16 @@
 	_, held = tracker.Held(at(11.3), []Part{bad}, false)
 	c.Assert(held, qt.IsFalse)
 }
+
+// A server may start again under its id and crash under the next request while others are still refused by the run before.
+func TestCrashOfTheNextRunIsAnotherOne(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	tracker.RecordCrash(at(1), Crash{Server: "s", At: at(1)})
+	tracker.RecordCrash(at(1.8), crashWhole("s", 1.8, 1.7, 1, "bad"))
+	c.Assert(tracker.CrashCount(), qt.Equals, 2)
+	// A report of the same crash by another gateway, whose request was sent before.
+	tracker.RecordCrash(at(1.82), crashWhole("s", 1.81, 1.6, 2, "victim"))
+	c.Assert(tracker.CrashCount(), qt.Equals, 2)
+	c.Assert(tracker.wholeCrashes(Part{Scope: "m", ID: "bad", Whole: true}), qt.Equals, 1)
+}
