Play a request that crashes servers in the soak

A third kind of run: in its second half one request crashes the plain servers that run it; they are refused for two seconds and start again under their ids. No more than three of it may reach servers later than 3 s after the third crash. A drained server now returns as a new run, since it states its start.

--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -51,6 +51,7 @@
 	// request.
 	startedFaults atomic.Int64
 	disturbances  disturbances
+	crashes       crashes
 }
 
 // gatewayProcess is one gateway with the proxy between it and the metadata store.
@@ -71,6 +72,8 @@
 	http  *http.Server
 	proxy *proxy
 	limit requestLimit
+	// startedMS is the start of the server's run in Unix milliseconds.
+	startedMS atomic.Int64
 }
 
 func newDeployment(c *qt.C) *deployment {
@@ -222,13 +225,22 @@
 // startServer starts a backend server that counts the runs of each request, and registers it.
 func (w *deployment) startServer(id string) *server {
 	s := &server{id: id}
+	s.startedMS.Store(time.Now().UnixMilli())
 	s.http, s.proxy = w.serveBehindProxy(func(out http.ResponseWriter, in *http.Request) { w.serve(s, out, in) })
 	w.register(s, "ready")
 	return s
 }
 
+// drain registers a server as draining and later as a new run that is ready.
+func (w *deployment) drain(s *server, duration time.Duration) {
+	w.register(s, "draining")
+	time.Sleep(duration)
+	s.startedMS.Store(time.Now().UnixMilli())
+	w.register(s, "ready")
+}
+
 func (w *deployment) register(s *server, state string) {
-	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1}`, s.proxy.address(), state))
+	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1,"born":%d}`, s.proxy.address(), state, s.startedMS.Load()))
 }
 
 func (w *deployment) serve(s *server, out http.ResponseWriter, in *http.Request) {
@@ -239,6 +251,10 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if in.URL.Path == crashingPath {
+		w.crash(s)
+		return
+	}
 	// A fixed part of the requests, chosen by id, is refused as not run. Resumed streams are not refused.
 	if len(request)%7 == 3 && strings.HasSuffix(request, "7") && in.Header.Get("Last-Event-Id") == "" {
 		out.Header().Set("Balsamyoke-Not-Executed", "1")
--- a/internal/systemtest/soak/proxy_test.go
+++ b/internal/systemtest/soak/proxy_test.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	mode  mode
 	conns map[net.Conn]struct{}
+	// refusing is set while the proxy doesn't listen.
+	refusing bool
 }
 
 func startProxy(to string) (*proxy, error) {
@@ -41,11 +43,42 @@
 		return nil, err
 	}
 	p := &proxy{listener: listener, target: to, conns: make(map[net.Conn]struct{})}
-	go p.accept()
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.listener.Addr().String() }
+func (p *proxy) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listener.Addr().String()
+}
+
+// refuse resets all connections and refuses new ones, as the host of a process that has ended does. It returns false if it
+// does so already.
+func (p *proxy) refuse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.refusing {
+		return false
+	}
+	p.refusing = true
+	_ = p.listener.Close()
+	p.resetAll()
+	return true
+}
+
+// listenAgain accepts connections at the same address as before refuse.
+func (p *proxy) listenAgain() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listener, err := net.Listen("tcp4", p.listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	p.listener, p.refusing = listener, false
+	go p.accept(listener)
+	return nil
+}
 
 func (p *proxy) setMode(m mode) {
 	p.mu.Lock()
@@ -71,15 +104,15 @@
 }
 
 func (p *proxy) stop() {
-	_ = p.listener.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	_ = p.listener.Close()
 	p.resetAll()
 }
 
-func (p *proxy) accept() {
+func (p *proxy) accept(listener net.Listener) {
 	for {
-		conn, err := p.listener.Accept()
+		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -39,8 +39,8 @@
 	convergenceTimeout = 15 * time.Second
 	// faultsPerEngineFault is the average number of other faults for each engine fault.
 	faultsPerEngineFault = 2
-	// limitSequence selects the random sequence of the servers' limits.
-	limitSequence = 3
+	// ownSequence selects the random sequence of what a kind of run plays beside the faults.
+	ownSequence = 3
 )
 
 // regressionSeeds are all seeds that have failed before, with the cause. Every run of the test includes them.
@@ -71,21 +71,33 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			t.Parallel()
-			runSeed(qt.New(t), seed, false)
+			runSeed(qt.New(t), seed, faultsOnly)
 		})
 	}
-	// In the second half of these runs all gateways know the limits, so that the servers' promises hold without exception.
 	for i := range *seedsFlag {
-		t.Run(fmt.Sprint("limits-", first+uint64(i)), func(t *testing.T) {
-			t.Parallel()
-			runSeed(qt.New(t), first+uint64(i), true)
-		})
+		for name, k := range map[string]kind{"limits-": withLimits, "crashes-": withCrashes} {
+			t.Run(fmt.Sprint(name, first+uint64(i)), func(t *testing.T) {
+				t.Parallel()
+				runSeed(qt.New(t), first+uint64(i), k)
+			})
+		}
 	}
 }
 
-// runSeed plays the faults of a seed. With limits, servers state limits, the faults last twice as long, and in their second
-// half no gateway ends or stands still and no link to a server is disturbed.
-func runSeed(c *qt.C, seed uint64, limits bool) {
+// kind selects what a run plays beside the faults. Except for faultsOnly, the faults last twice as long, and in their second half
+// no gateway ends or stands still and no link to a server is disturbed: the guarantees then hold without exception.
+type kind int
+
+const (
+	faultsOnly kind = iota
+	// withLimits lets servers state limits of their requests.
+	withLimits
+	// withCrashes lets one request crash the servers that run it, in the second half.
+	withCrashes
+)
+
+// runSeed plays the faults of a seed.
+func runSeed(c *qt.C, seed uint64, k kind) {
 	w := newDeployment(c)
 	c.Cleanup(func() { w.keepLogs(seed) })
 	rng := rand.New(rand.NewPCG(seed, seed))
@@ -112,11 +124,18 @@
 	}
 	half := time.Duration(*lengthMS) * time.Millisecond
 	until, calmFrom := time.Now().Add(half), time.Now().Add(half)
-	if limits {
-		w.setLimits(rand.New(rand.NewPCG(seed, limitSequence)))
+	if k != faultsOnly {
 		until = until.Add(max(half, limitContactTime+2*limitWindow))
 	}
+	ownRNG := rand.New(rand.NewPCG(seed, ownSequence))
+	if k == withLimits {
+		w.setLimits(ownRNG)
+	}
+	startCrashing := sync.OnceFunc(func() { calling.Go(func() { w.sendCrashingRequest(ownRNG, stop) }) })
 	for time.Now().Before(until) {
+		if k == withCrashes && time.Now().After(calmFrom) {
+			startCrashing()
+		}
 		faults := []fault{w.drawFault(rng)}
 		if engineRNG.IntN(faultsPerEngineFault) == 0 {
 			faults = append(faults, w.drawEngineFault(engineRNG))
@@ -136,6 +155,7 @@
 	calling.Wait()
 	c.Logf("%d parts fetched", w.fetchedParts.Load())
 	w.checkLimits()
+	w.checkCrashes()
 	w.runCounts.Range(func(id, count any) bool {
 		if status, refused := w.refusedStatus.Load(id); refused && strings.HasSuffix(id.(string), "-once") {
 			c.Errorf("request %s was refused with status %d but has run", id, status)
@@ -238,7 +258,7 @@
 		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false},
 		{"metadata store compacted", func() { w.store.Store().Compact() }, false},
 		{"configuration change", func() { w.changeConfiguration() }, false},
-		{"server " + s.id + " drains", func() { w.register(s, "draining"); time.Sleep(duration); w.register(s, "ready") }, false},
+		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false},
 	}
 	return faults[rng.IntN(len(faults))]
 }
