--- a/internal/systemtest/soak/crashes_test.go
+++ b/internal/systemtest/soak/crashes_test.go
@@ -51,14 +51,23 @@
 	})
 }
 
-// sendCrashingRequest sends the crashing request again and again, to random gateways.
+// sendCrashingRequest sends the crashing request again and again, to random gateways: with an id of its own each time, with one id, or
+// with another query each time.
 func (w *deployment) sendCrashingRequest(rng *rand.Rand, stop chan struct{}) {
-	for {
+	variant := rng.IntN(3)
+	for i := 0; ; i++ {
+		id, path := fmt.Sprintf("crashing%d-any", i), crashingPath
+		switch variant {
+		case 1:
+			id = "crashing-any"
+		case 2:
+			path += fmt.Sprint("?page=", i)
+		}
 		select {
 		case <-stop:
 			return
 		case <-time.After(time.Duration(200+rng.IntN(1500)) * time.Millisecond):
-			w.probe(w.gateways[rng.IntN(len(w.gateways))].address, crashingPath)
+			w.probeAs(id, w.gateways[rng.IntN(len(w.gateways))].address, path)
 		}
 	}
 }
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -187,13 +187,18 @@
 var probeCount atomic.Int64
 
 func (w *deployment) probe(address, path string) int {
+	return w.probeAs(fmt.Sprintf("ask%d-any", probeCount.Add(1)), address, path)
+}
+
+// probeAs sends a request with an id and returns the status of its response, 0 without one.
+func (w *deployment) probeAs(id, address, path string) int {
 	conn, err := net.DialTimeout("tcp4", address, time.Second)
 	if err != nil {
 		return 0
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nBalsamyoke-Request-Id: ask%d-any\r\nConnection: close\r\n\r\n", path, probeCount.Add(1))
+	fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: h\r\nBalsamyoke-Request-Id: %s\r\nConnection: close\r\n\r\n", path, id)
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0
