--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -50,8 +50,8 @@
 	Options
 	loop *control.Loop
 	link *peers.Link
-	// owners are the connections to the gateways that own limits of servers.
-	owners *grpcpool.Pool
+	// ownerConnections are those to the gateways that own limits of servers.
+	ownerConnections *grpcpool.Pool
 	// table and contact are read by the request path. contact is the time of the latest update from the
 	// metadata store or another gateway, in Unix nanoseconds of bootclock; 0 before the first.
 	table         atomic.Pointer[routing.Table]
@@ -72,7 +72,7 @@
 	catalogue  *kvcache.Catalogue
 	members    *peers.Members
 	quarantine *quarantine.Tracker
-	owner      *quota.Owner
+	limits     *quota.Owner
 	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
 	crashReportedAt time.Time
 	feeds           map[string]context.CancelFunc
@@ -102,10 +102,11 @@
 		dispatcher: dispatch.New(o.Self.GetFailureDomain(), o.Incarnation, catalogue, o.Budget),
 		members:    peers.NewMembers(o.Self),
 		quarantine: quarantine.New(),
-		owner:      quota.NewOwner(),
-		owners:     grpcpool.New(maxOwnerConnections),
-		feeds:      make(map[string]context.CancelFunc),
-		states:     make(map[string]backend.State),
+		limits:     quota.NewOwner(),
+
+		ownerConnections: grpcpool.New(maxOwnerConnections),
+		feeds:            make(map[string]context.CancelFunc),
+		states:           make(map[string]backend.State),
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
@@ -151,7 +152,7 @@
 	f.loop.Run(ctx)
 	f.setFeeds(nil)
 	f.background.Wait()
-	f.owners.Close()
+	f.ownerConnections.Close()
 	return link.Close()
 }
 
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -87,7 +87,7 @@
 	if left := f.startedAt.Add(grantWarmUp).Sub(now); left > 0 {
 		return quota.Grant{RetryAfter: min(left, askFailedPause)}
 	}
-	g := f.owner.Grant(now, ask, f.members.ReachableShare(now))
+	g := f.limits.Grant(now, ask, f.members.ReachableShare(now))
 	if g.Requests > 0 {
 		f.Counters.LimitGrants.Inc(int64(g.Requests))
 	} else {
@@ -128,7 +128,7 @@
 func (f *Fleet) callOwner(ctx context.Context, owner *wire.Peer, ask quota.Ask) (quota.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	connection, err := f.owners.Get(owner.GetControlAddress())
+	connection, err := f.ownerConnections.Get(owner.GetControlAddress())
 	if err != nil {
 		return quota.Grant{}, ErrPeer.Wrap(err, "gateway %s", owner.GetControlAddress())
 	}
--- a/internal/quarantine/plain_simulation_test.go
+++ b/internal/quarantine/plain_simulation_test.go
@@ -165,19 +165,6 @@
 	}
 }
 
-func (s *plainSimulation) latePlain() int {
-	if len(s.badCrashes) < plainRuleCrashes {
-		return 0
-	}
-	count := 0
-	for _, reached := range s.badReached {
-		if reached > s.badCrashes[plainRuleCrashes-1]+contactTime {
-			count++
-		}
-	}
-	return count
-}
-
 // smallServices are services by their numbers of gateways and servers, with the number of seeds that a test plays there.
 var smallServices = []struct {
 	gateways, servers int
@@ -198,8 +185,9 @@
 				s.soundLoad([]float64{0.5, 10, 60}[seed%3])
 				s.every([]float64{0.3, 1, 2, 5}[seed%4], 5, simulatedSeconds, func() { s.request(false, 1, "bad") })
 				s.run(simulatedSeconds + 5)
-				c.Logf("%d crashes, %d requests too late", len(s.badCrashes), s.latePlain())
-				c.Assert(s.latePlain() <= maxLate, qt.IsTrue, qt.Commentf("%d requests too late, %d crashes", s.latePlain(), len(s.badCrashes)))
+				late := s.lateAfter(plainRuleCrashes)
+				c.Logf("%d crashes, %d requests too late", len(s.badCrashes), late)
+				c.Assert(late <= maxLate, qt.IsTrue, qt.Commentf("%d requests too late, %d crashes", late, len(s.badCrashes)))
 				c.Assert(s.wronglyHeld, qt.HasLen, 0)
 			})
 		}
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -259,13 +259,16 @@
 }
 
 // late returns how many requests with badPart reached servers when they should have been kept away.
-func (s *simulation) late() int {
-	if len(s.badCrashes) < ruleCrashes {
+func (s *simulation) late() int { return s.lateAfter(ruleCrashes) }
+
+// lateAfter returns how many requests reached servers later than contactTime after the given number of crashes.
+func (s *simulation) lateAfter(crashes int) int {
+	if len(s.badCrashes) < crashes {
 		return 0
 	}
 	count := 0
 	for _, reached := range s.badReached {
-		if reached > s.badCrashes[ruleCrashes-1]+contactTime {
+		if reached > s.badCrashes[crashes-1]+contactTime {
 			count++
 		}
 	}
