Count crashes under repeats with other queries when each repeat crashes several servers

Callers would see a request with another query each time crash three servers per repeat, without end: on a route with three attempts each repeat crashes three servers by itself, so that its own narrow digest is blamed and held, and the crashes it explains no longer counted for the wider one that all repeats share. They count for it now; it is paused and held only once repeats with two different narrower digests have crashed servers, so that a caller's other queries don't pay for one of them.

TestWiderDigestIsHeldWhenTheNextRepeatCrashesAsWell fails before.

--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -352,6 +352,28 @@
 	c.Assert(heldParts(differ), qt.DeepEquals, map[string]bool{"path": true})
 }
 
+// Each repeat has another query and crashes three servers by itself, on one attempt after the other.
+func TestWiderDigestIsHeldWhenTheNextRepeatCrashesAsWell(t *testing.T) {
+	c := qt.New(t)
+	tracker := New()
+	for i := range 3 {
+		second := 1 + float64(i)/10
+		record(tracker, crashWhole(fmt.Sprint("s", i), second, second-0.05, 1, "path", "query1"))
+	}
+	path := Part{Scope: "m", ID: "path", Whole: true}
+	_, held := tracker.Held(at(1.3), []Part{path, {Scope: "m", ID: "sound", Whole: true}}, false)
+	c.Assert(held, qt.IsFalse)
+	goOn(tracker, 2)
+	tracker.Decide(at(4.9))
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"query1": true})
+	record(tracker, crashWhole("s4", 5, 4.95, 2, "path", "query2"))
+	_, held = tracker.Held(at(5.1), []Part{path, {Scope: "m", ID: "query3", Whole: true}}, false)
+	c.Assert(held, qt.IsTrue)
+	goOn(tracker, 7)
+	tracker.Decide(at(10))
+	c.Assert(heldParts(tracker), qt.DeepEquals, map[string]bool{"query1": true, "path": true})
+}
+
 func TestWholeRequestIsNotHeldWithoutEnoughEvidence(t *testing.T) {
 	inARow := func(t *Tracker, count int, ids ...string) {
 		for i := range count {
--- a/internal/quarantine/whole.go
+++ b/internal/quarantine/whole.go
@@ -70,10 +70,10 @@
 	latest, counted *Crash
 	// requests are the numbers of its repeats that were in flight at crashes, each once.
 	requests []uint64
-	// depth is that of the part among the digests of a request, of which later ones are narrower.
-	depth int
-	// others is the number of crashes of its service since the first at which it wasn't in flight. Crashes at which a request with a
-	// held part was in flight count neither way.
+	// narrowest are the narrowest digests of these repeats, each once.
+	narrowest []Part
+	// others is the number of crashes of its service since the first at which it wasn't in flight. Crashes at which another request
+	// with a held part was in flight count neither way.
 	others int
 }
 
@@ -87,16 +87,18 @@
 		byPart[part] = list[i]
 	}
 	for _, c := range t.crashes {
-		if c.At.After(until) || t.isExplained(c) {
+		if c.At.After(until) {
 			continue
 		}
+		held := t.heldRequests(c)
 		for i := range c.Suspects {
-			if e := byPart[c.Suspects[i].Part]; e != nil && c.At.After(e.servedAt) {
-				e.add(c, &c.Suspects[i])
+			s := &c.Suspects[i]
+			if e := byPart[s.Part]; e != nil && c.At.After(e.servedAt) && (len(held) == 0 || slices.Contains(held, s.Request)) {
+				e.add(c, s)
 			}
 		}
 		for _, e := range list {
-			if e.latest != c && e.crashes > 0 && hasScope(c, e.part.Scope) {
+			if e.latest != c && e.crashes > 0 && len(held) == 0 && hasScope(c, e.part.Scope) {
 				e.others++
 			}
 		}
@@ -104,25 +106,48 @@
 	return list
 }
 
+// heldRequests returns the requests with a held part that were in flight at a crash. They explain it, also for a wider digest of the
+// same requests.
+func (t *Tracker) heldRequests(c *Crash) (requests []uint64) {
+	for i := range c.Suspects {
+		if s := &c.Suspects[i]; t.holds[s.Part] != nil {
+			requests = append(requests, s.Request)
+		}
+	}
+	return requests
+}
+
 // add adds a suspect with the part to the evidence. Crashes are added in the order of their times.
 func (e *wholeEvidence) add(c *Crash, s *Suspect) {
 	if e.counted == nil || c.At.Sub(e.counted.At) >= sameMomentWithin {
 		e.crashes++
 		e.counted = c
 	}
-	e.latest, e.depth = c, s.Depth
+	e.latest = c
 	if !slices.Contains(e.requests, s.Request) {
 		e.requests = append(e.requests, s.Request)
 	}
+	if narrowest := narrowestDigest(c, s.Request); !slices.Contains(e.narrowest, narrowest) {
+		e.narrowest = append(e.narrowest, narrowest)
+	}
 }
 
-func hasScope(c *Crash, scope string) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Part.Scope == scope })
+// narrowestDigest returns the last of the digests of a request that was in flight at a crash.
+func narrowestDigest(c *Crash, request uint64) (narrowest Part) {
+	depth := -1
+	for i := range c.Suspects {
+		if s := &c.Suspects[i]; s.Request == request && s.Depth > depth {
+			narrowest, depth = s.Part, s.Depth
+		}
+	}
+	return narrowest
 }
 
-// isExplained reports whether a request with a held part was in flight at a crash.
-func (t *Tracker) isExplained(c *Crash) bool {
-	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return t.holds[s.Part] != nil })
+// isNarrowest reports whether no narrower digest is common to the repeats, which would be blamed instead.
+func (e *wholeEvidence) isNarrowest() bool { return len(e.narrowest) > 1 || e.narrowest[0] == e.part }
+
+func hasScope(c *Crash, scope string) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return s.Part.Scope == scope })
 }
 
 // needed returns the number of crashes that suffice to pause the request.
@@ -149,7 +174,7 @@
 	}
 	e := t.collectWhole([]Part{part}, now)[0]
 	excess := e.crashes - e.needed()
-	if excess < 0 {
+	if excess < 0 || !e.isNarrowest() {
 		return Hold{}, false
 	}
 	pause := Hold{Part: part, CrashedAt: e.latest.At, Crashes: e.crashes, Length: min(firstPause<<min(excess, maxDoublings), firstHold)}
@@ -168,7 +193,7 @@
 func (t *Tracker) holdWholeRequests(now time.Time) (added []Hold, lacksOthers bool) {
 	all := t.wholeRequests(now.Add(-settleTime))
 	for _, e := range all {
-		if e.crashes < e.needed() {
+		if e.crashes < e.needed() || !e.isNarrowest() {
 			continue
 		}
 		lacksOthers = true
@@ -219,9 +244,9 @@
 	}
 }
 
-// isNarrower reports whether the digest is of a part of the repeats that the other one is of, or says more of the same ones.
+// isNarrower reports whether the digest is of a part of the repeats that the other one is of, or the narrowest one of the same.
 func (e *wholeEvidence) isNarrower(other *wholeEvidence) bool {
-	return isSubset(e.requests, other.requests) && (len(e.requests) < len(other.requests) || e.depth > other.depth)
+	return isSubset(e.requests, other.requests) && (len(e.requests) < len(other.requests) || e.isNarrowest() && !other.isNarrowest())
 }
 
 // isExcusedBy reports whether more crashes speak against another request of the service, or as many, so that the other one may
--- a/internal/systemtest/soak/crashes_test.go
+++ b/internal/systemtest/soak/crashes_test.go
@@ -36,11 +36,12 @@
 	time.Sleep(30 * time.Millisecond)
 	w.crashes.mu.Lock()
 	defer w.crashes.mu.Unlock()
+	w.activeFaults.Add(1)
+	w.startedFaults.Add(1)
 	if !s.proxy.refuse() {
+		w.activeFaults.Add(-1)
 		return
 	}
-	w.activeFaults.Add(1)
-	w.startedFaults.Add(1)
 	w.crashes.ended = append(w.crashes.ended, time.Now())
 	w.crashes.restarts.Go(func() {
 		defer w.activeFaults.Add(-1)
