--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -54,7 +54,9 @@
 	FailureDomain string
 	// Version is the server's last known weight version; 0 for plain services.
 	Version int64
-	Salt    string
+	// WeightsDueIn is the time until no request may start on these weights; 0 if no newer ones are the target.
+	WeightsDueIn time.Duration
+	Salt         string
 	// Plan is nil for plain services.
 	Plan *kvcache.Plan
 	// ComputeTokens is the number of prompt tokens that the server must compute according to the plan.
@@ -325,6 +327,15 @@
 	return s.weightVersion[model] < target.version && now.Sub(target.setAt) > d.weightsWithin-overdueMargin
 }
 
+// weightsDueIn returns the time until no request may start on the server's weights; 0 if no newer ones are the target.
+func (d *Dispatcher) weightsDueIn(now time.Time, s *server, model string) time.Duration {
+	target := d.targets[model]
+	if s.weightVersion[model] >= target.version {
+		return 0
+	}
+	return target.setAt.Add(d.weightsWithin).Sub(now)
+}
+
 // oldestVersion returns the oldest weight version of the model on any server; 0 if no server has the model.
 func (d *Dispatcher) oldestVersion(model string) int64 {
 	var oldest int64
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -138,7 +138,7 @@
 func (d *Dispatcher) planCache(now time.Time, r *Request, group *service, s *server, p *Placement) {
 	estimate := d.estimateTTFT(now, r, group, s, d.runningAt(now, s))
 	p.PredictedTTFB, p.EngineTime = milliseconds(estimate.totalMS()), milliseconds(estimate.engineMS())
-	p.Version = s.weightVersion[r.Model]
+	p.Version, p.WeightsDueIn = s.weightVersion[r.Model], d.weightsDueIn(now, s, r.Model)
 	p.Salt = d.cachedAt(now, r, p.Version, s.FailureDomain).salt
 	g := kvcache.Generation{Model: r.Model, Version: p.Version}
 	plan := d.catalogue.Plan(g, p.Salt, r.Parts, s.FailureDomain, estimate.useFetch, now)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -151,7 +151,7 @@
 		if w := document.Weights; w != nil {
 			f.dispatcher.SetTargetWeightVersion(w.Model, w.Version, now)
 			f.Log.Info(EventTargetWeights, zap.String("model", w.Model), zap.Int64("version", w.Version),
-				zap.Int64("revision", int64(entry.ModRevision)))
+				zap.Int64("revision", int64(entry.ModRevision)), zap.String("source", "operator"), zap.Duration("age", 0))
 		}
 	}
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -7,22 +7,31 @@
 
 // State is a dump of the control state.
 type State struct {
-	Instance      string               `json:"instance"`
-	Configuration int64                `json:"configuration"`
-	ContactAgeMS  int64                `json:"contact_age_ms"`
-	Era           int64                `json:"era"`
-	Revisions     map[string]int64     `json:"revisions"`
-	Leader        bool                 `json:"leader"`
-	Fence         int64                `json:"fence"`
-	Excluded      []string             `json:"withheld"`
-	Peers         []string             `json:"live_peers"`
-	Servers       any                  `json:"servers"`
+	Instance      string           `json:"instance"`
+	Configuration int64            `json:"configuration"`
+	ContactAgeMS  int64            `json:"contact_age_ms"`
+	Era           int64            `json:"era"`
+	Revisions     map[string]int64 `json:"revisions"`
+	Leader        bool             `json:"leader"`
+	Fence         int64            `json:"fence"`
+	Excluded      []string         `json:"withheld"`
+	Peers         []string         `json:"live_peers"`
+	Servers       any              `json:"servers"`
+	// TargetWeights are the target weight versions and the ages that they have as far as this gateway knows.
+	TargetWeights []TargetWeightsState `json:"weights_named"`
 	Stores        []kvcache.StoreState `json:"stores"`
 	HeldParts     []HeldPart           `json:"held_parts"`
 	// RecentCrashes is the number of crashes of servers that count as evidence against parts.
 	RecentCrashes int `json:"recent_crashes"`
 }
 
+// TargetWeightsState is a target weight version in a dump.
+type TargetWeightsState struct {
+	Model   string `json:"model"`
+	Version int64  `json:"version"`
+	AgeMS   int64  `json:"age_ms"`
+}
+
 // HeldPart is a part in a dump whose requests are kept away from servers.
 type HeldPart struct {
 	Scope   string `json:"scope"`
@@ -49,6 +58,9 @@
 			state.Peers = append(state.Peers, member.GetInstance())
 		}
 		state.Servers = f.dispatcher.State(now)
+		for _, target := range f.dispatcher.TargetWeightVersions() {
+			state.TargetWeights = append(state.TargetWeights, TargetWeightsState{target.Model, target.Version, now.Sub(target.SetAt).Milliseconds()})
+		}
 		state.Stores = f.catalogue.State(now)
 		state.RecentCrashes = f.quarantine.CrashCount()
 		for _, hold := range f.quarantine.Holds() {
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -82,5 +82,8 @@
 		return
 	}
 	age := time.Since(time.UnixMilli(stored.SetMS))
-	f.dispatcher.SetTargetWeightVersion(strings.TrimPrefix(record.Key, targetPrefix), stored.Version, now.Add(-max(0, age)))
+	model := strings.TrimPrefix(record.Key, targetPrefix)
+	f.dispatcher.SetTargetWeightVersion(model, stored.Version, now.Add(-max(0, age)))
+	f.Log.Info(EventTargetWeights, zap.String("model", model), zap.Int64("version", stored.Version),
+		zap.Int64("revision", int64(record.ModRevision)), zap.String("source", "stored"), zap.Duration("age", age))
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -328,7 +328,7 @@
 		zap.Int64("configuration", g.configVersion()),
 	}
 	if p := r.placement.Plan; p != nil {
-		fields = append(fields, zap.Int64("weights", r.placement.Version),
+		fields = append(fields, zap.Int64("weights", r.placement.Version), zap.Duration("weights_due_in", r.placement.WeightsDueIn),
 			zap.Int("fetched", p.FetchTokens), zap.Int("read", p.PrefillTokens),
 			zap.Strings("from", nonEmpty(p.Fetch)), zap.Strings("to", nonEmpty(p.Save)))
 	}
