Let each target weight version bind engines from its own time

Cause: the dispatcher kept one target version and one time for each model, and the leader planned the rollout for one deadline.

weights.Schedule now keeps all target versions that bind some engine. The dispatcher takes an engine's deadline from the earliest newer version; the leader loads the engines first that are due first, and as many at once as each deadline needs. Versions that bind no engine sooner than a later one are dropped.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/quota"
 	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 // Request holds the properties of a request that a placement depends on.
@@ -176,13 +177,11 @@
 	catalogue *kvcache.Catalogue
 	budgets   map[string]*Budget
 	budget    BudgetConfig
-	targets   map[string]weightTarget
-	// weightsWithin is how long requests may still start on older weights after a target weight version is set.
-	weightsWithin time.Duration
-	peers         map[string]map[string]PeerLoad
-	recent        recentParts
-	position      Position
-	grants        *quota.Holder
+	schedule  *weights.Schedule
+	peers     map[string]map[string]PeerLoad
+	recent    recentParts
+	position  Position
+	grants    *quota.Holder
 	// cached and migration belong to the placement in progress.
 	cached    []cachedPrompt
 	migration weightMigration
@@ -224,7 +223,7 @@
 		catalogue: catalogue,
 		budgets:   make(map[string]*Budget),
 		budget:    budget,
-		targets:   make(map[string]weightTarget),
+		schedule:  weights.NewSchedule(),
 		peers:     make(map[string]map[string]PeerLoad),
 		recent:    newRecentParts(),
 		grants:    quota.NewHolder(),
@@ -297,25 +296,18 @@
 	d.assignEngines()
 }
 
-// weightTarget is the target weight version of a model and the earliest known time at which it was set.
-type weightTarget struct {
-	version int64
-	setAt   time.Time
-}
-
-// SetTargetWeightVersion sets the target weight version of a model and the time at which the operator set it. Older
-// versions and, for the same version, later times are ignored.
-func (d *Dispatcher) SetTargetWeightVersion(model string, version int64, at time.Time) {
-	current := d.targets[model]
-	if version < current.version || version == current.version && !at.Before(current.setAt) {
-		return
+// AddTargetWeightVersion records that a weight version became the target of its model, in any order of the versions. It
+// reports whether that shortens the time for which some engines may keep their weights.
+func (d *Dispatcher) AddTargetWeightVersion(target weights.TargetVersion) bool {
+	if !d.schedule.Add(target) {
+		return false
 	}
-	d.targets[model] = weightTarget{version, at}
-	d.catalogue.SetNewestVersion(model, version)
+	d.catalogue.SetNewestVersion(target.Model, target.Version)
+	return true
 }
 
 // SetWeightsWithin sets how long requests may still start on older weights after a target weight version is set.
-func (d *Dispatcher) SetWeightsWithin(within time.Duration) { d.weightsWithin = within }
+func (d *Dispatcher) SetWeightsWithin(within time.Duration) { d.schedule.SetWithin(within) }
 
 // overdueMargin is subtracted from the time during which requests may start on older weights. It covers the time that
 // a request takes to reach the server and waits there.
@@ -323,17 +315,17 @@
 
 // overdue reports whether requests may no longer start on a server's weights.
 func (d *Dispatcher) overdue(now time.Time, s *server, model string) bool {
-	target := d.targets[model]
-	return s.weightVersion[model] < target.version && now.Sub(target.setAt) > d.weightsWithin-overdueMargin
+	deadline, bound := d.schedule.Deadline(model, s.weightVersion[model])
+	return bound && now.After(deadline.Add(-overdueMargin))
 }
 
 // weightsDueIn returns the time until no request may start on the server's weights; 0 if no newer ones are the target.
 func (d *Dispatcher) weightsDueIn(now time.Time, s *server, model string) time.Duration {
-	target := d.targets[model]
-	if s.weightVersion[model] >= target.version {
+	deadline, bound := d.schedule.Deadline(model, s.weightVersion[model])
+	if !bound {
 		return 0
 	}
-	return target.setAt.Add(d.weightsWithin).Sub(now)
+	return deadline.Sub(now)
 }
 
 // oldestVersion returns the oldest weight version of the model on any server; 0 if no server has the model.
@@ -416,15 +408,17 @@
 }
 
 // Engines returns the state of the servers that run a model, for the rollout of weights.
-func (d *Dispatcher) Engines(model string, now time.Time) []EngineView {
-	var views []EngineView
+func (d *Dispatcher) Engines(model string, now time.Time) []weights.Engine {
+	var views []weights.Engine
 	for _, s := range d.servers {
 		if _, ok := s.weightVersion[model]; !ok {
 			continue
 		}
-		views = append(views, EngineView{
+		deadline, _ := d.schedule.Deadline(model, s.weightVersion[model])
+		views = append(views, weights.Engine{
 			Server:   s.Server,
 			Version:  s.weightVersion[model],
+			Deadline: deadline,
 			InFlight: s.running + s.peerLoad.Running,
 			Suspect:  now.Before(s.suspectUntil) || s.leaving,
 		})
@@ -432,29 +426,8 @@
 	return views
 }
 
-// EngineView is the state of one server that the rollout of weights uses.
-type EngineView struct {
-	backend.Server
-	Version  int64
-	InFlight int
-	Suspect  bool
-}
-
-// TargetWeightVersion is the target weight version of a model and the time at which it was set.
-type TargetWeightVersion struct {
-	Model   string
-	Version int64
-	SetAt   time.Time
-}
-
-// TargetWeightVersions returns the target weight versions of all models.
-func (d *Dispatcher) TargetWeightVersions() []TargetWeightVersion {
-	list := make([]TargetWeightVersion, 0, len(d.targets))
-	for model, target := range d.targets {
-		list = append(list, TargetWeightVersion{model, target.version, target.setAt})
-	}
-	return list
-}
+// Targets returns the schedule of target weight versions. Only the dispatcher adds to it.
+func (d *Dispatcher) Targets() *weights.Schedule { return d.schedule }
 
 // Evaluate updates the servers' health and returns the changes. It is called a few times a second.
 func (d *Dispatcher) Evaluate(now time.Time) []health.Change {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -11,6 +11,7 @@
 	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 var start = time.Unix(1000, 0)
@@ -128,7 +129,7 @@
 func TestOverdueWeightsAreNotUsed(t *testing.T) {
 	c := qt.New(t)
 	d := newDispatcher(4)
-	d.SetTargetWeightVersion("m", 2, start)
+	d.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: 2, SetAt: start})
 	last := start.Add(15*time.Second - overdueMargin)
 	c.Assert(mustPlace(c, d, prompt("s", 1000), last).Version, qt.Equals, int64(1))
 	late := last.Add(time.Millisecond)
--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -22,7 +22,7 @@
 // engine in the home occupies the links of its stores for half as long, and those are the first to be exhausted.
 func (d *Dispatcher) homeOf(now time.Time, r *Request) string {
 	oldest := d.oldestVersion(r.Model)
-	for version := max(d.targets[r.Model].version, oldest); version > 0 && version >= oldest; version-- {
+	for version := max(d.schedule.Newest(r.Model), oldest); version > 0 && version >= oldest; version-- {
 		g := kvcache.Generation{Model: r.Model, Version: version}
 		domain, tokens := d.catalogue.Home(g, kvcache.Salt(g, r.CacheBoundary), r.Parts, now)
 		if tokens >= minHomeTokens {
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -275,7 +275,7 @@
 // migrationOf returns the position of the prompt in the migration to the target weight version.
 func (d *Dispatcher) migrationOf(r *Request) weightMigration {
 	part := sharedPart(r.Parts)
-	t := weightMigration{target: d.targets[r.Model].version}
+	t := weightMigration{target: d.schedule.Newest(r.Model)}
 	oldest := d.oldestVersion(r.Model)
 	if part == "" || oldest >= t.target {
 		return t
--- a/internal/dispatch/weights_test.go
+++ b/internal/dispatch/weights_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 // A newer target weight version doesn't extend the time for which engines may keep weights from before an earlier one.
@@ -14,8 +16,8 @@
 	c := qt.New(t)
 	d := newDispatcher(4)
 	d.SetVersion("e01", "m", 2)
-	d.SetTargetWeightVersion("m", 2, start)
-	d.SetTargetWeightVersion("m", 3, start.Add(11*time.Second))
+	d.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: 2, SetAt: start})
+	d.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: 3, SetAt: start.Add(11 * time.Second)})
 	due := start.Add(15*time.Second - overdueMargin)
 	used := make(map[string]bool)
 	for i := range 40 {
@@ -42,7 +44,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 6000).Draw(rt, "pause_ms")) * time.Millisecond)
 			version := rapid.Int64Range(1, 8).Draw(rt, "version")
 			at := now.Add(-time.Duration(rapid.IntRange(0, 20_000).Draw(rt, "age_ms")) * time.Millisecond)
-			d.SetTargetWeightVersion("m", version, at)
+			d.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: version, SetAt: at})
 			if earlier, ok := setAt[version]; !ok || at.Before(earlier) {
 				setAt[version] = at
 			}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -308,7 +308,9 @@
 		f.loop.Call(func() { leads = f.lead.fence > 0 })
 		return leads
 	})
-	f.loop.Call(func() { f.dispatcher.SetTargetWeightVersion("m", 2, bootclock.Now().Add(-3*time.Second)) })
+	f.loop.Call(func() {
+		f.dispatcher.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: 2, SetAt: bootclock.Now().Add(-3 * time.Second)})
+	})
 	eventually(c, "the target version is stored", func() bool {
 		_, err := store.Get(context.Background(), targetPrefix+"m")
 		return err == nil
@@ -319,7 +321,7 @@
 	late := startFleet(c, "b", &switchableStore{store, make(chan struct{})})
 	eventually(c, "the other gateway has the time", func() (known bool) {
 		late.loop.Call(func() {
-			for _, n := range late.dispatcher.TargetWeightVersions() {
+			for _, n := range late.dispatcher.Targets().Binding("m", bootclock.Now()) {
 				known = n.Version == 2 && bootclock.Now().Sub(n.SetAt) > 2*time.Second
 			}
 		})
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -14,6 +14,7 @@
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/mirror"
 	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 const (
@@ -149,7 +150,7 @@
 			f.applyConfiguration(*c, entry, now)
 		}
 		if w := document.Weights; w != nil {
-			f.dispatcher.SetTargetWeightVersion(w.Model, w.Version, now)
+			f.dispatcher.AddTargetWeightVersion(weights.TargetVersion{Model: w.Model, Version: w.Version, SetAt: now})
 			f.Log.Info(EventTargetWeights, zap.String("model", w.Model), zap.Int64("version", w.Version),
 				zap.Int64("revision", int64(entry.ModRevision)), zap.String("source", "operator"), zap.Duration("age", 0))
 		}
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -150,10 +150,10 @@
 // registration.
 func (f *Fleet) reportedVersions(now time.Time) []*wire.ServerVersion {
 	var list []*wire.ServerVersion
-	for _, target := range f.dispatcher.TargetWeightVersions() {
-		for _, e := range f.dispatcher.Engines(target.Model, now) {
-			if e.Version > e.Versions[target.Model] {
-				list = append(list, &wire.ServerVersion{Server: e.ID, Model: target.Model, Version: e.Version})
+	for _, model := range f.dispatcher.Targets().Models() {
+		for _, e := range f.dispatcher.Engines(model, now) {
+			if e.Version > e.Versions[model] {
+				list = append(list, &wire.ServerVersion{Server: e.ID, Model: model, Version: e.Version})
 			}
 		}
 	}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -206,15 +206,12 @@
 	f.broadcastBeat()
 }
 
-// targets returns the target weight versions with the engines that serve their models.
+// targets returns the newest target weight versions with the engines that serve their models.
 func (f *Fleet) targets(now time.Time) []weights.Target {
 	var targets []weights.Target
-	for _, target := range f.dispatcher.TargetWeightVersions() {
-		t := weights.Target{Model: target.Model, Version: target.Version, Deadline: target.SetAt.Add(f.WeightsWithin)}
-		for _, e := range f.dispatcher.Engines(target.Model, now) {
-			t.Engines = append(t.Engines, weights.Engine(e))
-		}
-		targets = append(targets, t)
+	schedule := f.dispatcher.Targets()
+	for _, model := range schedule.Models() {
+		targets = append(targets, weights.Target{Model: model, Version: schedule.Newest(model), Engines: f.dispatcher.Engines(model, now)})
 	}
 	return targets
 }
@@ -222,8 +219,9 @@
 // retire retires the parts of earlier weight versions: all of them when no engine uses the version any more, and
 // otherwise the share of the engines that have reached the target.
 func (f *Fleet) retire(now time.Time) {
-	for _, target := range f.dispatcher.TargetWeightVersions() {
-		model, version := target.Model, target.Version
+	schedule := f.dispatcher.Targets()
+	for _, model := range schedule.Models() {
+		version := schedule.Newest(model)
 		engines := f.dispatcher.Engines(model, now)
 		updated := 0
 		inUse := make(map[int64]bool)
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -58,8 +58,10 @@
 			state.Peers = append(state.Peers, member.GetInstance())
 		}
 		state.Servers = f.dispatcher.State(now)
-		for _, target := range f.dispatcher.TargetWeightVersions() {
-			state.TargetWeights = append(state.TargetWeights, TargetWeightsState{target.Model, target.Version, now.Sub(target.SetAt).Milliseconds()})
+		for _, model := range f.dispatcher.Targets().Models() {
+			for _, target := range f.dispatcher.Targets().Binding(model, now) {
+				state.TargetWeights = append(state.TargetWeights, TargetWeightsState{model, target.Version, now.Sub(target.SetAt).Milliseconds()})
+			}
 		}
 		state.Stores = f.catalogue.State(now)
 		state.RecentCrashes = f.quarantine.CrashCount()
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -9,9 +9,9 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
-	"balsamyoke.example/balsamyoke/internal/dispatch"
-	"balsamyoke.example/balsamyoke/internal/eventlog"
+		"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/metastore"
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 // targetPrefix is the prefix of the keys in which the leader stores the times at which weight versions became the
@@ -29,11 +29,12 @@
 // persistTargets stores the times at which the newest weight versions became the target, unless this leader has
 // done so.
 func (f *Fleet) persistTargets(ctx context.Context) {
-	var missing []dispatch.TargetWeightVersion
+	var missing []weights.TargetVersion
 	f.loop.Call(func() {
-		for _, target := range f.dispatcher.TargetWeightVersions() {
-			if f.lead.fence > 0 && f.lead.persisted[target.Model] < target.Version {
-				missing = append(missing, target)
+		for _, model := range f.dispatcher.Targets().Models() {
+			binding := f.dispatcher.Targets().Binding(model, bootclock.Now())
+			if newest := binding[len(binding)-1]; f.lead.fence > 0 && f.lead.persisted[model] < newest.Version {
+				missing = append(missing, newest)
 			}
 		}
 	})
@@ -51,7 +52,7 @@
 	}
 }
 
-func (f *Fleet) persistTarget(ctx context.Context, target dispatch.TargetWeightVersion) error {
+func (f *Fleet) persistTarget(ctx context.Context, target weights.TargetVersion) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	age := bootclock.Now().Sub(target.SetAt)
@@ -83,7 +84,7 @@
 	}
 	age := time.Since(time.UnixMilli(stored.SetMS))
 	model := strings.TrimPrefix(record.Key, targetPrefix)
-	f.dispatcher.SetTargetWeightVersion(model, stored.Version, now.Add(-max(0, age)))
+	f.dispatcher.AddTargetWeightVersion(weights.TargetVersion{Model: model, Version: stored.Version, SetAt: now.Add(-max(0, age))})
 	f.Log.Info(EventTargetWeights, zap.String("model", model), zap.Int64("version", stored.Version),
 		zap.Int64("revision", int64(record.ModRevision)), zap.String("source", "stored"), zap.Duration("age", age))
 }
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	_ "embed"
 	"math"
 	"slices"
@@ -64,19 +65,19 @@
 	backend.Server
 	// Version is the last known weight version of the model at the engine.
 	Version int64
+	// Deadline is the time by which the engine must have left Version; zero if no newer version is the target.
+	Deadline time.Time
 	// InFlight is the number of requests that all gateways have in flight at the engine.
 	InFlight int
 	// Suspect engines are not chosen in this step.
 	Suspect bool
 }
 
-// Target is the target weight version of a model and the engines that serve the model.
+// Target is the newest target weight version of a model and the engines that serve the model.
 type Target struct {
 	Model   string
 	Version int64
-	// Deadline is the time by which all engines must have the version.
-	Deadline time.Time
-	Engines  []Engine
+	Engines []Engine
 }
 
 // Step is a call that the leader makes to an engine: a request for its report or an order.
@@ -133,7 +134,7 @@
 	loading := p.countWithLabel(t, labelLoading)
 	excluded := p.countWithLabel(t, labelExcluded)
 	ending := p.countEnding(now, t)
-	for i := range sortByInFlight(t) {
+	for i := range sortByUrgency(t) {
 		e := &t.Engines[i]
 		if excluded+loading-ending >= maxConcurrent {
 			break
@@ -157,9 +158,12 @@
 	return steps
 }
 
-// sortByInFlight sorts the target's engines so that those with the fewest requests come first, and returns them.
-func sortByInFlight(t *Target) []Engine {
-	slices.SortStableFunc(t.Engines, func(a, b Engine) int { return a.InFlight - b.InFlight })
+// sortByUrgency sorts the target's engines so that those with the earliest deadline come first, of these the ones with the
+// fewest requests, and returns them.
+func sortByUrgency(t *Target) []Engine {
+	slices.SortStableFunc(t.Engines, func(a, b Engine) int {
+		return cmp.Or(a.Deadline.Compare(b.Deadline), a.InFlight-b.InFlight)
+	})
 	return t.Engines
 }
 
@@ -186,18 +190,24 @@
 	return n
 }
 
-// maxConcurrent returns how many engines may load at once: few while there is time, more when it is short.
+// maxConcurrent returns how many engines may load at once: few while there is time, more when it is short for the engines
+// that are due by some deadline.
 func (p *Planner) maxConcurrent(now time.Time, t *Target) int {
-	base := int(math.Ceil(float64(len(t.Engines)) * baseLoadShare))
-	outdated := 0
+	var deadlines []time.Time
 	for i := range t.Engines {
 		if t.Engines[i].Version < t.Version {
-			outdated++
+			deadlines = append(deadlines, t.Engines[i].Deadline)
 		}
 	}
-	plannedTime := time.Duration(plannedTimeShare * float64(t.Deadline.Sub(now)))
-	needed := math.Ceil(float64(outdated) * p.loadTime.Seconds() / max(plannedTime, p.loadTime).Seconds())
-	return max(1, base, min(int(needed), int(maxLoadShare*float64(len(t.Engines)))))
+	slices.SortFunc(deadlines, time.Time.Compare)
+	needed := 0
+	for i, deadline := range deadlines {
+		plannedTime := time.Duration(plannedTimeShare * float64(deadline.Sub(now)))
+		atOnce := math.Ceil(float64(i+1) * p.loadTime.Seconds() / max(plannedTime, p.loadTime).Seconds())
+		needed = max(needed, int(atOnce))
+	}
+	base := int(math.Ceil(float64(len(t.Engines)) * baseLoadShare))
+	return max(1, base, min(needed, int(maxLoadShare*float64(len(t.Engines)))))
 }
 
 // countEnding returns how many loads are expected to end within drainLead.
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -19,6 +19,7 @@
 	planner    *Planner
 	engines    map[string]*fakeEngine
 	target     Target
+	schedule   *Schedule
 	maxLoading int
 }
 
@@ -34,18 +35,26 @@
 }
 
 func newSimulation(n int, timeout time.Duration) *simulation {
-	w := &simulation{now: start, planner: NewPlanner("leader", 7), engines: make(map[string]*fakeEngine)}
+	w := &simulation{now: start, planner: NewPlanner("leader", 7), engines: make(map[string]*fakeEngine), schedule: NewSchedule()}
 	for i := range n {
 		w.engines[fmt.Sprintf("e%02d", i)] = &fakeEngine{version: 1, reportedVersion: 1}
 	}
-	w.target = Target{Model: "m", Version: 2, Deadline: start.Add(timeout)}
+	w.schedule.SetWithin(timeout)
+	w.setTarget(2)
 	return w
 }
 
+// setTarget makes a version the target now.
+func (w *simulation) setTarget(version int64) {
+	w.target = Target{Model: "m", Version: version}
+	w.schedule.Add(TargetVersion{Model: "m", Version: version, SetAt: w.now})
+}
+
 func (w *simulation) targets() []Target {
 	t := w.target
 	for id, e := range w.engines {
-		t.Engines = append(t.Engines, Engine{Server: backend.Server{ID: id, Address: id}, Version: e.reportedVersion})
+		deadline, _ := w.schedule.Deadline("m", e.reportedVersion)
+		t.Engines = append(t.Engines, Engine{Server: backend.Server{ID: id, Address: id}, Version: e.reportedVersion, Deadline: deadline})
 	}
 	return []Target{t}
 }
@@ -119,7 +128,7 @@
 func TestRolloutEndsInTimeWithFewLoadsAtOnce(t *testing.T) {
 	c := qt.New(t)
 	w := newSimulation(12, 20*time.Second)
-	for w.outdated() > 0 && w.now.Before(w.target.Deadline) {
+	for w.outdated() > 0 && w.now.Before(start.Add(20*time.Second)) {
 		w.step(loseNone)
 	}
 	c.Assert(w.outdated(), qt.Equals, 0)
@@ -179,7 +188,7 @@
 	for range 60 {
 		w.step(loseNone)
 	}
-	w.target.Version, w.target.Deadline = 3, w.now.Add(20*time.Second)
+	w.setTarget(3)
 	loads := 0
 	for range 800 {
 		w.step(loseNone)
@@ -191,6 +200,28 @@
 	c.Assert(loads < 2*12, qt.IsTrue, qt.Commentf("%d loads", loads))
 }
 
+// Engines that have the oldest of three versions load first and in time, although a newer target leaves the others more time.
+func TestEnginesDueFirstLoadFirst(t *testing.T) {
+	c := qt.New(t)
+	w := newSimulation(12, 15*time.Second)
+	firstDeadline := start.Add(15 * time.Second)
+	for i := range 8 {
+		e := w.engines[fmt.Sprintf("e%02d", i)]
+		e.version, e.reportedVersion = 2, 2
+	}
+	for w.now.Before(start.Add(11500 * time.Millisecond)) {
+		w.now = w.now.Add(50 * time.Millisecond)
+	}
+	w.setTarget(3)
+	for w.now.Before(firstDeadline) {
+		w.step(loseNone)
+	}
+	for id, e := range w.engines {
+		c.Assert(e.version > 1, qt.IsTrue, qt.Commentf("engine %s", id))
+	}
+	c.Assert(w.maxLoading <= 6, qt.IsTrue)
+}
+
 // A leader whose fence is outdated must release its lease when an engine refuses an order as fenced.
 func TestFencedLeaderMustReleaseItsLease(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/internal/weights/schedule_test.go
@@ -0,0 +1,96 @@
+package weights
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// drawTargets draws target versions as they may become known: in any order, some several times with other times.
+func drawTargets(t *rapid.T) []TargetVersion {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) TargetVersion {
+		return TargetVersion{
+			Model:   "m",
+			Version: rapid.Int64Range(1, 9).Draw(t, "version"),
+			SetAt:   start.Add(time.Duration(rapid.IntRange(-40_000, 0).Draw(t, "at_ms")) * time.Millisecond),
+		}
+	}), 1, 12).Draw(t, "targets")
+}
+
+// earliest returns the earliest time of a target version that is newer than version.
+func earliest(targets []TargetVersion, version int64) (at time.Time, found bool) {
+	for _, target := range targets {
+		if target.Version > version && (!found || target.SetAt.Before(at)) {
+			at, found = target.SetAt, true
+		}
+	}
+	return at, found
+}
+
+// An engine's deadline follows from the earliest of all newer target versions.
+func TestDeadlineFollowsFromAllNewerVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets := drawTargets(t)
+		s := NewSchedule()
+		s.SetWithin(time.Second)
+		for _, target := range targets {
+			s.Add(target)
+		}
+		for version := range int64(10) {
+			deadline, bound := s.Deadline("m", version)
+			at, found := earliest(targets, version)
+			if bound != found || bound && !deadline.Equal(at.Add(time.Second)) {
+				t.Fatalf("version %d is due at %v (%t), want %v (%t)", version, deadline, bound, at.Add(time.Second), found)
+			}
+		}
+	})
+}
+
+// A gateway that gets the binding versions of another one takes the same engines as overdue from then on.
+func TestBindingVersionsSufficeForAnotherGateway(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, other := NewSchedule(), NewSchedule()
+		s.SetWithin(15 * time.Second)
+		other.SetWithin(15 * time.Second)
+		for _, target := range drawTargets(t) {
+			s.Add(target)
+		}
+		for _, target := range s.Binding("m", start) {
+			other.Add(target)
+		}
+		for after := time.Duration(0); after <= 16*time.Second; after += 500 * time.Millisecond {
+			now := start.Add(after)
+			for version := range int64(10) {
+				deadline, bound := s.Deadline("m", version)
+				otherDeadline, otherBound := other.Deadline("m", version)
+				overdue, otherOverdue := bound && !now.Before(deadline), otherBound && !now.Before(otherDeadline)
+				if bound != otherBound || overdue != otherOverdue {
+					t.Fatalf("version %d after %v: overdue %t, at the other gateway %t", version, after, overdue, otherOverdue)
+				}
+			}
+		}
+	})
+}
+
+// Versions that are set faster than they can be kept bind engines too early rather than too late.
+func TestManyTargetVersionsNeverBindLater(t *testing.T) {
+	c := qt.New(t)
+	s := NewSchedule()
+	var targets []TargetVersion
+	for v := range int64(3 * maxScheduled) {
+		target := TargetVersion{Model: "m", Version: v + 1, SetAt: start.Add(time.Duration(v) * 100 * time.Millisecond)}
+		targets = append(targets, target)
+		c.Assert(s.Add(target), qt.IsTrue)
+	}
+	for version := range int64(3 * maxScheduled) {
+		deadline, bound := s.Deadline("m", version)
+		at, _ := earliest(targets, version)
+		c.Assert(bound, qt.IsTrue)
+		c.Assert(deadline.After(at), qt.IsFalse)
+	}
+	c.Assert(len(s.Binding("m", start)), qt.Equals, maxScheduled)
+	c.Assert(s.Newest("m"), qt.Equals, int64(3*maxScheduled))
+	c.Assert(s.Models(), qt.DeepEquals, []string{"m"})
+}
