Tell the other gateways when each target weight version was set

A gateway that started after a weight version had become the target, or was cut off from the metadata store then, counted the version from when it read it, and sent requests to engines with older weights for that much longer.

Heartbeats now carry the target versions that bind engines, usually one, with their ages: about 20 bytes each. The earliest time wins; ages are rounded down and grow by nothing on the way, so that a time never moves before the true one.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -32,7 +32,7 @@
 
 const eventuallyTimeout = 15 * time.Second
 
-// documents reads plain values: op/config holds a version, servers/ID an address.
+// documents reads plain values: op/config holds a version, op/weights/MODEL a weight version, servers/ID an address.
 type documents struct{}
 
 func (documents) OperatorPrefix() string     { return "op/" }
@@ -47,6 +47,9 @@
 	if _, err := fmt.Sscan(string(value), &version); err != nil {
 		return Document{}, err
 	}
+	if model, ok := strings.CutPrefix(key, "op/weights/"); ok {
+		return Document{Weights: &TargetWeights{Model: model, Version: version}}, nil
+	}
 	return Document{Configuration: &routing.Configuration{Version: version, Services: []routing.Service{{Name: "app"}}}}, nil
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -150,9 +150,7 @@
 			f.applyConfiguration(*c, entry, now)
 		}
 		if w := document.Weights; w != nil {
-			f.dispatcher.AddTargetWeightVersion(weights.TargetVersion{Model: w.Model, Version: w.Version, SetAt: now})
-			f.Log.Info(EventTargetWeights, zap.String("model", w.Model), zap.Int64("version", w.Version),
-				zap.Int64("revision", int64(entry.ModRevision)), zap.String("source", "operator"), zap.Duration("age", 0))
+			f.addTargetVersion(weights.TargetVersion{Model: w.Model, Version: w.Version, SetAt: now}, "operator", now)
 		}
 	}
 }
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -125,6 +125,7 @@
 	}
 	f.addQuarantine(beat, now)
 	f.addLimits(beat, now)
+	f.addTargetVersions(beat, now)
 	if f.lead.fence > 0 {
 		beat.Versions = f.reportedVersions(now)
 	}
@@ -206,6 +207,7 @@
 	}
 	f.mergeQuarantine(beat, now)
 	f.mergeLimits(beat, now)
+	f.mergeTargetVersions(beat, now)
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(v.GetServer(), v.GetModel(), v.GetVersion())
 	}
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -9,9 +9,10 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
-		"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/weights"
+	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 // targetPrefix is the prefix of the keys in which the leader stores the times at which weight versions became the
@@ -75,6 +76,44 @@
 	}
 }
 
+// addTargetVersions adds the target versions that bind engines to a heartbeat. A gateway that learned of one of them late, or
+// started since, gets its time from those that didn't.
+func (f *Fleet) addTargetVersions(beat *wire.Beat, now time.Time) {
+	for _, model := range f.dispatcher.Targets().Models() {
+		for _, target := range f.dispatcher.Targets().Binding(model, now) {
+			beat.TargetVersions = append(beat.TargetVersions, &wire.TargetVersion{
+				Model: model, Version: target.Version, AgeMs: ageMS(now, target.SetAt),
+			})
+		}
+	}
+}
+
+// mergeTargetVersions adds the target versions of another gateway's heartbeat.
+func (f *Fleet) mergeTargetVersions(beat *wire.Beat, now time.Time) {
+	for _, reported := range beat.GetTargetVersions() {
+		target := weights.TargetVersion{Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(now, reported.GetAgeMs())}
+		f.addTargetVersion(target, beat.GetFrom().GetInstance(), now)
+	}
+}
+
+// minLoggedCorrection is the smallest correction of a known target version's time that is logged: heartbeats take some
+// milliseconds.
+const minLoggedCorrection = 250 * time.Millisecond
+
+// addTargetVersion records a target version and logs it if it is new or was set earlier than known.
+func (f *Fleet) addTargetVersion(target weights.TargetVersion, source string, now time.Time) {
+	before, bound := f.dispatcher.Targets().Deadline(target.Model, target.Version-1)
+	if !f.dispatcher.AddTargetWeightVersion(target) {
+		return
+	}
+	after, _ := f.dispatcher.Targets().Deadline(target.Model, target.Version-1)
+	if bound && before.Sub(after) < minLoggedCorrection {
+		return
+	}
+	f.Log.Info(EventTargetWeights, zap.String("model", target.Model), zap.Int64("version", target.Version),
+		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)))
+}
+
 // loadTarget passes a stored target weight version to the dispatcher.
 func (f *Fleet) loadTarget(record metastore.Record, now time.Time) {
 	var stored storedTarget
@@ -84,7 +123,5 @@
 	}
 	age := time.Since(time.UnixMilli(stored.SetMS))
 	model := strings.TrimPrefix(record.Key, targetPrefix)
-	f.dispatcher.AddTargetWeightVersion(weights.TargetVersion{Model: model, Version: stored.Version, SetAt: now.Add(-max(0, age))})
-	f.Log.Info(EventTargetWeights, zap.String("model", model), zap.Int64("version", stored.Version),
-		zap.Int64("revision", int64(record.ModRevision)), zap.String("source", "stored"), zap.Duration("age", age))
+	f.addTargetVersion(weights.TargetVersion{Model: model, Version: stored.Version, SetAt: now.Add(-max(0, age))}, "stored", now)
 }
