Store when every binding target weight version was set, on the servers' clock

When all gateways had ended, those that started took the newest target version's time from the leader's record and knew nothing of the versions before it: engines with older weights than an earlier version got requests for up to twice the time. The record was in the leader's own time of day, which differs between hosts and may be stepped, so that a reader could be seconds off either way.

The record now holds all target versions that bind engines, in Unix milliseconds of the servers' clock, which all gateways read from the cache stores and engines. A gateway that reads it before it knows that clock keeps it until then. A leader stores it again when its content is missing or later than known, also after the metadata store has come back from a copy.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/mirror"
 	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
@@ -86,8 +87,10 @@
 	// eraSince is when the latest era was first seen.
 	eraSince   time.Time
 	lastExpiry time.Time
-	states     map[string]backend.State
-	background sync.WaitGroup
+	// unloadedTargets are the stored target versions that were read before the servers' clock was known, by key.
+	unloadedTargets map[string]metastore.Record
+	states          map[string]backend.State
+	background      sync.WaitGroup
 }
 
 // New returns a Fleet with an empty state.
@@ -107,6 +110,7 @@
 		ownerConnections: grpcpool.New(maxOwnerConnections),
 		feeds:            make(map[string]context.CancelFunc),
 		states:           make(map[string]backend.State),
+		unloadedTargets:  make(map[string]metastore.Record),
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
@@ -294,6 +298,7 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	f.loadRemainingTargets(now)
 	f.evaluateQuarantine(now)
 	f.recheckLimits(now)
 	f.Counters.ContactAgeMS.Update(float64(f.ContactAge().Milliseconds()))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -311,9 +311,8 @@
 		f.loop.Call(func() { leads = f.lead.fence > 0 })
 		return leads
 	})
-	f.loop.Call(func() {
-		f.dispatcher.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: 2, SetAt: bootclock.Now().Add(-3 * time.Second)})
-	})
+	setServerClock(f, time.Hour)
+	addTargets(f, map[int64]time.Duration{2: 3 * time.Second})
 	eventually(c, "the target version is stored", func() bool {
 		_, err := store.Get(context.Background(), targetPrefix+"m")
 		return err == nil
@@ -322,13 +321,10 @@
 	time.Sleep(600 * time.Millisecond)
 	c.Assert(store.Calls().Swap-writes <= 1, qt.IsTrue, qt.Commentf("%d more writes", store.Calls().Swap-writes))
 	late := startFleet(c, "b", &switchableStore{store, make(chan struct{})})
-	eventually(c, "the other gateway has the time", func() (known bool) {
-		late.loop.Call(func() {
-			for _, n := range late.dispatcher.Targets().Binding("m", bootclock.Now()) {
-				known = n.Version == 2 && bootclock.Now().Sub(n.SetAt) > 2*time.Second
-			}
-		})
-		return known
+	setServerClock(late, time.Hour)
+	eventually(c, "the other gateway has the time", func() bool {
+		due, known := untilDue(late, 1)
+		return known && late.WeightsWithin-due > 2*time.Second
 	})
 }
 
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -417,7 +417,7 @@
 		now := bootclock.Now()
 		for _, record := range listing.Records {
 			if strings.HasPrefix(record.Key, targetPrefix) {
-				f.loadTarget(record, now)
+				f.loadTargets(record, now)
 			}
 			if !strings.HasPrefix(record.Key, peerPrefix) {
 				continue
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -58,7 +58,7 @@
 	freeable     map[kvcache.Generation]int
 	freedAt      time.Time
 	// persisted are the target weight versions that are stored in the metadata store, by model.
-	persisted map[string]int64
+	persisted map[string][]weights.TargetVersion
 }
 
 // acknowledgedShare is a retired share, in thousandths, and since when all gateways have acknowledged it.
@@ -119,7 +119,7 @@
 			acknowledged: make(map[kvcache.Generation]acknowledgedShare),
 			freeable:     make(map[kvcache.Generation]int),
 
-			persisted: make(map[string]int64),
+			persisted: make(map[string][]weights.TargetVersion),
 		}
 	})
 	var err error
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -15,67 +16,111 @@
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
-// targetPrefix is the prefix of the keys in which the leader stores the times at which weight versions became the
-// target, for gateways that start later.
-const targetPrefix = ownPrefix + "named/"
+const (
+	// targetPrefix is the prefix of the keys in which the leader stores when weight versions became the target, for gateways
+	// that start when no other one is left that knows.
+	targetPrefix = ownPrefix + "named/"
+	// persistTolerance is by how much a stored time may be later than the known one before it is stored again.
+	persistTolerance = 500 * time.Millisecond
+)
+
+// storedTargets is the value of a key under targetPrefix: the target versions of one model that bind engines.
+type storedTargets struct {
+	Versions []storedTarget `json:"versions"`
+}
 
-// storedTarget is the value of a key under targetPrefix.
 type storedTarget struct {
 	Version int64 `json:"version"`
-	// SetMS is when the version became the target, in Unix milliseconds of the clock of the gateway that received
-	// it first.
-	SetMS int64 `json:"named_ms"`
+	// SetMS is when the version became the target, in Unix milliseconds of the servers' clock: the hosts' clocks differ and
+	// may be stepped.
+	SetMS int64 `json:"set_ms"`
 }
 
-// persistTargets stores the times at which the newest weight versions became the target, unless this leader has
-// done so.
+// persistTargets stores when the target versions were set, unless this leader has done so.
 func (f *Fleet) persistTargets(ctx context.Context) {
-	var missing []weights.TargetVersion
+	var models []string
 	f.loop.Call(func() {
+		now := bootclock.Now()
 		for _, model := range f.dispatcher.Targets().Models() {
-			binding := f.dispatcher.Targets().Binding(model, bootclock.Now())
-			if newest := binding[len(binding)-1]; f.lead.fence > 0 && f.lead.persisted[model] < newest.Version {
-				missing = append(missing, newest)
+			if f.lead.fence > 0 && !covers(f.lead.persisted[model], f.dispatcher.Targets().Binding(model, now)) {
+				models = append(models, model)
 			}
 		}
 	})
-	for _, target := range missing {
-		if err := f.persistTarget(ctx, target); err != nil {
+	for _, model := range models {
+		if err := f.persistTarget(ctx, model); err != nil {
 			f.Counters.StoreFailures.Inc(1)
-			f.Log.Warn(EventAnnounceFailed, zap.String("model", target.Model), eventlog.Error(err))
-			continue
+			f.Log.Warn(EventAnnounceFailed, zap.String("model", model), eventlog.Error(err))
 		}
-		f.loop.Call(func() {
-			if f.lead.fence > 0 {
-				f.lead.persisted[target.Model] = target.Version
-			}
-		})
 	}
 }
 
-func (f *Fleet) persistTarget(ctx context.Context, target weights.TargetVersion) error {
+// covers reports whether the stored target versions bind engines as early as the known ones.
+func covers(stored, known []weights.TargetVersion) bool {
+	for _, target := range known {
+		if !slices.ContainsFunc(stored, func(s weights.TargetVersion) bool {
+			return s.Version >= target.Version && s.SetAt.Sub(target.SetAt) <= persistTolerance
+		}) {
+			return false
+		}
+	}
+	return true
+}
+
+// persistTarget stores the target versions of one model, with those that are stored already. It does nothing until the
+// servers' clock is known.
+func (f *Fleet) persistTarget(ctx context.Context, model string) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	age := bootclock.Now().Sub(target.SetAt)
-	value, err := json.Marshal(storedTarget{Version: target.Version, SetMS: time.Now().Add(-age).UnixMilli()})
-	if err != nil {
-		return ErrPeer.Wrap(err, "cannot encode the target weight version of %q", target.Model)
-	}
-	swap := metastore.Swap{Key: targetPrefix + target.Model, Value: value}
+	swap := metastore.Swap{Key: targetPrefix + model}
 	for {
+		known, value, err := f.encodeTargets(model)
+		if err != nil || value == nil {
+			return err
+		}
+		swap.Value = value
 		f.Counters.StoreCalls.Inc(1)
 		result, err := f.Platform.Metastore.CompareAndSwap(ctx, swap)
-		if err != nil || result.Swapped {
+		if err != nil {
 			return err
 		}
-		var stored storedTarget
-		if err := json.Unmarshal(result.Current.Value, &stored); err == nil && stored.Version >= target.Version {
+		f.loop.Call(func() {
+			if !result.Swapped {
+				known = f.loadTargets(result.Current, bootclock.Now())
+			}
+			if f.lead.fence > 0 {
+				f.lead.persisted[model] = known
+			}
+			result.Swapped = result.Swapped || covers(known, f.dispatcher.Targets().Binding(model, bootclock.Now()))
+		})
+		if result.Swapped {
 			return nil
 		}
 		swap.Expect = result.Current.ModRevision
 	}
 }
 
+// encodeTargets returns the target versions of a model that bind engines, and their stored form; nil while the servers' clock
+// is unknown.
+func (f *Fleet) encodeTargets(model string) (known []weights.TargetVersion, value []byte, err error) {
+	var stored storedTargets
+	f.loop.Call(func() {
+		known = f.dispatcher.Targets().Binding(model, bootclock.Now())
+		for _, target := range known {
+			if ms, ok := f.ServerClock(target.SetAt); ok {
+				stored.Versions = append(stored.Versions, storedTarget{Version: target.Version, SetMS: ms})
+			}
+		}
+	})
+	if len(stored.Versions) == 0 {
+		return known, nil, nil
+	}
+	if value, err = json.Marshal(stored); err != nil {
+		return known, nil, ErrPeer.Wrap(err, "cannot encode the target weight versions of %q", model)
+	}
+	return known, value, nil
+}
+
 // addTargetVersions adds the target versions that bind engines to a heartbeat. A gateway that learned of one of them late, or
 // started since, gets its time from those that didn't.
 func (f *Fleet) addTargetVersions(beat *wire.Beat, now time.Time) {
@@ -114,14 +159,36 @@
 		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)))
 }
 
-// loadTarget passes a stored target weight version to the dispatcher.
-func (f *Fleet) loadTarget(record metastore.Record, now time.Time) {
-	var stored storedTarget
+// loadTargets adds stored target versions and returns them. While the servers' clock is unknown the record is kept until it is known.
+func (f *Fleet) loadTargets(record metastore.Record, now time.Time) (loaded []weights.TargetVersion) {
+	var stored storedTargets
 	if err := json.Unmarshal(record.Value, &stored); err != nil {
 		f.Log.Warn(EventUnreadable, zap.String("key", record.Key), eventlog.Error(err))
+		return nil
+	}
+	offset := f.clockOffsetMS.Load()
+	if offset == 0 {
+		f.unloadedTargets[record.Key] = record
+		return nil
+	}
+	for _, s := range stored.Versions {
+		target := weights.TargetVersion{Model: strings.TrimPrefix(record.Key, targetPrefix), Version: s.Version, SetAt: time.UnixMilli(s.SetMS - offset)}
+		if target.SetAt.After(now) {
+			target.SetAt = now
+		}
+		f.addTargetVersion(target, "stored", now)
+		loaded = append(loaded, target)
+	}
+	return loaded
+}
+
+// loadRemainingTargets adds the stored target versions that were read before the servers' clock was known.
+func (f *Fleet) loadRemainingTargets(now time.Time) {
+	if f.clockOffsetMS.Load() == 0 {
 		return
 	}
-	age := time.Since(time.UnixMilli(stored.SetMS))
-	model := strings.TrimPrefix(record.Key, targetPrefix)
-	f.addTargetVersion(weights.TargetVersion{Model: model, Version: stored.Version, SetAt: now.Add(-max(0, age))}, "stored", now)
+	for key, record := range f.unloadedTargets {
+		delete(f.unloadedTargets, key)
+		f.loadTargets(record, now)
+	}
 }
