--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -226,10 +226,13 @@
 	d.c.Assert(err, qt.IsNil)
 }
 
-func (d *deployment) register(id string, s *server, state string) {
+func (d *deployment) register(id string, s *server, state string) { d.registerVersion(id, s, state, "v1") }
+
+// registerVersion registers a server with a software version.
+func (d *deployment) registerVersion(id string, s *server, state, version string) {
 	entry, err := json.Marshal(map[string]any{
-		"service": "app", "address": s.listener.Addr().String(), "zone": "a", "slots": 8, "state": state, "cold_remaining_ms": 0,
-		"sequence": 1,
+		"service": "app", "address": s.listener.Addr().String(), "zone": "a", "version": version, "slots": 8, "state": state,
+		"cold_remaining_ms": 0, "sequence": 1,
 	})
 	d.c.Assert(err, qt.IsNil)
 	d.put("servers/"+id, string(entry))
