Continue a broken stream only at a server of the same software version

Registrations now carry the software version into placement, and the rest of a stream goes only to servers of the version that its events came from. If none is left the response ends visibly incomplete. A server without a version can't continue any stream.

TestBrokenStreamGoesOnAtItsSoftwareVersion and TestBrokenStreamIsNotContinuedAtAnotherSoftwareVersion failed before and pass now (3 of 3, -race). The former now spreads its streams over all servers at once: in sequence the server that breaks off got none.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -29,6 +29,8 @@
 	StartedMS int64
 	// Versions maps each model to its weight version.
 	Versions map[string]int64
+	// SoftwareVersion is the version of the server's software; empty if unknown. Versions have no order.
+	SoftwareVersion string
 }
 
 // Report is the state of an engine, some hundred milliseconds old.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -46,6 +46,9 @@
 	Tried []string
 	// MinVersion is the minimum weight version that a resumed stream needs; 0 means any.
 	MinVersion int64
+	// Continues is set for the rest of a stream. Only servers of SoftwareVersion can write it; if that is empty, none can.
+	Continues       bool
+	SoftwareVersion string
 }
 
 // Placement is the server chosen for a request, with the predictions that the choice was based on.
@@ -53,6 +56,8 @@
 	Server        string
 	Address       string
 	FailureDomain string
+	// SoftwareVersion is that of the server; empty if unknown.
+	SoftwareVersion string
 	// Version is the server's last known weight version; 0 for plain services.
 	Version int64
 	// WeightsDueIn is the time until no request may start on these weights; 0 if no newer ones are the target.
@@ -89,7 +94,9 @@
 
 // Reasons for a refusal.
 const (
-	NoServer          Reason = "no_server"
+	NoServer Reason = "no_server"
+	// NoServerOfVersion means that no server has the software version that began the stream.
+	NoServerOfVersion Reason = "no_server_of_version"
 	AllSuspect        Reason = "all_servers_suspect"
 	AllLoading        Reason = "all_servers_loading"
 	AllBusy           Reason = "all_servers_busy"
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,7 +80,7 @@
 		return Placement{}, refusal
 	}
 	p := Placement{
-		Server: best.ID, Address: best.Address, FailureDomain: best.FailureDomain,
+		Server: best.ID, Address: best.Address, FailureDomain: best.FailureDomain, SoftwareVersion: best.SoftwareVersion,
 		Score: score, Candidates: candidates,
 	}
 	p.EmptyQueue = best.waitingTokens+best.peerLoad.WaitingTokens == 0 && (r.Model != "" || best.running+best.peerLoad.Running < best.Slots)
@@ -213,6 +213,9 @@
 	if s.State != backend.Ready || s.leaving || now.Before(s.busyUntil) || slices.Contains(r.Tried, s.ID) {
 		return false
 	}
+	if !s.canContinue(r) {
+		return false
+	}
 	if r.Model != "" && (s.weightVersion[r.Model] == 0 || s.weightVersion[r.Model] < r.MinVersion || d.overdue(now, s, r.Model)) {
 		return false
 	}
@@ -225,6 +228,12 @@
 	return d.health.Usable(now, s.ID) && !d.full(r, s)
 }
 
+// canContinue reports whether what the server writes fits what the caller has of the stream. What servers of different software
+// versions write doesn't.
+func (s *server) canContinue(r *Request) bool {
+	return !r.Continues || r.SoftwareVersion != "" && s.SoftwareVersion == r.SoftwareVersion
+}
+
 // full reports whether a plain server has as many requests as its queue takes.
 func (d *Dispatcher) full(r *Request, s *server) bool {
 	return r.Model == "" && s.Slots > 0 && s.running+s.peerLoad.Running >= plainQueueFactor*s.Slots
@@ -416,12 +425,16 @@
 
 // refusalCause returns why no server is usable and the time until that may change.
 func (d *Dispatcher) refusalCause(now time.Time, r *Request, group *service) (Reason, time.Duration) {
-	tried, suspect, ready, busy, limited := 0, 0, 0, 0, 0
+	tried, suspect, ready, busy, limited, unfit := 0, 0, 0, 0, 0, 0
 	soonest, soonestBusy, soonestGrant := maxRetryAfter, time.Duration(0), maxRetryAfter
 	for _, s := range group.servers {
 		if s.State != backend.Ready || s.leaving {
 			continue
 		}
+		if !s.canContinue(r) {
+			unfit++
+			continue
+		}
 		ready++
 		if left := s.busyUntil.Sub(now); left > 0 {
 			if busy == 0 || left < soonestBusy {
@@ -445,6 +458,8 @@
 		}
 	}
 	switch {
+	case ready == 0 && unfit > 0:
+		return NoServerOfVersion, maxRetryAfter
 	case ready == 0:
 		return NoServer, maxRetryAfter
 	case busy == ready:
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -211,6 +211,7 @@
 			if !res.gotFirstByte {
 				g.recordFirstByte(r, res, started)
 			}
+			r.placeRequest.Continues, r.placeRequest.SoftwareVersion = true, r.placement.SoftwareVersion
 			if werr := g.forwardEvents(c, r, header, out, events); werr != nil {
 				res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(werr, "write to the caller")
 				res.dispatchResult = dispatch.Cancelled
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -226,7 +226,9 @@
 	d.c.Assert(err, qt.IsNil)
 }
 
-func (d *deployment) register(id string, s *server, state string) { d.registerVersion(id, s, state, "v1") }
+func (d *deployment) register(id string, s *server, state string) {
+	d.registerVersion(id, s, state, "v1")
+}
 
 // registerVersion registers a server with a software version.
 func (d *deployment) registerVersion(id string, s *server, state, version string) {
--- a/internal/gateway/software_version_test.go
+++ b/internal/gateway/software_version_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -10,6 +11,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
+const firstEventTime = 50 * time.Millisecond
+
 // streamLength is the number of events of a versionedServer's streams.
 const streamLength = 4
 
@@ -47,6 +50,7 @@
 	} else {
 		v.began.Add(1)
 	}
+	time.Sleep(firstEventTime)
 	r.startStream()
 	for id := last + 1; id <= streamLength; id++ {
 		r.chunk(v.event(id))
@@ -79,6 +83,21 @@
 // settleTime is longer than a gateway takes to read changed registrations and to hear of the other gateways.
 const settleTime = time.Second
 
+// sendTogether sends streams at once, so that all servers get some, and returns the responses.
+func sendTogether(c *qt.C, d *deployment, count int) []callerResponse {
+	responses := make([]callerResponse, count)
+	var senders sync.WaitGroup
+	for i := range responses {
+		senders.Go(func() {
+			var err error
+			responses[i], err = d.send("POST", "/stream/x", "", "prompt")
+			c.Check(err, qt.IsNil)
+		})
+	}
+	senders.Wait()
+	return responses
+}
+
 // versionsOf returns the software versions that the events of a body state, without repetitions.
 func versionsOf(body string) []string {
 	var versions []string
@@ -98,15 +117,13 @@
 		startVersionedServer(c, "v1"), startVersionedServer(c, "v2"), startVersionedServer(c, "v1"), startVersionedServer(c, "v2"),
 	}
 	d := deployVersions(c, servers...)
-	for _, s := range servers {
-		s.breakAfter.Store(2)
-	}
-	for range 20 {
-		got := d.mustSend("POST", "/stream/x", "", "prompt")
+	servers[0].breakAfter.Store(2)
+	for _, got := range sendTogether(c, d, 12) {
 		c.Assert(got.complete, qt.IsTrue)
 		c.Assert(versionsOf(got.body), qt.HasLen, 1, qt.Commentf("%q", got.body))
-		time.Sleep(50 * time.Millisecond)
 	}
+	c.Assert(servers[0].began.Load() > 0, qt.IsTrue)
+	c.Assert(servers[2].resumed.Load(), qt.Equals, servers[0].began.Load())
 }
 
 // A stream whose server breaks off ends, visibly incomplete, if no other server has its software version.
