--- /dev/null
+++ b/internal/gateway/midstream_test.go
@@ -0,0 +1,181 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// errorPage is an error's text with empty lines, which a reader of events could take for events.
+const errorPage = "<html>\n\n<h1>out of memory</h1>\n\n</html>\n\n"
+
+// streamBreaks are the ways in which a server breaks off a chunked stream after its first events.
+var streamBreaks = map[string]func(r *received){
+	"close": func(r *received) { _ = r.conn.Close() },
+	"reset": func(r *received) {
+		time.Sleep(50 * time.Millisecond)
+		reset(r.conn)
+	},
+	"truncated chunk": func(r *received) {
+		r.write("40\r\nid: 3\ndata: tok")
+		_ = r.conn.Close()
+	},
+	"no chunk": func(r *received) { r.write("no chunk\n\n") },
+	"head of a response": func(r *received) {
+		r.write("HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/html\r\n\r\n%s", errorPage)
+	},
+	"end within an event": func(r *received) {
+		r.chunk("id: 3\ndata: tok")
+		r.endStream()
+	},
+}
+
+func (r *received) respondError(status string, headers, body string) {
+	r.write("HTTP/1.1 %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.id(), headers, len(body), body)
+}
+
+func (r *received) respondStream(events ...string) {
+	r.startStream()
+	for _, e := range events {
+		r.chunk(e)
+	}
+	r.endStream()
+}
+
+// continuation is a response to a request for the rest of a stream of which the caller has the events 1 and 2.
+type continuation struct {
+	respond func(r *received)
+	// rest is what the caller gets of it, complete whether its stream then ends as complete.
+	rest     string
+	complete bool
+}
+
+// continuations holds good and bad responses, by name.
+var continuations = map[string]continuation{
+	"the rest": {
+		respond: func(r *received) { r.respondStream(event(3), event(4)) },
+		rest:    event(3) + event(4), complete: true,
+	},
+	"the rest after interim responses": {
+		respond: func(r *received) {
+			r.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n")
+			r.respondStream(event(3), event(4))
+		},
+		rest: event(3) + event(4), complete: true,
+	},
+	"no further event": {respond: func(r *received) { r.respondStream() }, complete: true},
+	"part of the rest": {rest: event(3), respond: func(r *received) { r.startStream(); r.chunk(event(3) + "id: 4\n"); _ = r.conn.Close() }},
+	"500":              {respond: func(r *received) { r.respondError("500 Internal Server Error", "", errorPage) }},
+	"503":              {respond: func(r *received) { r.respondError("503 Service Unavailable", "", errorPage) }},
+	"503, not run":     {respond: func(r *received) { r.respondNotRun() }},
+	"504":              {respond: func(r *received) { r.respondError("504 Gateway Timeout", "", errorPage) }},
+	"404":              {respond: func(r *received) { r.respondError("404 Not Found", "", errorPage) }},
+	"400":              {respond: func(r *received) { r.respondError("400 Bad Request", "", errorPage) }},
+	"421":              {respond: func(r *received) { r.respondError("421 Misdirected Request", "", errorPage) }},
+	"redirect":         {respond: func(r *received) { r.respondError("307 Temporary Redirect", "Location: /elsewhere\r\n", errorPage) }},
+	"interim, then 500": {respond: func(r *received) {
+		r.write("HTTP/1.1 100 Continue\r\n\r\n")
+		r.respondError("500 Internal Server Error", "", errorPage)
+	}},
+	"large 500": {respond: func(r *received) { r.respondError("500 Internal Server Error", "", strings.Repeat(errorPage, 10<<10)) }},
+	"large 404": {respond: func(r *received) { r.respondError("404 Not Found", "", strings.Repeat(errorPage, 10<<10)) }},
+	"events under 404": {respond: func(r *received) {
+		r.respondError("404 Not Found", "Content-Type: text/event-stream\r\n", event(3)+event(4))
+	}},
+	"unsigned": {respond: func(r *received) {
+		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", r.id(), len(event(3)), event(3))
+	}},
+	"encoded": {respond: func(r *received) {
+		r.respondError("200 OK", "Content-Type: text/event-stream\r\nContent-Encoding: gzip\r\n", event(3))
+	}},
+	"no HTTP":           {respond: func(r *received) { r.write("%s", errorPage); _ = r.conn.Close() }},
+	"head only":         {respond: func(r *received) { r.startStream(); _ = r.conn.Close() }},
+	"connection closed": {respond: func(r *received) { _ = r.conn.Close() }},
+	"another's response": {respond: func(r *received) {
+		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: other\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(event(3)), event(3))
+		_ = r.conn.Close()
+	}},
+}
+
+// breakingServer starts a stream of four events, ends it with breakOff after the second one and responds to a request for
+// the rest with c.
+func breakingServer(c *qt.C, breakOff func(r *received), rest *continuation) *server {
+	return startServer(c, func(r *received) {
+		if r.header["last-event-id"] == "2" {
+			rest.respond(r)
+			return
+		}
+		if r.header["last-event-id"] != "" || !strings.Contains(r.requestLine, "/stream/") {
+			r.respondOK("answer to " + r.id())
+			return
+		}
+		r.startStream()
+		r.chunk(event(1))
+		r.chunk(event(2))
+		breakOff(r)
+	})
+}
+
+// checkStream checks what a caller with HTTP/1.1 gets of a broken stream: the events that it may get, each once and in
+// order, and the end only of a complete one. Stray bytes after it would spoil the response to the next request.
+func checkStream(c *qt.C, d *deployment, want *continuation) {
+	k := d.dial()
+	k.request("POST", "/stream/x", "", "prompt")
+	got, err := k.readResponse()
+	c.Assert(err, qt.IsNil, qt.Commentf("body so far %q", got.body))
+	c.Assert(got.status, qt.Equals, 200)
+	c.Assert(got.body, qt.Equals, event(1)+event(2)+want.rest)
+	c.Assert(got.complete, qt.Equals, want.complete)
+	if !want.complete {
+		return
+	}
+	id := k.request("GET", "/get/x", "", "")
+	got, err = k.readResponse()
+	c.Assert(err, qt.IsNil)
+	c.Assert(got.body, qt.Equals, "answer to "+id)
+}
+
+// checkStreamHTTP10 checks the same for a caller with HTTP/1.0, to which only a reset shows that a stream is incomplete.
+func checkStreamHTTP10(c *qt.C, d *deployment, want *continuation) {
+	k := d.dial()
+	fmt.Fprintf(k, "POST /stream/x HTTP/1.0\r\nHost: %s\r\nBalsamyoke-Request-Id: old-%d\r\nBalsamyoke-Credential: key-1\r\nContent-Length: 0\r\n\r\n", host, requestNumber.Add(1))
+	header, err := k.readHeader()
+	c.Assert(err, qt.IsNil)
+	c.Assert(header.header["transfer-encoding"], qt.Equals, "")
+	body, err := io.ReadAll(k.reader)
+	c.Assert(string(body), qt.Equals, event(1)+event(2)+want.rest)
+	c.Assert(err == nil, qt.Equals, want.complete, qt.Commentf("%v", err))
+}
+
+// Guards against an error of the next server in the middle of a stream that broke off, and against its end as complete.
+func TestResponseOfNextServerIsNotJoinedToStream(t *testing.T) {
+	for name, rest := range continuations {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			breakOff := streamBreaks["close"]
+			d := deploy(c, breakingServer(c, breakOff, &rest), breakingServer(c, breakOff, &rest))
+			checkStream(c, d, &rest)
+			checkStreamHTTP10(c, d, &rest)
+		})
+	}
+}
+
+// Guards against remains of a server's broken stream, or what it writes instead of its rest, before the next server's events.
+func TestEndOfBrokenStreamIsNotForwarded(t *testing.T) {
+	for name, breakOff := range streamBreaks {
+		for _, rest := range []string{"the rest", "500"} {
+			t.Run(name+", "+rest, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				want := continuations[rest]
+				d := deploy(c, breakingServer(c, breakOff, &want), breakingServer(c, breakOff, &want))
+				checkStream(c, d, &want)
+			})
+		}
+	}
+}
