Add no Content-Type to a server's response that has none

Callers of a server that states no Content-Type got 'text/plain; charset=utf-8', also for a stream of events: fasthttp reports that default for the header that it parsed, and ForwardResponse copied it.

TestResponseWithoutContentTypeGetsNone failed before with "text/plain; charset=utf-8" (go test -run TestResponseWithout ./internal/gateway) and passes now.

--- a/internal/gateway/path_test.go
+++ b/internal/gateway/path_test.go
@@ -41,6 +41,14 @@
 	c.Assert(leftMS > 0 && leftMS <= 2000, qt.IsTrue, qt.Commentf("deadline %d ms", leftMS))
 }
 
+// Guards against a Content-Type that the server didn't send.
+func TestResponseWithoutContentTypeGetsNone(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, startServer(c, okResponse))
+	contentType, present := d.mustSend("GET", "/get/x", "", "").header["content-type"]
+	c.Assert(present, qt.IsFalse, qt.Commentf("%q", contentType))
+}
+
 func TestUnknownRoutesAndKeysAreDenied(t *testing.T) {
 	c := qt.New(t)
 	s := startServer(c, okResponse)
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -252,6 +252,7 @@
 	}
 	header := &fasthttp.ResponseHeader{}
 	header.DisableNormalizing()
+	header.SetNoDefaultContentType(true)
 	if err := header.Read(sc.reader); err != nil {
 		return nil, err
 	}
