Join only a stream of events to a stream that broke off

A response to the request for the rest of a stream now has to be a 200 with the type text/event-stream, or without any. Another one counts as a failure of that server: the request goes to a further server if the route allows, else the stream ends visibly incomplete. A stream without a type still continues.

Six cases of TestResponseOfNextServerIsNotJoinedToStream failed before ('JSON', both pages and 'events under 201' with the text in the stream, '204' and 'page with an empty body' as complete; go test -run TestResponseOfNext ./internal/gateway). They pass now, for callers with HTTP/1.1 and HTTP/1.0; the package passes with -race.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -132,6 +132,9 @@
 		res.dispatchResult = dispatch.Failed
 		res.err = ErrBroken.New("answer of server %s isn't signed", r.placement.Server)
 		return res
+	case success && r.headerSent && !isContinuation(header):
+		g.rejectContinuation(r, header, &res, started)
+		return res
 	case success && r.route.Kind == routing.Streaming && !sc.head:
 		g.forwardStream(ctx, c, r, sc, header, &res, started)
 		return res
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -67,6 +67,10 @@
 		},
 		rest: event(3) + event(4), complete: true,
 	},
+	"the rest without a content type": {
+		respond: func(r *received) { r.respondError("200 OK", "", event(3)+event(4)) },
+		rest:    event(3) + event(4), complete: true,
+	},
 	"no further event": {respond: func(r *received) { r.respondStream() }, complete: true},
 	"part of the rest": {rest: event(3), respond: func(r *received) { r.startStream(); r.chunk(event(3) + "id: 4\n"); _ = r.conn.Close() }},
 	"500":              {respond: func(r *received) { r.respondError("500 Internal Server Error", "", errorPage) }},
@@ -95,6 +99,19 @@
 	"no HTTP":           {respond: func(r *received) { r.write("%s", errorPage); _ = r.conn.Close() }},
 	"head only":         {respond: func(r *received) { r.startStream(); _ = r.conn.Close() }},
 	"connection closed": {respond: func(r *received) { _ = r.conn.Close() }},
+	"JSON": {respond: func(r *received) {
+		r.respondError("200 OK", "Content-Type: application/json\r\n", "{\"error\":\"out of memory\"}\n\n")
+	}},
+	"page": {respond: func(r *received) { r.respondError("200 OK", "Content-Type: text/html\r\n", errorPage) }},
+	"page that ends with its connection": {respond: func(r *received) {
+		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/html; charset=utf-8\r\n\r\n%s", r.id(), errorPage)
+		_ = r.conn.Close()
+	}},
+	"page with an empty body": {respond: func(r *received) { r.respondError("200 OK", "Content-Type: text/html\r\n", "") }},
+	"events under 201":        {respond: func(r *received) { r.respondError("201 Created", "Content-Type: text/event-stream\r\n", event(3)) }},
+	"204": {respond: func(r *received) {
+		r.write("HTTP/1.1 204 No Content\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n\r\n", r.id())
+	}},
 	"another's response": {respond: func(r *received) {
 		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: other\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(event(3)), event(3))
 		_ = r.conn.Close()
