Don't take the close of a resumed stream's connection for its end

Responses with chunks or a length state their end and were not affected.

A server that has nothing to add says so with chunks or a length.

The case 'no event before its connection ends' of TestResponseOfNextServerIsNotJoinedToStream failed before (complete; go test -run TestResponseOfNext ./internal/gateway) and passes now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -224,8 +224,8 @@
 			}
 		}
 		res.partialEvent = reader.partial()
-		if errors.Is(err, io.EOF) && res.framing == framedClose && r.lastEventID == "" && !res.gotFirstByte {
-			// A generation has at least one event, and a close alone doesn't show that it ended.
+		if errors.Is(err, io.EOF) && res.framing == framedClose && !res.gotFirstByte {
+			// A generation has at least one event, and a close alone doesn't show that it, or the rest of it, ended.
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
