Don't read an error's body in place of the rest of a stream

Callers of a resumable stream that had broken off waited up to its deadline, without an event and without its end, when the next server answered with an error whose body didn't end. forwardBuffered read the body of each response that isn't a success, although nothing of it may reach a caller that has the start of a stream already.

Such a response is now rejected by its header; its connection is closed. The checks for it after the body was read are gone, as no response gets there once a header was sent.

TestErrorWithoutEndEndsBrokenStream failed before, with 404 and with 500, after 5.00 s, the route's timeout (go test -run TestErrorWithoutEnd ./internal/gateway); it passes now with its bound of 2 s.

--- a/internal/gateway/continuation.go
+++ b/internal/gateway/continuation.go
@@ -24,7 +24,8 @@
 	return header.StatusCode() == fasthttp.StatusOK && isEventStream(header)
 }
 
-// rejectContinuation records a response to the request for the rest of a stream that holds something else.
+// rejectContinuation records a response to the request for the rest of a stream that holds something else. Its body, which
+// may have no end, isn't read.
 func (g *Gateway) rejectContinuation(r *request, header *fasthttp.ResponseHeader, res *exchangeResult, started time.Time) {
 	g.recordFirstByte(r, res, started)
 	res.dispatchResult = dispatch.Failed
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -132,7 +132,7 @@
 		res.dispatchResult = dispatch.Failed
 		res.err = ErrBroken.New("answer of server %s isn't signed", r.placement.Server)
 		return res
-	case success && r.headerSent && !isContinuation(header):
+	case r.headerSent && !isContinuation(header):
 		g.rejectContinuation(r, header, &res, started)
 		return res
 	case success && r.route.Kind == routing.Streaming && !sc.head:
@@ -170,12 +170,6 @@
 		res.resp = resp
 		return
 	}
-	if r.headerSent {
-		// The caller has the start of a stream from an earlier server and this one refused to continue it.
-		res.err = ErrBroken.New("server %s answers %d to the rest of a stream", r.placement.Server, res.status)
-		res.dispatchResult = dispatch.Failed
-		return
-	}
 	if err := c.writeResponse(resp); err != nil {
 		res.callerFailed = true
 		return
--- a/internal/gateway/large.go
+++ b/internal/gateway/large.go
@@ -22,7 +22,7 @@
 	header *fasthttp.ResponseHeader, start []byte, rest io.Reader, res *exchangeResult, started time.Time,
 ) {
 	g.recordFirstByte(r, res, started)
-	if res.status >= fasthttp.StatusInternalServerError || r.headerSent {
+	if res.status >= fasthttp.StatusInternalServerError {
 		res.dispatchResult, res.err = dispatch.Failed, errBodyTooLarge
 		return
 	}
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -197,3 +197,23 @@
 		}
 	}
 }
+
+// Guards against a stream that waits for the end of an error's body up to its deadline.
+func TestErrorWithoutEndEndsBrokenStream(t *testing.T) {
+	for _, status := range []string{"404 Not Found", "500 Internal Server Error"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			rest := continuation{respond: func(r *received) {
+				r.write("HTTP/1.1 %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n", status, r.id())
+				r.chunk(errorPage)
+				<-r.closed
+			}}
+			breakOff := streamBreaks["close"]
+			d := deploy(c, breakingServer(c, breakOff, &rest), breakingServer(c, breakOff, &rest))
+			started := time.Now()
+			checkStream(c, d, &rest)
+			c.Assert(time.Since(started) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+		})
+	}
+}
