--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -217,3 +217,32 @@
 		})
 	}
 }
+
+// bodilessStatuses are successes that have no body, whatever the kind of route.
+var bodilessStatuses = []string{"204 No Content", "304 Not Modified"}
+
+// Guards against the last chunk of a body that the response hasn't, which callers take for the start of the next response.
+func TestResponseWithoutBodyOnStreamingRouteLeavesNoBytes(t *testing.T) {
+	for _, status := range bodilessStatuses {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			d := deploy(c, startServer(c, func(r *received) {
+				if strings.Contains(r.requestLine, "/once/") {
+					r.write("HTTP/1.1 %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n\r\n", status, r.id())
+					return
+				}
+				r.respondOK("answer to " + r.id())
+			}))
+			k := d.dial()
+			k.request("POST", "/once/x", "", "prompt")
+			got, err := k.readHeader()
+			c.Assert(err, qt.IsNil)
+			c.Assert(fmt.Sprint(got.status), qt.Equals, status[:3])
+			id := k.request("GET", "/get/x", "", "")
+			got, err = k.readResponse()
+			c.Assert(err, qt.IsNil)
+			c.Assert(got.body, qt.Equals, "answer to "+id)
+		})
+	}
+}
