Forward a text on a streaming route as a text

A text without any empty line was answered with 502.

A success is now read as a stream only if its type is text/event-stream, or if it has none. Any other one is read whole before the caller gets any of it, as on other routes, so that one that breaks off can still be replaced.

TestTextOnStreamingRouteIsForwardedWhole (83 bytes instead of 43, and 419882 instead of 419842, both as complete) and TestTextThatBreaksOffIsReplacedByStream (the page's text before the events) failed before (go test -run TestText ./internal/gateway) and pass now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -135,7 +135,7 @@
 	case r.headerSent && !isContinuation(header):
 		g.rejectContinuation(r, header, &res, started)
 		return res
-	case success && r.route.Kind == routing.Streaming && res.framing != framedEmpty:
+	case success && r.route.Kind == routing.Streaming && res.framing != framedEmpty && isEventStream(header):
 		g.forwardStream(ctx, c, r, sc, header, &res, started)
 		return res
 	}
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -246,3 +247,54 @@
 		})
 	}
 }
+
+// largeText is more than the gateway buffers of a response that isn't a stream.
+var largeText = strings.Repeat(errorPage, 10<<10)
+
+// textHeads are the starts of responses on a streaming route that aren't streams.
+var textHeads = map[string]string{
+	"404": "404 Not Found\r\nContent-Type: text/html",
+	"200": "200 OK\r\nContent-Type: application/json",
+}
+
+// textThenStream returns two servers of which the first to be asked sends a text with the given framing and then respond. Any
+// later request gets a stream.
+func textThenStream(c *qt.C, head, framing string, respond func(r *received)) []*server {
+	var asked atomic.Bool
+	serve := func(r *received) {
+		if asked.Swap(true) {
+			r.respondStream(event(1), event(2))
+			return
+		}
+		r.write("HTTP/1.1 %s\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n%s\r\n\r\n", head, r.id(), framing)
+		respond(r)
+	}
+	return []*server{startServer(c, serve), startServer(c, serve)}
+}
+
+// Guards against a text on a streaming route that is read as events: its start reached the caller, its end not.
+func TestTextOnStreamingRouteIsForwardedWhole(t *testing.T) {
+	for size, text := range map[string]string{"small": errorPage + "{}", "large": largeText + "{}"} {
+		t.Run(size, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			servers := textThenStream(c, textHeads["200"], fmt.Sprintf("Content-Length: %d", len(text)), func(r *received) { r.write("%s", text) })
+			got := deploy(c, servers...).mustSend("POST", "/stream/x", "", "prompt")
+			c.Assert(got.status, qt.Equals, 200)
+			c.Assert(got.complete, qt.IsTrue)
+			c.Assert(got.body == text, qt.IsTrue, qt.Commentf("%d bytes of %d", len(got.body), len(text)))
+		})
+	}
+}
+
+// Guards against the next server's events after the start of a text that broke off.
+func TestTextThatBreaksOffIsReplacedByStream(t *testing.T) {
+	c := qt.New(t)
+	servers := textThenStream(c, textHeads["200"], "Transfer-Encoding: chunked", func(r *received) {
+		r.chunk(errorPage)
+		_ = r.conn.Close()
+	})
+	got := deploy(c, servers...).mustSend("POST", "/stream/x", "", "prompt")
+	c.Assert(got.complete, qt.IsTrue)
+	c.Assert(got.body, qt.Equals, event(1)+event(2))
+}
