Don't continue a text that broke off with a stream

The request now records that the header is one of a stream of events, and only then goes on elsewhere. A text ends visibly incomplete.

TestLargeTextThatBreaksOffIsNotContinued failed before for both statuses (complete; go test -run TestLargeText ./internal/gateway) and passes now.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -248,7 +248,7 @@
 	var callerHeader fasthttp.ResponseHeader
 	g.protocol.ForwardResponse(&callerHeader, header)
 	callerHeader.SetContentLength(r.unknownLength())
-	r.headerSent = true
+	r.headerSent, r.streamBegun = true, true
 	return c.writeHeader(&callerHeader, r.closeAfter)
 }
 
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -298,3 +298,21 @@
 	c.Assert(got.complete, qt.IsTrue)
 	c.Assert(got.body, qt.Equals, event(1)+event(2))
 }
+
+// Guards against the next server's events in a text that broke off after its start was forwarded.
+func TestLargeTextThatBreaksOffIsNotContinued(t *testing.T) {
+	for name, head := range textHeads {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			servers := textThenStream(c, head, "Transfer-Encoding: chunked", func(r *received) {
+				r.chunk(largeText)
+				_ = r.conn.Close()
+			})
+			got := deploy(c, servers...).mustSend("POST", "/stream/x", "", "prompt")
+			c.Assert(fmt.Sprint(got.status), qt.Equals, name)
+			c.Assert(got.complete, qt.IsFalse)
+			c.Assert(strings.HasPrefix(largeText, got.body), qt.IsTrue, qt.Commentf("ends with %.200q", got.body[max(0, len(got.body)-200):]))
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -52,8 +52,10 @@
 	parts []quarantine.Part
 	// lastEventID is the id of the last event that the caller has received, in this or an earlier request.
 	lastEventID string
-	// headerSent is set when the header of a streamed response is written to the caller.
-	headerSent bool
+	// headerSent is set when the header of a response is written to the caller before its whole body has been read,
+	// streamBegun when that is the header of a stream of events.
+	headerSent  bool
+	streamBegun bool
 }
 
 // serve responds to one request and reports whether the connection stays open.
@@ -216,7 +218,7 @@
 	if r.runs == 0 {
 		return r.sends < maxSends
 	}
-	if r.headerSent && r.route.Kind != routing.Streaming {
+	if r.headerSent && !r.streamBegun {
 		return false
 	}
 	if !r.route.Retryable() || r.runs >= r.route.MaxAttempts || r.sends >= maxSends {
