Check that a server goes on with a stream where its caller's events end

The gateway forwarded whatever events the next server sent.

internal/eventstream decides now, without network, which events the caller gets: those that it has are left out, an event after a gap, without an id or with one that is no integer isn't forwarded, and neither is the end of a run that began anew and ended before the caller's last event. Such a server counts as failed: another one is asked, or the stream ends visibly incomplete. PROTOCOL.md promises increasing ids only, so a larger step is a gap only in a stream whose ids have gone up by one so far. Whoever repeats the events from the first is taken to repeat the same ones, as resuming supposes anyway. Within a run the events stay the server's own.

Seven cases failed before: six of TestResponseOfNextServerIsNotJoinedToStream ('all events from the first', 'the last event once more', 'a shorter stream from the first', 'a missing event', 'no ids', 'an error event') and one of TestCallerTakesUpStream ('all events from the first'; go test -run 'TestResponseOfNext|TestCallerTakes' ./internal/gateway). The tests of eventReader read the last id from eventstream.Sequence, as the reader no longer returns it, and check besides that all events are admitted unchanged.

--- /dev/null
+++ b/internal/eventstream/errors.go
@@ -0,0 +1,11 @@
+package eventstream
+
+import "github.com/joomcode/errorx"
+
+var namespace = errorx.NewNamespace("eventstream")
+
+// The error types of the package.
+var (
+	// ErrNotNext means that a run doesn't go on where the caller's events end.
+	ErrNotNext = namespace.NewType("not_next")
+)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -202,20 +202,16 @@
 ) {
 	reader := newEventReader(sc.body(header))
 	out := &streamWriter{callerConn: c, length: r.unknownLength()}
+	r.events.StartRun()
 	for {
-		events, id, err := reader.next()
+		events, err := reader.next()
 		if len(events) > 0 {
 			if !res.gotFirstByte {
 				g.recordFirstByte(r, res, started)
 			}
-			if werr := g.forwardEvents(c, r, header, out, events); werr != nil {
-				res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(werr, "write to the caller")
-				res.dispatchResult = dispatch.Cancelled
+			if !g.forwardEvents(c, r, header, out, events, res) {
 				return
 			}
-			if id != "" {
-				r.lastEventID = id
-			}
 		}
 		res.partialEvent = reader.partial()
 		if errors.Is(err, io.EOF) && res.framing == framedClose && !res.gotFirstByte {
@@ -233,8 +229,26 @@
 	}
 }
 
-// forwardEvents writes events to the caller, after the header if that wasn't sent yet.
-func (g *Gateway) forwardEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte) error {
+// forwardEvents writes those of the events to the caller that it gets next, after the header if that wasn't sent yet. It
+// reports whether the stream goes on, and otherwise completes res.
+func (g *Gateway) forwardEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte, res *exchangeResult) bool {
+	next, err := r.events.Admit(events)
+	if werr := g.writeEvents(c, r, header, out, next); werr != nil {
+		res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(werr, "write to the caller")
+		res.dispatchResult = dispatch.Cancelled
+		return false
+	}
+	if err != nil {
+		res.dispatchResult, res.err = dispatch.Failed, ErrBroken.Wrap(err, "stream of server %s", r.placement.Server)
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) writeEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
 	if err := g.startStream(c, r, header); err != nil {
 		return err
 	}
@@ -257,6 +271,10 @@
 	if !res.gotFirstByte {
 		res.gotFirstByte, res.firstByteAfter = true, time.Since(r.receivedAt)
 	}
+	if err := r.events.End(); err != nil {
+		res.dispatchResult, res.err = dispatch.Failed, ErrBroken.Wrap(err, "stream of server %s", r.placement.Server)
+		return
+	}
 	res.dispatchResult = dispatch.Served
 	err := g.startStream(c, r, header)
 	if err == nil {
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -114,6 +114,18 @@
 	"204": {respond: func(r *received) {
 		r.write("HTTP/1.1 204 No Content\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n\r\n", r.id())
 	}},
+	"all events from the first": {
+		respond: func(r *received) { r.respondStream(event(1), event(2)+event(3), event(4)) },
+		rest:    event(3) + event(4), complete: true,
+	},
+	"the last event once more": {
+		respond: func(r *received) { r.respondStream(event(2), event(3), event(4)) },
+		rest:    event(3) + event(4), complete: true,
+	},
+	"a shorter stream from the first": {respond: func(r *received) { r.respondStream(event(1)) }},
+	"a missing event":                 {respond: func(r *received) { r.respondStream(event(4), event(5)) }},
+	"no ids":                          {respond: func(r *received) { r.respondStream("data: token 3\n\n") }},
+	"an error event":                  {respond: func(r *received) { r.respondStream("event: error\ndata: out of memory\n\n") }},
 	"another's response": {respond: func(r *received) {
 		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: other\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(event(3)), event(3))
 		_ = r.conn.Close()
@@ -316,3 +328,33 @@
 		})
 	}
 }
+
+// Guards against events that a caller has already, or an error instead of them, when it takes up a stream itself.
+func TestCallerTakesUpStream(t *testing.T) {
+	for name, test := range map[string]struct {
+		respond func(r *received)
+		status  int
+		body    string
+	}{
+		"the rest":                  {func(r *received) { r.respondStream(event(3), event(4)) }, 200, event(3) + event(4)},
+		"all events from the first": {func(r *received) { r.respondStream(event(1)+event(2), event(3), event(4)) }, 200, event(3) + event(4)},
+		"nothing more":              {func(r *received) { r.respondStream() }, 200, ""},
+		"an error":                  {func(r *received) { r.respondError("404 Not Found", "", errorPage) }, 404, errorPage},
+		"a refusal":                 {func(r *received) { r.respondNotRun() }, 503, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			a := startServer(c, test.respond)
+			d := deploy(c, a)
+			a.discardRequests()
+			got := d.mustSend("POST", "/stream/x", "Last-Event-Id: 2\r\n", "prompt")
+			c.Assert(got.status, qt.Equals, test.status)
+			c.Assert(got.body, qt.Equals, test.body)
+			c.Assert(got.complete, qt.IsTrue)
+			r, err := a.nextRequest()
+			c.Assert(err, qt.IsNil)
+			c.Assert(r.header["last-event-id"], qt.Equals, "2")
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/eventstream"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
@@ -50,8 +51,8 @@
 	sentAt    time.Time
 	// parts are what the request may have in common with others; nil until identify.
 	parts []quarantine.Part
-	// lastEventID is the id of the last event that the caller has received, in this or an earlier request.
-	lastEventID string
+	// events are those that the caller has received, in this or an earlier request.
+	events eventstream.Sequence
 	// headerSent is set when the header of a response is written to the caller before its whole body has been read,
 	// streamBegun when that is the header of a stream of events.
 	headerSent  bool
@@ -115,7 +116,9 @@
 	} else {
 		r.priority = noPriority
 	}
-	r.lastEventID = string(in.header.Peek("Last-Event-Id"))
+	if route.Resumable {
+		r.events = eventstream.NewSequence(string(in.header.Peek("Last-Event-Id")))
+	}
 	return r, nil
 }
 
@@ -318,7 +321,7 @@
 func (g *Gateway) recordBrokenOff(r *request, res *exchangeResult) {
 	g.counters.brokenOff.Inc(1)
 	g.recordDecision(warn, EventBrokenOff, r.call.ID, append(g.placementFields(r),
-		zap.String("last_event", r.lastEventID), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
+		zap.String("last_event", r.events.LastEventID()), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
 		res.framingField(), zap.Int("partial_event", res.partialEvent), r.partsField(), eventlog.Error(res.err))...)
 }
 
@@ -355,7 +358,7 @@
 		Version: r.placement.Version, Salt: r.placement.Salt, Plan: r.placement.Plan,
 	}
 	if r.route.Resumable {
-		d.LastEventID = r.lastEventID
+		d.LastEventID = r.events.LastEventID()
 	}
 	if r.placement.Plan != nil {
 		until, known := g.fleet.ServerClock(r.placement.Plan.Until)
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -30,28 +30,27 @@
 	return &eventReader{body: body, chunk: make([]byte, streamReadBytes)}
 }
 
-// next waits for at least one event and returns all that have arrived, and the id of the last one that has an
-// id. The bytes are valid until the next call. The error is that of the body, io.EOF at the end of a stream whose last
+// next waits for at least one event and returns all that have arrived. The bytes are valid until the next call. The error is that of the body, io.EOF at the end of a stream whose last
 // event is complete, io.ErrUnexpectedEOF at any other end, or ErrTooLarge for an event of more than maxEventBytes bytes.
-func (r *eventReader) next() (events []byte, id string, err error) {
+func (r *eventReader) next() (events []byte, err error) {
 	for {
 		if end := lastEventEnd(r.buffered, r.searched); end > 0 {
 			events, r.buffered, r.searched = r.buffered[:end], r.buffered[end:], 0
-			return events, lastID(events), nil
+			return events, nil
 		}
 		r.searched = len(r.buffered)
 		if errors.Is(r.err, io.EOF) && r.partial() > 0 {
-			return nil, "", io.ErrUnexpectedEOF
+			return nil, io.ErrUnexpectedEOF
 		}
 		if errors.Is(r.err, io.EOF) && len(r.buffered) > 0 {
 			events, r.buffered = r.buffered, nil
-			return events, "", nil
+			return events, nil
 		}
 		if r.err != nil {
-			return nil, "", r.err
+			return nil, r.err
 		}
 		if len(r.buffered) > maxEventBytes {
-			return nil, "", ErrTooLarge.New("event of more than %d bytes", maxEventBytes)
+			return nil, ErrTooLarge.New("event of more than %d bytes", maxEventBytes)
 		}
 		n, err := r.body.Read(r.chunk)
 		r.buffered = append(r.buffered, r.chunk[:n]...)
@@ -101,17 +100,6 @@
 	}
 }
 
-// lastID returns the value of the last id field in events, "" when there is none.
-func lastID(events []byte) string {
-	id := ""
-	for line := range bytes.FieldsFuncSeq(events, func(r rune) bool { return r == '\n' || r == '\r' }) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = string(bytes.TrimSpace(value))
-		}
-	}
-	return id
-}
-
 // streamWriter writes the body of a streamed response to a caller. length is the content length in its header.
 type streamWriter struct {
 	callerConn *callerConn
--- a/internal/gateway/stream_internal_test.go
+++ b/internal/gateway/stream_internal_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -9,19 +11,23 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/eventstream"
 )
 
 // readEvents reads a stream to its end and returns the batches of events.
 func readEvents(body io.Reader) (batches []string, lastEventID string, err error) {
 	reader := newEventReader(body)
+	var sequence eventstream.Sequence
 	for {
-		events, id, err := reader.next()
+		events, err := reader.next()
 		if err != nil {
-			return batches, lastEventID, err
+			return batches, sequence.LastEventID(), err
 		}
 		batches = append(batches, string(events))
-		if id != "" {
-			lastEventID = id
+		next, err := sequence.Admit(events)
+		if err != nil || !bytes.Equal(next, events) {
+			return batches, "", fmt.Errorf("%q is admitted as %q: %w", events, next, err)
 		}
 	}
 }
