Don't continue a stream whose ids don't tell where

mayRetry now lets a stream that has begun go on elsewhere only if eventstream.Sequence can tell where: each event with data had an increasing integer as its id. Any other stream ends visibly incomplete; its caller may take it up itself. Text without data, as comments, doesn't count.

The three cases of TestStreamWithoutIncreasingIDsIsNotContinued failed before, each with the events twice (go test -run TestStreamWithoutInc ./internal/gateway), and pass now.

--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -60,6 +60,9 @@
 // LastEventID returns the id of the last event that the caller has and that has one.
 func (s *Sequence) LastEventID() string { return s.lastText }
 
+// Resumable reports whether another server can go on where the stream has stopped.
+func (s *Sequence) Resumable() bool { return s.ids != unusable }
+
 // Admit takes the next complete events of the run and returns those that the caller gets next. It leaves out events that the
 // caller has. It returns ErrNotNext at the first event that doesn't follow the caller's last one, with those that precede it.
 //
--- a/internal/eventstream/sequence_test.go
+++ b/internal/eventstream/sequence_test.go
@@ -64,7 +64,7 @@
 			got, err := admitRun(&s, test.first)
 			c.Assert(err, qt.IsNil)
 			c.Assert(got, qt.Equals, test.first)
-			c.Assert(s.ids, qt.Not(qt.Equals), unusable)
+			c.Assert(s.Resumable(), qt.IsTrue)
 			got, err = admitRun(&s, test.second)
 			c.Assert(got, qt.Equals, test.want)
 			if test.err == nil {
@@ -95,7 +95,7 @@
 			got, err := admitRun(&s, events)
 			c.Assert(err, qt.IsNil)
 			c.Assert(got, qt.Equals, events)
-			c.Assert(s.ids, qt.Equals, unusable)
+			c.Assert(s.Resumable(), qt.IsFalse)
 		})
 	}
 }
@@ -108,7 +108,7 @@
 		got, err := admitRun(&s, text)
 		c.Assert(err, qt.IsNil)
 		c.Assert(got, qt.Equals, text)
-		c.Assert(s.ids, qt.Not(qt.Equals), unusable)
+		c.Assert(s.Resumable(), qt.IsTrue)
 		c.Assert(s.LastEventID(), qt.Equals, "")
 	}
 }
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -358,3 +358,25 @@
 		})
 	}
 }
+
+// Guards against events that come twice when a stream goes on elsewhere although its ids don't tell where.
+func TestStreamWithoutIncreasingIDsIsNotContinued(t *testing.T) {
+	for name, events := range map[string]string{
+		"no ids":   "data: a\n\ndata: b\n\n",
+		"words":    "id: a\ndata: a\n\nid: b\ndata: b\n\n",
+		"the last": event(1) + "data: b\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			serve := func(r *received) {
+				r.startStream()
+				r.chunk(events)
+				_ = r.conn.Close()
+			}
+			got := deploy(c, startServer(c, serve), startServer(c, serve)).mustSend("POST", "/stream/x", "", "prompt")
+			c.Assert(got.body, qt.Equals, events)
+			c.Assert(got.complete, qt.IsFalse)
+		})
+	}
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -221,7 +221,7 @@
 	if r.runs == 0 {
 		return r.sends < maxSends
 	}
-	if r.headerSent && !r.streamBegun {
+	if r.headerSent && !(r.streamBegun && r.events.Resumable()) {
 		return false
 	}
 	if !r.route.Retryable() || r.runs >= r.route.MaxAttempts || r.sends >= maxSends {
