Forward no text that isn't an event within a stream

A stream without chunks has nothing that shows where such a text begins, and its empty lines make events of it.

A text closed by an empty line that has none of the fields of an event (id, data, event, retry) and isn't a comment now breaks the stream off: it goes on elsewhere after its last event, or ends visibly incomplete. Parsers ignore such a text, so a sound stream has none; other fields beside those, as the weight version's, stay allowed. Not recognised is a text that begins within an event: its first line becomes part of that event's data.

Before: all six cases of TestTextInStreamIsNotForwarded and the two with a head in TestResponseOfNextServerIsNotJoinedToStream failed, with the text forwarded and the stream as complete (go test -run 'TestResponseOfNext|TestTextInStream' ./internal/gateway). They pass now.

--- a/internal/eventstream/errors.go
+++ b/internal/eventstream/errors.go
@@ -8,4 +8,6 @@
 var (
 	// ErrNotNext means that a run doesn't go on where the caller's events end.
 	ErrNotNext = namespace.NewType("not_next")
+	// ErrNoEvent means that a body of events holds something else.
+	ErrNoEvent = namespace.NewType("no_event")
 )
--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -64,7 +64,8 @@
 func (s *Sequence) Resumable() bool { return s.ids != unusable }
 
 // Admit takes the next complete events of the run and returns those that the caller gets next. It leaves out events that the
-// caller has. It returns ErrNotNext at the first event that doesn't follow the caller's last one, with those that precede it.
+// caller has. It returns ErrNotNext at the first event that doesn't follow the caller's last one and ErrNoEvent for text that is
+// no event; what it returns with them precedes that.
 //
 // Within a run the events are the server's own and are returned unchanged, whatever their ids.
 func (s *Sequence) Admit(events []byte) ([]byte, error) {
@@ -93,6 +94,9 @@
 }
 
 func (s *Sequence) admit(e event) (bool, error) {
+	if e.isForeign() {
+		return false, ErrNoEvent.New("text after event %q has no field of an event", s.lastText)
+	}
 	if !e.hasData && !e.hasID {
 		return true, nil
 	}
@@ -132,11 +136,17 @@
 
 // event is what decides whether an event is forwarded.
 type event struct {
-	id      string
-	hasID   bool
-	hasData bool
+	id       string
+	hasID    bool
+	hasData  bool
+	hasField bool
+	// hasOther is set when it has a line that is neither a field of an event nor a comment.
+	hasOther bool
 }
 
+// isForeign reports whether the text isn't an event although it is closed by an empty line, as the head of an HTTP response is.
+func (e *event) isForeign() bool { return e.hasOther && !e.hasField }
+
 // parseEvent reads the lines of one event. Its fields are those of the server-sent events section of the HTML standard.
 func parseEvent(text []byte) event {
 	var e event
@@ -146,9 +156,13 @@
 		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "id":
-			e.id, e.hasID = string(bytes.TrimSpace(value)), true
+			e.id, e.hasID, e.hasField = string(bytes.TrimSpace(value)), true, true
 		case "data":
-			e.hasData = true
+			e.hasData, e.hasField = true, true
+		case "event", "retry":
+			e.hasField = true
+		default:
+			e.hasOther = e.hasOther || len(name) > 0
 		}
 	}
 	return e
--- a/internal/eventstream/sequence_test.go
+++ b/internal/eventstream/sequence_test.go
@@ -51,6 +51,8 @@
 		{name: "an error event", first: numbered(1, 2), second: "event: error\ndata: out of memory\n\n", err: ErrNotNext},
 		{name: "other ids", first: numbered(1, 2), second: "id: 3a\ndata: token 3\n\n", err: ErrNotNext},
 		{name: "a byte order mark", first: numbered(1, 2), second: "\ufeff" + numbered(3), err: ErrNotNext},
+		{name: "a head", first: numbered(1, 2), second: "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\n\r\n" + numbered(3), err: ErrNoEvent},
+		{name: "a head after an event", first: numbered(1, 2), second: numbered(3) + "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\n\r\n", want: numbered(3), err: ErrNoEvent},
 		{name: "an error event after an event", first: numbered(1, 2), second: numbered(3) + "event: error\ndata: x\n\n", want: numbered(3) + "event: error\ndata: x\n\n"},
 		{name: "a comment first", first: numbered(1, 2), second: ": hello\n\n" + numbered(3), want: ": hello\n\n" + numbered(3)},
 		{name: "a further field", first: numbered(1, 2), second: "weights: 4\nid: 3\ndata: token 3\n\n", want: "weights: 4\nid: 3\ndata: token 3\n\n"},
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -125,7 +125,20 @@
 	"a shorter stream from the first": {respond: func(r *received) { r.respondStream(event(1)) }},
 	"a missing event":                 {respond: func(r *received) { r.respondStream(event(4), event(5)) }},
 	"no ids":                          {respond: func(r *received) { r.respondStream("data: token 3\n\n") }},
-	"an error event":                  {respond: func(r *received) { r.respondStream("event: error\ndata: out of memory\n\n") }},
+	"events, then the head of a response": {
+		respond: func(r *received) {
+			r.streamHeader("")
+			r.write("%sHTTP/1.1 500 Internal Server Error\r\nContent-Type: text/html\r\n\r\n%s", event(3), errorPage)
+			_ = r.conn.Close()
+		},
+		rest: event(3),
+	},
+	"the head of a response, then events": {respond: func(r *received) {
+		r.streamHeader("")
+		r.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n%s%s", event(3), event(4))
+		_ = r.conn.Close()
+	}},
+	"an error event": {respond: func(r *received) { r.respondStream("event: error\ndata: out of memory\n\n") }},
 	"another's response": {respond: func(r *received) {
 		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: other\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(event(3)), event(3))
 		_ = r.conn.Close()
@@ -380,3 +393,22 @@
 		})
 	}
 }
+
+// Guards against the text of an error that a server writes into its own stream.
+func TestTextInStreamIsNotForwarded(t *testing.T) {
+	for name, text := range map[string]string{
+		"head of a response": "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/html\r\n\r\n",
+		"page":               errorPage,
+	} {
+		for framing, respond := range streamFramings {
+			t.Run(name+" "+framing, func(t *testing.T) {
+				t.Parallel()
+				c := qt.New(t)
+				s := startServer(c, func(r *received) { respond(r, event(1)+event(2)+text) })
+				got := deploy(c, s).mustSend("POST", "/once/x", "", "prompt")
+				c.Assert(got.body, qt.Equals, event(1)+event(2))
+				c.Assert(got.complete, qt.IsFalse)
+			})
+		}
+	}
+}
