Reset the connection of a caller without chunks that is given up

The end of a cancelled request whose response has begun now shows that it is incomplete too.

TestStreamToHTTP10CallerThatIsGivenUpIsReset failed before (no error after the first event; go test -run TestStreamToHTTP10 ./internal/gateway) and passes now, three times of three with -race. The caller that doesn't read takes the same path and has no test of its own: it would have to fill the sockets' buffers.

--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -412,3 +413,21 @@
 		}
 	}
 }
+
+// Guards against a stream that looks complete to a caller with HTTP/1.0 because the gateway gave it up.
+func TestStreamToHTTP10CallerThatIsGivenUpIsReset(t *testing.T) {
+	c := qt.New(t)
+	s := startServer(c, func(r *received) {
+		r.startStream()
+		r.chunk(event(1))
+		<-r.closed
+	})
+	k := deploy(c, s).dial()
+	fmt.Fprintf(k, "POST /once/x HTTP/1.0\r\nHost: %s\r\nBalsamyoke-Request-Id: old-%d\r\nBalsamyoke-Credential: key-1\r\nContent-Length: 0\r\n\r\n", host, requestNumber.Add(1))
+	_, err := k.readHeader()
+	c.Assert(err, qt.IsNil)
+	c.Assert(k.Conn.(*net.TCPConn).CloseWrite(), qt.IsNil)
+	body, err := io.ReadAll(k.reader)
+	c.Assert(string(body), qt.Equals, event(1))
+	c.Assert(err, qt.Not(qt.IsNil))
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -277,6 +277,9 @@
 		g.counters.cancelled.Inc(1)
 		g.recordDecision(info, EventCancelled, r.call.ID, zap.String("server", r.placement.Server),
 			zap.Duration("after", time.Since(r.receivedAt)), zap.Bool("begun", r.headerSent))
+		if r.headerSent {
+			g.showIncomplete(c, r)
+		}
 		return false
 	}
 	if r.headerSent {
@@ -294,13 +297,18 @@
 // breakOff ends a response whose start the caller has. The close of its connection shows that the response is incomplete.
 func (g *Gateway) breakOff(c *callerConn, r *request, res *exchangeResult) (keepOpen bool) {
 	g.recordBrokenOff(r, res)
+	g.showIncomplete(c, r)
+	return false
+}
+
+// showIncomplete makes the close of the connection show that the response, whose start the caller has, is incomplete.
+func (g *Gateway) showIncomplete(c *callerConn, r *request) {
 	if r.takesChunks {
-		return false
+		return
 	}
 	if err := c.resetOnClose(); err != nil {
 		g.log.Warn(EventResetFailed, zap.String("request", r.call.ID), eventlog.Error(err))
 	}
-	return false
 }
 
 func (g *Gateway) recordServed(r *request, res *exchangeResult) {
