Test streams that nobody continues

A stream that has begun and broken off ends visibly incomplete, without an error's text, when there is no other server, when its deadline passes while the next server is silent, and when the retry budget is used up; a response to HEAD on a streaming route leaves no bytes behind.

--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -431,3 +431,74 @@
 	c.Assert(string(body), qt.Equals, event(1))
 	c.Assert(err, qt.Not(qt.IsNil))
 }
+
+// Guards against an error in a stream that no other server goes on with: there is none, the deadline passes, or the retry
+// budget is used up.
+func TestStreamThatNobodyContinuesBreaksOff(t *testing.T) {
+	broken := continuation{respond: func(r *received) { _ = r.conn.Close() }}
+	t.Run("no other server", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		d := deploy(c, breakingServer(c, streamBreaks["close"], &broken))
+		checkStream(c, d, &broken)
+		checkStreamHTTP10(c, d, &broken)
+	})
+	t.Run("deadline", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		silent := continuation{respond: func(r *received) { <-r.closed }}
+		d := deploy(c, breakingServer(c, streamBreaks["close"], &silent), breakingServer(c, streamBreaks["close"], &silent))
+		started := time.Now()
+		checkStream(c, d, &silent)
+		took := time.Since(started)
+		c.Assert(took > 4500*time.Millisecond && took < 5500*time.Millisecond, qt.IsTrue, qt.Commentf("took %s", took))
+	})
+	t.Run("retry budget", func(t *testing.T) {
+		t.Parallel()
+		c := qt.New(t)
+		var asked atomic.Int64
+		rest := continuation{rest: event(3) + event(4), complete: true, respond: func(r *received) {
+			asked.Add(1)
+			r.respondStream(event(3), event(4))
+		}}
+		a, b := breakingServer(c, streamBreaks["close"], &rest), breakingServer(c, streamBreaks["close"], &rest)
+		d := deploy(c, a, b)
+		for range 200 {
+			a.discardRequests()
+			b.discardRequests()
+			before := asked.Load()
+			got := d.mustSend("POST", "/stream/x", "", "prompt")
+			c.Assert(got.complete, qt.Equals, asked.Load() > before)
+			if got.complete {
+				c.Assert(got.body, qt.Equals, event(1)+event(2)+event(3)+event(4))
+				continue
+			}
+			c.Assert(got.body, qt.Equals, event(1)+event(2))
+			return
+		}
+		c.Fatal("the retry budget was never used up")
+	})
+}
+
+// A response to HEAD has no body on a streaming route either, and no other server's is joined to it.
+func TestHeadOnStreamingRouteHasNoBody(t *testing.T) {
+	c := qt.New(t)
+	d := deploy(c, startServer(c, func(r *received) {
+		if strings.HasPrefix(r.requestLine, "HEAD ") {
+			r.streamHeader("Transfer-Encoding: chunked\r\n")
+			return
+		}
+		r.respondOK("answer to " + r.id())
+	}))
+	k := d.dial()
+	for _, path := range []string{"/stream/x", "/once/x"} {
+		k.request("HEAD", path, "", "")
+		got, err := k.readHeader()
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.status, qt.Equals, 200)
+		id := k.request("GET", "/get/x", "", "")
+		got, err = k.readResponse()
+		c.Assert(err, qt.IsNil)
+		c.Assert(got.body, qt.Equals, "answer to "+id)
+	}
+}
