Test that each server's events of a stream are judged by themselves

A mutant of eventstream.Sequence that didn't forget between two servers what the first of them had repeated passed all tests (the one survivor of nine; the eight others failed them). The new test fails on it and passes on the code, which is unchanged.

--- a/internal/eventstream/sequence_test.go
+++ b/internal/eventstream/sequence_test.go
@@ -78,6 +78,18 @@
 	}
 }
 
+// What one run repeated before it broke off doesn't count against the next one.
+func TestEachRunIsJudgedByItself(t *testing.T) {
+	c := qt.New(t)
+	s := NewSequence("2")
+	s.StartRun()
+	next, err := s.Admit([]byte(numbered(1)))
+	c.Assert(err, qt.IsNil)
+	c.Assert(next, qt.HasLen, 0)
+	_, err = admitRun(&s, "")
+	c.Assert(err, qt.IsNil)
+}
+
 // The events of a stream whose ids don't tell where to go on are forwarded as they are, but by one server only.
 func TestStreamWithoutIncreasingIDsIsNotResumable(t *testing.T) {
 	for name, events := range map[string]string{
