--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -132,7 +132,10 @@
 		res.dispatchResult = dispatch.Failed
 		res.err = ErrBroken.New("answer of server %s isn't signed", r.placement.Server)
 		return res
-	case success && r.route.Kind == routing.Streaming && !sc.head:
+	case r.headerSent && !isContinuation(header):
+		g.rejectContinuation(r, header, &res, started)
+		return res
+	case success && r.route.Kind == routing.Streaming && res.framing != framedEmpty && isEventStream(header):
 		g.forwardStream(ctx, c, r, sc, header, &res, started)
 		return res
 	}
@@ -167,12 +170,6 @@
 		res.resp = resp
 		return
 	}
-	if r.headerSent {
-		// The caller has the start of a stream from an earlier server and this one refused to continue it.
-		res.err = ErrBroken.New("server %s answers %d to the rest of a stream", r.placement.Server, res.status)
-		res.dispatchResult = dispatch.Failed
-		return
-	}
 	if err := c.writeResponse(resp); err != nil {
 		res.callerFailed = true
 		return
@@ -205,25 +202,20 @@
 ) {
 	reader := newEventReader(sc.body(header))
 	out := &streamWriter{callerConn: c, length: r.unknownLength()}
+	r.events.StartRun()
 	for {
-		events, id, err := reader.next()
+		events, err := reader.next()
 		if len(events) > 0 {
 			if !res.gotFirstByte {
 				g.recordFirstByte(r, res, started)
 			}
-			r.placeRequest.Continues, r.placeRequest.SoftwareVersion = true, r.placement.SoftwareVersion
-			if werr := g.forwardEvents(c, r, header, out, events); werr != nil {
-				res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(werr, "write to the caller")
-				res.dispatchResult = dispatch.Cancelled
+			if !g.forwardEvents(c, r, header, out, events, res) {
 				return
 			}
-			if id != "" {
-				r.lastEventID = id
-			}
 		}
 		res.partialEvent = reader.partial()
-		if errors.Is(err, io.EOF) && res.framing == framedClose && r.lastEventID == "" && !res.gotFirstByte {
-			// A generation has at least one event, and a close alone doesn't show that it ended.
+		if errors.Is(err, io.EOF) && res.framing == framedClose && !res.gotFirstByte {
+			// A generation has at least one event, and a close alone doesn't show that it, or the rest of it, ended.
 			err = io.ErrUnexpectedEOF
 		}
 		if errors.Is(err, io.EOF) {
@@ -237,8 +229,27 @@
 	}
 }
 
-// forwardEvents writes events to the caller, after the header if that wasn't sent yet.
-func (g *Gateway) forwardEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte) error {
+// forwardEvents writes those of the events to the caller that it gets next, after the header if that wasn't sent yet. It
+// reports whether the stream goes on, and otherwise completes res.
+func (g *Gateway) forwardEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte, res *exchangeResult) bool {
+	next, err := r.events.Admit(events)
+	if werr := g.writeEvents(c, r, header, out, next); werr != nil {
+		res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(werr, "write to the caller")
+		res.dispatchResult = dispatch.Cancelled
+		return false
+	}
+	if err != nil {
+		res.dispatchResult, res.err = dispatch.Failed, ErrBroken.Wrap(err, "stream of server %s", r.placement.Server)
+		return false
+	}
+	return true
+}
+
+func (g *Gateway) writeEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte) error {
+	if len(events) == 0 {
+		return nil
+	}
+	r.placeRequest.Continues, r.placeRequest.SoftwareVersion = true, r.placement.SoftwareVersion
 	if err := g.startStream(c, r, header); err != nil {
 		return err
 	}
@@ -252,7 +263,7 @@
 	var callerHeader fasthttp.ResponseHeader
 	g.protocol.ForwardResponse(&callerHeader, header)
 	callerHeader.SetContentLength(r.unknownLength())
-	r.headerSent = true
+	r.headerSent, r.streamBegun = true, true
 	return c.writeHeader(&callerHeader, r.closeAfter)
 }
 
@@ -261,6 +272,10 @@
 	if !res.gotFirstByte {
 		res.gotFirstByte, res.firstByteAfter = true, time.Since(r.receivedAt)
 	}
+	if err := r.events.End(); err != nil {
+		res.dispatchResult, res.err = dispatch.Failed, ErrBroken.Wrap(err, "stream of server %s", r.placement.Server)
+		return
+	}
 	res.dispatchResult = dispatch.Served
 	err := g.startStream(c, r, header)
 	if err == nil {
