Let any gateway know the software version that began a stream

Before a caller gets the first event of a resumable stream, its gateway sends the stream's service and software version in one datagram to three other gateways, the first by rendezvous of the request's id among all it knows. A gateway to which a caller comes back looks the stream up, asks the first five of the ranking if it doesn't have it, and places the rest at servers of that service and version only. A stream that none of them knows, or that two reports contradict, is refused as not run. Origins are kept for a minute.

Weighed: putting the version into what the caller sends back isn't possible, as ids and events are the caller's and the server's; telling all gateways costs 52,000 datagrams a second each at the size to design for; a single keeper is lost with it. Three keepers cost about 150 bytes a stream each way and less than half of the control budget there (TestOriginsFitIntoControlTraffic).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 	Server        string
 	Address       string
 	FailureDomain string
+	Service       string
 	// SoftwareVersion is that of the server; empty if unknown.
 	SoftwareVersion string
 	// Version is the server's last known weight version; 0 for plain services.
@@ -247,6 +248,14 @@
 	return c
 }
 
+// SoftwareVersion returns the software version that a server has registered; empty if unknown.
+func (d *Dispatcher) SoftwareVersion(server string) string {
+	if s := d.servers[server]; s != nil {
+		return s.SoftwareVersion
+	}
+	return ""
+}
+
 // SetServices replaces the services by those of a configuration. Measured times of services that stay are kept.
 func (d *Dispatcher) SetServices(services []routing.Service) {
 	kept := make(map[string]*service, len(services))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -80,7 +80,8 @@
 		return Placement{}, refusal
 	}
 	p := Placement{
-		Server: best.ID, Address: best.Address, FailureDomain: best.FailureDomain, SoftwareVersion: best.SoftwareVersion,
+		Server: best.ID, Address: best.Address, FailureDomain: best.FailureDomain,
+		Service: best.Service, SoftwareVersion: best.SoftwareVersion,
 		Score: score, Candidates: candidates,
 	}
 	p.EmptyQueue = best.waitingTokens+best.peerLoad.WaitingTokens == 0 && (r.Model != "" || best.running+best.peerLoad.Running < best.Slots)
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -24,7 +24,12 @@
 	LimitGrants      tally.Counter
 	LimitRefusals    tally.Counter
 	LimitAskFailures tally.Counter
-	scope            tally.Scope
+	// OriginAsks counts the streams whose origin other gateways were asked for, OriginsUnknown those of which no gateway knew it.
+	OriginAsks         tally.Counter
+	OriginsUnknown     tally.Counter
+	OriginSendFailures tally.Counter
+	OriginsKept        tally.Gauge
+	scope              tally.Scope
 }
 
 // NewCounters returns Counters that report to scope.
@@ -48,6 +53,10 @@
 		LimitGrants:         scope.Counter("limit_grants"),
 		LimitRefusals:       scope.Counter("limit_refusals"),
 		LimitAskFailures:    scope.Counter("limit_ask_failures"),
+		OriginAsks:          scope.Counter("stream_origin_asks"),
+		OriginsUnknown:      scope.Counter("stream_origins_unknown"),
+		OriginSendFailures:  scope.Counter("stream_origin_send_failures"),
+		OriginsKept:         scope.Gauge("stream_origins_kept"),
 		scope:               scope,
 	}
 }
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -30,6 +30,8 @@
 	EventPartHeld        = "part_held"
 	EventPartReleased    = "part_released"
 	EventAskFailed       = "limit_ask_failed"
+	EventOriginNotShared = "stream_origin_not_shared"
+	EventOriginAskFailed = "stream_origin_ask_failed"
 	EventBeatFailed      = "beat_failed"
 	EventAnnounceFailed  = "announce_failed"
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/mirror"
+	"balsamyoke.example/balsamyoke/internal/origin"
 	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/quota"
@@ -74,6 +75,7 @@
 	members    *peers.Members
 	quarantine *quarantine.Tracker
 	limits     *quota.Owner
+	origins    *origin.Table
 	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
 	crashReportedAt time.Time
 	feeds           map[string]context.CancelFunc
@@ -106,6 +108,7 @@
 		members:    peers.NewMembers(o.Self),
 		quarantine: quarantine.New(),
 		limits:     quota.NewOwner(),
+		origins:    origin.NewTable(),
 
 		ownerConnections: grpcpool.New(maxOwnerConnections),
 		feeds:            make(map[string]context.CancelFunc),
@@ -305,6 +308,7 @@
 	f.Counters.LogLinesLost.Update(float64(f.Log.Lost()))
 	f.Counters.Peers.Update(float64(len(f.members.Live(now))))
 	f.Counters.Era.Update(float64(f.era.Load()))
+	f.Counters.OriginsKept.Update(float64(f.origins.Len()))
 	f.Counters.ServersLimited.Update(float64(f.dispatcher.LimitedCount()))
 	f.Counters.ServersLeaving.Update(float64(len(f.dispatcher.Leaving())))
 	f.assignRole(now)
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -167,6 +167,10 @@
 }
 
 func (f *Fleet) handleBeat(beat *wire.Beat, now time.Time) {
+	if origins := beat.GetStreamOrigins(); len(origins) > 0 {
+		f.mergeOrigins(origins, now)
+		return
+	}
 	if beat.GetFrom().GetInstance() == f.Self.GetInstance() {
 		return
 	}
--- /dev/null
+++ b/internal/fleet/origins_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
+	"balsamyoke.example/balsamyoke/internal/origin"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// startFleets runs count Fleets on one metadata store that know each other.
+func startFleets(c *qt.C, count int) []*Fleet {
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	fleets := make([]*Fleet, count)
+	for i := range fleets {
+		fleets[i] = startFleetOn(c, fmt.Sprint("g", i), store)
+	}
+	eventually(c, "all gateways know each other", func() bool {
+		for _, f := range fleets {
+			live := 0
+			f.loop.Call(func() { live = len(f.members.Live(bootclock.Now())) })
+			if live != count-1 {
+				return false
+			}
+		}
+		return true
+	})
+	return fleets
+}
+
+// Each gateway knows where a stream began, whichever gateway began it, and none guesses at a stream that none began.
+func TestAnyGatewayFindsWhereStreamBegan(t *testing.T) {
+	c := qt.New(t)
+	fleets := startFleets(c, 5)
+	v1 := origin.Origin{Service: "app", SoftwareVersion: "v1"}
+	for i := range 20 {
+		stream := fmt.Sprint("r", i)
+		fleets[i%len(fleets)].ShareOrigin(stream, v1)
+		for _, f := range fleets {
+			c.Assert(f.FindOrigin(context.Background(), stream), qt.Equals, v1)
+		}
+	}
+	for _, f := range fleets {
+		c.Assert(f.FindOrigin(context.Background(), "unheard-of").Known(), qt.IsFalse)
+		c.Assert(f.FindOrigin(context.Background(), "").Known(), qt.IsFalse)
+	}
+}
+
+// With the gateway that began a stream, and any one of those that keep its origin, the others still find it.
+func TestOriginOutlivesItsGateways(t *testing.T) {
+	c := qt.New(t)
+	fleets := startFleets(c, 6)
+	v1 := origin.Origin{Service: "app", SoftwareVersion: "v1"}
+	var gone []*Fleet
+	fleets[0].ShareOrigin("r", v1)
+	time.Sleep(100 * time.Millisecond)
+	gone = append(gone, fleets[0])
+	for _, keeper := range fleets[1:] {
+		keeps := false
+		keeper.loop.Call(func() { keeps = keeper.origins.Lookup(bootclock.Now(), "r").Known() })
+		if keeps && len(gone) < originKeepers {
+			gone = append(gone, keeper)
+		}
+	}
+	c.Assert(gone, qt.HasLen, originKeepers)
+	for _, f := range gone {
+		f.loop.Call(func() { f.origins = origin.NewTable() })
+	}
+	for _, f := range fleets {
+		c.Assert(f.FindOrigin(context.Background(), "r"), qt.Equals, v1)
+	}
+}
+
+// At the size to design for, with 52,000 streams a second begun at 3,100 gateways, sending and receiving origins takes less than
+// half of the 25 KB/s that a gateway may use for control.
+func TestOriginsFitIntoControlTraffic(t *testing.T) {
+	c := qt.New(t)
+	const (
+		streamsPerSecond = 52_000
+		gateways         = 3_100
+		controlBytes     = 25_000
+		datagramHeaders  = 28
+	)
+	message := &wire.Beat{StreamOrigins: []*wire.StreamOrigin{
+		newStreamOrigin(strings.Repeat("x", 36), origin.Origin{Service: strings.Repeat("s", 24), SoftwareVersion: "v1.23.4"}),
+	}}
+	perStream := originKeepers * (proto.Size(message) + datagramHeaders)
+	perGateway := 2 * perStream * streamsPerSecond / gateways
+	c.Assert(perGateway < controlBytes/2, qt.IsTrue, qt.Commentf("%d bytes a second", perGateway))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -249,7 +249,7 @@
 	if len(events) == 0 {
 		return nil
 	}
-	r.placeRequest.Continues, r.placeRequest.SoftwareVersion = true, r.placement.SoftwareVersion
+	g.shareOrigin(r)
 	if err := g.startStream(c, r, header); err != nil {
 		return err
 	}
--- a/internal/gateway/protocol.go
+++ b/internal/gateway/protocol.go
@@ -13,6 +13,9 @@
 type Call struct {
 	// ID is the id that the caller gave this attempt.
 	ID string
+	// Resumes is the id of the request that brought the first event of the stream that the caller takes up again; empty when there
+	// is none.
+	Resumes string
 	// APIKey is the API key; empty when there is none.
 	APIKey string
 	// MaxWait is how long the caller waits for the response; zero when not given.
--- /dev/null
+++ b/internal/gateway/resumption.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+
+	"go.uber.org/zap"
+
+	"balsamyoke.example/balsamyoke/internal/origin"
+)
+
+// resumeStream prepares a request for the rest of a stream that its caller has begun with an earlier request, here or at another
+// gateway. It returns the refusal of a stream that no server can be told to be able to continue: the caller would get what
+// doesn't fit together.
+func (g *Gateway) resumeStream(ctx context.Context, r *request) *response {
+	if !r.route.Resumable || r.events.LastEventID() == "" {
+		return nil
+	}
+	began := g.fleet.FindOrigin(ctx, r.call.Resumes)
+	reason := ""
+	switch {
+	case !began.Known():
+		reason = "stream_unknown"
+	case !r.route.HasService(began.Service):
+		reason = "stream_of_other_service"
+	}
+	if reason != "" {
+		g.recordRefusal(r.incoming, r.call.ID, reason, zap.String("route", r.route.Name), zap.String("resumes", r.call.Resumes),
+			zap.String("last_event", r.events.LastEventID()), zap.String("service", began.Service))
+		return refusalResponse(deniedRetryAfter)
+	}
+	r.service, r.placeRequest.Service = began.Service, began.Service
+	g.continueStream(r, r.call.Resumes, began)
+	return nil
+}
+
+// continueStream makes the request one for the rest of a stream.
+func (g *Gateway) continueStream(r *request, stream string, began origin.Origin) {
+	r.stream, r.origin = stream, began
+	r.placeRequest.Continues, r.placeRequest.SoftwareVersion = true, began.SoftwareVersion
+}
+
+// shareOrigin lets the other gateways know where the stream began, before the caller gets the first event that this request
+// brings. From then on the caller may come back to any of them.
+func (g *Gateway) shareOrigin(r *request) {
+	switch {
+	case r.originShared:
+		return
+	case r.placeRequest.Continues:
+		g.fleet.ShareOrigin(r.stream, r.origin)
+	case r.route.Resumable:
+		g.continueStream(r, r.call.ID, g.fleet.RecordOrigin(r.call.ID, &r.placement))
+	}
+	r.originShared = true
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -15,6 +15,7 @@
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/eventstream"
+	"balsamyoke.example/balsamyoke/internal/origin"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
@@ -53,6 +54,12 @@
 	parts []quarantine.Part
 	// events are those that the caller has received, in this or an earlier request.
 	events eventstream.Sequence
+	// stream is the id of the request that brought the stream's first event, and origin where it began. They are valid when
+	// the caller has an event.
+	stream string
+	origin origin.Origin
+	// originShared is set when the gateways that keep the origin have it from this request.
+	originShared bool
 	// headerSent is set when the header of a response is written to the caller before its whole body has been read,
 	// streamBegun when that is the header of a stream of events.
 	headerSent  bool
@@ -67,9 +74,13 @@
 		denial.closeAfter = in.closeAfter
 		return c.writeResponse(denial) == nil && !in.closeAfter
 	}
-	g.fleet.CountRequest(r.service)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
+	if refusal := g.resumeStream(ctx, r); refusal != nil {
+		refusal.closeAfter = in.closeAfter
+		return c.writeResponse(refusal) == nil && !in.closeAfter
+	}
+	g.fleet.CountRequest(r.service)
 	complete := g.runAttempts(ctx, c, r)
 	return complete && !in.closeAfter
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -290,6 +290,15 @@
 	return addresses, m.beats%includePeersEvery == 0
 }
 
+// Peers returns all members.
+func (m *Members) Peers() []*wire.Peer {
+	list := make([]*wire.Peer, 0, len(m.members))
+	for _, member := range m.members {
+		list = append(list, member.Peer)
+	}
+	return list
+}
+
 // BeatAddresses returns the heartbeat addresses of all members.
 func (m *Members) BeatAddresses() []string {
 	addresses := make([]string, 0, len(m.members))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -184,6 +184,11 @@
 // Service returns the service with the name, or nil if there is none.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
+// HasService reports whether the route's requests may go to the service.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == name })
+}
+
 // ChooseService returns the name of the service that the route's split assigns to draw, a random number in [0, 1).
 func (r *Route) ChooseService(draw float64) string {
 	total := 0.0
