Let a gateway that has just started ask for a stream's origin again

For the first second after its start a gateway asks again every 50 ms, as it gets to know the others. TestStartedGatewayFindsWhereStreamBegan failed before and passes now (3 of 3, -race).

--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -26,6 +26,10 @@
 	originAsked = originKeepers + 2
 	// originTimeout bounds the time for which gateways are asked for an origin.
 	originTimeout = 300 * time.Millisecond
+	// originWarmUp is how long after its start a gateway goes on asking, every originRetry. By then it has received heartbeats
+	// of all others.
+	originWarmUp = time.Second
+	originRetry  = 50 * time.Millisecond
 )
 
 // originRanking returns the other gateways in the order in which they keep the origin of a stream. All gateways that know the same
@@ -84,25 +88,35 @@
 }
 
 // FindOrigin returns the origin of a stream, from this gateway or from the others that keep it. It is unknown if none of them
-// replies in time that it has it.
+// replies in time that it has it. A gateway that has just started asks again while it gets to know the others.
 func (f *Fleet) FindOrigin(ctx context.Context, stream string) origin.Origin {
-	var found origin.Origin
-	var keepers []*wire.Peer
-	f.loop.Call(func() {
-		if found = f.origins.Lookup(bootclock.Now(), stream); !found.Known() {
-			keepers = f.originRanking(stream, originAsked)
-		}
-	})
-	if found.Known() || stream == "" || len(keepers) == 0 {
+	found, keepers := f.lookUpOrigin(stream)
+	if found.Known() || stream == "" {
 		return found
 	}
 	f.Counters.OriginAsks.Inc(1)
-	if found = f.askOrigins(ctx, keepers, stream); !found.Known() {
+	learnsOthersUntil := f.startedAt.Add(originWarmUp)
+	for found = f.askOrigins(ctx, keepers, stream); !found.Known() && bootclock.Now().Before(learnsOthersUntil) && ctx.Err() == nil; {
+		sleep(ctx, originRetry)
+		_, keepers = f.lookUpOrigin(stream)
+		found = f.askOrigins(ctx, keepers, stream)
+	}
+	if !found.Known() {
 		f.Counters.OriginsUnknown.Inc(1)
 	}
 	return found
 }
 
+// lookUpOrigin returns the origin of a stream if this gateway has it, and otherwise the gateways to ask.
+func (f *Fleet) lookUpOrigin(stream string) (found origin.Origin, keepers []*wire.Peer) {
+	f.loop.Call(func() {
+		if found = f.origins.Lookup(bootclock.Now(), stream); !found.Known() {
+			keepers = f.originRanking(stream, originAsked)
+		}
+	})
+	return found, keepers
+}
+
 // askOrigins asks other gateways for the origin of a stream and returns the first that is known.
 func (f *Fleet) askOrigins(ctx context.Context, keepers []*wire.Peer, stream string) origin.Origin {
 	ctx, cancel := context.WithTimeout(ctx, originTimeout)
--- a/internal/fleet/origins_test.go
+++ b/internal/fleet/origins_test.go
@@ -81,6 +81,17 @@
 	}
 }
 
+// A gateway that has just started finds where a stream began as soon as it knows the others.
+func TestStartedGatewayFindsWhereStreamBegan(t *testing.T) {
+	c := qt.New(t)
+	fleets := startFleets(c, 4)
+	v1 := origin.Origin{Service: "app", SoftwareVersion: "v1"}
+	fleets[0].ShareOrigin("r", v1)
+	store := fleets[0].Platform.Metastore
+	late := startFleetOn(c, "late", store)
+	c.Assert(late.FindOrigin(context.Background(), "r"), qt.Equals, v1)
+}
+
 // At the size to design for, with 52,000 streams a second begun at 3,100 gateways, sending and receiving origins takes less than
 // half of the 25 KB/s that a gateway may use for control.
 func TestOriginsFitIntoControlTraffic(t *testing.T) {
