Soak target weight versions set shortly after each other

A new kind of run, "weights-", sets target weight versions in rows with gaps of 0.2 s to 6 s while engines crash (and start again under their id with the weights that they had, their registration removed meanwhile if they are away for long), are dark or restart, while gateways are killed, paused or cut from the metadata store, and while the metadata store is restored from a copy. The engines record each prompt that they begin. The check: no gateway that has been in touch for 3 s lets a prompt begin on weights that a newer version replaced more than weights_within_ms before, where that time passes in one stretch without impairment of the metadata store. In the second half of such a run no fault touches the metadata store itself or a link to a server.

An engine that restarts while it loads now loses the load, as the platform's do.

--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -51,7 +51,13 @@
 	// request.
 	startedFaults atomic.Int64
 	disturbances  disturbances
-	crashes       crashes
+	// impairments are the times in which a gateway, a link or the metadata store was not as it should be.
+	impairments disturbances
+	crashes     crashes
+	// weightsWithin is the gateways' setting of that name.
+	weightsWithin time.Duration
+	weights       weightHistory
+	sentTo        sync.Map // id of a prompt to the name of its gateway
 }
 
 // gatewayProcess is one gateway with the proxy between it and the metadata store.
@@ -74,10 +80,18 @@
 	limit requestLimit
 	// startedMS is the start of the server's run in Unix milliseconds.
 	startedMS atomic.Int64
+
+	// registering is held while the registration is written.
+	registering sync.Mutex
+	// state is the state that the server has registered; empty if it is not registered.
+	state string
 }
 
-func newDeployment(c *qt.C) *deployment {
-	w := &deployment{c: c, folder: c.TempDir()}
+func newDeployment(c *qt.C, k kind) *deployment {
+	w := &deployment{c: c, folder: c.TempDir(), disturbances: disturbances{settle: settleTime}}
+	if w.weightsWithin = defaultWeightsWithin(); k == withWeights {
+		w.weightsWithin = weightsWithin
+	}
 	var err error
 	w.store, err = standin.StartMetastore(standin.MetastoreSettings{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0"})
 	c.Assert(err, qt.IsNil)
@@ -135,6 +149,7 @@
 	s.Instance, s.FailureDomain = n.name, fmt.Sprint("d", i%2)
 	s.Listen, s.Ready, s.Control, s.Beats, s.Metrics = addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
 	s.Metastore, s.GraceMS, s.RetrySlack = p.address(), graceMS, 1000
+	s.WeightsWithinMS = int(w.weightsWithin.Milliseconds())
 	for _, other := range w.gateways {
 		s.Seeds = append(s.Seeds, other.controlAddress())
 	}
@@ -240,7 +255,21 @@
 }
 
 func (w *deployment) register(s *server, state string) {
-	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1,"born":%d}`, s.proxy.address(), state, s.startedMS.Load()))
+	s.registering.Lock()
+	defer s.registering.Unlock()
+	s.state = state
+	w.writeRegistration(s)
+}
+
+// registerAgain writes the registration of a server again.
+func (w *deployment) registerAgain(s *server) {
+	s.registering.Lock()
+	defer s.registering.Unlock()
+	w.writeRegistration(s)
+}
+
+func (w *deployment) writeRegistration(s *server) {
+	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1,"born":%d}`, s.proxy.address(), s.state, s.startedMS.Load()))
 }
 
 func (w *deployment) serve(s *server, out http.ResponseWriter, in *http.Request) {
--- a/internal/systemtest/soak/engines_test.go
+++ b/internal/systemtest/soak/engines_test.go
@@ -218,6 +218,8 @@
 	orderCount    int64
 	highestFence  int64
 	startedAtMS   int64
+	// run is the number of restarts.
+	run int
 }
 
 func (w *deployment) startEngine(i int) *engine {
@@ -228,21 +230,45 @@
 }
 
 func (e *engine) register() {
+	e.registering.Lock()
+	defer e.registering.Unlock()
+	e.state = "ready"
+	e.writeRegistration()
+}
+
+// registerAgain writes the registration again, if there is one.
+func (e *engine) registerAgain() {
+	e.registering.Lock()
+	defer e.registering.Unlock()
+	if e.state != "" {
+		e.writeRegistration()
+	}
+}
+
+func (e *engine) writeRegistration() {
 	e.mu.Lock()
-	text := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"d0","slots":16,"state":"ready","born":%d,"models":[{"name":"m","version":%d}]}`,
-		e.proxy.address(), e.startedAtMS, e.weightVersion)
+	text := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"d0","slots":16,"state":%q,"born":%d,"models":[{"name":"m","version":%d}]}`,
+		e.proxy.address(), e.state, e.startedAtMS, e.weightVersion)
 	e.mu.Unlock()
 	e.w.put("servers/"+e.id, text)
 }
 
-// restart resets the orders and the highest fencing token. The weights stay.
+// restart resets the orders and the highest fencing token, and ends a load. The weights stay.
 func (e *engine) restart() {
-	e.mu.Lock()
-	e.orderCount, e.highestFence, e.startedAtMS = 0, 0, time.Now().UnixMilli()
-	e.mu.Unlock()
+	if e.proxy.isRefusing() {
+		return
+	}
+	e.reset()
 	e.register()
 }
 
+func (e *engine) reset() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orderCount, e.highestFence, e.busy, e.startedAtMS = 0, 0, false, time.Now().UnixMilli()
+	e.run++
+}
+
 func (e *engine) serve(out http.ResponseWriter, in *http.Request) {
 	switch in.URL.Path {
 	case "/balsamyoke/report":
@@ -286,13 +312,13 @@
 	default:
 		e.highestFence, e.busy = o.Fence, true
 		e.orderCount++
-		go e.load(o.Version)
+		go e.load(o.Version, e.run)
 		out.WriteHeader(http.StatusAccepted)
 	}
 }
 
-// load waits until all runs have ended, then loads the weight version.
-func (e *engine) load(weightVersion int64) {
+// load waits until all runs have ended, then loads the weight version, unless the engine has restarted by then.
+func (e *engine) load(weightVersion int64, run int) {
 	for {
 		e.mu.Lock()
 		idle := e.running == 0
@@ -304,9 +330,14 @@
 	}
 	time.Sleep(time.Duration(500+rand.IntN(2500)) * time.Millisecond)
 	e.mu.Lock()
-	e.weightVersion, e.busy = weightVersion, false
+	restarted := e.run != run
+	if !restarted {
+		e.weightVersion, e.busy = weightVersion, false
+	}
 	e.mu.Unlock()
-	e.register()
+	if !restarted {
+		e.register()
+	}
 }
 
 // admit counts a prompt as running, or refuses it with a reply that it has not run.
@@ -324,6 +355,7 @@
 		return 0, false
 	}
 	e.running++
+	e.w.weights.recordStart(in.Header.Get("Balsamyoke-Request-Id"), e.id, e.weightVersion)
 	return e.weightVersion, true
 }
 
@@ -376,6 +408,11 @@
 	configMutex.Lock()
 	defer configMutex.Unlock()
 	version := w.targetWeights.Add(1)
+	w.putTargetWeights(version)
+	w.weights.recordTarget(version)
+}
+
+func (w *deployment) putTargetWeights(version int64) {
 	w.put("op/version/m", fmt.Sprintf(`{"model":"m","version":%d}`, version))
 }
 
--- a/internal/systemtest/soak/limits_test.go
+++ b/internal/systemtest/soak/limits_test.go
@@ -49,43 +49,59 @@
 	l.perSecond, l.highest = perSecond, max(l.highest, perSecond)
 }
 
-// disturbances are the times in which requests may be held up or a gateway may not know the limits.
+// disturbances are the times in which requests may be held up or a gateway may not know what it should.
 type disturbances struct {
+	// settle is how much longer than its cause a disturbance lasts.
+	settle time.Duration
+
 	mu    sync.Mutex
 	spans []disturbance
 }
 
 type disturbance struct {
-	server   string // the only one concerned; empty for all
+	scope    string // the only one concerned; empty for all
 	from, to time.Time
 }
 
-// during runs f and records its time, and settleTime after it, as disturbed.
-func (d *disturbances) during(server string, f func()) func() {
+// during returns a function that runs f and records its time, and settle after it, as disturbed.
+func (d *disturbances) during(scope string, f func()) func() {
 	return func() {
 		d.mu.Lock()
 		at := len(d.spans)
-		d.spans = append(d.spans, disturbance{server: server, from: time.Now(), to: time.Now().Add(time.Hour)})
+		d.spans = append(d.spans, disturbance{scope: scope, from: time.Now(), to: time.Now().Add(time.Hour)})
 		d.mu.Unlock()
 		f()
 		d.mu.Lock()
-		d.spans[at].to = time.Now().Add(settleTime)
+		d.spans[at].to = time.Now().Add(d.settle)
 		d.mu.Unlock()
 	}
 }
 
-// overlap reports whether requests to a server were disturbed in the time.
-func (d *disturbances) overlap(server string, from, to time.Time) bool {
+// overlap reports whether a scope was disturbed in the time.
+func (d *disturbances) overlap(scope string, from, to time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, s := range d.spans {
-		if (s.server == "" || s.server == server) && s.from.Before(to) && s.to.After(from) {
+		if (s.scope == "" || s.scope == scope) && s.from.Before(to) && s.to.After(from) {
 			return true
 		}
 	}
 	return false
 }
 
+// ends returns when the disturbances of a scope ended.
+func (d *disturbances) ends(scope string) []time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ends []time.Time
+	for _, s := range d.spans {
+		if s.scope == scope {
+			ends = append(ends, s.to)
+		}
+	}
+	return ends
+}
+
 // setLimits lets some of the plain servers, in half of the seeds all of them, and one engine state limits.
 func (w *deployment) setLimits(rng *rand.Rand) {
 	limits := []float64{0.7, 1.4, 5, 20}
--- a/internal/systemtest/soak/proxy_test.go
+++ b/internal/systemtest/soak/proxy_test.go
@@ -67,6 +67,12 @@
 	return true
 }
 
+func (p *proxy) isRefusing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refusing
+}
+
 // listenAgain accepts connections at the same address as before refuse.
 func (p *proxy) listenAgain() error {
 	p.mu.Lock()
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	convergenceTimeout = 15 * time.Second
 	// faultsPerEngineFault is the average number of other faults for each engine fault.
 	faultsPerEngineFault = 2
+	// clockFormat is the format of times in the output, as in the gateways' logs.
+	clockFormat = "15:04:05.000"
 	// ownSequence selects the random sequence of what a kind of run plays beside the faults.
 	ownSequence = 3
 )
@@ -74,18 +77,24 @@
 			runSeed(qt.New(t), seed, faultsOnly)
 		})
 	}
-	for i := range *seedsFlag {
-		for name, k := range map[string]kind{"limits-": withLimits, "crashes-": withCrashes} {
-			t.Run(fmt.Sprint(name, first+uint64(i)), func(t *testing.T) {
+	for k, name := range kindNames {
+		seeds := slices.Clone(kindSeeds[k])
+		for i := range *seedsFlag {
+			if seed := first + uint64(i); !slices.Contains(seeds, seed) {
+				seeds = append(seeds, seed)
+			}
+		}
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
 				t.Parallel()
-				runSeed(qt.New(t), first+uint64(i), k)
+				runSeed(qt.New(t), seed, k)
 			})
 		}
 	}
 }
 
 // kind selects what a run plays beside the faults. Except for faultsOnly, the faults last twice as long, and in their second half
-// no gateway ends or stands still and no link to a server is disturbed: the guarantees then hold without exception.
+// only those faults are played that excuse nothing: the guarantees then hold without exception.
 type kind int
 
 const (
@@ -94,11 +103,48 @@
 	withLimits
 	// withCrashes lets one request crash the servers that run it, in the second half.
 	withCrashes
+	// withWeights sets several target weight versions shortly after each other while engines are away.
+	withWeights
 )
 
+// kindNames are the first parts of the tests' names.
+var kindNames = map[kind]string{withLimits: "limits-", withCrashes: "crashes-", withWeights: "weights-"}
+
+// kindSeeds are the seeds that every run of the test includes.
+var kindSeeds = map[kind][]uint64{withWeights: {3, 5, 6}}
+
+// allows reports whether a fault may be played in the second half of a run.
+func (k kind) allows(w *deployment, f fault) bool {
+	if k == withWeights {
+		return f.impairs == "" || w.gatewayNamed(f.impairs)
+	}
+	return !f.excuses
+}
+
+// secondHalf returns how long the second half of a run lasts at least.
+func (k kind) secondHalf() time.Duration {
+	switch k {
+	case faultsOnly:
+		return 0
+	case withWeights:
+		return contactTime + 3*weightsWithin
+	default:
+		return limitContactTime + 2*limitWindow
+	}
+}
+
+// pause returns the time until the next fault.
+func (k kind) pause(rng *rand.Rand, calm bool) time.Duration {
+	longest := 700 * time.Millisecond
+	if calm && k == withWeights {
+		longest = 2500 * time.Millisecond
+	}
+	return time.Duration(rng.Int64N(int64(longest)))
+}
+
 // runSeed plays the faults of a seed.
 func runSeed(c *qt.C, seed uint64, k kind) {
-	w := newDeployment(c)
+	w := newDeployment(c, k)
 	c.Cleanup(func() { w.keepLogs(seed) })
 	rng := rand.New(rand.NewPCG(seed, seed))
 	// Engine faults are drawn from their own random sequence, so that they do not change the other faults of a seed.
@@ -114,18 +160,18 @@
 		calling.Go(func() { (&caller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(i))), number: i}).run(stop) })
 	}
 	injectFault := func(f fault) {
-		c.Logf("%s", f.name)
+		c.Logf("%s %s", time.Now().Format(clockFormat), f.name)
 		injecting.Go(func() {
 			w.activeFaults.Add(1)
 			w.startedFaults.Add(1)
-			f.inject()
+			w.inject(f)
 			w.activeFaults.Add(-1)
 		})
 	}
 	half := time.Duration(*lengthMS) * time.Millisecond
 	until, calmFrom := time.Now().Add(half), time.Now().Add(half)
 	if k != faultsOnly {
-		until = until.Add(max(half, limitContactTime+2*limitWindow))
+		until = until.Add(max(half, k.secondHalf()))
 	}
 	ownRNG := rand.New(rand.NewPCG(seed, ownSequence))
 	if k == withLimits {
@@ -140,12 +186,16 @@
 		if engineRNG.IntN(faultsPerEngineFault) == 0 {
 			faults = append(faults, w.drawEngineFault(engineRNG))
 		}
+		if k == withWeights && ownRNG.IntN(faultsPerEngineFault) == 0 {
+			faults = append(faults, w.drawWeightsFault(ownRNG))
+		}
+		calm := time.Now().After(calmFrom)
 		for _, f := range faults {
-			if !f.excuses || time.Now().Before(calmFrom) {
+			if !calm || k.allows(w, f) {
 				injectFault(f)
 			}
 		}
-		time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+		time.Sleep(k.pause(rng, calm))
 	}
 	injecting.Wait()
 	w.endLimits()
@@ -156,6 +206,7 @@
 	c.Logf("%d parts fetched", w.fetchedParts.Load())
 	w.checkLimits()
 	w.checkCrashes()
+	w.checkWeightDeadlines()
 	w.runCounts.Range(func(id, count any) bool {
 		if status, refused := w.refusedStatus.Load(id); refused && strings.HasSuffix(id.(string), "-once") {
 			c.Errorf("request %s was refused with status %d but has run", id, status)
@@ -214,6 +265,17 @@
 	// excuses is set for faults after which requests to servers may come late or from a gateway that doesn't know their
 	// limits.
 	excuses bool
+	// impairs is the gateway or server that the fault impairs, or storeScope; empty if none.
+	impairs string
+}
+
+// inject injects a fault and records what it impairs.
+func (w *deployment) inject(f fault) {
+	inject := f.inject
+	if f.impairs != "" {
+		inject = w.impairments.during(f.impairs, inject)
+	}
+	inject()
 }
 
 func (w *deployment) drawFault(rng *rand.Rand) fault {
@@ -238,8 +300,8 @@
 	}
 	proxyFault := func(p *proxy) func() { return modeFault(p, m, duration) }
 	faults := []fault{
-		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() }), true},
-		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() }), true},
+		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() }), true, n.name},
+		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() }), true, n.name},
 		{"pause " + n.name, w.disturbances.during("", func() {
 			n.mu.Lock()
 			p := n.process
@@ -247,23 +309,23 @@
 			p.Freeze()
 			time.Sleep(duration)
 			p.Thaw()
-		}), true},
+		}), true, n.name},
 		{"hangup " + n.name, func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			_ = syscall.Kill(n.process.PID(), syscall.SIGHUP)
-		}, false},
-		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false},
-		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true},
+		}, false, ""},
+		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false, n.name},
+		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true, s.id},
 		{"metadata store down", func() {
 			_ = w.store.SetFaults(memkv.Faults{Down: true})
 			time.Sleep(duration)
 			_ = w.store.SetFaults(memkv.Faults{})
-		}, false},
-		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false},
-		{"metadata store compacted", func() { w.store.Store().Compact() }, false},
-		{"configuration change", func() { w.changeConfiguration() }, false},
-		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false},
+		}, false, storeScope},
+		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false, storeScope},
+		{"metadata store compacted", func() { w.store.Store().Compact() }, false, ""},
+		{"configuration change", func() { w.changeConfiguration() }, false, ""},
+		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false, ""},
 	}
 	return faults[rng.IntN(len(faults))]
 }
@@ -275,11 +337,11 @@
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
 	faults := []fault{
-		{"target weights change", w.setTargetWeights, false},
-		{fmt.Sprintf("cache store %d restarts", cache), w.cacheStores[cache].restart, false},
-		{fmt.Sprintf("cache store %d mode %d", cache, m), modeFault(w.cacheStores[cache].proxy, m, duration), false},
-		{fmt.Sprintf("engine %s mode %d", e.id, m), w.disturbances.during(e.id, modeFault(e.proxy, m, duration)), true},
-		{"engine " + e.id + " restarts", e.restart, false},
+		{"target weights change", w.setTargetWeights, false, ""},
+		{fmt.Sprintf("cache store %d restarts", cache), w.cacheStores[cache].restart, false, ""},
+		{fmt.Sprintf("cache store %d mode %d", cache, m), modeFault(w.cacheStores[cache].proxy, m, duration), false, ""},
+		{fmt.Sprintf("engine %s mode %d", e.id, m), w.disturbances.during(e.id, modeFault(e.proxy, m, duration)), true, e.id},
+		{"engine " + e.id + " restarts", e.restart, false, ""},
 	}
 	return faults[rng.IntN(len(faults))]
 }
@@ -362,6 +424,7 @@
 	extraHeaders := ""
 	if kind == "ask" {
 		extraHeaders = promptHeaders(k.rng, id)
+		w.sentTo.Store(id, k.gateway.name)
 	}
 	_ = k.conn.SetDeadline(time.Now().Add(8 * time.Second))
 	body := "prompt of " + id
