Soak releases of software and streams that callers take up again

Backend servers of one service may run several software versions side by side. What two versions write doesn't fit together, so a resumable stream may go on only at a server of the version that began it, at whichever gateway.

A new kind of run, "releases-": plain servers and engines register a software version and are replaced by others (a new server first, then the old one drains and leaves) or start again under their id with another version, back and forth, half of the releases only on some of the servers. Servers crash, their connections are reset, and the faults of the other kinds go on; in the second half none touches the metadata store itself or a link to a server. Callers of long resumable streams break connections themselves now and then and take broken streams up at a random gateway, with Last-Event-Id and the id of the try that brought the first event in Resumes, as often as needed. Each event names its request, software version and run.

Checks, in this kind, and the first three for all streams of all kinds: - no stream holds events of two software versions, over all tries of its caller; - no event is missing, comes twice, or is of another request, and the events of a stream that can't be resumed are of one run; - no stream is complete before its last event; - of 12 or more streams taken up at gateways in touch for 3 s, while two servers of their software version serve, the share that goes on is at least half of the share of new streams that begin.

--- a/internal/systemtest/soak/crashes_test.go
+++ b/internal/systemtest/soak/crashes_test.go
@@ -46,8 +46,8 @@
 	w.crashes.restarts.Go(func() {
 		defer w.activeFaults.Add(-1)
 		time.Sleep(restartTime)
-		s.startedMS.Store(time.Now().UnixMilli())
-		w.register(s, "ready")
+		w.startRun(s, s.run.Load().software)
+		w.register(s, stateReady)
 		w.c.Check(s.proxy.listenAgain(), qt.IsNil)
 	})
 }
--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -23,17 +23,18 @@
 const (
 	gatewayCount = 3
 	serverCount  = 4
-	// streamEvents is the number of events of each stream.
-	streamEvents = 6
 	graceMS      = 3000
 )
 
 // deployment consists of gateway processes, and of backend servers and a metadata store that run in the test process.
 type deployment struct {
-	c              *qt.C
-	folder         string
-	store          *standin.Metastore
-	gateways       []*gatewayProcess
+	c        *qt.C
+	folder   string
+	store    *standin.Metastore
+	gateways []*gatewayProcess
+	// fleetMu guards backendServers and engines, which are those that haven't left, and started, which are all.
+	fleetMu        sync.Mutex
+	started        []*server
 	backendServers []*server
 	// engines and cacheStores are the model engines and their cache stores, targetWeights is the target weight
 	// version, and fetchedParts counts the parts that engines were asked to fetch.
@@ -58,6 +59,10 @@
 	weightsWithin time.Duration
 	weights       weightHistory
 	sentTo        sync.Map // id of a prompt to the name of its gateway
+	// serverNumber and engineNumber count the servers and engines that were started, runNumber the runs of both.
+	serverNumber, engineNumber, runNumber atomic.Int64
+	serving                               servingHistory
+	streams                               streamHistory
 }
 
 // gatewayProcess is one gateway with the proxy between it and the metadata store.
@@ -72,21 +77,6 @@
 	starts atomic.Int64
 }
 
-// server is one backend server with the proxy in front of it.
-type server struct {
-	id    string
-	http  *http.Server
-	proxy *proxy
-	limit requestLimit
-	// startedMS is the start of the server's run in Unix milliseconds.
-	startedMS atomic.Int64
-
-	// registering is held while the registration is written.
-	registering sync.Mutex
-	// state is the state that the server has registered; empty if it is not registered.
-	state string
-}
-
 func newDeployment(c *qt.C, k kind) *deployment {
 	w := &deployment{c: c, folder: c.TempDir(), disturbances: disturbances{settle: settleTime}}
 	if w.weightsWithin = defaultWeightsWithin(); k == withWeights {
@@ -101,11 +91,11 @@
 	}
 	w.putConfiguration(1)
 	w.setTargetWeights()
-	for i := range serverCount {
-		w.backendServers = append(w.backendServers, w.startServer(fmt.Sprint("s", i)))
+	for range serverCount {
+		w.backendServers = append(w.backendServers, w.startServer(firstSoftware))
 	}
-	for i := range engineCount {
-		w.engines = append(w.engines, w.startEngine(i))
+	for range engineCount {
+		w.engines = append(w.engines, w.startEngine(firstSoftware, 1))
 	}
 	binaries, err := testbed.Binaries()
 	c.Assert(err, qt.IsNil)
@@ -119,18 +109,6 @@
 			n.process.Kill()
 			n.proxy.stop()
 		}
-		for _, s := range w.backendServers {
-			_ = s.http.Close()
-			s.proxy.stop()
-		}
-		for _, e := range w.engines {
-			_ = e.http.Close()
-			e.proxy.stop()
-		}
-		for _, s := range w.cacheStores {
-			_ = s.http.Close()
-			s.proxy.stop()
-		}
 	})
 	return w
 }
@@ -209,6 +187,7 @@
 	route("stream", "streaming", 3, true)
 	route("once", "streaming", 1, false)
 	fmt.Fprintf(&routes, `,{"name":"ask","host":"h","prefix":"/ask/","kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":3,"public":true}`)
+	fmt.Fprintf(&routes, `,{"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":3,"public":true,"resumable":true}`)
 	services := `{"name":"app"},{"name":"llm","engine":{"slots":16,"kv_capacity":20000,"kv_token_bytes":100,"models":[{"name":"m"}]}}`
 	for i, s := range w.cacheStores {
 		services += fmt.Sprintf(`,{"name":"cache%d","kv_store_addr":%q,"zone":"d0","kv_capacity":%d,"link_mbps":10000,"max_in_flight":64,"managed":true,"first_ms":1}`,
@@ -237,41 +216,6 @@
 	}
 }
 
-// startServer starts a backend server that counts the runs of each request, and registers it.
-func (w *deployment) startServer(id string) *server {
-	s := &server{id: id}
-	s.startedMS.Store(time.Now().UnixMilli())
-	s.http, s.proxy = w.serveBehindProxy(func(out http.ResponseWriter, in *http.Request) { w.serve(s, out, in) })
-	w.register(s, "ready")
-	return s
-}
-
-// drain registers a server as draining and later as a new run that is ready.
-func (w *deployment) drain(s *server, duration time.Duration) {
-	w.register(s, "draining")
-	time.Sleep(duration)
-	s.startedMS.Store(time.Now().UnixMilli())
-	w.register(s, "ready")
-}
-
-func (w *deployment) register(s *server, state string) {
-	s.registering.Lock()
-	defer s.registering.Unlock()
-	s.state = state
-	w.writeRegistration(s)
-}
-
-// registerAgain writes the registration of a server again.
-func (w *deployment) registerAgain(s *server) {
-	s.registering.Lock()
-	defer s.registering.Unlock()
-	w.writeRegistration(s)
-}
-
-func (w *deployment) writeRegistration(s *server) {
-	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1,"born":%d}`, s.proxy.address(), s.state, s.startedMS.Load()))
-}
-
 func (w *deployment) serve(s *server, out http.ResponseWriter, in *http.Request) {
 	s.limit.record(out)
 	request := in.Header.Get("Balsamyoke-Request-Id")
@@ -298,38 +242,5 @@
 		fmt.Fprintf(out, "answer to %s", request)
 		return
 	}
-	w.serveStream(out, in)
-}
-
-// breaksOff reports whether the first run of a request ends inside an event.
-func breaksOff(request string) bool { return strings.HasSuffix(request, "3-stream") }
-
-// serveStream sends the events of a stream, or those after the Last-Event-Id of the request. A fixed part of the
-// streams ends inside an event, in the orderly way of its framing, and has to be resumed.
-func (w *deployment) serveStream(out http.ResponseWriter, in *http.Request) {
-	request := in.Header.Get("Balsamyoke-Request-Id")
-	out.Header().Set("Balsamyoke-Response-Stamp", "stamp")
-	first := 1
-	_, _ = fmt.Sscan(in.Header.Get("Last-Event-Id"), &first)
-	if in.Header.Get("Last-Event-Id") != "" {
-		first++
-	}
-	out.Header().Set("Content-Type", "text/event-stream")
-	if len(request)%2 == 0 {
-		// net/http then writes neither a length nor chunks and closes the connection after the body.
-		out.Header().Set("Transfer-Encoding", "identity")
-	}
-	breakAt := 0
-	if breaksOff(request) && in.Header.Get("Last-Event-Id") == "" {
-		breakAt = 1 + len(request)%streamEvents
-	}
-	for i := first; i <= streamEvents; i++ {
-		if i == breakAt {
-			fmt.Fprintf(out, "id: %d\ndata: %s\n", i, request)
-			return
-		}
-		fmt.Fprintf(out, "id: %d\ndata: %s\n\n", i, request)
-		_ = http.NewResponseController(out).Flush()
-		time.Sleep(15 * time.Millisecond)
-	}
+	w.serveStream(s, out, in)
 }
--- a/internal/systemtest/soak/engines_test.go
+++ b/internal/systemtest/soak/engines_test.go
@@ -67,6 +67,10 @@
 	w.c.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: handler}
 	go func() { _ = server.Serve(listener) }()
+	w.c.Cleanup(func() {
+		_ = server.Close()
+		p.stop()
+	})
 	return server, p
 }
 
@@ -217,56 +221,34 @@
 	running       int
 	orderCount    int64
 	highestFence  int64
-	startedAtMS   int64
-	// run is the number of restarts.
-	run int
 }
 
-func (w *deployment) startEngine(i int) *engine {
-	e := &engine{w: w, weightVersion: 1, startedAtMS: time.Now().UnixMilli(), server: &server{id: fmt.Sprint("e", i)}}
+func (w *deployment) startEngine(software string, weightVersion int64) *engine {
+	e := &engine{w: w, weightVersion: weightVersion, server: &server{id: fmt.Sprint("e", w.engineNumber.Add(1)-1), service: "llm"}}
+	e.registration = func(state string) string {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		run := e.run.Load()
+		return fmt.Sprintf(`{"service":"llm","address":%q,"zone":"d0","version":%q,"slots":16,"state":%q,"born":%d,"models":[{"name":"m","version":%d}]}`,
+			e.proxy.address(), run.software, state, run.startedMS, e.weightVersion)
+	}
+	e.reset = func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.orderCount, e.highestFence, e.busy = 0, 0, false
+	}
 	e.http, e.proxy = w.serveBehindProxy(e.serve)
-	e.register()
+	w.enter(e.server, software)
 	return e
 }
 
-func (e *engine) register() {
-	e.registering.Lock()
-	defer e.registering.Unlock()
-	e.state = "ready"
-	e.writeRegistration()
-}
-
-// registerAgain writes the registration again, if there is one.
-func (e *engine) registerAgain() {
-	e.registering.Lock()
-	defer e.registering.Unlock()
-	if e.state != "" {
-		e.writeRegistration()
-	}
-}
-
-func (e *engine) writeRegistration() {
-	e.mu.Lock()
-	text := fmt.Sprintf(`{"service":"llm","address":%q,"zone":"d0","slots":16,"state":%q,"born":%d,"models":[{"name":"m","version":%d}]}`,
-		e.proxy.address(), e.state, e.startedAtMS, e.weightVersion)
-	e.mu.Unlock()
-	e.w.put("servers/"+e.id, text)
-}
-
 // restart resets the orders and the highest fencing token, and ends a load. The weights stay.
 func (e *engine) restart() {
 	if e.proxy.isRefusing() {
 		return
 	}
-	e.reset()
-	e.register()
-}
-
-func (e *engine) reset() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.orderCount, e.highestFence, e.busy, e.startedAtMS = 0, 0, false, time.Now().UnixMilli()
-	e.run++
+	e.w.startRun(e.server, e.run.Load().software)
+	e.w.register(e.server, stateReady)
 }
 
 func (e *engine) serve(out http.ResponseWriter, in *http.Request) {
@@ -276,7 +258,7 @@
 		defer e.mu.Unlock()
 		_ = json.NewEncoder(out).Encode(map[string]any{
 			"models": []any{map[string]any{"name": "m", "version": e.weightVersion}}, "busy": e.busy, "sequence": e.orderCount,
-			"running": e.running, "kv_total": 20000, "born": e.startedAtMS, "clock_ms": time.Now().UnixMilli(),
+			"running": e.running, "kv_total": 20000, "born": e.run.Load().startedMS, "clock_ms": time.Now().UnixMilli(),
 		})
 	case "/balsamyoke/order":
 		e.serveOrder(out, in)
@@ -312,13 +294,13 @@
 	default:
 		e.highestFence, e.busy = o.Fence, true
 		e.orderCount++
-		go e.load(o.Version, e.run)
+		go e.load(o.Version, e.run.Load())
 		out.WriteHeader(http.StatusAccepted)
 	}
 }
 
 // load waits until all runs have ended, then loads the weight version, unless the engine has restarted by then.
-func (e *engine) load(weightVersion int64, run int) {
+func (e *engine) load(weightVersion int64, run *serverRun) {
 	for {
 		e.mu.Lock()
 		idle := e.running == 0
@@ -330,13 +312,13 @@
 	}
 	time.Sleep(time.Duration(500+rand.IntN(2500)) * time.Millisecond)
 	e.mu.Lock()
-	restarted := e.run != run
+	restarted := e.run.Load() != run
 	if !restarted {
 		e.weightVersion, e.busy = weightVersion, false
 	}
 	e.mu.Unlock()
 	if !restarted {
-		e.register()
+		e.w.registerAgain(e.server)
 	}
 }
 
@@ -392,7 +374,7 @@
 		}
 	}
 	out.Header().Set("Balsamyoke-Weight-Versions", fmt.Sprint(weightVersion))
-	e.w.serveStream(out, in)
+	e.w.serveStream(e.server, out, in)
 }
 
 func (w *deployment) storeAt(address string) *cacheStore {
@@ -419,7 +401,7 @@
 // awaitWeights waits until each engine has the target weight version.
 func (w *deployment) awaitWeights() {
 	deadline := time.Now().Add(weightsTimeout)
-	for _, e := range w.engines {
+	for _, e := range w.currentEngines() {
 		for {
 			e.mu.Lock()
 			weightVersion := e.weightVersion
--- a/internal/systemtest/soak/limits_test.go
+++ b/internal/systemtest/soak/limits_test.go
@@ -153,12 +153,3 @@
 	}
 	w.c.Logf("%d requests judged by limits", judged)
 }
-
-// allServers returns the plain servers and the engines.
-func (w *deployment) allServers() []*server {
-	servers := append([]*server{}, w.backendServers...)
-	for _, e := range w.engines {
-		servers = append(servers, e.server)
-	}
-	return servers
-}
--- a/internal/systemtest/soak/proxy_test.go
+++ b/internal/systemtest/soak/proxy_test.go
@@ -95,6 +95,13 @@
 	}
 }
 
+// resetOpen resets the open connections and accepts new ones.
+func (p *proxy) resetOpen() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resetAll()
+}
+
 // resetAll closes all connections with a TCP reset. The caller holds the mutex.
 func (p *proxy) resetAll() {
 	for conn := range p.conns {
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -44,6 +44,8 @@
 	clockFormat = "15:04:05.000"
 	// ownSequence selects the random sequence of what a kind of run plays beside the faults.
 	ownSequence = 3
+	// releaseSequence selects the random sequence of the releases of software.
+	releaseSequence = 1000
 )
 
 // regressionSeeds are all seeds that have failed before, with the cause. Every run of the test includes them.
@@ -105,17 +107,19 @@
 	withCrashes
 	// withWeights sets several target weight versions shortly after each other while engines are away.
 	withWeights
+	// withReleases replaces the software of servers, and lets callers take broken streams up.
+	withReleases
 )
 
 // kindNames are the first parts of the tests' names.
-var kindNames = map[kind]string{withLimits: "limits-", withCrashes: "crashes-", withWeights: "weights-"}
+var kindNames = map[kind]string{withLimits: "limits-", withCrashes: "crashes-", withWeights: "weights-", withReleases: "releases-"}
 
 // kindSeeds are the seeds that every run of the test includes.
-var kindSeeds = map[kind][]uint64{withWeights: {3, 5, 6}}
+var kindSeeds = map[kind][]uint64{withWeights: {3, 5, 6}, withReleases: {2, 4}}
 
 // allows reports whether a fault may be played in the second half of a run.
 func (k kind) allows(w *deployment, f fault) bool {
-	if k == withWeights {
+	if k == withWeights || k == withReleases {
 		return f.impairs == "" || w.gatewayNamed(f.impairs)
 	}
 	return !f.excuses
@@ -136,7 +140,7 @@
 // pause returns the time until the next fault.
 func (k kind) pause(rng *rand.Rand, calm bool) time.Duration {
 	longest := 700 * time.Millisecond
-	if calm && k == withWeights {
+	if calm && (k == withWeights || k == withReleases) {
 		longest = 2500 * time.Millisecond
 	}
 	return time.Duration(rng.Int64N(int64(longest)))
@@ -151,7 +155,7 @@
 	engineRNG := rand.New(rand.NewPCG(seed, faultsPerEngineFault))
 	w.awaitConfiguration()
 	var calling, injecting sync.WaitGroup
-	stop := make(chan struct{})
+	stop, stopReleases := make(chan struct{}), make(chan struct{})
 	// Callers end before this function returns, also after a failed check.
 	defer calling.Wait()
 	end := sync.OnceFunc(func() { close(stop) })
@@ -159,6 +163,14 @@
 	for i := range callerCount {
 		calling.Go(func() { (&caller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(i))), number: i}).run(stop) })
 	}
+	if k == withReleases {
+		for i := range streamCallerCount {
+			calling.Go(func() {
+				(&streamCaller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(callerCount+i))), number: i}).run(stop)
+			})
+		}
+		injecting.Go(func() { w.releaseSoftware(rand.New(rand.NewPCG(seed, releaseSequence)), stopReleases) })
+	}
 	injectFault := func(f fault) {
 		c.Logf("%s %s", time.Now().Format(clockFormat), f.name)
 		injecting.Go(func() {
@@ -186,8 +198,8 @@
 		if engineRNG.IntN(faultsPerEngineFault) == 0 {
 			faults = append(faults, w.drawEngineFault(engineRNG))
 		}
-		if k == withWeights && ownRNG.IntN(faultsPerEngineFault) == 0 {
-			faults = append(faults, w.drawWeightsFault(ownRNG))
+		if own := w.drawOwnFault(k, ownRNG); own != nil {
+			faults = append(faults, *own)
 		}
 		calm := time.Now().After(calmFrom)
 		for _, f := range faults {
@@ -197,6 +209,7 @@
 		}
 		time.Sleep(k.pause(rng, calm))
 	}
+	close(stopReleases)
 	injecting.Wait()
 	w.endLimits()
 	w.awaitConfiguration()
@@ -207,6 +220,7 @@
 	w.checkLimits()
 	w.checkCrashes()
 	w.checkWeightDeadlines()
+	w.checkStreams()
 	w.runCounts.Range(func(id, count any) bool {
 		if status, refused := w.refusedStatus.Load(id); refused && strings.HasSuffix(id.(string), "-once") {
 			c.Errorf("request %s was refused with status %d but has run", id, status)
@@ -269,6 +283,16 @@
 	impairs string
 }
 
+// drawOwnFault draws a fault of a kind of run, or nil.
+func (w *deployment) drawOwnFault(k kind, rng *rand.Rand) *fault {
+	draw := map[kind]func(*rand.Rand) fault{withWeights: w.drawWeightsFault, withReleases: w.drawReleaseFault}[k]
+	if draw == nil || rng.IntN(faultsPerEngineFault) != 0 {
+		return nil
+	}
+	f := draw(rng)
+	return &f
+}
+
 // inject injects a fault and records what it impairs.
 func (w *deployment) inject(f fault) {
 	inject := f.inject
@@ -280,7 +304,8 @@
 
 func (w *deployment) drawFault(rng *rand.Rand) fault {
 	n := w.gateways[rng.IntN(len(w.gateways))]
-	s := w.backendServers[rng.IntN(len(w.backendServers))]
+	servers := w.currentServers()
+	s := servers[rng.IntN(len(servers))]
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
 	binary := func() string {
@@ -332,7 +357,8 @@
 
 // drawEngineFault draws a fault of the engines, their weights or their cache stores.
 func (w *deployment) drawEngineFault(rng *rand.Rand) fault {
-	e := w.engines[rng.IntN(len(w.engines))]
+	engines := w.currentEngines()
+	e := engines[rng.IntN(len(engines))]
 	cache := rng.IntN(len(w.cacheStores))
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
@@ -459,12 +485,11 @@
 	w := k.w
 	switch status := response.StatusCode; {
 	case status == http.StatusOK && (kind == "stream" || kind == "once" || kind == "ask"):
-		var want strings.Builder
-		for i := 1; i <= streamEvents; i++ {
-			fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i, id)
+		if problem := checkStream(text, id, streamEvents, kind == "stream"); problem != "" {
+			w.c.Errorf("stream %s is complete but %s: %q", id, problem, text)
 		}
-		if text != want.String() {
-			w.c.Errorf("stream %s is complete but has content %q", id, text)
+		if e, mixed := mixedSoftware(text); mixed {
+			w.streams.reportMixed(w, fmt.Sprintf("stream %s of gateway %s goes on with event %d at other software, %s", id, k.gateway.name, e.number, e.software))
 		}
 	case status == http.StatusOK:
 		if text != "answer to "+id {
--- a/internal/systemtest/soak/weights_test.go
+++ b/internal/systemtest/soak/weights_test.go
@@ -7,11 +7,7 @@
 	"sync"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-	"github.com/joomcode/errorx"
-
 	"balsamyoke.example/balsamyoke/internal/gateway"
-	"balsamyoke.example/balsamyoke/internal/metastore"
 )
 
 const (
@@ -23,8 +19,6 @@
 	storeScope = "store"
 	// rewriteDelay is how long after a restore of the metadata store the operator and the servers write again.
 	rewriteDelay = time.Second
-	// expiryTime is how long after its end an engine's registration is removed.
-	expiryTime = time.Second
 	// maxReported is how many findings of one kind are reported for a seed.
 	maxReported = 5
 	// minGap and maxGap bound the time between two target weight versions in a row.
@@ -69,7 +63,8 @@
 
 // drawWeightsFault draws a fault that keeps engines on old weights, or several target versions in a row.
 func (w *deployment) drawWeightsFault(rng *rand.Rand) fault {
-	e := w.engines[rng.IntN(len(w.engines))]
+	engines := w.currentEngines()
+	e := engines[rng.IntN(len(engines))]
 	away := minGap + time.Duration(rng.Int64N(int64(4*time.Second)))
 	gaps := make([]time.Duration, 1+rng.IntN(3))
 	for i := range gaps {
@@ -77,7 +72,7 @@
 	}
 	faults := []fault{
 		{fmt.Sprintf("target weights change, again after %v", gaps), func() { w.setTargetsInARow(gaps) }, false, ""},
-		{fmt.Sprintf("engine %s crashes, back after %s", e.id, away), func() { e.crash(away) }, false, ""},
+		{fmt.Sprintf("engine %s crashes, back after %s", e.id, away), func() { w.crashServer(e.server, e.run.Load().software, away) }, false, ""},
 		{fmt.Sprintf("engine %s dark for %s", e.id, away), w.disturbances.during(e.id, modeFault(e.proxy, stall, away)), true, e.id},
 		{fmt.Sprintf("metadata store restored from a copy of %s ago", away), func() { w.restoreStore(away) }, false, storeScope},
 	}
@@ -92,49 +87,6 @@
 	}
 }
 
-// crash ends an engine. It starts again under the same id with the weights that it had. If it is away for long, its
-// registration is removed meanwhile.
-func (e *engine) crash(away time.Duration) {
-	if !e.proxy.refuse() {
-		return
-	}
-	e.reset()
-	if away > expiryTime {
-		time.Sleep(expiryTime)
-		e.unregister()
-		away -= expiryTime
-	}
-	time.Sleep(away)
-	e.reset()
-	e.w.c.Check(e.proxy.listenAgain(), qt.IsNil)
-	e.register()
-}
-
-func (e *engine) unregister() {
-	e.registering.Lock()
-	defer e.registering.Unlock()
-	e.state = ""
-	e.w.remove("servers/" + e.id)
-}
-
-// remove removes a key from the metadata store.
-func (w *deployment) remove(key string) {
-	store := w.store.Store()
-	for {
-		record, err := store.Get(w.c.Context(), key)
-		if errorx.IsOfType(err, metastore.ErrNotFound) {
-			return
-		}
-		if err == nil {
-			result, err := store.CompareAndSwap(w.c.Context(), metastore.Swap{Key: key, Delete: true, Expect: record.ModRevision})
-			if err == nil && result.Swapped {
-				return
-			}
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // restoreStore lets the metadata store lose what is written in the time. The operator and the servers write again later.
 func (w *deployment) restoreStore(lost time.Duration) {
 	saved := w.store.Store().Copy()
@@ -145,12 +97,9 @@
 	w.putConfiguration(w.configVersion.Load())
 	w.putTargetWeights(w.targetWeights.Load())
 	configMutex.Unlock()
-	for _, s := range w.backendServers {
+	for _, s := range w.startedServers() {
 		w.registerAgain(s)
 	}
-	for _, e := range w.engines {
-		e.registerAgain()
-	}
 }
 
 func (w *deployment) gatewayNamed(name string) bool {
