Kill gateways after target weight versions in the soak, and give versions 8 s

With 5 s, less the 3 s until a started gateway is in touch, a gateway that had started after a newer version was set was seldom judged by the older one. Versions now have 8 s, and a fault of the kind "weights-" kills a gateway after a row of target versions.

--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -97,11 +97,9 @@
 	for range engineCount {
 		w.engines = append(w.engines, w.startEngine(firstSoftware, 1))
 	}
-	binaries, err := testbed.Binaries()
-	c.Assert(err, qt.IsNil)
 	for i := range gatewayCount {
 		w.gateways = append(w.gateways, w.newGateway(i))
-		w.startGateway(w.gateways[i], filepath.Join(binaries, "balsam-gateway"))
+		w.startGateway(w.gateways[i], w.gatewayBinary())
 	}
 	c.Cleanup(func() {
 		for _, n := range w.gateways {
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -131,7 +131,7 @@
 	case faultsOnly:
 		return 0
 	case withWeights:
-		return contactTime + 3*weightsWithin
+		return contactTime + 2*weightsWithin
 	default:
 		return limitContactTime + 2*limitWindow
 	}
@@ -308,25 +308,10 @@
 	s := servers[rng.IntN(len(servers))]
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
-	binary := func() string {
-		folder, err := testbed.Binaries()
-		w.c.Assert(err, qt.IsNil)
-		return filepath.Join(folder, "balsam-gateway")
-	}
-	restart := func(stop func(p *testbed.Process)) func() {
-		return w.disturbances.during("", func() {
-			n.mu.Lock()
-			p := n.process
-			n.mu.Unlock()
-			stop(p)
-			<-p.Ended()
-			w.restartGateway(n, p, binary())
-		})
-	}
 	proxyFault := func(p *proxy) func() { return modeFault(p, m, duration) }
 	faults := []fault{
-		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() }), true, n.name},
-		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() }), true, n.name},
+		w.killGateway(n),
+		{"stop " + n.name, w.restart(n, (*testbed.Process).Terminate), true, n.name},
 		{"pause " + n.name, w.disturbances.during("", func() {
 			n.mu.Lock()
 			p := n.process
@@ -355,6 +340,29 @@
 	return faults[rng.IntN(len(faults))]
 }
 
+func (w *deployment) killGateway(n *gatewayProcess) fault {
+	return fault{"kill " + n.name, w.restart(n, (*testbed.Process).Kill), true, n.name}
+}
+
+// restart returns a function that ends a gateway, paused or not, and starts it again.
+func (w *deployment) restart(n *gatewayProcess, stop func(*testbed.Process)) func() {
+	return w.disturbances.during("", func() {
+		n.mu.Lock()
+		p := n.process
+		n.mu.Unlock()
+		p.Thaw()
+		stop(p)
+		<-p.Ended()
+		w.restartGateway(n, p, w.gatewayBinary())
+	})
+}
+
+func (w *deployment) gatewayBinary() string {
+	folder, err := testbed.Binaries()
+	w.c.Assert(err, qt.IsNil)
+	return filepath.Join(folder, "balsam-gateway")
+}
+
 // drawEngineFault draws a fault of the engines, their weights or their cache stores.
 func (w *deployment) drawEngineFault(rng *rand.Rand) fault {
 	engines := w.currentEngines()
--- a/internal/systemtest/soak/weights_test.go
+++ b/internal/systemtest/soak/weights_test.go
@@ -14,7 +14,7 @@
 	// contactTime is how long a gateway and the metadata store must have been unimpaired until the bounds hold.
 	contactTime = 3 * time.Second
 	// weightsWithin is the gateways' setting of that name in runs withWeights.
-	weightsWithin = 5 * time.Second
+	weightsWithin = 8 * time.Second
 	// storeScope is the scope of impairments of the metadata store.
 	storeScope = "store"
 	// rewriteDelay is how long after a restore of the metadata store the operator and the servers write again.
@@ -65,6 +65,7 @@
 func (w *deployment) drawWeightsFault(rng *rand.Rand) fault {
 	engines := w.currentEngines()
 	e := engines[rng.IntN(len(engines))]
+	n := w.gateways[rng.IntN(len(w.gateways))]
 	away := minGap + time.Duration(rng.Int64N(int64(4*time.Second)))
 	gaps := make([]time.Duration, 1+rng.IntN(3))
 	for i := range gaps {
@@ -72,6 +73,10 @@
 	}
 	faults := []fault{
 		{fmt.Sprintf("target weights change, again after %v", gaps), func() { w.setTargetsInARow(gaps) }, false, ""},
+		{fmt.Sprintf("target weights change, again after %v, then %s is killed", gaps, n.name), func() {
+			w.setTargetsInARow(gaps)
+			w.inject(w.killGateway(n))
+		}, false, ""},
 		{fmt.Sprintf("engine %s crashes, back after %s", e.id, away), func() { w.crashServer(e.server, e.run.Load().software, away) }, false, ""},
 		{fmt.Sprintf("engine %s dark for %s", e.id, away), w.disturbances.during(e.id, modeFault(e.proxy, stall, away)), true, e.id},
 		{fmt.Sprintf("metadata store restored from a copy of %s ago", away), func() { w.restoreStore(away) }, false, storeScope},
