Continue no stream at a server that has started again since it registered

Before the rest of a stream is sent to an engine, the gateway reads the engine's report, which states the start of its run. A server whose address has stopped accepting connections counts as one with other software for 5 s or until it registers another run, for streams that begin and that go on. Plain services have no report: their streams go on only while the metadata store replies. Asking each engine when a stream begins would cost a call a stream; only streams that are taken up cost one.

Ruled out as the cause: a lost or contradicting origin (no stream_unknown; all mixed streams went to servers restarted in place).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -57,8 +57,10 @@
 	Address       string
 	FailureDomain string
 	Service       string
-	// SoftwareVersion is that of the server; empty if unknown.
+	// SoftwareVersion is that of the server; empty if unknown. StartedMS is the start of the server's run in Unix milliseconds; 0
+	// if unknown.
 	SoftwareVersion string
+	StartedMS       int64
 	// Version is the server's last known weight version; 0 for plain services.
 	Version int64
 	// WeightsDueIn is the time until no request may start on these weights; 0 if no newer ones are the target.
@@ -158,6 +160,8 @@
 	// busyUntil is until when the server has asked this gateway to send it no requests.
 	busyUntil time.Time
 	limit     limit
+	// runEndedUntil is until when the registration may be of an earlier run. A registration of another run ends that.
+	runEndedUntil time.Time
 	// leaving is set once the server has stated that it is about to stop. It stays set for this run of the server.
 	leaving bool
 	// slowness is the ratio of measured to predicted time to the first byte of recent requests.
@@ -248,14 +252,27 @@
 	return c
 }
 
-// SoftwareVersion returns the software version that a server has registered; empty if unknown.
-func (d *Dispatcher) SoftwareVersion(server string) string {
-	if s := d.servers[server]; s != nil {
+// SoftwareVersion returns the software version that a server has registered; empty if unknown, or if the run that registered it
+// has ended.
+func (d *Dispatcher) SoftwareVersion(now time.Time, server string) string {
+	if s := d.servers[server]; s != nil && !now.Before(s.runEndedUntil) {
 		return s.SoftwareVersion
 	}
 	return ""
 }
 
+// runEndedTTL is how long a server counts as one whose registration is of an earlier run, after its address has stopped accepting
+// connections. A server that has started again registers within that time, if the metadata store is reachable; a cut that looks
+// alike ends without a change of the registration.
+const runEndedTTL = 5 * time.Second
+
+// EndRun records that the run of a server that its registration is of seems to have ended. The next one may have other software.
+func (d *Dispatcher) EndRun(now time.Time, server string) {
+	if s := d.servers[server]; s != nil {
+		s.runEndedUntil = now.Add(runEndedTTL)
+	}
+}
+
 // SetServices replaces the services by those of a configuration. Measured times of services that stay are kept.
 func (d *Dispatcher) SetServices(services []routing.Service) {
 	kept := make(map[string]*service, len(services))
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -81,7 +81,7 @@
 	}
 	p := Placement{
 		Server: best.ID, Address: best.Address, FailureDomain: best.FailureDomain,
-		Service: best.Service, SoftwareVersion: best.SoftwareVersion,
+		Service: best.Service, SoftwareVersion: best.SoftwareVersion, StartedMS: best.StartedMS,
 		Score: score, Candidates: candidates,
 	}
 	p.EmptyQueue = best.waitingTokens+best.peerLoad.WaitingTokens == 0 && (r.Model != "" || best.running+best.peerLoad.Running < best.Slots)
@@ -214,7 +214,7 @@
 	if s.State != backend.Ready || s.leaving || now.Before(s.busyUntil) || slices.Contains(r.Tried, s.ID) {
 		return false
 	}
-	if !s.canContinue(r) {
+	if !s.canContinue(now, r) {
 		return false
 	}
 	if r.Model != "" && (s.weightVersion[r.Model] == 0 || s.weightVersion[r.Model] < r.MinVersion || d.overdue(now, s, r.Model)) {
@@ -231,8 +231,8 @@
 
 // canContinue reports whether what the server writes fits what the caller has of the stream. What servers of different software
 // versions write doesn't.
-func (s *server) canContinue(r *Request) bool {
-	return !r.Continues || r.SoftwareVersion != "" && s.SoftwareVersion == r.SoftwareVersion
+func (s *server) canContinue(now time.Time, r *Request) bool {
+	return !r.Continues || r.SoftwareVersion != "" && s.SoftwareVersion == r.SoftwareVersion && !now.Before(s.runEndedUntil)
 }
 
 // full reports whether a plain server has as many requests as its queue takes.
@@ -432,7 +432,7 @@
 		if s.State != backend.Ready || s.leaving {
 			continue
 		}
-		if !s.canContinue(r) {
+		if !s.canContinue(now, r) {
 			unfit++
 			continue
 		}
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -32,14 +32,27 @@
 // Place picks a server for a request with the parts, or returns the reason for its refusal. If only servers with a limit can
 // take the request, it asks the owner of one of their limits.
 func (f *Fleet) Place(ctx context.Context, r *dispatch.Request, parts []quarantine.Part) (dispatch.Placement, *dispatch.Refusal) {
-	for asks := 0; ; asks++ {
+	for asks := 0; ; {
 		p, refusal := f.placeOnce(r, parts)
-		if refusal == nil || refusal.GrantFrom == "" || asks == maxAsks || !f.askOwner(ctx, refusal.GrantFrom) {
+		switch {
+		case refusal == nil && r.Continues && !f.confirmRun(ctx, &p):
+			f.withdraw(p)
+			r.Tried = append(r.Tried, p.Server)
+		case refusal == nil || refusal.GrantFrom == "" || asks == maxAsks || !f.askOwner(ctx, refusal.GrantFrom):
 			return p, refusal
+		default:
+			asks++
 		}
 	}
 }
 
+// withdraw takes back a placement with which nothing was sent.
+func (f *Fleet) withdraw(p dispatch.Placement) {
+	f.loop.Post(func() {
+		f.dispatcher.RecordEnd(bootclock.Now(), &p, dispatch.Cancelled, false)
+	})
+}
+
 // placeOnce picks a server. A refusal with GrantFrom may become a placement after a grant.
 func (f *Fleet) placeOnce(r *dispatch.Request, parts []quarantine.Part) (p dispatch.Placement, refusal *dispatch.Refusal) {
 	f.loop.Call(func() {
--- a/internal/fleet/origins_test.go
+++ b/internal/fleet/origins_test.go
@@ -10,17 +10,18 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 	"balsamyoke.example/balsamyoke/internal/origin"
+	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 // startFleets runs count Fleets on one metadata store that know each other.
 func startFleets(c *qt.C, count int) []*Fleet {
-	store := memkv.New()
-	c.Cleanup(store.Close)
-	put(c, store, "op/config", "1")
+	store := memkvWithConfiguration(c)
 	fleets := make([]*Fleet, count)
 	for i := range fleets {
 		fleets[i] = startFleetOn(c, fmt.Sprint("g", i), store)
@@ -109,3 +110,52 @@
 	perGateway := 2 * perStream * streamsPerSecond / gateways
 	c.Assert(perGateway < controlBytes/2, qt.IsTrue, qt.Commentf("%d bytes a second", perGateway))
 }
+
+// restartedEngines are engines that started again at startedMS.
+type restartedEngines struct {
+	unavailablePlatform
+	startedMS int64
+}
+
+func (e restartedEngines) Report(context.Context, string) (backend.Report, error) {
+	return backend.Report{StartedMS: e.startedMS}, nil
+}
+
+// The rest of a stream isn't sent to a server that has started again since it registered: its software may be another one.
+func TestStreamIsNotContinuedAtRestartedServer(t *testing.T) {
+	c := qt.New(t)
+	f := startFleetOn(c, "a", memkvWithConfiguration(c))
+	eventually(c, "the configuration is in force", func() bool { return f.version() == 1 })
+	engine := backend.Server{
+		ID: "e", Service: "llm", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 4, StartedMS: 1000, SoftwareVersion: "v1",
+		Versions: map[string]int64{"m": 1},
+	}
+	place := func() *dispatch.Refusal {
+		_, refusal := f.Place(context.Background(), &dispatch.Request{
+			Service: "llm", Model: "m", PromptTokens: 10, TargetLatency: time.Second, TimeLeft: time.Second, Continues: true, SoftwareVersion: "v1",
+		}, nil)
+		return refusal
+	}
+	setEngine := func(startedMS int64) {
+		f.loop.Call(func() {
+			f.Platform.Engines = restartedEngines{startedMS: startedMS}
+			f.dispatcher.SetServices([]routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4, CacheTokens: 1000, TokenBytes: 1, Models: []string{"m"}}}})
+			f.dispatcher.SetServers([]backend.Server{engine})
+		})
+	}
+	setEngine(1000)
+	c.Assert(place(), qt.IsNil)
+	setEngine(2000)
+	c.Assert(place(), qt.IsNotNil)
+	engine.StartedMS = 2000
+	setEngine(2000)
+	c.Assert(place(), qt.IsNil)
+}
+
+// memkvWithConfiguration returns a metadata store with a configuration.
+func memkvWithConfiguration(c *qt.C) *memkv.Store {
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	return store
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// IsStoreReachable reports whether the store has replied to the latest call.
+func (r *Registry) IsStoreReachable() bool { return !r.unreachable }
+
 // StoreRestored records that the store has come back from a copy that may lack recent registrations.
 func (r *Registry) StoreRestored(now time.Time) { r.reachableAt = now }
 
