Don't let long values among the registrations stop catch-up

What callers saw: nothing until the metadata store refused a gateway or its link to it was cut. Such a gateway takes the changes from another one. With more than 32 MiB of values of another writer among the registrations it got none: servers that registered or left were never known there, so requests were refused, or sent to servers that had gone.

Cause: a gateway passes on the values of all changed keys in one reply, as they are. The reply has a bound of 32 MiB (grpcpool), the call one of 1 s, and a value may have 1 MiB. A call that failed was repeated from the same position, with the same reply.

Ruled out: that decoding ends the process or the follow loop.

Why this works: what is longer than 16 KiB is no registration (servers write some hundred bytes), so that DecodeServer refuses it, and the copy of the keys records it as an empty value. The change of the key is still recorded and passed on, and the receiver decides the same from the empty value.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -13,6 +13,10 @@
 	Draining
 )
 
+// MaxRegistrationBytes bounds an encoded registration. Servers write some hundred bytes; a longer value is of another
+// writer.
+const MaxRegistrationBytes = 16 << 10
+
 // Server is the registration of one backend server.
 type Server struct {
 	ID      string
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -142,6 +142,7 @@
 	}
 	f.link = link
 	documents := f.Platform.Documents
+	f.mirror.LimitValues(documents.ServerPrefix(), backend.MaxRegistrationBytes)
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) { f.follow(ctx, documents.OperatorPrefix(), f.applyOperatorChanges) },
 		func(ctx context.Context) { f.follow(ctx, documents.ServerPrefix(), f.applyServerChanges) },
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -43,6 +43,8 @@
 	asOf map[string]metastore.Position
 	// deletionsFrom is, by prefix, the revision of the era of asOf from which on all deletions are kept.
 	deletionsFrom map[string]metastore.Revision
+	// maxValueBytes bounds the values that are kept, by prefix.
+	maxValueBytes map[string]int
 	supersedes    Supersedes
 }
 
@@ -53,10 +55,21 @@
 	}
 	return &Mirror{
 		entries: make(map[string]Entry), asOf: make(map[string]metastore.Position),
-		deletionsFrom: make(map[string]metastore.Revision), supersedes: supersedes,
+		deletionsFrom: make(map[string]metastore.Revision), maxValueBytes: make(map[string]int), supersedes: supersedes,
 	}
 }
 
+// LimitValues bounds the values that are kept under prefix. A longer value is recorded as an empty one.
+func (m *Mirror) LimitValues(prefix string, maxBytes int) { m.maxValueBytes[prefix] = maxBytes }
+
+// kept returns the part of a record under prefix that is recorded.
+func (m *Mirror) kept(prefix string, record metastore.Record) metastore.Record {
+	if limit, ok := m.maxValueBytes[prefix]; ok && len(record.Value) > limit {
+		record.Value = nil
+	}
+	return record
+}
+
 // AsOf returns the position up to which all changes under prefix are recorded; the zero value before the first listing.
 func (m *Mirror) AsOf(prefix string) metastore.Position { return m.asOf[prefix] }
 
@@ -180,14 +193,14 @@
 	var changed []string
 	listed := make(map[string]bool, len(listing.Records))
 	for i := range listing.Records {
-		record := &listing.Records[i]
+		record := m.kept(prefix, listing.Records[i])
 		listed[record.Key] = true
 		known, ok := m.entries[record.Key]
-		if ok && !known.Deleted && m.supersedes(record.Key, known.Value, record) {
+		if ok && !known.Deleted && m.supersedes(record.Key, known.Value, &record) {
 			continue
 		}
 		m.entries[record.Key] = Entry{
-			Record: *record, RecordedAt: now,
+			Record: record, RecordedAt: now,
 			Resurrected: ok && known.Deleted && record.ModRevision < known.ModRevision,
 		}
 		if !ok || known.Deleted || !bytes.Equal(known.Value, record.Value) {
@@ -226,7 +239,7 @@
 // before the first listing or so long ago that the deletion is no longer kept, and the change is ignored. Across eras
 // the values decide which one is newer.
 func (m *Mirror) put(prefix string, event metastore.Event, now time.Time) bool {
-	record := &event.Record
+	record := m.kept(prefix, event.Record)
 	recorded, ok := m.entries[record.Key]
 	switch {
 	case !ok && record.Era == m.asOf[prefix].Era && record.ModRevision <= m.asOf[prefix].Revision:
@@ -236,10 +249,10 @@
 		return false
 	case record.Era < recorded.Era && (recorded.Deleted || event.Deleted || !m.supersedes(record.Key, record.Value, &recorded.Record)):
 		return false
-	case record.Era > recorded.Era && !recorded.Deleted && !event.Deleted && m.supersedes(record.Key, recorded.Value, record):
+	case record.Era > recorded.Era && !recorded.Deleted && !event.Deleted && m.supersedes(record.Key, recorded.Value, &record):
 		return false
 	}
-	m.entries[record.Key] = Entry{Record: event.Record, Deleted: event.Deleted, RecordedAt: now}
+	m.entries[record.Key] = Entry{Record: record, Deleted: event.Deleted, RecordedAt: now}
 	return true
 }
 
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -253,3 +253,28 @@
 	e, _ = m.Get("op/a")
 	c.Assert(e.Resurrected, qt.IsFalse)
 }
+
+// A value that is too long to be kept, and passed on, is still a change of its key.
+func TestLongValuesAreRecordedAsEmpty(t *testing.T) {
+	c := qt.New(t)
+	m := New(nil)
+	m.LimitValues("p/", 3)
+	long := metastore.Record{Key: "p/a", Value: []byte("long"), ModRevision: 2, Era: 1}
+	short := metastore.Record{Key: "p/b", Value: []byte("abc"), ModRevision: 3, Era: 1}
+	m.Replace("p/", metastore.Listing{Records: []metastore.Record{long, short}, Position: metastore.Position{Era: 1, Revision: 3}}, time.Unix(1, 0))
+	values := func() (values []string) {
+		for _, e := range m.Under("p/") {
+			values = append(values, string(e.Value))
+		}
+		return values
+	}
+	c.Assert(values(), qt.DeepEquals, []string{"", "abc"})
+	short.Value, short.ModRevision = long.Value, 4
+	changed := m.Apply("p/", metastore.Changes{Events: []metastore.Event{{Record: short}}, Position: metastore.Position{Era: 1, Revision: 4}}, time.Unix(2, 0))
+	c.Assert(changed, qt.DeepEquals, []string{"p/b"})
+	c.Assert(values(), qt.DeepEquals, []string{"", ""})
+	long.Era = 2
+	m.Replace("p/", metastore.Listing{Records: []metastore.Record{long}, Position: metastore.Position{Era: 2, Revision: 2}}, time.Unix(3, 0))
+	c.Assert(values(), qt.DeepEquals, []string{""})
+	c.Assert(m.Since("p/", metastore.Position{}).Events[0].Record.Value, qt.HasLen, 0)
+}
