Drop servers at once when their registrations turn odd together

What callers saw: for up to 2.2 s requests went on to servers whose registrations another writer had overwritten, if these were three or more and 40% of all, or if the store had just been unreachable.

Cause: a registration that can't be read was removed from the registry in the way of one that is gone from the store. The registry takes many removals at once, or one after an outage, as an expiry that the outage caused, and keeps the servers in use until they may have registered again. But here the store has answered, with a value that names no server.

Ruled out: a single odd registration in quiet times; its server left the set at once (TestOddRegistrationsLeaveTheOthersInUse on the code before).

Evidence before: go test -run DroppedAtOnce ./platform TestServersWithOddRegistrationsAreDroppedAtOnce: got i-0 to i-3 and "later", want "later" only, after the gateway had read all changes. After: passes, with -race, as does TestDroppedServersDoNotCountAsExpired in internal/registry.

Why this works: Registry.Drop leaves no trace of the registration, so that nothing is expected to return; the next sound value puts the server back.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -205,7 +205,7 @@
 		document, err := f.Platform.Documents.Read(key, entry.Value)
 		if err != nil || document.Server == nil {
 			f.reportUnreadable(key, entry, err)
-			f.registry.Remove(id, now)
+			f.registry.Drop(id)
 			continue
 		}
 		if entry.Resurrected {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -99,6 +99,14 @@
 	}
 }
 
+// Drop removes a registration whose value names no server any more. Unlike one that was removed, it is in the store, so
+// that no outage explains it.
+func (r *Registry) Drop(id string) {
+	delete(r.servers, id)
+	delete(r.expired, id)
+	delete(r.resurrected, id)
+}
+
 // Servers returns the servers to use, in the order of their ids. It includes servers whose registration expired
 // because of an outage and may still return.
 func (r *Registry) Servers(now time.Time) []backend.Server {
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -125,3 +125,19 @@
 	r.StoreReachable(start.Add(1600 * time.Millisecond))
 	c.Assert(r.Servers(start.Add(1700*time.Millisecond)), qt.HasLen, 5)
 }
+
+// Servers whose registrations name them no longer aren't kept in use as those that an outage made expire are.
+func TestDroppedServersDoNotCountAsExpired(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(4)
+	r.StoreUnreachable()
+	r.Remove("s0", start)
+	c.Assert(r.Servers(start), qt.HasLen, 4, qt.Commentf("it expired in an outage"))
+	r.StoreReachable(start)
+	for _, id := range []string{"s0", "s1", "s2"} {
+		r.Drop(id)
+	}
+	c.Assert(r.Servers(start), qt.HasLen, 1)
+	r.Put(backend.Server{ID: "s1"})
+	c.Assert(r.Servers(start), qt.HasLen, 2)
+}
