Send heartbeats past an address that can't be used

What callers saw (by the code; the test is of the link alone): with one odd announcement among those of the gateways, or one gateway that this host has no route to, the gateways whose names come later get no heartbeats. They count this one as silent: its load, leaving servers and crashes are unknown there, limits aren't granted, and a leader in that place looks gone.

Cause: Link.Send returned at the first address to which it couldn't send, and the order of the addresses is the same each time. It also resolved host names, so that such an address would have held up all heartbeats.

Ruled out: that odd announcements are refused on their way here; only an empty instance or address is.

Evidence before: go test -run Unusable ./internal/peers TestUnusableAddressDoesNotStopHeartbeats: "no beat was received after that to" "", "nowhere", "10.0.0.1:99999", "10.0.0.1:-1", "[::1]:80" and "127.0.0.1:0".

Why this works: each address is tried; the last error is returned and logged as before. Addresses are ip:port, as the settings demand, and parsed so.

--- a/internal/peers/link.go
+++ b/internal/peers/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 
 	"github.com/joomcode/errorx"
 	"github.com/panjf2000/gnet/v2"
@@ -71,20 +72,29 @@
 	return gnet.None
 }
 
-// Send sends one heartbeat to each address. A lost datagram is not resent, because the next heartbeat replaces it.
+// Send sends one heartbeat to each address and returns an error if that fails for some of them. A lost datagram is not
+// resent, because the next heartbeat replaces it.
 func (l *Link) Send(beat *wire.Beat, addresses []string) error {
 	datagram, err := proto.Marshal(beat)
 	if err != nil {
 		return ErrLink.Wrap(err, "cannot encode the beat")
 	}
+	var failed error
 	for _, address := range addresses {
-		to, err := net.ResolveUDPAddr("udp4", address)
-		if err != nil {
-			return ErrLink.Wrap(err, "address %q", address)
-		}
-		if _, err := l.out.WriteToUDP(datagram, to); err != nil {
-			return ErrLink.Wrap(err, "send to %q", address)
+		if err := l.sendTo(address, datagram); err != nil {
+			failed = err
 		}
 	}
+	return failed
+}
+
+func (l *Link) sendTo(address string, datagram []byte) error {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return ErrLink.Wrap(err, "address %q", address)
+	}
+	if _, err := l.out.WriteToUDPAddrPort(datagram, to); err != nil {
+		return ErrLink.Wrap(err, "send to %q", address)
+	}
 	return nil
 }
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -242,3 +242,22 @@
 	views["a"].HandleBeat(&wire.Beat{From: &wire.Peer{Instance: "b", BeatAddress: "b"}, Incarnation: 1, Sequence: 10, Leaving: true}, later)
 	c.Assert(views["a"].ReachableShare(later), qt.Equals, 1.0/4)
 }
+
+// One announcement with an address to which nothing can be sent kept all heartbeats from the gateways after it.
+func TestUnusableAddressDoesNotStopHeartbeats(t *testing.T) {
+	c := qt.New(t)
+	address, err := loopback.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	received := make(chan *wire.Beat, 1)
+	link, err := Listen(address, func(b *wire.Beat) { received <- b })
+	c.Assert(err, qt.IsNil)
+	for _, unusable := range []string{"", "nowhere", "10.0.0.1:99999", "10.0.0.1:-1", "[::1]:80", "127.0.0.1:0"} {
+		c.Check(link.Send(beat("x", 1, 9), []string{unusable, address}), qt.IsNotNil, qt.Commentf("%q", unusable))
+		select {
+		case <-received:
+		case <-time.After(2 * time.Second):
+			c.Errorf("no beat was received after that to %q", unusable)
+		}
+	}
+	c.Assert(link.Close(), qt.IsNil)
+}
