Log an unreadable document once until it can be read again

What callers saw: nothing. Operators saw a line of the log for each write of an odd entry, as long as its texts: an entry that is written with each heartbeat, or some hundred entries, fill the 1 MiB buffer of the log, so that other lines are lost.

Cause: each change of a document was logged with the whole error, which quotes the value.

Evidence before: go test -run LoggedOnce ./platform TestOddRegistrationIsLoggedOnce: 5 lines after 5 writes of one entry, want 1 for these and 1 after it had been sound in between. After: passes, twice of 2 with -race.

Why this works: the key stays noted until its document can be read or it is gone, and the text is cut at 300 characters. The counter unreadable_documents still counts each.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,6 +87,8 @@
 	eraSince   time.Time
 	lastExpiry time.Time
 	states     map[string]backend.State
+	// unreadable are the keys whose documents can't be read and have been logged.
+	unreadable map[string]bool
 	background sync.WaitGroup
 }
 
@@ -107,6 +109,7 @@
 		ownerConnections: grpcpool.New(maxOwnerConnections),
 		feeds:            make(map[string]context.CancelFunc),
 		states:           make(map[string]backend.State),
+		unreadable:       make(map[string]bool),
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -138,6 +139,7 @@
 	for _, key := range keys {
 		entry, exists := f.mirror.Get(key)
 		if !exists {
+			delete(f.unreadable, key)
 			continue
 		}
 		document, err := f.Platform.Documents.Read(key, entry.Value)
@@ -145,6 +147,7 @@
 			f.reportUnreadable(key, entry, err)
 			continue
 		}
+		delete(f.unreadable, key)
 		if c := document.Configuration; c != nil {
 			f.applyConfiguration(*c, entry, now)
 		}
@@ -156,9 +159,18 @@
 	}
 }
 
+// maxLoggedError bounds the text of an error that quotes what another writer wrote, in characters.
+const maxLoggedError = 300
+
+// reportUnreadable counts a document that can't be read. It logs the first one under a key until one can be read again.
 func (f *Fleet) reportUnreadable(key string, entry mirror.Entry, err error) {
 	f.Counters.UnreadableDocuments.Inc(1)
-	f.Log.Warn(EventUnreadable, zap.String("key", key), zap.Int64("revision", int64(entry.ModRevision)), eventlog.Error(err))
+	if f.unreadable[key] {
+		return
+	}
+	f.unreadable[key] = true
+	f.Log.Warn(EventUnreadable, zap.String("key", key), zap.Int64("revision", int64(entry.ModRevision)),
+		zap.String("error", fmt.Sprintf("%.*s", maxLoggedError, fmt.Sprint(err))))
 }
 
 // applyConfiguration puts a configuration in force unless a later version is. The mirror drops earlier revisions
@@ -199,6 +211,7 @@
 		id := f.Platform.Documents.ServerID(key)
 		entry, exists := f.mirror.Get(key)
 		if !exists {
+			delete(f.unreadable, key)
 			f.registry.Remove(id, now)
 			continue
 		}
@@ -208,6 +221,7 @@
 			f.registry.Drop(id)
 			continue
 		}
+		delete(f.unreadable, key)
 		if entry.Resurrected {
 			f.registry.PutResurrected(*document.Server, now)
 			continue
