Bound the nesting of a manifest

What operators saw: balsamctl ended with "fatal error: stack overflow" for a manifest of a million nested lists, and took 2.6 s to refuse one of 10,000.

Cause: the parser of JSON with comments calls itself for each level, without a bound, and so do the checks of duplicates and numbers. Only balsamctl parses texts of manifests; gateways, entries and agents decode documents with encoding/json, which stops at 10,000 levels.

Why this works: the levels are counted, outside of strings and comments, before anything that calls itself sees the text.

--- a/internal/manifest/parse.go
+++ b/internal/manifest/parse.go
@@ -42,6 +42,9 @@
 // and then checks the semantics. It returns ErrInvalid with all faults of the first failed check, each with
 // file, line and field.
 func Parse(file string, data []byte) (*Manifest, error) {
+	if problems := nestingProblem(file, data); len(problems) > 0 {
+		return nil, newInvalid(problems)
+	}
 	root, err := hujson.Parse(data)
 	if err != nil {
 		return nil, newInvalid([]Problem{syntaxProblem(file, data, err)})
