--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,7 +19,9 @@
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/mirror"
+	"balsamyoke.example/balsamyoke/internal/origin"
 	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/quota"
@@ -73,6 +75,7 @@
 	members    *peers.Members
 	quarantine *quarantine.Tracker
 	limits     *quota.Owner
+	origins    *origin.Table
 	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
 	crashReportedAt time.Time
 	feeds           map[string]context.CancelFunc
@@ -86,7 +89,9 @@
 	// eraSince is when the latest era was first seen.
 	eraSince   time.Time
 	lastExpiry time.Time
-	states     map[string]backend.State
+	// unloadedTargets are the stored target versions that were read before the servers' clock was known, by key.
+	unloadedTargets map[string]metastore.Record
+	states          map[string]backend.State
 	// unreadable are the keys whose documents can't be read and have been logged.
 	unreadable map[string]bool
 	background sync.WaitGroup
@@ -105,11 +110,13 @@
 		members:    peers.NewMembers(o.Self),
 		quarantine: quarantine.New(),
 		limits:     quota.NewOwner(),
+		origins:    origin.NewTable(),
 
 		ownerConnections: grpcpool.New(maxOwnerConnections),
 		feeds:            make(map[string]context.CancelFunc),
 		states:           make(map[string]backend.State),
 		unreadable:       make(map[string]bool),
+		unloadedTargets:  make(map[string]metastore.Record),
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
@@ -298,12 +305,14 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	f.loadRemainingTargets(now)
 	f.evaluateQuarantine(now)
 	f.recheckLimits(now)
 	f.Counters.ContactAgeMS.Update(float64(f.ContactAge().Milliseconds()))
 	f.Counters.LogLinesLost.Update(float64(f.Log.Lost()))
 	f.Counters.Peers.Update(float64(len(f.members.Live(now))))
 	f.Counters.Era.Update(float64(f.era.Load()))
+	f.Counters.OriginsKept.Update(float64(f.origins.Len()))
 	f.Counters.ServersLimited.Update(float64(f.dispatcher.LimitedCount()))
 	f.Counters.ServersLeaving.Update(float64(len(f.dispatcher.Leaving())))
 	f.assignRole(now)
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -125,6 +125,7 @@
 	}
 	f.addQuarantine(beat, now)
 	f.addLimits(beat, now)
+	f.addTargetVersions(beat, now)
 	if f.lead.fence > 0 {
 		beat.Versions = f.reportedVersions(now)
 	}
@@ -150,10 +151,10 @@
 // registration.
 func (f *Fleet) reportedVersions(now time.Time) []*wire.ServerVersion {
 	var list []*wire.ServerVersion
-	for _, target := range f.dispatcher.TargetWeightVersions() {
-		for _, e := range f.dispatcher.Engines(target.Model, now) {
-			if e.Version > e.Versions[target.Model] {
-				list = append(list, &wire.ServerVersion{Server: e.ID, Model: target.Model, Version: e.Version})
+	for _, model := range f.dispatcher.Targets().Models() {
+		for _, e := range f.dispatcher.Engines(model, now) {
+			if e.Version > e.Versions[model] {
+				list = append(list, &wire.ServerVersion{Server: e.ID, Model: model, Version: e.Version})
 			}
 		}
 	}
@@ -166,6 +167,10 @@
 }
 
 func (f *Fleet) handleBeat(beat *wire.Beat, now time.Time) {
+	if origins := beat.GetStreamOrigins(); len(origins) > 0 {
+		f.mergeOrigins(origins, now)
+		return
+	}
 	if beat.GetFrom().GetInstance() == f.Self.GetInstance() {
 		return
 	}
@@ -206,6 +211,7 @@
 	}
 	f.mergeQuarantine(beat, now)
 	f.mergeLimits(beat, now)
+	f.mergeTargetVersions(beat, now)
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(v.GetServer(), v.GetModel(), v.GetVersion())
 	}
@@ -415,7 +421,7 @@
 		now := bootclock.Now()
 		for _, record := range listing.Records {
 			if strings.HasPrefix(record.Key, targetPrefix) {
-				f.loadTarget(record, now)
+				f.loadTargets(record, now)
 			}
 			if !strings.HasPrefix(record.Key, peerPrefix) {
 				continue
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,8 @@
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/eventstream"
+	"balsamyoke.example/balsamyoke/internal/origin"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
@@ -50,10 +52,18 @@
 	sentAt    time.Time
 	// parts are what the request may have in common with others; nil until identify.
 	parts []quarantine.Part
-	// lastEventID is the id of the last event that the caller has received, in this or an earlier request.
-	lastEventID string
-	// headerSent is set when the header of a streamed response is written to the caller.
-	headerSent bool
+	// events are those that the caller has received, in this or an earlier request.
+	events eventstream.Sequence
+	// stream is the id of the request that brought the stream's first event, and origin where it began. They are valid when
+	// the caller has an event.
+	stream string
+	origin origin.Origin
+	// originShared is set when the gateways that keep the origin have it from this request.
+	originShared bool
+	// headerSent is set when the header of a response is written to the caller before its whole body has been read,
+	// streamBegun when that is the header of a stream of events.
+	headerSent  bool
+	streamBegun bool
 }
 
 // serve responds to one request and reports whether the connection stays open.
@@ -64,9 +74,13 @@
 		denial.closeAfter = in.closeAfter
 		return c.writeResponse(denial) == nil && !in.closeAfter
 	}
-	g.fleet.CountRequest(r.service)
 	ctx, cancel := context.WithDeadlineCause(ctx, r.deadline, context.DeadlineExceeded)
 	defer cancel()
+	if refusal := g.resumeStream(ctx, r); refusal != nil {
+		refusal.closeAfter = in.closeAfter
+		return c.writeResponse(refusal) == nil && !in.closeAfter
+	}
+	g.fleet.CountRequest(r.service)
 	complete := g.runAttempts(ctx, c, r)
 	return complete && !in.closeAfter
 }
@@ -113,7 +127,9 @@
 	} else {
 		r.priority = noPriority
 	}
-	r.lastEventID = string(in.header.Peek("Last-Event-Id"))
+	if route.Resumable {
+		r.events = eventstream.NewSequence(string(in.header.Peek("Last-Event-Id")))
+	}
 	return r, nil
 }
 
@@ -216,7 +232,7 @@
 	if r.runs == 0 {
 		return r.sends < maxSends
 	}
-	if r.headerSent && r.route.Kind != routing.Streaming {
+	if r.headerSent && !(r.streamBegun && r.events.Resumable()) {
 		return false
 	}
 	if !r.route.Retryable() || r.runs >= r.route.MaxAttempts || r.sends >= maxSends {
@@ -272,6 +288,9 @@
 		g.counters.cancelled.Inc(1)
 		g.recordDecision(info, EventCancelled, r.call.ID, zap.String("server", r.placement.Server),
 			zap.Duration("after", time.Since(r.receivedAt)), zap.Bool("begun", r.headerSent))
+		if r.headerSent {
+			g.showIncomplete(c, r)
+		}
 		return false
 	}
 	if r.headerSent {
@@ -289,13 +308,18 @@
 // breakOff ends a response whose start the caller has. The close of its connection shows that the response is incomplete.
 func (g *Gateway) breakOff(c *callerConn, r *request, res *exchangeResult) (keepOpen bool) {
 	g.recordBrokenOff(r, res)
+	g.showIncomplete(c, r)
+	return false
+}
+
+// showIncomplete makes the close of the connection show that the response, whose start the caller has, is incomplete.
+func (g *Gateway) showIncomplete(c *callerConn, r *request) {
 	if r.takesChunks {
-		return false
+		return
 	}
 	if err := c.resetOnClose(); err != nil {
 		g.log.Warn(EventResetFailed, zap.String("request", r.call.ID), eventlog.Error(err))
 	}
-	return false
 }
 
 func (g *Gateway) recordServed(r *request, res *exchangeResult) {
@@ -316,7 +340,7 @@
 func (g *Gateway) recordBrokenOff(r *request, res *exchangeResult) {
 	g.counters.brokenOff.Inc(1)
 	g.recordDecision(warn, EventBrokenOff, r.call.ID, append(g.placementFields(r),
-		zap.String("last_event", r.lastEventID), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
+		zap.String("last_event", r.events.LastEventID()), zap.Int("sends", r.sends), zap.Int("runs", r.runs), zap.Duration("took", time.Since(r.receivedAt)),
 		res.framingField(), zap.Int("partial_event", res.partialEvent), r.partsField(), eventlog.Error(res.err))...)
 }
 
@@ -328,7 +352,7 @@
 		zap.Int64("configuration", g.configVersion()),
 	}
 	if p := r.placement.Plan; p != nil {
-		fields = append(fields, zap.Int64("weights", r.placement.Version),
+		fields = append(fields, zap.Int64("weights", r.placement.Version), zap.Duration("weights_due_in", r.placement.WeightsDueIn),
 			zap.Int("fetched", p.FetchTokens), zap.Int("read", p.PrefillTokens),
 			zap.Strings("from", nonEmpty(p.Fetch)), zap.Strings("to", nonEmpty(p.Save)))
 	}
@@ -353,7 +377,7 @@
 		Version: r.placement.Version, Salt: r.placement.Salt, Plan: r.placement.Plan,
 	}
 	if r.route.Resumable {
-		d.LastEventID = r.lastEventID
+		d.LastEventID = r.events.LastEventID()
 	}
 	if r.placement.Plan != nil {
 		until, known := g.fleet.ServerClock(r.placement.Plan.Until)
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -39,8 +40,12 @@
 	convergenceTimeout = 15 * time.Second
 	// faultsPerEngineFault is the average number of other faults for each engine fault.
 	faultsPerEngineFault = 2
+	// clockFormat is the format of times in the output, as in the gateways' logs.
+	clockFormat = "15:04:05.000"
 	// ownSequence selects the random sequence of what a kind of run plays beside the faults.
 	ownSequence = 3
+	// releaseSequence selects the random sequence of the releases of software.
+	releaseSequence = 1000
 )
 
 // regressionSeeds are all seeds that have failed before, with the cause. Every run of the test includes them.
@@ -74,18 +79,24 @@
 			runSeed(qt.New(t), seed, faultsOnly)
 		})
 	}
-	for i := range *seedsFlag {
-		for name, k := range map[string]kind{"limits-": withLimits, "crashes-": withCrashes} {
-			t.Run(fmt.Sprint(name, first+uint64(i)), func(t *testing.T) {
+	for k, name := range kindNames {
+		seeds := slices.Clone(kindSeeds[k])
+		for i := range *seedsFlag {
+			if seed := first + uint64(i); !slices.Contains(seeds, seed) {
+				seeds = append(seeds, seed)
+			}
+		}
+		for _, seed := range seeds {
+			t.Run(fmt.Sprint(name, seed), func(t *testing.T) {
 				t.Parallel()
-				runSeed(qt.New(t), first+uint64(i), k)
+				runSeed(qt.New(t), seed, k)
 			})
 		}
 	}
 }
 
 // kind selects what a run plays beside the faults. Except for faultsOnly, the faults last twice as long, and in their second half
-// no gateway ends or stands still and no link to a server is disturbed: the guarantees then hold without exception.
+// only those faults are played that excuse nothing: the guarantees then hold without exception.
 type kind int
 
 const (
@@ -94,18 +105,57 @@
 	withLimits
 	// withCrashes lets one request crash the servers that run it, in the second half.
 	withCrashes
+	// withWeights sets several target weight versions shortly after each other while engines are away.
+	withWeights
+	// withReleases replaces the software of servers, and lets callers take broken streams up.
+	withReleases
 )
 
+// kindNames are the first parts of the tests' names.
+var kindNames = map[kind]string{withLimits: "limits-", withCrashes: "crashes-", withWeights: "weights-", withReleases: "releases-"}
+
+// kindSeeds are the seeds that every run of the test includes.
+var kindSeeds = map[kind][]uint64{withWeights: {3, 5, 6}, withReleases: {2, 4}}
+
+// allows reports whether a fault may be played in the second half of a run.
+func (k kind) allows(w *deployment, f fault) bool {
+	if k == withWeights || k == withReleases {
+		return f.impairs == "" || w.gatewayNamed(f.impairs)
+	}
+	return !f.excuses
+}
+
+// secondHalf returns how long the second half of a run lasts at least.
+func (k kind) secondHalf() time.Duration {
+	switch k {
+	case faultsOnly:
+		return 0
+	case withWeights:
+		return contactTime + 2*weightsWithin
+	default:
+		return limitContactTime + 2*limitWindow
+	}
+}
+
+// pause returns the time until the next fault.
+func (k kind) pause(rng *rand.Rand, calm bool) time.Duration {
+	longest := 700 * time.Millisecond
+	if calm && (k == withWeights || k == withReleases) {
+		longest = 2500 * time.Millisecond
+	}
+	return time.Duration(rng.Int64N(int64(longest)))
+}
+
 // runSeed plays the faults of a seed.
 func runSeed(c *qt.C, seed uint64, k kind) {
-	w := newDeployment(c)
+	w := newDeployment(c, k)
 	c.Cleanup(func() { w.keepLogs(seed) })
 	rng := rand.New(rand.NewPCG(seed, seed))
 	// Engine faults are drawn from their own random sequence, so that they do not change the other faults of a seed.
 	engineRNG := rand.New(rand.NewPCG(seed, faultsPerEngineFault))
 	w.awaitConfiguration()
 	var calling, injecting sync.WaitGroup
-	stop := make(chan struct{})
+	stop, stopReleases := make(chan struct{}), make(chan struct{})
 	// Callers end before this function returns, also after a failed check.
 	defer calling.Wait()
 	end := sync.OnceFunc(func() { close(stop) })
@@ -113,19 +163,27 @@
 	for i := range callerCount {
 		calling.Go(func() { (&caller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(i))), number: i}).run(stop) })
 	}
+	if k == withReleases {
+		for i := range streamCallerCount {
+			calling.Go(func() {
+				(&streamCaller{w: w, rng: rand.New(rand.NewPCG(seed, uint64(callerCount+i))), number: i}).run(stop)
+			})
+		}
+		injecting.Go(func() { w.releaseSoftware(rand.New(rand.NewPCG(seed, releaseSequence)), stopReleases) })
+	}
 	injectFault := func(f fault) {
-		c.Logf("%s", f.name)
+		c.Logf("%s %s", time.Now().Format(clockFormat), f.name)
 		injecting.Go(func() {
 			w.activeFaults.Add(1)
 			w.startedFaults.Add(1)
-			f.inject()
+			w.inject(f)
 			w.activeFaults.Add(-1)
 		})
 	}
 	half := time.Duration(*lengthMS) * time.Millisecond
 	until, calmFrom := time.Now().Add(half), time.Now().Add(half)
 	if k != faultsOnly {
-		until = until.Add(max(half, limitContactTime+2*limitWindow))
+		until = until.Add(max(half, k.secondHalf()))
 	}
 	ownRNG := rand.New(rand.NewPCG(seed, ownSequence))
 	if k == withLimits {
@@ -140,13 +198,18 @@
 		if engineRNG.IntN(faultsPerEngineFault) == 0 {
 			faults = append(faults, w.drawEngineFault(engineRNG))
 		}
+		if own := w.drawOwnFault(k, ownRNG); own != nil {
+			faults = append(faults, *own)
+		}
+		calm := time.Now().After(calmFrom)
 		for _, f := range faults {
-			if !f.excuses || time.Now().Before(calmFrom) {
+			if !calm || k.allows(w, f) {
 				injectFault(f)
 			}
 		}
-		time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+		time.Sleep(k.pause(rng, calm))
 	}
+	close(stopReleases)
 	injecting.Wait()
 	w.endLimits()
 	w.awaitConfiguration()
@@ -156,6 +219,8 @@
 	c.Logf("%d parts fetched", w.fetchedParts.Load())
 	w.checkLimits()
 	w.checkCrashes()
+	w.checkWeightDeadlines()
+	w.checkStreams()
 	w.runCounts.Range(func(id, count any) bool {
 		if status, refused := w.refusedStatus.Load(id); refused && strings.HasSuffix(id.(string), "-once") {
 			c.Errorf("request %s was refused with status %d but has run", id, status)
@@ -214,32 +279,39 @@
 	// excuses is set for faults after which requests to servers may come late or from a gateway that doesn't know their
 	// limits.
 	excuses bool
+	// impairs is the gateway or server that the fault impairs, or storeScope; empty if none.
+	impairs string
+}
+
+// drawOwnFault draws a fault of a kind of run, or nil.
+func (w *deployment) drawOwnFault(k kind, rng *rand.Rand) *fault {
+	draw := map[kind]func(*rand.Rand) fault{withWeights: w.drawWeightsFault, withReleases: w.drawReleaseFault}[k]
+	if draw == nil || rng.IntN(faultsPerEngineFault) != 0 {
+		return nil
+	}
+	f := draw(rng)
+	return &f
+}
+
+// inject injects a fault and records what it impairs.
+func (w *deployment) inject(f fault) {
+	inject := f.inject
+	if f.impairs != "" {
+		inject = w.impairments.during(f.impairs, inject)
+	}
+	inject()
 }
 
 func (w *deployment) drawFault(rng *rand.Rand) fault {
 	n := w.gateways[rng.IntN(len(w.gateways))]
-	s := w.backendServers[rng.IntN(len(w.backendServers))]
+	servers := w.currentServers()
+	s := servers[rng.IntN(len(servers))]
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
-	binary := func() string {
-		folder, err := testbed.Binaries()
-		w.c.Assert(err, qt.IsNil)
-		return filepath.Join(folder, "balsam-gateway")
-	}
-	restart := func(stop func(p *testbed.Process)) func() {
-		return w.disturbances.during("", func() {
-			n.mu.Lock()
-			p := n.process
-			n.mu.Unlock()
-			stop(p)
-			<-p.Ended()
-			w.restartGateway(n, p, binary())
-		})
-	}
 	proxyFault := func(p *proxy) func() { return modeFault(p, m, duration) }
 	faults := []fault{
-		{"kill " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Kill() }), true},
-		{"stop " + n.name, restart(func(p *testbed.Process) { p.Thaw(); p.Terminate() }), true},
+		w.killGateway(n),
+		{"stop " + n.name, w.restart(n, (*testbed.Process).Terminate), true, n.name},
 		{"pause " + n.name, w.disturbances.during("", func() {
 			n.mu.Lock()
 			p := n.process
@@ -247,39 +319,63 @@
 			p.Freeze()
 			time.Sleep(duration)
 			p.Thaw()
-		}), true},
+		}), true, n.name},
 		{"hangup " + n.name, func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			_ = syscall.Kill(n.process.PID(), syscall.SIGHUP)
-		}, false},
-		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false},
-		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true},
+		}, false, ""},
+		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false, n.name},
+		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true, s.id},
 		{"metadata store down", func() {
 			_ = w.store.SetFaults(memkv.Faults{Down: true})
 			time.Sleep(duration)
 			_ = w.store.SetFaults(memkv.Faults{})
-		}, false},
-		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false},
-		{"metadata store compacted", func() { w.store.Store().Compact() }, false},
-		{"configuration change", func() { w.changeConfiguration() }, false},
-		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false},
+		}, false, storeScope},
+		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false, storeScope},
+		{"metadata store compacted", func() { w.store.Store().Compact() }, false, ""},
+		{"configuration change", func() { w.changeConfiguration() }, false, ""},
+		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false, ""},
 	}
 	return faults[rng.IntN(len(faults))]
 }
 
+func (w *deployment) killGateway(n *gatewayProcess) fault {
+	return fault{"kill " + n.name, w.restart(n, (*testbed.Process).Kill), true, n.name}
+}
+
+// restart returns a function that ends a gateway, paused or not, and starts it again.
+func (w *deployment) restart(n *gatewayProcess, stop func(*testbed.Process)) func() {
+	return w.disturbances.during("", func() {
+		n.mu.Lock()
+		p := n.process
+		n.mu.Unlock()
+		p.Thaw()
+		stop(p)
+		<-p.Ended()
+		w.restartGateway(n, p, w.gatewayBinary())
+	})
+}
+
+func (w *deployment) gatewayBinary() string {
+	folder, err := testbed.Binaries()
+	w.c.Assert(err, qt.IsNil)
+	return filepath.Join(folder, "balsam-gateway")
+}
+
 // drawEngineFault draws a fault of the engines, their weights or their cache stores.
 func (w *deployment) drawEngineFault(rng *rand.Rand) fault {
-	e := w.engines[rng.IntN(len(w.engines))]
+	engines := w.currentEngines()
+	e := engines[rng.IntN(len(engines))]
 	cache := rng.IntN(len(w.cacheStores))
 	m := mode(1 + rng.IntN(int(modeCount)-1))
 	duration := time.Duration(100+rng.IntN(2000)) * time.Millisecond
 	faults := []fault{
-		{"target weights change", w.setTargetWeights, false},
-		{fmt.Sprintf("cache store %d restarts", cache), w.cacheStores[cache].restart, false},
-		{fmt.Sprintf("cache store %d mode %d", cache, m), modeFault(w.cacheStores[cache].proxy, m, duration), false},
-		{fmt.Sprintf("engine %s mode %d", e.id, m), w.disturbances.during(e.id, modeFault(e.proxy, m, duration)), true},
-		{"engine " + e.id + " restarts", e.restart, false},
+		{"target weights change", w.setTargetWeights, false, ""},
+		{fmt.Sprintf("cache store %d restarts", cache), w.cacheStores[cache].restart, false, ""},
+		{fmt.Sprintf("cache store %d mode %d", cache, m), modeFault(w.cacheStores[cache].proxy, m, duration), false, ""},
+		{fmt.Sprintf("engine %s mode %d", e.id, m), w.disturbances.during(e.id, modeFault(e.proxy, m, duration)), true, e.id},
+		{"engine " + e.id + " restarts", e.restart, false, ""},
 	}
 	return faults[rng.IntN(len(faults))]
 }
@@ -362,6 +458,7 @@
 	extraHeaders := ""
 	if kind == "ask" {
 		extraHeaders = promptHeaders(k.rng, id)
+		w.sentTo.Store(id, k.gateway.name)
 	}
 	_ = k.conn.SetDeadline(time.Now().Add(8 * time.Second))
 	body := "prompt of " + id
@@ -396,12 +493,11 @@
 	w := k.w
 	switch status := response.StatusCode; {
 	case status == http.StatusOK && (kind == "stream" || kind == "once" || kind == "ask"):
-		var want strings.Builder
-		for i := 1; i <= streamEvents; i++ {
-			fmt.Fprintf(&want, "id: %d\ndata: %s\n\n", i, id)
+		if problem := checkStream(text, id, streamEvents, kind == "stream"); problem != "" {
+			w.c.Errorf("stream %s is complete but %s: %q", id, problem, text)
 		}
-		if text != want.String() {
-			w.c.Errorf("stream %s is complete but has content %q", id, text)
+		if e, mixed := mixedSoftware(text); mixed {
+			w.streams.reportMixed(w, fmt.Sprintf("stream %s of gateway %s goes on with event %d at other software, %s", id, k.gateway.name, e.number, e.software))
 		}
 	case status == http.StatusOK:
 		if text != "answer to "+id {
