Attribute a refusal without an id to a request only on a new connection

What callers saw: on a kept connection a server sent an earlier refusal once more, without a request id. The next request on that connection ran, but its caller was told 503 (not run, try again), or the gateway sent it to a second server, where it ran again.

Cause: readHeader took any response without an id that states "not run" for the response to the request just sent, on any connection. The platform's servers echo the id in each response, so that a response without one says nothing about a request when the connection has carried another one before.

Fix: such a refusal counts only as the first response on its connection. Later it is skipped, as a response with another id is, and the request's own response is awaited. A connection with a refusal without an id isn't kept, so a server that never echoes ids in refusals is still believed: on each new connection.

Ruled out (the tests pass without the fix): repeated refusals with the id of the earlier request, directly behind the first copy, while the connection is unused, and at the next request; the same as interim response; with a cut or overlong body, which makes the response behind it unreadable and gives 502.

Evidence: go test -run Refusal ./internal/gateway. Before: all six kinds of repeated refusal without an id failed at the next request, in all three tests: "status 503", 2 runs instead of 1, 503 instead of 502 for a response that was lost. After: passes, also with -race.

--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -59,6 +59,8 @@
 	idleLimit time.Duration
 	// head is set when the latest request is a HEAD request, whose response has no body.
 	head bool
+	// responded is set when a response has been read from the connection.
+	responded bool
 	// noReuse is set when the connection can't carry another request: after an error, after a response to another
 	// request, or when the server closes it.
 	noReuse bool
@@ -217,7 +219,7 @@
 }
 
 // readHeader reads the header of the response to the request with the given id. It skips up to
-// maxStaleResponses responses to earlier requests, which a server may send late. The error is ErrBroken.
+// maxStaleResponses responses to earlier requests, which a server may send late or once more. The error is ErrBroken.
 func (sc *serverConn) readHeader(protocol Protocol, id string) (*fasthttp.ResponseHeader, ResponseMeta, error) {
 	for range maxStaleResponses + 1 {
 		header, err := sc.readOneHeader()
@@ -229,7 +231,9 @@
 			continue
 		}
 		meta := protocol.ReadResponse(header)
-		if meta.RequestID == id || meta.RequestID == "" && meta.NotRun {
+		first := !sc.responded
+		sc.responded = true
+		if meta.answers(id, first) {
 			sc.updateReuse(header, &meta)
 			return header, meta, nil
 		}
@@ -241,6 +245,14 @@
 	return nil, ResponseMeta{}, ErrBroken.New("server %s answers other requests than %q", sc.server, id)
 }
 
+// answers reports whether a response is the one to the request with the given id. first is set when it is the first
+// response on its connection.
+//
+// Invariant: a refusal without an id counts only when it can't be a repeated one of an earlier request.
+func (m *ResponseMeta) answers(id string, first bool) bool {
+	return m.RequestID == id || m.RequestID == "" && m.NotRun && first
+}
+
 // readOneHeader waits for the first byte of a response and then reads its header, which must fit in the read buffer and
 // arrive within headerTimeout.
 func (sc *serverConn) readOneHeader() (*fasthttp.ResponseHeader, error) {
@@ -277,7 +289,8 @@
 
 // updateReuse records from a response whether and for how long the connection may be reused.
 func (sc *serverConn) updateReuse(header *fasthttp.ResponseHeader, meta *ResponseMeta) {
-	if header.ConnectionClose() {
+	// A server that refuses without an id can't do so again on this connection, see answers.
+	if header.ConnectionClose() || meta.RequestID == "" {
 		sc.noReuse = true
 	}
 	if meta.IdleTimeout > 0 {
--- /dev/null
+++ b/internal/gateway/stale_refusal_test.go
@@ -0,0 +1,216 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// refusal returns a response that states that a request was not run. The header lines are added to it.
+func refusal(status, lines, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\nBalsamyoke-Not-Executed: 1\r\n%sContent-Length: %d\r\n\r\n%s", status, lines, len(body), body)
+}
+
+func idLine(id string) string { return "Balsamyoke-Request-Id: " + id + "\r\n" }
+
+// momentHeader states in a refused request when the server sends its refusal once more.
+const momentHeader = "X-Moment: "
+
+// The moments of a repeated refusal.
+const (
+	// atNextRequest is after the server has read the next request on the connection and before it responds to that.
+	atNextRequest = "at the next request"
+	// behindFirst is in the same packet as the first copy.
+	behindFirst = "behind the first"
+	// whileUnused is a little later, before the next request.
+	whileUnused = "while unused"
+)
+
+// repeatedRefusals are the refusals that servers send once more, from the id of the request that was refused.
+var repeatedRefusals = map[string]struct {
+	text func(id string) string
+	// broken is set when the repeated refusal makes the response behind it unreadable.
+	broken bool
+}{
+	"with its id":                {text: func(id string) string { return refusal("503 Service Unavailable", idLine(id), "") }},
+	"without an id":              {text: func(string) string { return refusal("503 Service Unavailable", "", "") }},
+	"with a body, without an id": {text: func(string) string { return refusal("429 Too Many Requests", "", "full") }},
+	"misdirected, with its id": {text: func(id string) string {
+		return "HTTP/1.1 421 Misdirected Request\r\n" + idLine(id) + "Content-Length: 0\r\n\r\n"
+	}},
+	"misdirected, without an id": {text: func(string) string {
+		return "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+	}},
+	"twice, without an id": {text: func(string) string {
+		return strings.Repeat(refusal("503 Service Unavailable", "", ""), 2)
+	}},
+	"interim": {text: func(id string) string {
+		return "HTTP/1.1 102 Processing\r\nBalsamyoke-Not-Executed: 1\r\n" + idLine(id) + "\r\n"
+	}},
+	"interim, without an id": {text: func(string) string {
+		return "HTTP/1.1 103 Early Hints\r\nBalsamyoke-Not-Executed: 1\r\n\r\n"
+	}},
+	"with a cut body": {broken: true, text: func(id string) string {
+		return strings.TrimSuffix(refusal("503 Service Unavailable", idLine(id), "the server is full"), "server is full")
+	}},
+	"with a cut body, without an id": {broken: true, text: func(string) string {
+		return strings.TrimSuffix(refusal("503 Service Unavailable", "", "the server is full"), "server is full")
+	}},
+	"longer than its length": {broken: true, text: func(id string) string {
+		return refusal("503 Service Unavailable", idLine(id), "full") + "\r\n{}\r\n\r\n"
+	}},
+	"longer than its length, without an id": {broken: true, text: func(string) string {
+		return refusal("503 Service Unavailable", "", "full") + "\r\n{}\r\n\r\n"
+	}},
+}
+
+// repeatingServer refuses requests to paths that end with /refuse, and sends each refusal once more on the same connection. It
+// runs all other requests.
+type repeatingServer struct {
+	*server
+	text func(id string) string
+	runs atomic.Int64
+
+	mu sync.Mutex
+	// pending are the refusals to be sent before the response to the next request.
+	pending map[net.Conn]string
+}
+
+func startRepeatingServer(c *qt.C, text func(id string) string, run func(r *received)) *repeatingServer {
+	s := &repeatingServer{text: text, pending: make(map[net.Conn]string)}
+	s.server = startServer(c, func(r *received) {
+		if strings.Contains(r.requestLine, "/refuse ") {
+			s.refuse(r)
+			return
+		}
+		s.runs.Add(1)
+		r.write("%s", s.takePending(r.conn))
+		time.Sleep(20 * time.Millisecond)
+		run(r)
+	})
+	return s
+}
+
+func (s *repeatingServer) takePending(conn net.Conn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	text := s.pending[conn]
+	delete(s.pending, conn)
+	return text
+}
+
+func (s *repeatingServer) refuse(r *received) {
+	first, repeated := refusal("503 Service Unavailable", idLine(r.id()), ""), s.text(r.id())
+	switch r.header["x-moment"] {
+	case behindFirst:
+		r.write("%s", first+repeated)
+	case whileUnused:
+		r.write("%s", first)
+		time.Sleep(20 * time.Millisecond)
+		r.write("%s", repeated)
+	default:
+		s.mu.Lock()
+		s.pending[r.conn] = repeated
+		s.mu.Unlock()
+		r.write("%s", first)
+	}
+}
+
+// repeatTargets are the requests for which a repeated refusal may be taken, with the body of their response.
+var repeatTargets = map[string]struct{ method, path, body, want string }{
+	"plain":   {"POST", "/book/x", "b", "done"},
+	"no body": {"GET", "/book/x", "", "done"},
+	"stream":  {"POST", "/once/x", "prompt", event(1) + event(2)},
+}
+
+// respondDone serves the requests of repeatTargets.
+func respondDone(r *received) {
+	if !strings.Contains(r.requestLine, "/once/") {
+		r.respondOK("done")
+		return
+	}
+	r.startStream()
+	r.chunk(event(1))
+	r.chunk(event(2))
+	r.endStream()
+}
+
+// forEachRepeatedRefusal runs a test for each of repeatedRefusals with two servers that run requests by run.
+func forEachRepeatedRefusal(t *testing.T, run func(r *received), test func(d *deployment, broken bool, runs func() int64)) {
+	for name, repeated := range repeatedRefusals {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			a, b := startRepeatingServer(c, repeated.text, run), startRepeatingServer(c, repeated.text, run)
+			runs := func() int64 { return a.runs.Swap(0) + b.runs.Swap(0) }
+			test(deploy(c, a.server, b.server), repeated.broken, runs)
+		})
+	}
+}
+
+// refuseAll lets both servers refuse a request.
+func (d *deployment) refuseAll(moment string) {
+	d.c.Helper()
+	d.c.Assert(d.mustSend("POST", "/book/refuse", momentHeader+moment+"\r\n", "b").status, qt.Equals, 503)
+}
+
+// Guards against a repeated refusal that is taken for the response to a later request, which ran and was refused as not run, or
+// ran at a second server.
+func TestRepeatedRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	forEachRepeatedRefusal(t, respondDone, func(d *deployment, broken bool, runs func() int64) {
+		for _, moment := range []string{atNextRequest, behindFirst, whileUnused} {
+			for name, target := range repeatTargets {
+				d.refuseAll(moment)
+				time.Sleep(30 * time.Millisecond)
+				got := d.mustSend(target.method, target.path, "", target.body)
+				served := got.status == 200 && got.complete && got.body == target.want
+				mayFail := broken && moment == atNextRequest && got.status == 502
+				d.c.Check(served || mayFail, qt.IsTrue, qt.Commentf("%s, %s: status %d, body %q", moment, name, got.status, got.body))
+				d.c.Check(runs(), qt.Equals, int64(1), qt.Commentf("%s, %s", moment, name))
+			}
+		}
+	})
+}
+
+// Guards against a repeated refusal that is taken for the response to a HEAD request, whose response has no body.
+func TestRepeatedRefusalBeforeTheResponseToHead(t *testing.T) {
+	respond := func(r *received) { r.plainHeader("Content-Length: 5\r\n") }
+	forEachRepeatedRefusal(t, respond, func(d *deployment, _ bool, runs func() int64) {
+		d.refuseAll(atNextRequest)
+		k := d.dial()
+		k.request("HEAD", "/book/x", "", "")
+		got, err := k.readHeader()
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(got.status == 200 || got.status == 502, qt.IsTrue, qt.Commentf("status %d", got.status))
+		d.c.Assert(runs(), qt.Equals, int64(1))
+	})
+}
+
+// Guards against a repeated refusal that hides that the connection broke off after it.
+func TestRepeatedRefusalBeforeALostResponse(t *testing.T) {
+	breakOff := func(r *received) { _ = r.conn.Close() }
+	forEachRepeatedRefusal(t, breakOff, func(d *deployment, _ bool, runs func() int64) {
+		d.refuseAll(atNextRequest)
+		d.c.Assert(d.mustSend("POST", "/book/x", "", "b").status, qt.Equals, 502)
+		d.c.Assert(runs(), qt.Equals, int64(1))
+	})
+}
+
+// A server that refuses without an id is believed on a connection that has carried no other request.
+func TestRefusalWithoutAnIDOnANewConnection(t *testing.T) {
+	c := qt.New(t)
+	full := startServer(c, func(r *received) { r.write("%s", refusal("503 Service Unavailable", "", "")) })
+	d := deploy(c, full)
+	// Unused connections of this age carry no request that must not be retried.
+	time.Sleep(800 * time.Millisecond)
+	started := time.Now()
+	c.Assert(d.mustSend("POST", "/book/x", "", "b").status, qt.Equals, 503)
+	c.Assert(time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
+	c.Assert(d.mustSend("POST", "/book/x", "", "b").status, qt.Equals, 503)
+}
