--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -245,14 +245,6 @@
 	return nil, ResponseMeta{}, ErrBroken.New("server %s answers other requests than %q", sc.server, id)
 }
 
-// answers reports whether a response is the one to the request with the given id. first is set when it is the first
-// response on its connection.
-//
-// Invariant: a refusal without an id counts only when it can't be a repeated one of an earlier request.
-func (m *ResponseMeta) answers(id string, first bool) bool {
-	return m.RequestID == id || m.RequestID == "" && m.NotRun && first
-}
-
 // readOneHeader waits for the first byte of a response and then reads its header, which must fit in the read buffer and
 // arrive within headerTimeout.
 func (sc *serverConn) readOneHeader() (*fasthttp.ResponseHeader, error) {
@@ -267,6 +259,9 @@
 	if err := header.Read(sc.reader); err != nil {
 		return nil, err
 	}
+	if hasTwoStatusLines(header) {
+		return nil, errTwoStatusLines
+	}
 	return header, sc.SetReadDeadline(time.Time{})
 }
 
--- a/internal/gateway/stale_refusal_test.go
+++ b/internal/gateway/stale_refusal_test.go
@@ -68,6 +68,19 @@
 	"longer than its length, without an id": {broken: true, text: func(string) string {
 		return refusal("503 Service Unavailable", "", "full") + "\r\n{}\r\n\r\n"
 	}},
+	"cut in its reason": {broken: true, text: func(string) string { return "HTTP/1.1 421 Misdi" }},
+	"cut in a header name": {broken: true, text: func(string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nBalsamyoke-Not-Executed: 1\r\nRetry-A"
+	}},
+	"cut in a header value": {broken: true, text: func(string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nBalsamyoke-Not-Executed: 1\r\nRetry-After: 0"
+	}},
+	"cut in its id": {broken: true, text: func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nBalsamyoke-Not-Executed: 1\r\n" + strings.TrimSuffix(idLine(id), "\r\n")
+	}},
+	"cut behind a header": {broken: true, text: func(string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nBalsamyoke-Not-Executed: 1\r\n"
+	}},
 }
 
 // repeatingServer refuses requests to paths that end with /refuse, and sends each refusal once more on the same connection. It
@@ -107,6 +120,10 @@
 
 func (s *repeatingServer) refuse(r *received) {
 	first, repeated := refusal("503 Service Unavailable", idLine(r.id()), ""), s.text(r.id())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	// What another connection has left to repeat belongs to an earlier case of the test.
+	clear(s.pending)
 	switch r.header["x-moment"] {
 	case behindFirst:
 		r.write("%s", first+repeated)
@@ -115,9 +132,7 @@
 		time.Sleep(20 * time.Millisecond)
 		r.write("%s", repeated)
 	default:
-		s.mu.Lock()
 		s.pending[r.conn] = repeated
-		s.mu.Unlock()
 		r.write("%s", first)
 	}
 }
