Don't send a call on an unused connection that has bytes to read

What callers saw: a peer that sent a response once more, after the gateway or agent had put its connection aside, answered the next call on that connection with the earlier response. All later calls on it got the response to the call before: a plain service's response to another request, the outcome of an earlier order or conditional write.

Cause: httpclient checked unused connections for a close only; unread bytes counted as a sound connection. Responses carry no id that the client compares.

Fix: an unused connection with bytes to read is closed, as internal/gateway does with its own. A repeated response that arrives after the send isn't detected by this.

Ruled out: a repeat in the same read as the response (closed before by the check of the buffer), a call that timed out (its connection is closed), interim responses (the codec skips them), streamed runs of internal/engine (always on a new connection).

Evidence: go test -run Repeated ./internal/httpclient. Before: the second call got "answer 1" instead of "answer 2". After: passes, also with -race.

--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -151,7 +151,8 @@
 	return s, nil
 }
 
-// connect returns an unused connection that the peer has not closed, or dials a new one. The error is ErrNotSent.
+// connect returns an unused connection that the peer has not closed, or dials a new one. Bytes that have arrived on an unused
+// connection belong to no request that is still to be sent. The error is ErrNotSent.
 func (c *Client) connect(ctx context.Context) (*connection, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, ErrNotSent.Wrap(err, "call to %s", c.address)
@@ -161,7 +162,7 @@
 		if conn == nil {
 			return c.dial(ctx)
 		}
-		if time.Since(conn.idleSince) < maxIdleTime && !PeerClosed(conn.Conn) {
+		if time.Since(conn.idleSince) < maxIdleTime && peek(conn.Conn) == peerQuiet {
 			return conn, nil
 		}
 		_ = conn.Close()
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -1,9 +1,12 @@
 package httpclient_test
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,3 +126,49 @@
 	_, err = client.Stream(context.Background(), newRequest(client.Address()))
 	c.Assert(errorx.IsOfType(err, httpclient.ErrNotSent), qt.IsTrue, qt.Commentf("%v", err))
 }
+
+// serveRepeated starts a server that responds to the Nth request with "answer N", and some time later, on the same
+// connection, with that once more. It returns its address.
+func serveRepeated(c *qt.C, later time.Duration) string {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	var requests atomic.Int64
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		reader := bufio.NewReader(conn)
+		var request fasthttp.Request
+		for request.Read(reader) == nil {
+			body := fmt.Sprint("answer ", requests.Add(1))
+			response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_, _ = io.WriteString(conn, response)
+			time.Sleep(later)
+			_, _ = io.WriteString(conn, response)
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// Guards against a repeated response that arrives on an unused connection and is taken for the next call's.
+func TestRepeatedResponseIsNotTakenForTheNextOne(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	client := httpclient.New(serveRepeated(c, 10*time.Millisecond), httpclient.Options{})
+	defer client.Close()
+	for i := range 5 {
+		response := &fasthttp.Response{}
+		c.Assert(client.Do(ctx, newRequest(client.Address()), response), qt.IsNil)
+		c.Assert(string(response.Body()), qt.Equals, fmt.Sprint("answer ", i+1))
+		time.Sleep(30 * time.Millisecond)
+	}
+}
