Don't reuse a call's connection after an error response

What callers saw: a plain service behind an agent sent a 503 once more when it had read the next request. That request ran, and its caller got the 503.

Cause: these calls carry no id that the response echoes, so a response on a kept connection belongs to whichever call reads it.

Callers' requests through the gateway don't need it, as their responses carry ids. A repeated success that arrives between the send of a call and its response remains undetected.

Ruled out: streamed runs of internal/engine (each has its own connection).

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -15,6 +15,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
 
+	"balsamyoke.example/balsamyoke/internal/httpclient/httpclienttest"
 	"balsamyoke.example/balsamyoke/internal/standin/answer"
 	"balsamyoke.example/balsamyoke/internal/standin/engineserver"
 )
@@ -327,3 +328,16 @@
 		}
 	})
 }
+
+// Guards against a refusal that the engine sends once more and that is taken for the outcome of a later order.
+func TestRepeatedRefusalIsNotTakenForTheNextOutcome(t *testing.T) {
+	c := qt.New(t)
+	server := httpclienttest.StartRepeater(c,
+		"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	client := New(server.Address())
+	defer client.Close()
+	_, err := client.Order(testContext(c), Order{Kind: "load", Fence: 1})
+	c.Assert(errorx.IsOfType(err, ErrFenced), qt.IsTrue, qt.Commentf("%v", err))
+	_, err = client.Order(testContext(c), Order{Kind: "load", Fence: 2})
+	c.Assert(err, qt.IsNil)
+}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -44,6 +44,9 @@
 	DialTimeout time.Duration
 	// MaxIdle bounds how many unused connections are kept.
 	MaxIdle int
+	// CloseAfterErrors closes a connection after a response with a status of 400 or more. A server that sends such a
+	// response once more would otherwise answer the next call with it.
+	CloseAfterErrors bool
 	// Traffic counts the bytes sent and received; nil counts nothing.
 	Traffic *traffic.Counter
 }
@@ -123,7 +126,8 @@
 		_ = conn.Close()
 		return ErrInterrupted.Wrap(preferContextCause(ctx, err), "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
 	}
-	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 {
+	failed := c.options.CloseAfterErrors && response.StatusCode() >= fasthttp.StatusBadRequest
+	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 || failed {
 		_ = conn.Close()
 		return nil
 	}
--- a/internal/plain/client.go
+++ b/internal/plain/client.go
@@ -37,7 +37,7 @@
 
 // New returns a Client for the service at address, given as ip:port.
 func New(address string) *Client {
-	return &Client{http: httpclient.New(address, httpclient.Options{})}
+	return &Client{http: httpclient.New(address, httpclient.Options{CloseAfterErrors: true})}
 }
 
 // Close closes the unused connections.
--- a/internal/plain/client_test.go
+++ b/internal/plain/client_test.go
@@ -10,6 +10,7 @@
 	"github.com/joomcode/errorx"
 	"go.uber.org/goleak"
 
+	"balsamyoke.example/balsamyoke/internal/httpclient/httpclienttest"
 	"balsamyoke.example/balsamyoke/internal/standin/plainserver"
 )
 
@@ -85,3 +86,18 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(server.Executions(), qt.DeepEquals, map[string]int{"r1": 1, "r3": 1})
 }
+
+// Guards against a refusal that the service sends once more and that is taken for the response to a later call, which ran.
+func TestRepeatedRefusalIsNotTakenForTheNextResponse(t *testing.T) {
+	c := qt.New(t)
+	server := httpclienttest.StartRepeater(c,
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
+	client := New(server.Address())
+	defer client.Close()
+	response, err := client.Call(context.Background(), checkout("r1"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Status, qt.Equals, 503)
+	response, err = client.Call(context.Background(), checkout("r2"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Status, qt.Equals, 200)
+}
