--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -336,8 +336,8 @@
 		"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 	client := New(server.Address())
 	defer client.Close()
-	_, err := client.Order(testContext(c), Order{Kind: "load", Fence: 1})
+	_, err := client.Order(testContext(c), Order{Kind: OrderLoadVersion, Fence: 1})
 	c.Assert(errorx.IsOfType(err, ErrFenced), qt.IsTrue, qt.Commentf("%v", err))
-	_, err = client.Order(testContext(c), Order{Kind: "load", Fence: 2})
+	_, err = client.Order(testContext(c), Order{Kind: OrderLoadVersion, Fence: 2})
 	c.Assert(err, qt.IsNil)
 }
