Send a refused request again on another connection

What callers saw: a caller that was refused sent its request again under the same id. The gateway used the same connection, on which the server repeated its earlier refusal. The request ran, and its caller was told 503 (not run), or it ran at a second server too.

Cause: the id doesn't distinguish the two sends, so the repeated refusal passed for the response to the second one.

Fix: an unused connection whose latest refusal was of the same id isn't used for that request.

Ruled out: a second send by the gateway itself; it never sends a request to a server twice.

Evidence: go test -run SentAgain ./internal/gateway.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -44,7 +44,7 @@
 // exchange sends the request to the server that it is placed on and forwards the response.
 func (g *Gateway) exchange(ctx context.Context, c *callerConn, r *request) exchangeResult {
 	started := time.Now()
-	sc, err := g.pool.get(ctx, r.placement.Server, r.placement.Address, !r.route.Retryable())
+	sc, err := g.pool.get(ctx, r.placement.Server, r.placement.Address, r.call.ID, !r.route.Retryable())
 	if err != nil {
 		return unreachable(ctx, err, false)
 	}
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -61,6 +61,8 @@
 	head bool
 	// responded is set when a response has been read from the connection.
 	responded bool
+	// refusedID is the id of the latest request that the server refused on the connection; empty for none.
+	refusedID string
 	// noReuse is set when the connection can't carry another request: after an error, after a response to another
 	// request, or when the server closes it.
 	noReuse bool
@@ -74,16 +76,17 @@
 
 func newPool() *pool { return &pool{idle: make(map[string][]*serverConn)} }
 
-// get returns an unused connection to the server or opens one. nonRetryable selects the shorter limit for the
-// time that the connection was unused. The error is ErrNotSent.
-func (p *pool) get(ctx context.Context, server, address string, nonRetryable bool) (*serverConn, error) {
+// get returns an unused connection to the server for the request with the given id, or opens one. nonRetryable selects the
+// shorter limit for the time that the connection was unused. A connection on which the same request was refused isn't used,
+// because the refusal could be repeated. The error is ErrNotSent.
+func (p *pool) get(ctx context.Context, server, address, id string, nonRetryable bool) (*serverConn, error) {
 	for {
 		sc := p.take(server)
 		if sc == nil {
 			return dial(ctx, server, address)
 		}
 		idleTime := time.Since(sc.idleSince)
-		if idleTime < sc.idleLimit && (!nonRetryable || idleTime < nonRetryableIdleLimit) && usable(sc.Conn) {
+		if idleTime < sc.idleLimit && (!nonRetryable || idleTime < nonRetryableIdleLimit) && sc.refusedID != id && usable(sc.Conn) {
 			return sc, nil
 		}
 		_ = sc.Close()
@@ -235,6 +238,9 @@
 		sc.responded = true
 		if meta.answers(id, first) {
 			sc.updateReuse(header, &meta)
+			if meta.NotRun {
+				sc.refusedID = id
+			}
 			return header, meta, nil
 		}
 		sc.noReuse = true
--- a/internal/gateway/stale_refusal_test.go
+++ b/internal/gateway/stale_refusal_test.go
@@ -229,3 +229,17 @@
 	c.Assert(time.Since(started) < time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(started)))
 	c.Assert(d.mustSend("POST", "/book/x", "", "b").status, qt.Equals, 503)
 }
+
+// Guards against a repeated refusal that is taken for the response to the same request when its caller sends that again.
+func TestRepeatedRefusalOfARequestThatIsSentAgain(t *testing.T) {
+	forEachRepeatedRefusal(t, respondDone, func(d *deployment, _ bool, runs func() int64) {
+		id := fmt.Sprintf("again%d", requestNumber.Add(1))
+		got, err := d.sendAs(id, "key-1", "POST", "/book/refuse", "b")
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(got.status, qt.Equals, 503)
+		got, err = d.sendAs(id, "key-1", "POST", "/book/x", "b")
+		d.c.Assert(err, qt.IsNil)
+		d.c.Assert(got.status, qt.Equals, 200)
+		d.c.Assert(runs(), qt.Equals, int64(1))
+	})
+}
