Let the soak's servers refuse requests and repeat their refusals

The soak's plain servers and engines now send each refusal once more, as soon as the next request arrives on its connection, every second one without the id of its request.

The plain servers' refusal of a fixed part of the requests has never happened: it asked for ids that end with "7", but callers' ids end with the kind of request. It now asks for a "7" at the end of their number, and leaves out the requests by which a run checks the gateways.

--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -255,8 +255,8 @@
 		w.crash(s)
 		return
 	}
-	// A fixed part of the requests, chosen by id, is refused as not run. Resumed streams are not refused.
-	if len(request)%7 == 3 && strings.HasSuffix(request, "7") && in.Header.Get("Last-Event-Id") == "" {
+	// Resumed streams are not refused.
+	if isRefused(request) && in.Header.Get("Last-Event-Id") == "" {
 		out.Header().Set("Balsamyoke-Not-Executed", "1")
 		out.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/systemtest/soak/engines_test.go
+++ b/internal/systemtest/soak/engines_test.go
@@ -66,7 +66,7 @@
 	p, err := startProxy(listener.Addr().String())
 	w.c.Assert(err, qt.IsNil)
 	server := &http.Server{Handler: handler}
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(&repeatingListener{Listener: listener}) }()
 	return server, p
 }
 
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -153,7 +153,7 @@
 	w.awaitWeights()
 	end()
 	calling.Wait()
-	c.Logf("%d parts fetched", w.fetchedParts.Load())
+	c.Logf("%d parts fetched, %d refusals repeated by the servers of all seeds", w.fetchedParts.Load(), repeatedRefusals.Load())
 	w.checkLimits()
 	w.checkCrashes()
 	w.runCounts.Range(func(id, count any) bool {
