Log the responses of servers that belong to no request in progress

The gateway skips responses with another id, and refusals without one on a used connection, before the response to a request, and nothing showed it. server_response_skipped states how many, and how many of them had no id or stated "not run"; the metric is responses_skipped.

Test: go test -run TestSkippedResponsesAreCounted ./internal/gateway.

--- a/internal/gateway/attribution.go
+++ b/internal/gateway/attribution.go
@@ -15,6 +15,22 @@
 	return m.RequestID == id || m.RequestID == "" && m.NotRun && first
 }
 
+// skippedResponses are responses that belong to no request in progress. withoutID counts those without an id, notRun those that
+// state that a request was not run.
+type skippedResponses struct {
+	total, withoutID, notRun int
+}
+
+func (s *skippedResponses) count(meta *ResponseMeta) {
+	s.total++
+	if meta.RequestID == "" {
+		s.withoutID++
+	}
+	if meta.NotRun {
+		s.notRun++
+	}
+}
+
 // errTwoStatusLines means that a header consists of the cut header of one response and that of the next.
 var errTwoStatusLines = ErrBroken.New("header with two status lines")
 
--- a/internal/gateway/attribution_internal_test.go
+++ b/internal/gateway/attribution_internal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"io"
+	"net"
 	"strings"
 	"testing"
 
@@ -37,3 +39,27 @@
 		c.Check(hasTwoStatusLines(header), qt.IsFalse, qt.Commentf("%q", text))
 	}
 }
+
+// stubProtocol reads the id and the statement "not run" of a response only.
+type stubProtocol struct{ Protocol }
+
+func (stubProtocol) ReadResponse(h *fasthttp.ResponseHeader) ResponseMeta {
+	return ResponseMeta{RequestID: string(h.Peek("Id")), NotRun: len(h.Peek("Not-Run")) > 0}
+}
+
+// Responses that are skipped are counted for the log.
+func TestSkippedResponsesAreCounted(t *testing.T) {
+	c := qt.New(t)
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	go func() {
+		_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nId: r0\r\nContent-Length: 1\r\n\r\nx"+
+			"HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 0\r\n\r\n")
+	}()
+	sc := &serverConn{Conn: client, reader: bufio.NewReader(client)}
+	header, _, err := sc.readHeader(stubProtocol{}, "r1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(header.StatusCode(), qt.Equals, 200)
+	c.Assert(sc.skipped, qt.Equals, skippedResponses{total: 2, withoutID: 1, notRun: 1})
+}
--- a/internal/gateway/counters.go
+++ b/internal/gateway/counters.go
@@ -16,6 +16,7 @@
 	cancelled     tally.Counter
 	brokenOff     tally.Counter
 	retries       tally.Counter
+	skipped       tally.Counter
 	fetchedTokens tally.Counter
 	prefillTokens tally.Counter
 	savedParts    tally.Counter
@@ -28,6 +29,7 @@
 		cancelled:     scope.Counter("requests_cancelled"),
 		brokenOff:     scope.Counter("requests_broken_off"),
 		retries:       scope.Counter("retries"),
+		skipped:       scope.Counter("responses_skipped"),
 		fetchedTokens: scope.Counter("prompt_tokens_fetched"),
 		prefillTokens: scope.Counter("prompt_tokens_read"),
 		savedParts:    scope.Counter("cache_parts_saved"),
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -19,6 +19,8 @@
 	// EventResetFailed reports that a caller without chunks may take a broken response for a complete one.
 	EventResetFailed = "caller_reset_failed"
 	EventMetricsOff  = "metrics_unavailable"
+	// EventResponseSkipped reports responses of a server that belong to no request in progress.
+	EventResponseSkipped = "server_response_skipped"
 	// EventMalformedHeader reports a header of a server's response that was ignored.
 	EventMalformedHeader = "server_header_malformed"
 )
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -60,6 +60,7 @@
 		return unreachable(ctx, err, !isNotSent(err))
 	}
 	responseHeader, meta, err := sc.readHeader(g.protocol, r.call.ID)
+	g.recordSkipped(r, sc.skipped)
 	if err != nil {
 		_ = sc.Close()
 		return unreachable(ctx, err, true)
@@ -96,6 +97,16 @@
 	res.maybeSent, res.maybeRan, res.err = true, true, err
 }
 
+// recordSkipped logs the responses that were skipped before the one to a request.
+func (g *Gateway) recordSkipped(r *request, skipped skippedResponses) {
+	if skipped.total == 0 {
+		return
+	}
+	g.counters.skipped.Inc(int64(skipped.total))
+	g.recordDecision(warn, EventResponseSkipped, r.call.ID, zap.String("server", r.placement.Server),
+		zap.Int("responses", skipped.total), zap.Int("without_id", skipped.withoutID), zap.Int("not_run", skipped.notRun))
+}
+
 // recordServerReport hands what a response states about its server to the fleet state.
 func (g *Gateway) recordServerReport(r *request, meta *ResponseMeta) {
 	if meta.Malformed != "" {
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -63,6 +63,8 @@
 	responded bool
 	// refusedID is the id of the latest request that the server refused on the connection; empty for none.
 	refusedID string
+	// skipped counts the responses that were read since the latest request was sent and aren't its own.
+	skipped skippedResponses
 	// noReuse is set when the connection can't carry another request: after an error, after a response to another
 	// request, or when the server closes it.
 	noReuse bool
@@ -207,7 +209,7 @@
 
 // send writes a request. It returns ErrNotSent when no byte was written, and ErrBroken when a part was.
 func (sc *serverConn) send(header *fasthttp.RequestHeader, body []byte) error {
-	sc.head = header.IsHead()
+	sc.head, sc.skipped = header.IsHead(), skippedResponses{}
 	message := header.AppendBytes(make([]byte, 0, 1024+len(body)))
 	message = append(message, body...)
 	n, err := sc.Write(message)
@@ -244,6 +246,7 @@
 			return header, meta, nil
 		}
 		sc.noReuse = true
+		sc.skipped.count(&meta)
 		if err := sc.skipBody(header); err != nil {
 			return nil, ResponseMeta{}, ErrBroken.Wrap(err, "answer of server %s to another request", sc.server)
 		}
