--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -159,7 +159,7 @@
 	if err != nil {
 		return State{}, ErrRefused.Wrap(err, "cannot encode the order")
 	}
-	status, reply, err := c.call(ctx, fasthttp.MethodPost, "/v1/orders", body)
+	status, reply, err := c.send(ctx, fasthttp.MethodPost, "/v1/orders", body, c.doAndClose)
 	if err != nil {
 		return State{}, err
 	}
@@ -202,7 +202,7 @@
 	return c.send(ctx, method, path, body, c.http.Do)
 }
 
-// httpCall is Do or DoFramed of httpclient.Client.
+// httpCall is Do or DoFramed of httpclient.Client, or doAndClose.
 type httpCall func(context.Context, *fasthttp.Request, *fasthttp.Response) error
 
 func (c *Client) send(ctx context.Context, method, path string, body []byte, do httpCall) (status int, content []byte, err error) {
@@ -216,6 +216,12 @@
 	return response.StatusCode(), append([]byte{}, response.Body()...), nil
 }
 
+// doAndClose is Do and closes the connection, so that a repeated response can't be taken for another call's.
+func (c *Client) doAndClose(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
+	request.SetConnectionClose()
+	return c.http.Do(ctx, request, response)
+}
+
 func (c *Client) request(method, path string, body []byte) *fasthttp.Request {
 	request := fasthttp.AcquireRequest()
 	request.Header.SetMethod(method)
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -341,3 +341,16 @@
 	_, err = client.Order(testContext(c), Order{Kind: OrderLoadVersion, Fence: 2})
 	c.Assert(err, qt.IsNil)
 }
+
+// Guards against an acceptance that the engine sends once more and that is taken for the outcome of a later order.
+func TestRepeatedAcceptanceIsNotTakenForTheNextOutcome(t *testing.T) {
+	c := qt.New(t)
+	server := httpclienttest.StartRepeater(c,
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+	client := New(server.Address())
+	defer client.Close()
+	_, err := client.Order(testContext(c), Order{Kind: OrderLoadVersion, Fence: 2})
+	c.Assert(err, qt.IsNil)
+	_, err = client.Order(testContext(c), Order{Kind: OrderLoadVersion, Fence: 1})
+	c.Assert(errorx.IsOfType(err, ErrFenced), qt.IsTrue, qt.Commentf("%v", err))
+}
