--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -59,6 +59,12 @@
 	idleLimit time.Duration
 	// head is set when the latest request is a HEAD request, whose response has no body.
 	head bool
+	// responded is set when a response has been read from the connection.
+	responded bool
+	// refusedID is the id of the latest request that the server refused on the connection; empty for none.
+	refusedID string
+	// skipped counts the responses that were read since the latest request was sent and aren't its own.
+	skipped skippedResponses
 	// noReuse is set when the connection can't carry another request: after an error, after a response to another
 	// request, or when the server closes it.
 	noReuse bool
@@ -72,16 +78,17 @@
 
 func newPool() *pool { return &pool{idle: make(map[string][]*serverConn)} }
 
-// get returns an unused connection to the server or opens one. nonRetryable selects the shorter limit for the
-// time that the connection was unused. The error is ErrNotSent.
-func (p *pool) get(ctx context.Context, server, address string, nonRetryable bool) (*serverConn, error) {
+// get returns an unused connection to the server for the request with the given id, or opens one. nonRetryable selects the
+// shorter limit for the time that the connection was unused. A connection on which the same request was refused isn't used,
+// because the refusal could be repeated. The error is ErrNotSent.
+func (p *pool) get(ctx context.Context, server, address, id string, nonRetryable bool) (*serverConn, error) {
 	for {
 		sc := p.take(server)
 		if sc == nil {
 			return dial(ctx, server, address)
 		}
 		idleTime := time.Since(sc.idleSince)
-		if idleTime < sc.idleLimit && (!nonRetryable || idleTime < nonRetryableIdleLimit) && usable(sc.Conn) {
+		if idleTime < sc.idleLimit && (!nonRetryable || idleTime < nonRetryableIdleLimit) && sc.refusedID != id && usable(sc.Conn) {
 			return sc, nil
 		}
 		_ = sc.Close()
@@ -202,7 +209,7 @@
 
 // send writes a request. It returns ErrNotSent when no byte was written, and ErrBroken when a part was.
 func (sc *serverConn) send(header *fasthttp.RequestHeader, body []byte) error {
-	sc.head = header.IsHead()
+	sc.head, sc.skipped = header.IsHead(), skippedResponses{}
 	message := header.AppendBytes(make([]byte, 0, 1024+len(body)))
 	message = append(message, body...)
 	n, err := sc.Write(message)
@@ -217,7 +224,7 @@
 }
 
 // readHeader reads the header of the response to the request with the given id. It skips up to
-// maxStaleResponses responses to earlier requests, which a server may send late. The error is ErrBroken.
+// maxStaleResponses responses to earlier requests, which a server may send late or once more. The error is ErrBroken.
 func (sc *serverConn) readHeader(protocol Protocol, id string) (*fasthttp.ResponseHeader, ResponseMeta, error) {
 	for range maxStaleResponses + 1 {
 		header, err := sc.readOneHeader()
@@ -229,11 +236,17 @@
 			continue
 		}
 		meta := protocol.ReadResponse(header)
-		if meta.RequestID == id || meta.RequestID == "" && meta.NotRun {
+		first := !sc.responded
+		sc.responded = true
+		if meta.answers(id, first) {
 			sc.updateReuse(header, &meta)
+			if meta.NotRun {
+				sc.refusedID = id
+			}
 			return header, meta, nil
 		}
 		sc.noReuse = true
+		sc.skipped.count(&meta)
 		if err := sc.skipBody(header); err != nil {
 			return nil, ResponseMeta{}, ErrBroken.Wrap(err, "answer of server %s to another request", sc.server)
 		}
@@ -256,6 +269,9 @@
 	if err := header.Read(sc.reader); err != nil {
 		return nil, err
 	}
+	if hasTwoStatusLines(header) {
+		return nil, errTwoStatusLines
+	}
 	return header, sc.SetReadDeadline(time.Time{})
 }
 
@@ -278,7 +294,8 @@
 
 // updateReuse records from a response whether and for how long the connection may be reused.
 func (sc *serverConn) updateReuse(header *fasthttp.ResponseHeader, meta *ResponseMeta) {
-	if header.ConnectionClose() {
+	// A server that refuses without an id can't do so again on this connection, see answers.
+	if header.ConnectionClose() || meta.RequestID == "" {
 		sc.noReuse = true
 	}
 	if meta.IdleTimeout > 0 {
