Pass a listing of a store on as its differences

Callers saw nothing of this alone. Each listing of a store made every gateway that reads through another one list the store there too: Replace dropped all kept changes.

Replace now applies what differs from the last known content, so other gateways get a few changes. A new epoch still makes them list.

Before: TestListingReachesOtherGatewaysAsChanges failed (go test -run Listing ./internal/kvcache: Lost was true). After: passes, with internal/kvcache, internal/fleet and internal/dispatch under -race.

--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -245,12 +245,7 @@
 	if s.epoch != batch.Epoch {
 		c.restart(s, batch.Epoch, now)
 	}
-	s.complete = make(map[Key]int, len(batch.Changes))
-	s.used = 0
-	s.forceRelist()
-	for _, change := range batch.Changes {
-		s.apply(change)
-	}
+	s.replace(batch.Changes)
 	s.readAt = requestedAt
 }
 
--- a/internal/kvcache/store.go
+++ b/internal/kvcache/store.go
@@ -64,6 +64,25 @@
 	s.recordChange(change)
 }
 
+// replace sets the complete parts. It applies only what differs, so that gateways which read through this one needn't list
+// the store again.
+func (s *store) replace(listing []Change) {
+	listed := make(map[Key]int, len(listing))
+	for _, change := range listing {
+		listed[change.Key] = change.Tokens
+	}
+	for key := range s.complete {
+		if _, ok := listed[key]; !ok {
+			s.apply(Change{Key: key, Removed: true})
+		}
+	}
+	for key, tokens := range listed {
+		if s.complete[key] != tokens {
+			s.apply(Change{Key: key, Tokens: tokens})
+		}
+	}
+}
+
 // removePending removes a pending save and its reservation.
 func (s *store) removePending(key Key) {
 	if p, ok := s.pending[key]; ok {
