List a store whose reading lacks changes before counting it as read

After a cache store had restarted, a gateway could believe that parts weren't there that other gateways knew to be: the store's events after the gateway's last number were taken as all of the new epoch, though the numbers may start again. And a reading with lost changes made the catalogue fresh at once, also while the listing that was to follow it failed.

Apply now asks for a listing also when the epoch has changed, and a reading that lacks changes doesn't count for the age. The feed follows Apply's result. Readings through other gateways did so already: a new epoch makes them list.

Before: TestReadingWithoutAllChangesNeedsListing failed for both cases (go test -run WithoutAllChanges ./internal/kvcache). After: passes, with internal/kvcache and internal/fleet under -race.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -84,10 +84,8 @@
 	}
 	now := bootclock.Now()
 	f.updateServerClock(batch.ClockMS, now)
-	list := batch.Lost
-	f.loop.Call(func() {
-		f.catalogue.Apply(address, batch, requestedAt, now)
-	})
+	var list bool
+	f.loop.Call(func() { list = f.catalogue.Apply(address, batch, requestedAt, now) })
 	if !list {
 		return batch.Next, nil
 	}
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -220,20 +220,24 @@
 }
 
 // Apply applies one reading of a store, which was requested at requestedAt. It returns true when the full content
-// must be listed because changes are missing. Unknown stores are ignored.
+// must be listed because changes are missing; the reading then counts only with the listing. Unknown stores are ignored.
 func (c *Catalogue) Apply(address string, batch Batch, requestedAt, now time.Time) (list bool) {
 	s := c.find(address)
 	if s == nil {
 		return false
 	}
+	// Changes after a number of an earlier epoch aren't all changes of the new one.
+	incomplete := batch.Lost || s.epoch != 0 && s.epoch != batch.Epoch
 	if s.epoch != batch.Epoch {
 		c.restart(s, batch.Epoch, now)
 	}
 	for _, change := range batch.Changes {
 		s.apply(change)
 	}
-	s.readAt = requestedAt
-	return batch.Lost
+	if !incomplete {
+		s.readAt = requestedAt
+	}
+	return incomplete
 }
 
 // Replace replaces the content of a store by a full listing, which was requested at requestedAt.
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -92,6 +92,28 @@
 	c.Assert(plan.Save, qt.DeepEquals, []string{"", "", ""}, qt.Commentf("no store has a fresh reading"))
 }
 
+// A reading that lacks changes must not make the catalogue count as fresh before the listing.
+func TestReadingWithoutAllChangesNeedsListing(t *testing.T) {
+	c := qt.New(t)
+	salt := Salt(gen1, "")
+	for name, batch := range map[string]Batch{
+		"lost changes": {Epoch: 1, Lost: true},
+		"new epoch":    {Epoch: 2, Changes: []Change{{Key: Key{Salt: salt, ID: "later"}, Tokens: 500}}},
+	} {
+		catalogue := newCatalogue()
+		now := start.Add(time.Second)
+		c.Check(catalogue.Apply(fastStore, batch, now, now), qt.IsTrue, qt.Commentf("%s", name))
+		stale := start.Add(ReadingTTL)
+		_, fresh := catalogue.Relay(fastStore, 0, stale)
+		c.Check(fresh, qt.IsFalse, qt.Commentf("%s", name))
+		catalogue.Replace(fastStore, batch, now, now)
+		_, fresh = catalogue.Relay(fastStore, 0, stale)
+		c.Check(fresh, qt.IsTrue, qt.Commentf("%s", name))
+		c.Check(catalogue.Apply(fastStore, Batch{Epoch: batch.Epoch}, stale, stale), qt.IsFalse, qt.Commentf("%s", name))
+	}
+	c.Check(New().Apply(fastStore, Batch{Epoch: 1}, start, start), qt.IsFalse)
+}
+
 // Nothing is fetched from a restarted store by its earlier content, and nothing is saved to it while another gateway
 // may still fetch by that content.
 func TestRestartedStoreIsNotUsedAtOnce(t *testing.T) {
