Send no saves by readings that have become too old

A gateway checks the age of its readings of the cache stores when it places a request. The request may then wait for a connection, or the gateway may stand still, and its saves went out by whatever the reading had become. Fetches have had their bound, Balsamyoke-Kv-Until; the wire has none for saves.

A plan now says until when its saves may be sent, and the gateway asks for that when it has the connection. This bounds the time from a reading to the sending only; the time that an engine takes to save is another matter.

--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -355,12 +355,14 @@
 	if r.route.Resumable {
 		d.LastEventID = r.lastEventID
 	}
-	if r.placement.Plan != nil {
-		until, known := g.fleet.ServerClock(r.placement.Plan.Until)
+	if d.Plan != nil {
+		// The request may have waited for a connection since it was placed.
+		d.Plan = d.Plan.ForSending(bootclock.Now())
+		until, known := g.fleet.ServerClock(d.Plan.Until)
 		if !known {
 			// Without the servers' clock no end can be set for the fetch, and it might read a part that is freed
 			// during the fetch.
-			d.Plan = r.placement.Plan.WithoutFetch()
+			d.Plan = d.Plan.WithoutFetch()
 		}
 		d.FetchUntilMS = until
 	}
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -85,6 +85,18 @@
 	TransferMS float64
 	// Until is when the engine discards fetches that haven't ended.
 	Until time.Time
+	// SaveBefore is when the readings by which the saves were planned are too old to send them.
+	SaveBefore time.Time
+}
+
+// ForSending returns the plan, without the saves if it is too late to send them.
+func (p *Plan) ForSending(now time.Time) *Plan {
+	if now.Before(p.SaveBefore) {
+		return p
+	}
+	fetches := *p
+	fetches.Save = make([]string, len(p.Save))
+	return &fetches
 }
 
 // WithoutFetch returns a copy of the plan that fetches nothing and keeps the saves.
@@ -313,9 +325,10 @@
 // records the saves as pending.
 func (c *Catalogue) Plan(g Generation, salt string, parts []Part, domain string, fetch bool, now time.Time) Plan {
 	plan := Plan{
-		Fetch: make([]string, len(parts)),
-		Save:  make([]string, len(parts)),
-		Until: now.Add(FetchTimeout),
+		Fetch:      make([]string, len(parts)),
+		Save:       make([]string, len(parts)),
+		Until:      now.Add(FetchTimeout),
+		SaveBefore: now.Add(ReadingTTL),
 	}
 	fetching := fetch
 	var estimate Estimate
@@ -338,6 +351,9 @@
 			target.pending[key] = pendingSave{tokens: p.Tokens, at: now}
 			target.reserved += p.Tokens
 			plan.Save[i] = target.Address
+			if staleAt := target.readAt.Add(ReadingTTL); staleAt.Before(plan.SaveBefore) {
+				plan.SaveBefore = staleAt
+			}
 		}
 	}
 	plan.FetchTokens, plan.FetchMS, plan.TransferMS = estimate.Tokens, estimate.MS, estimate.TransferMS
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -154,6 +154,24 @@
 	})
 }
 
+// A request may wait for a connection, or its gateway may stand still: what it knew of the store when it planned the save may
+// then be too old.
+func TestSavesAreNotSentByStaleReadings(t *testing.T) {
+	c := qt.New(t)
+	catalogue := newCatalogue()
+	salt := Salt(gen1, "")
+	planned := start.Add(time.Second)
+	catalogue.report(slowStore, planned, salt, Part{ID: "base", Tokens: 500})
+	plan := catalogue.Plan(gen1, salt, prompt("s"), "a", true, planned)
+	c.Assert(plan.Save[1], qt.Equals, fastStore)
+	stale := start.Add(ReadingTTL)
+	c.Check(plan.ForSending(stale.Add(-time.Millisecond)).Save, qt.DeepEquals, plan.Save)
+	late := plan.ForSending(stale)
+	c.Check(late.Save, qt.DeepEquals, []string{"", "", ""})
+	c.Check(late.Fetch, qt.DeepEquals, plan.Fetch)
+	c.Check(plan.Save[1], qt.Equals, fastStore, qt.Commentf("the plan itself is unchanged"))
+}
+
 // A save that is never reported must not prevent saves of the same part after saveTimeout.
 func TestLostSaveIsRetried(t *testing.T) {
 	c := qt.New(t)
