--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -3,7 +3,8 @@
 // a plan for each request; the leader calls it for the parts to free. The package has no clock and no network.
 //
 // Invariant: a plan fetches a part from a store only if the store has reported the part complete in its
-// current epoch, and the latest reading of the store is younger than ReadingTTL.
+// current epoch, the latest reading of the store is younger than ReadingTTL, and by that reading no save of the part is
+// under way any more that was planned before the part was known.
 package kvcache
 
 import (
@@ -19,6 +20,9 @@
 	// ReadingTTL covers two long polls by a gateway that relays its readings, and one poll by a gateway that
 	// receives them.
 	ReadingTTL = 1800 * time.Millisecond
+	// saveReadingTTL is how long the reading of a store is valid for saves. A part may be fetched only when all saves by
+	// readings from before it was complete have ended, so a longer time delays fetches of new parts.
+	saveReadingTTL = 500 * time.Millisecond
 	// FetchTimeout limits the time of a fetch from its planning; the engine discards what arrives later. An
 	// engine doesn't start a transfer that would wait longer than two seconds.
 	FetchTimeout = 1500 * time.Millisecond
@@ -85,6 +89,18 @@
 	TransferMS float64
 	// Until is when the engine discards fetches that haven't ended.
 	Until time.Time
+	// SaveBefore is when the readings by which the saves were planned are too old to send them.
+	SaveBefore time.Time
+}
+
+// ForSending returns the plan, without the saves if it is too late to send them.
+func (p *Plan) ForSending(now time.Time) *Plan {
+	if now.Before(p.SaveBefore) {
+		return p
+	}
+	fetches := *p
+	fetches.Save = make([]string, len(p.Save))
+	return &fetches
 }
 
 // WithoutFetch returns a copy of the plan that fetches nothing and keeps the saves.
@@ -135,7 +151,7 @@
 	for _, s := range stores {
 		existing := c.find(s.Address)
 		if existing == nil {
-			existing = &store{complete: make(map[Key]int), pending: make(map[Key]pendingSave), next: c.firstChange}
+			existing = &store{complete: make(map[Key]storedPart), pending: make(map[Key]pendingSave), next: c.firstChange}
 		}
 		existing.CacheStore = s
 		existing.reservedByPeers = 0
@@ -174,7 +190,8 @@
 	var epochs []Epoch
 	for _, s := range c.stores {
 		if s.epoch != 0 {
-			epochs = append(epochs, Epoch{Address: s.Address, Epoch: s.epoch, Age: s.readAt.Sub(s.epochFrom)})
+			// The first reading was requested before it was received.
+			epochs = append(epochs, Epoch{Address: s.Address, Epoch: s.epoch, Age: max(0, s.readAt.Sub(s.epochFrom))})
 		}
 	}
 	return epochs
@@ -220,20 +237,24 @@
 }
 
 // Apply applies one reading of a store, which was requested at requestedAt. It returns true when the full content
-// must be listed because changes are missing. Unknown stores are ignored.
+// must be listed because changes are missing; the reading then counts only with the listing. Unknown stores are ignored.
 func (c *Catalogue) Apply(address string, batch Batch, requestedAt, now time.Time) (list bool) {
 	s := c.find(address)
 	if s == nil {
 		return false
 	}
+	// Changes after a number of an earlier epoch aren't all changes of the new one.
+	incomplete := batch.Lost || s.epoch != 0 && s.epoch != batch.Epoch
 	if s.epoch != batch.Epoch {
 		c.restart(s, batch.Epoch, now)
 	}
 	for _, change := range batch.Changes {
-		s.apply(change)
+		s.apply(change, now)
 	}
-	s.readAt = requestedAt
-	return batch.Lost
+	if !incomplete {
+		s.readAt = requestedAt
+	}
+	return incomplete
 }
 
 // Replace replaces the content of a store by a full listing, which was requested at requestedAt.
@@ -245,12 +266,7 @@
 	if s.epoch != batch.Epoch {
 		c.restart(s, batch.Epoch, now)
 	}
-	s.complete = make(map[Key]int, len(batch.Changes))
-	s.used = 0
-	s.forceRelist()
-	for _, change := range batch.Changes {
-		s.apply(change)
-	}
+	s.replace(batch.Changes, now)
 	s.readAt = requestedAt
 }
 
@@ -314,9 +330,10 @@
 // records the saves as pending.
 func (c *Catalogue) Plan(g Generation, salt string, parts []Part, domain string, fetch bool, now time.Time) Plan {
 	plan := Plan{
-		Fetch: make([]string, len(parts)),
-		Save:  make([]string, len(parts)),
-		Until: now.Add(FetchTimeout),
+		Fetch:      make([]string, len(parts)),
+		Save:       make([]string, len(parts)),
+		Until:      now.Add(FetchTimeout),
+		SaveBefore: now.Add(saveReadingTTL),
 	}
 	fetching := fetch
 	var estimate Estimate
@@ -339,6 +356,9 @@
 			target.pending[key] = pendingSave{tokens: p.Tokens, at: now}
 			target.reserved += p.Tokens
 			plan.Save[i] = target.Address
+			if staleAt := target.readAt.Add(saveReadingTTL); staleAt.Before(plan.SaveBefore) {
+				plan.SaveBefore = staleAt
+			}
 		}
 	}
 	plan.FetchTokens, plan.FetchMS, plan.TransferMS = estimate.Tokens, estimate.MS, estimate.TransferMS
@@ -409,7 +429,7 @@
 	var best *store
 	var bestScore float64
 	for _, s := range c.stores {
-		if s.savePending(key, now) {
+		if s.savePending(key, now) || s.hasUnsettled(key, tokens, now) {
 			return nil
 		}
 		if !s.hasCapacity(tokens, now) {
@@ -467,9 +487,9 @@
 func (c *Catalogue) Filter(match func(key Key, tokens int) bool) []StoredPart {
 	var found []StoredPart
 	for _, s := range c.stores {
-		for key, tokens := range s.complete {
-			if match(key, tokens) {
-				found = append(found, StoredPart{Address: s.Address, Epoch: s.epoch, Key: key, Tokens: tokens})
+		for key, part := range s.complete {
+			if match(key, part.tokens) {
+				found = append(found, StoredPart{Address: s.Address, Epoch: s.epoch, Key: key, Tokens: part.tokens})
 			}
 		}
 	}
@@ -477,13 +497,13 @@
 }
 
 // RemoveFreed removes parts that were freed, before the store reports their removal.
-func (c *Catalogue) RemoveFreed(address string, keys []Key) {
+func (c *Catalogue) RemoveFreed(address string, keys []Key, now time.Time) {
 	s := c.find(address)
 	if s == nil {
 		return
 	}
 	for _, key := range keys {
-		s.apply(Change{Key: key, Removed: true})
+		s.apply(Change{Key: key, Removed: true}, now)
 	}
 }
 
