--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -32,7 +32,7 @@
 
 const eventuallyTimeout = 15 * time.Second
 
-// documents reads plain values: op/config holds a version, servers/ID an address.
+// documents reads plain values: op/config holds a version, op/weights/MODEL a weight version, servers/ID an address.
 type documents struct{}
 
 func (documents) OperatorPrefix() string     { return "op/" }
@@ -47,6 +47,9 @@
 	if _, err := fmt.Sscan(string(value), &version); err != nil {
 		return Document{}, err
 	}
+	if model, ok := strings.CutPrefix(key, "op/weights/"); ok {
+		return Document{Weights: &TargetWeights{Model: model, Version: version}}, nil
+	}
 	return Document{Configuration: &routing.Configuration{Version: version, Services: []routing.Service{{Name: "app"}}}}, nil
 }
 
@@ -308,7 +311,8 @@
 		f.loop.Call(func() { leads = f.lead.fence > 0 })
 		return leads
 	})
-	f.loop.Call(func() { f.dispatcher.SetTargetWeightVersion("m", 2, bootclock.Now().Add(-3*time.Second)) })
+	setServerClock(f, time.Hour)
+	addTargets(f, map[int64]time.Duration{2: 3 * time.Second})
 	eventually(c, "the target version is stored", func() bool {
 		_, err := store.Get(context.Background(), targetPrefix+"m")
 		return err == nil
@@ -317,13 +321,10 @@
 	time.Sleep(600 * time.Millisecond)
 	c.Assert(store.Calls().Swap-writes <= 1, qt.IsTrue, qt.Commentf("%d more writes", store.Calls().Swap-writes))
 	late := startFleet(c, "b", &switchableStore{store, make(chan struct{})})
-	eventually(c, "the other gateway has the time", func() (known bool) {
-		late.loop.Call(func() {
-			for _, n := range late.dispatcher.TargetWeightVersions() {
-				known = n.Version == 2 && bootclock.Now().Sub(n.SetAt) > 2*time.Second
-			}
-		})
-		return known
+	setServerClock(late, time.Hour)
+	eventually(c, "the other gateway has the time", func() bool {
+		due, known := untilDue(late, 1)
+		return known && late.WeightsWithin-due > 2*time.Second
 	})
 }
 
