Don't take a close after repeated events or comments for the end of a stream

Callers of a resumable stream got it as complete when its next server, without length or chunks, repeated the events that they had, or sent a comment only, and broke off.

eventstream.Sequence now reports whether the run has brought an event that the caller lacked; until then a close is a break.

--- a/internal/eventstream/sequence.go
+++ b/internal/eventstream/sequence.go
@@ -30,8 +30,10 @@
 	lastText string
 	begun    bool
 	ids      numbering
-	// joining is set until a run brings an event that the caller lacks.
-	joining bool
+	// joining is set until a run that goes on after another one brings an event that the caller lacks, advanced from then on in
+	// any run.
+	joining  bool
+	advanced bool
 	// repeated is the last id that the run sent once more; it is valid when hasRepeated is set.
 	repeated    uint64
 	hasRepeated bool
@@ -54,9 +56,12 @@
 // StartRun marks the start of another server's events.
 func (s *Sequence) StartRun() {
 	s.joining = s.begun && s.ids != unusable
-	s.hasRepeated = false
+	s.advanced, s.hasRepeated = false, false
 }
 
+// Advanced reports whether the run has brought an event that the caller lacked.
+func (s *Sequence) Advanced() bool { return s.advanced }
+
 // LastEventID returns the id of the last event that the caller has and that has one.
 func (s *Sequence) LastEventID() string { return s.lastText }
 
@@ -109,6 +114,7 @@
 		if e.hasID {
 			s.lastText, s.begun = e.id, true
 		}
+		s.advanced = true
 		return true, nil
 	case s.joining && id <= s.last:
 		s.repeated, s.hasRepeated = id, true
@@ -117,7 +123,8 @@
 		return false, ErrNotNext.New("event %d comes after event %d", id, s.last)
 	}
 	s.learn(id)
-	s.last, s.lastText, s.begun, s.joining = id, e.id, true, false
+	s.last, s.lastText, s.begun = id, e.id, true
+	s.joining, s.advanced = false, true
 	return true, nil
 }
 
--- a/internal/eventstream/sequence_test.go
+++ b/internal/eventstream/sequence_test.go
@@ -78,6 +78,30 @@
 	}
 }
 
+func TestRunAdvancesWithEventsThatTheCallerLacks(t *testing.T) {
+	for _, test := range []struct {
+		lastEventID, events string
+		want                bool
+	}{
+		{"", "", false},
+		{"", ": wait\n\nretry: 1000\n\n", false},
+		{"", "data: a\n\n", true},
+		{"", "id: a\ndata: a\n\n", true},
+		{"", numbered(1), true},
+		{"2", numbered(1, 2), false},
+		{"2", numbered(2, 3), true},
+		{"b", "id: c\ndata: c\n\n", true},
+	} {
+		c := qt.New(t)
+		s := NewSequence(test.lastEventID)
+		_, err := admitRun(&s, test.events)
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.Advanced(), qt.Equals, test.want, qt.Commentf("%q after %q", test.events, test.lastEventID))
+		s.StartRun()
+		c.Assert(s.Advanced(), qt.IsFalse)
+	}
+}
+
 // What one run repeated before it broke off doesn't count against the next one.
 func TestEachRunIsJudgedByItself(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -214,7 +214,7 @@
 			}
 		}
 		res.partialEvent = reader.partial()
-		if errors.Is(err, io.EOF) && res.framing == framedClose && !res.gotFirstByte {
+		if errors.Is(err, io.EOF) && res.framing == framedClose && !r.events.Advanced() {
 			// A generation has at least one event, and a close alone doesn't show that it, or the rest of it, ended.
 			err = io.ErrUnexpectedEOF
 		}
--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -73,6 +73,16 @@
 		respond: func(r *received) { r.respondError("200 OK", "", event(3)+event(4)) },
 		rest:    event(3) + event(4), complete: true,
 	},
+	"no further event before its connection ends": {respond: func(r *received) {
+		r.streamHeader("")
+		r.write("%s", event(1)+event(2))
+		_ = r.conn.Close()
+	}},
+	"a comment before its connection ends": {respond: func(r *received) {
+		r.streamHeader("")
+		r.write(": wait\n\n")
+		_ = r.conn.Close()
+	}, rest: ": wait\n\n"},
 	"no event before its connection ends": {respond: func(r *received) { r.streamHeader(""); _ = r.conn.Close() }},
 	"no further event":                    {respond: func(r *received) { r.respondStream() }, complete: true},
 	"part of the rest":                    {rest: event(3), respond: func(r *received) { r.startStream(); r.chunk(event(3) + "id: 4\n"); _ = r.conn.Close() }},
