--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -23,17 +23,18 @@
 const (
 	gatewayCount = 3
 	serverCount  = 4
-	// streamEvents is the number of events of each stream.
-	streamEvents = 6
 	graceMS      = 3000
 )
 
 // deployment consists of gateway processes, and of backend servers and a metadata store that run in the test process.
 type deployment struct {
-	c              *qt.C
-	folder         string
-	store          *standin.Metastore
-	gateways       []*gatewayProcess
+	c        *qt.C
+	folder   string
+	store    *standin.Metastore
+	gateways []*gatewayProcess
+	// fleetMu guards backendServers and engines, which are those that haven't left, and started, which are all.
+	fleetMu        sync.Mutex
+	started        []*server
 	backendServers []*server
 	// engines and cacheStores are the model engines and their cache stores, targetWeights is the target weight
 	// version, and fetchedParts counts the parts that engines were asked to fetch.
@@ -51,7 +52,17 @@
 	// request.
 	startedFaults atomic.Int64
 	disturbances  disturbances
-	crashes       crashes
+	// impairments are the times in which a gateway, a link or the metadata store was not as it should be.
+	impairments disturbances
+	crashes     crashes
+	// weightsWithin is the gateways' setting of that name.
+	weightsWithin time.Duration
+	weights       weightHistory
+	sentTo        sync.Map // id of a prompt to the name of its gateway
+	// serverNumber and engineNumber count the servers and engines that were started, runNumber the runs of both.
+	serverNumber, engineNumber, runNumber atomic.Int64
+	serving                               servingHistory
+	streams                               streamHistory
 }
 
 // gatewayProcess is one gateway with the proxy between it and the metadata store.
@@ -66,18 +77,11 @@
 	starts atomic.Int64
 }
 
-// server is one backend server with the proxy in front of it.
-type server struct {
-	id    string
-	http  *http.Server
-	proxy *proxy
-	limit requestLimit
-	// startedMS is the start of the server's run in Unix milliseconds.
-	startedMS atomic.Int64
-}
-
-func newDeployment(c *qt.C) *deployment {
-	w := &deployment{c: c, folder: c.TempDir()}
+func newDeployment(c *qt.C, k kind) *deployment {
+	w := &deployment{c: c, folder: c.TempDir(), disturbances: disturbances{settle: settleTime}}
+	if w.weightsWithin = defaultWeightsWithin(); k == withWeights {
+		w.weightsWithin = weightsWithin
+	}
 	var err error
 	w.store, err = standin.StartMetastore(standin.MetastoreSettings{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0"})
 	c.Assert(err, qt.IsNil)
@@ -87,17 +91,15 @@
 	}
 	w.putConfiguration(1)
 	w.setTargetWeights()
-	for i := range serverCount {
-		w.backendServers = append(w.backendServers, w.startServer(fmt.Sprint("s", i)))
+	for range serverCount {
+		w.backendServers = append(w.backendServers, w.startServer(firstSoftware))
 	}
-	for i := range engineCount {
-		w.engines = append(w.engines, w.startEngine(i))
+	for range engineCount {
+		w.engines = append(w.engines, w.startEngine(firstSoftware, 1))
 	}
-	binaries, err := testbed.Binaries()
-	c.Assert(err, qt.IsNil)
 	for i := range gatewayCount {
 		w.gateways = append(w.gateways, w.newGateway(i))
-		w.startGateway(w.gateways[i], filepath.Join(binaries, "balsam-gateway"))
+		w.startGateway(w.gateways[i], w.gatewayBinary())
 	}
 	c.Cleanup(func() {
 		for _, n := range w.gateways {
@@ -105,18 +107,6 @@
 			n.process.Kill()
 			n.proxy.stop()
 		}
-		for _, s := range w.backendServers {
-			_ = s.http.Close()
-			s.proxy.stop()
-		}
-		for _, e := range w.engines {
-			_ = e.http.Close()
-			e.proxy.stop()
-		}
-		for _, s := range w.cacheStores {
-			_ = s.http.Close()
-			s.proxy.stop()
-		}
 	})
 	return w
 }
@@ -135,6 +125,7 @@
 	s.Instance, s.FailureDomain = n.name, fmt.Sprint("d", i%2)
 	s.Listen, s.Ready, s.Control, s.Beats, s.Metrics = addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
 	s.Metastore, s.GraceMS, s.RetrySlack = p.address(), graceMS, 1000
+	s.WeightsWithinMS = int(w.weightsWithin.Milliseconds())
 	for _, other := range w.gateways {
 		s.Seeds = append(s.Seeds, other.controlAddress())
 	}
@@ -194,6 +185,7 @@
 	route("stream", "streaming", 3, true)
 	route("once", "streaming", 1, false)
 	fmt.Fprintf(&routes, `,{"name":"ask","host":"h","prefix":"/ask/","kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":3,"public":true}`)
+	fmt.Fprintf(&routes, `,{"name":"draft","host":"h","prefix":"/draft/","kind":"streaming","timeout_ms":4000,"target_latency_ms":500,"priority":1,"service":"llm","max_attempts":3,"public":true,"resumable":true}`)
 	services := `{"name":"app"},{"name":"llm","engine":{"slots":16,"kv_capacity":20000,"kv_token_bytes":100,"models":[{"name":"m"}]}}`
 	for i, s := range w.cacheStores {
 		services += fmt.Sprintf(`,{"name":"cache%d","kv_store_addr":%q,"zone":"d0","kv_capacity":%d,"link_mbps":10000,"max_in_flight":64,"managed":true,"first_ms":1}`,
@@ -222,27 +214,6 @@
 	}
 }
 
-// startServer starts a backend server that counts the runs of each request, and registers it.
-func (w *deployment) startServer(id string) *server {
-	s := &server{id: id}
-	s.startedMS.Store(time.Now().UnixMilli())
-	s.http, s.proxy = w.serveBehindProxy(func(out http.ResponseWriter, in *http.Request) { w.serve(s, out, in) })
-	w.register(s, "ready")
-	return s
-}
-
-// drain registers a server as draining and later as a new run that is ready.
-func (w *deployment) drain(s *server, duration time.Duration) {
-	w.register(s, "draining")
-	time.Sleep(duration)
-	s.startedMS.Store(time.Now().UnixMilli())
-	w.register(s, "ready")
-}
-
-func (w *deployment) register(s *server, state string) {
-	w.put("servers/"+s.id, fmt.Sprintf(`{"service":"app","address":%q,"zone":"d0","slots":64,"state":%q,"sequence":1,"born":%d}`, s.proxy.address(), state, s.startedMS.Load()))
-}
-
 func (w *deployment) serve(s *server, out http.ResponseWriter, in *http.Request) {
 	s.limit.record(out)
 	request := in.Header.Get("Balsamyoke-Request-Id")
@@ -269,38 +240,5 @@
 		fmt.Fprintf(out, "answer to %s", request)
 		return
 	}
-	w.serveStream(out, in)
-}
-
-// breaksOff reports whether the first run of a request ends inside an event.
-func breaksOff(request string) bool { return strings.HasSuffix(request, "3-stream") }
-
-// serveStream sends the events of a stream, or those after the Last-Event-Id of the request. A fixed part of the
-// streams ends inside an event, in the orderly way of its framing, and has to be resumed.
-func (w *deployment) serveStream(out http.ResponseWriter, in *http.Request) {
-	request := in.Header.Get("Balsamyoke-Request-Id")
-	out.Header().Set("Balsamyoke-Response-Stamp", "stamp")
-	first := 1
-	_, _ = fmt.Sscan(in.Header.Get("Last-Event-Id"), &first)
-	if in.Header.Get("Last-Event-Id") != "" {
-		first++
-	}
-	out.Header().Set("Content-Type", "text/event-stream")
-	if len(request)%2 == 0 {
-		// net/http then writes neither a length nor chunks and closes the connection after the body.
-		out.Header().Set("Transfer-Encoding", "identity")
-	}
-	breakAt := 0
-	if breaksOff(request) && in.Header.Get("Last-Event-Id") == "" {
-		breakAt = 1 + len(request)%streamEvents
-	}
-	for i := first; i <= streamEvents; i++ {
-		if i == breakAt {
-			fmt.Fprintf(out, "id: %d\ndata: %s\n", i, request)
-			return
-		}
-		fmt.Fprintf(out, "id: %d\ndata: %s\n\n", i, request)
-		_ = http.NewResponseController(out).Flush()
-		time.Sleep(15 * time.Millisecond)
-	}
+	w.serveStream(s, out, in)
 }
