Fetch a new part only when saves of it can no longer be under way

Cause: two gateways send saves of one part, as neither knows it yet. The first completes it, a third request fetches it. The store restarts, and the second save writes the part again, while gateways that haven't noticed the restart fetch it. A paused gateway, lost connections to the store, or a request that waits at its engine make the second save late. The wire has no save that expects an epoch, and the age of readings alone can't part the two: the fetch only needs a reading from before the restart, the save one from before the part was complete. The wait after a restart (restartWait) is for gateways that have noticed it.

Now saves need a reading younger than 0.5 s, fetches still one of 1.8 s, and a part is fetched only when the store was read 1 s after the part was known: 0.5 s for saves by readings from before, 0.5 s for such saves to reach the store. Then every save sent without knowledge of the part began before that reading, so before any restart that the reading doesn't show. Calls for events wait 0.2 s instead of 0.4 s, so that readings of an idle store are young enough to save by. Not covered: an engine that begins to save more than 0.5 s after its request was sent.

Tests: report() of the catalogue's tests and storesPerDomain now state parts that have been complete for settleTime; the new test covers the time before. TestSavesAreNotSentByStaleReadings uses the shorter time for saves.

--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -11,8 +11,8 @@
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
-// storesPerDomain returns a catalogue with one store in each simulated failure domain. Session i is complete in the
-// store of domain i modulo their number.
+// storesPerDomain returns a catalogue with one store in each simulated failure domain. Session i has been complete for a
+// while in the store of domain i modulo their number.
 func storesPerDomain(sessions int, now time.Time) *kvcache.Catalogue {
 	catalogue := kvcache.New()
 	var stores []routing.CacheStore
@@ -29,8 +29,9 @@
 		for s := i; s < sessions; s += len(simulationDomains) {
 			batch.Changes = append(batch.Changes, kvcache.Change{Key: kvcache.Key{Salt: salt, ID: fmt.Sprint("s", s)}, Tokens: 8200})
 		}
-		catalogue.Replace(stores[i].Address, batch, now, now)
+		catalogue.Replace(stores[i].Address, batch, now.Add(-time.Minute), now.Add(-time.Minute))
 	}
+	refreshStores(catalogue, now)
 	return catalogue
 }
 
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -14,9 +14,9 @@
 )
 
 const (
-	// feedWait is how long one call waits for events. The age of a reading counts from the start of its call,
-	// so two calls and a pause must fit into kvcache.ReadingTTL.
-	feedWait = 400 * time.Millisecond
+	// feedWait is how long one call waits for events; shorter ones are charged as probes. The age of a reading counts from the
+	// start of its call, so two calls and a pause must fit into kvcache.ReadingTTL, and should into the shorter time for saves.
+	feedWait = 200 * time.Millisecond
 	// feedPause is the time between two calls. It lets events accumulate.
 	feedPause = 120 * time.Millisecond
 	// feedTimeout is how much longer than its wait one call may take.
@@ -121,7 +121,7 @@
 			}
 			f.Counters.PartsFreed.Inc(int64(n))
 			freed := keys[:n]
-			f.loop.Post(func() { f.catalogue.RemoveFreed(t.address, freed) })
+			f.loop.Post(func() { f.catalogue.RemoveFreed(t.address, freed, bootclock.Now()) })
 			keys = keys[n:]
 		}
 	}
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -3,7 +3,8 @@
 // a plan for each request; the leader calls it for the parts to free. The package has no clock and no network.
 //
 // Invariant: a plan fetches a part from a store only if the store has reported the part complete in its
-// current epoch, and the latest reading of the store is younger than ReadingTTL.
+// current epoch, the latest reading of the store is younger than ReadingTTL, and by that reading no save of the part is
+// under way any more that was planned before the part was known.
 package kvcache
 
 import (
@@ -19,6 +20,9 @@
 	// ReadingTTL covers two long polls by a gateway that relays its readings, and one poll by a gateway that
 	// receives them.
 	ReadingTTL = 1800 * time.Millisecond
+	// saveReadingTTL is how long the reading of a store is valid for saves. A part may be fetched only when all saves by
+	// readings from before it was complete have ended, so a longer time delays fetches of new parts.
+	saveReadingTTL = 500 * time.Millisecond
 	// FetchTimeout limits the time of a fetch from its planning; the engine discards what arrives later. An
 	// engine doesn't start a transfer that would wait longer than two seconds.
 	FetchTimeout = 1500 * time.Millisecond
@@ -147,7 +151,7 @@
 	for _, s := range stores {
 		existing := c.find(s.Address)
 		if existing == nil {
-			existing = &store{complete: make(map[Key]int), pending: make(map[Key]pendingSave), next: c.firstChange}
+			existing = &store{complete: make(map[Key]storedPart), pending: make(map[Key]pendingSave), next: c.firstChange}
 		}
 		existing.CacheStore = s
 		existing.reservedByPeers = 0
@@ -244,7 +248,7 @@
 		c.restart(s, batch.Epoch, now)
 	}
 	for _, change := range batch.Changes {
-		s.apply(change)
+		s.apply(change, now)
 	}
 	if !incomplete {
 		s.readAt = requestedAt
@@ -261,7 +265,7 @@
 	if s.epoch != batch.Epoch {
 		c.restart(s, batch.Epoch, now)
 	}
-	s.replace(batch.Changes)
+	s.replace(batch.Changes, now)
 	s.readAt = requestedAt
 }
 
@@ -328,7 +332,7 @@
 		Fetch:      make([]string, len(parts)),
 		Save:       make([]string, len(parts)),
 		Until:      now.Add(FetchTimeout),
-		SaveBefore: now.Add(ReadingTTL),
+		SaveBefore: now.Add(saveReadingTTL),
 	}
 	fetching := fetch
 	var estimate Estimate
@@ -351,7 +355,7 @@
 			target.pending[key] = pendingSave{tokens: p.Tokens, at: now}
 			target.reserved += p.Tokens
 			plan.Save[i] = target.Address
-			if staleAt := target.readAt.Add(ReadingTTL); staleAt.Before(plan.SaveBefore) {
+			if staleAt := target.readAt.Add(saveReadingTTL); staleAt.Before(plan.SaveBefore) {
 				plan.SaveBefore = staleAt
 			}
 		}
@@ -424,7 +428,7 @@
 	var best *store
 	var bestScore float64
 	for _, s := range c.stores {
-		if s.savePending(key, now) {
+		if s.savePending(key, now) || s.hasUnsettled(key, tokens, now) {
 			return nil
 		}
 		if !s.hasCapacity(tokens, now) {
@@ -482,9 +486,9 @@
 func (c *Catalogue) Filter(match func(key Key, tokens int) bool) []StoredPart {
 	var found []StoredPart
 	for _, s := range c.stores {
-		for key, tokens := range s.complete {
-			if match(key, tokens) {
-				found = append(found, StoredPart{Address: s.Address, Epoch: s.epoch, Key: key, Tokens: tokens})
+		for key, part := range s.complete {
+			if match(key, part.tokens) {
+				found = append(found, StoredPart{Address: s.Address, Epoch: s.epoch, Key: key, Tokens: part.tokens})
 			}
 		}
 	}
@@ -492,13 +496,13 @@
 }
 
 // RemoveFreed removes parts that were freed, before the store reports their removal.
-func (c *Catalogue) RemoveFreed(address string, keys []Key) {
+func (c *Catalogue) RemoveFreed(address string, keys []Key, now time.Time) {
 	s := c.find(address)
 	if s == nil {
 		return
 	}
 	for _, key := range keys {
-		s.apply(Change{Key: key, Removed: true})
+		s.apply(Change{Key: key, Removed: true}, now)
 	}
 }
 
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -42,12 +42,19 @@
 	return []Part{{ID: "base", Tokens: 500}, {ID: session, Tokens: 6000}, {ID: session + "-own", Tokens: 900}}
 }
 
+// report applies a reading of a store, made now, by which parts have been complete for settleTime.
 func (c *Catalogue) report(address string, now time.Time, salt string, parts ...Part) {
-	batch := Batch{Epoch: 1}
+	c.settle(address, 1, now, salt, parts...)
+}
+
+func (c *Catalogue) settle(address string, epoch int64, now time.Time, salt string, parts ...Part) {
+	batch := Batch{Epoch: epoch}
 	for _, p := range parts {
 		batch.Changes = append(batch.Changes, Change{Key: Key{Salt: salt, ID: p.ID}, Tokens: p.Tokens})
 	}
-	c.Apply(address, batch, now, now)
+	completeAt := now.Add(-settleTime)
+	c.Apply(address, batch, completeAt, completeAt)
+	c.Apply(address, Batch{Epoch: epoch}, now, now)
 }
 
 // A part is fetched only after its store has reported it complete.
@@ -92,6 +99,41 @@
 	c.Assert(plan.Save, qt.DeepEquals, []string{"", "", ""}, qt.Commentf("no store has a fresh reading"))
 }
 
+// A part that a gateway has just learnt of may still be saved by another one, which matters after a restart. Until that is
+// over, the part is neither fetched nor saved again.
+func TestUnsettledPartIsNeitherFetchedNorSaved(t *testing.T) {
+	c := qt.New(t)
+	catalogue := newCatalogue()
+	salt := Salt(gen1, "")
+	parts := []Part{{ID: "base", Tokens: 500}, {ID: "own", Tokens: 100}}
+	complete := Batch{Epoch: 1, Changes: []Change{{Key: Key{Salt: salt, ID: "base"}, Tokens: 500}}}
+	catalogue.Apply(slowStore, complete, start, start)
+	planAt := func(now time.Time) Plan {
+		catalogue.Apply(fastStore, Batch{Epoch: 1}, now, now)
+		return catalogue.Plan(gen1, salt, parts, "a", true, now)
+	}
+	settled := start.Add(settleTime)
+	for _, readAt := range []time.Time{start, settled.Add(-time.Millisecond)} {
+		catalogue.Apply(slowStore, complete, readAt, readAt)
+		plan := planAt(settled.Add(saveReadingTTL))
+		c.Check(plan.Fetch[0], qt.Equals, "", qt.Commentf("read at %v", readAt))
+		c.Check(plan.Save[0], qt.Equals, "", qt.Commentf("read at %v", readAt))
+	}
+	catalogue.Replace(slowStore, complete, settled, settled)
+	c.Check(planAt(settled).Fetch[0], qt.Equals, slowStore, qt.Commentf("a listing doesn't make it new"))
+	catalogue.Apply(slowStore, Batch{Epoch: 1, Changes: []Change{{Key: complete.Changes[0].Key, Removed: true}, complete.Changes[0]}}, settled, settled)
+	c.Check(planAt(settled).Fetch[0], qt.Equals, "", qt.Commentf("it was saved anew"))
+}
+
+// A save needs a younger reading than a fetch: new parts are fetched only when saves by older readings have ended.
+func TestSavesNeedYoungReadings(t *testing.T) {
+	c := qt.New(t)
+	catalogue := newCatalogue()
+	salt := Salt(gen1, "")
+	c.Check(catalogue.Plan(gen1, salt, prompt("r"), "a", true, start.Add(saveReadingTTL)).Save, qt.DeepEquals, []string{"", "", ""})
+	c.Check(catalogue.Plan(gen1, salt, prompt("s"), "a", true, start.Add(saveReadingTTL-1)).Save, qt.DeepEquals, []string{fastStore, fastStore, ""})
+}
+
 // A reading that lacks changes must not make the catalogue count as fresh before the listing.
 func TestReadingWithoutAllChangesNeedsListing(t *testing.T) {
 	c := qt.New(t)
@@ -160,11 +202,11 @@
 	c := qt.New(t)
 	catalogue := newCatalogue()
 	salt := Salt(gen1, "")
-	planned := start.Add(time.Second)
+	planned := start.Add(saveReadingTTL / 2)
 	catalogue.report(slowStore, planned, salt, Part{ID: "base", Tokens: 500})
 	plan := catalogue.Plan(gen1, salt, prompt("s"), "a", true, planned)
 	c.Assert(plan.Save[1], qt.Equals, fastStore)
-	stale := start.Add(ReadingTTL)
+	stale := start.Add(saveReadingTTL)
 	c.Check(plan.ForSending(stale.Add(-time.Millisecond)).Save, qt.DeepEquals, plan.Save)
 	late := plan.ForSending(stale)
 	c.Check(late.Save, qt.DeepEquals, []string{"", "", ""})
@@ -324,9 +366,8 @@
 func TestNoPartIsFetchedWhileItIsSavedAgainAfterRestart(t *testing.T) {
 	c := qt.New(t)
 	salt := Salt(gen1, "")
-	base := Change{Key: Key{Salt: salt, ID: "base"}, Tokens: 500}
 	fetching := newCatalogue()
-	fetching.Apply(slowStore, Batch{Epoch: 1, Changes: []Change{base}}, start, start)
+	fetching.report(slowStore, start, salt, Part{ID: "base", Tokens: 500})
 	starting := newCatalogue()
 	starting.SetStores(nil, 18_432)
 	starting.SetStores([]routing.CacheStore{
--- a/internal/kvcache/relay.go
+++ b/internal/kvcache/relay.go
@@ -49,8 +49,8 @@
 		return Batch{}, false
 	}
 	batch := Batch{Epoch: s.epoch, Next: s.next, Age: now.Sub(s.readAt), Changes: make([]Change, 0, len(s.complete))}
-	for key, tokens := range s.complete {
-		batch.Changes = append(batch.Changes, Change{Key: key, Tokens: tokens})
+	for key, part := range s.complete {
+		batch.Changes = append(batch.Changes, Change{Key: key, Tokens: part.tokens})
 	}
 	return batch, true
 }
--- a/internal/kvcache/store.go
+++ b/internal/kvcache/store.go
@@ -17,7 +17,7 @@
 	// epochFrom is when this gateway first read the epoch. saveFrom is when the first save in the epoch may be planned.
 	epochFrom time.Time
 	saveFrom  time.Time
-	complete  map[Key]int
+	complete  map[Key]storedPart
 	pending   map[Key]pendingSave
 	used      int
 	reserved  int
@@ -32,6 +32,12 @@
 	next    int64
 }
 
+type storedPart struct {
+	tokens int
+	// knownFrom is when this gateway learnt that the part is complete.
+	knownFrom time.Time
+}
+
 type pendingSave struct {
 	tokens int
 	at     time.Time
@@ -41,23 +47,37 @@
 // the new epoch or treats its reading as stale, and active fetches have ended.
 const restartWait = ReadingTTL + FetchTimeout
 
+// saveDelay is how long it takes until all gateways can know of a save: from the sending of its request until the engine starts
+// to save, or from the completion of the part until the store reports it.
+const saveDelay = 500 * time.Millisecond
+
+// settleTime is how much later than a part is known to be complete the store must have been read for the part to be
+// fetched. A gateway that doesn't know the part yet may have sent a save of it, which does nothing while the store has the
+// part, but writes it again after a restart. By that reading such saves have ended, and later restarts don't matter.
+const settleTime = saveReadingTTL + saveDelay
+
 // restart drops the content of an earlier epoch. The store may have restarted just before this reading, also if it is
 // this gateway's first one and has content: a gateway that hasn't noticed the restart may have saved that. Unless
 // another gateway has known the epoch for long enough, nothing is saved for restartWait.
 func (s *store) restart(epoch int64, now time.Time) {
 	s.epochFrom, s.saveFrom = now, now.Add(restartWait)
 	s.epoch = epoch
-	s.complete = make(map[Key]int)
+	s.complete = make(map[Key]storedPart)
 	s.pending = make(map[Key]pendingSave)
 	s.used, s.reserved = 0, 0
 	s.forceRelist()
 }
 
-func (s *store) apply(change Change) {
-	s.used -= s.complete[change.Key]
+func (s *store) apply(change Change, now time.Time) {
+	before := s.complete[change.Key]
+	s.used -= before.tokens
 	delete(s.complete, change.Key)
 	if !change.Removed {
-		s.complete[change.Key] = change.Tokens
+		part := storedPart{tokens: change.Tokens, knownFrom: now}
+		if part.tokens == before.tokens {
+			part.knownFrom = before.knownFrom
+		}
+		s.complete[change.Key] = part
 		s.used += change.Tokens
 	}
 	s.removePending(change.Key)
@@ -66,19 +86,19 @@
 
 // replace sets the complete parts. It applies only what differs, so that gateways which read through this one needn't list
 // the store again.
-func (s *store) replace(listing []Change) {
+func (s *store) replace(listing []Change, now time.Time) {
 	listed := make(map[Key]int, len(listing))
 	for _, change := range listing {
 		listed[change.Key] = change.Tokens
 	}
 	for key := range s.complete {
 		if _, ok := listed[key]; !ok {
-			s.apply(Change{Key: key, Removed: true})
+			s.apply(Change{Key: key, Removed: true}, now)
 		}
 	}
 	for key, tokens := range listed {
-		if s.complete[key] != tokens {
-			s.apply(Change{Key: key, Tokens: tokens})
+		if s.complete[key].tokens != tokens {
+			s.apply(Change{Key: key, Tokens: tokens}, now)
 		}
 	}
 }
@@ -95,9 +115,15 @@
 	return !s.readAt.IsZero() && now.Sub(s.readAt) < ReadingTTL
 }
 
-// canServe reports whether the store has the complete part and its reading is fresh.
+// canServe reports whether the store has the complete part, settled, and its reading is fresh.
 func (s *store) canServe(key Key, tokens int, now time.Time) bool {
-	return s.complete[key] >= tokens && s.fresh(now)
+	part := s.complete[key]
+	return part.tokens >= tokens && s.fresh(now) && s.readAt.Sub(part.knownFrom) >= settleTime
+}
+
+// hasUnsettled reports whether the store has the complete part, not yet settled, and its reading is fresh.
+func (s *store) hasUnsettled(key Key, tokens int, now time.Time) bool {
+	return s.complete[key].tokens >= tokens && s.fresh(now) && !s.canServe(key, tokens, now)
 }
 
 // lag returns the expected wait for the store's link, in milliseconds.
@@ -125,7 +151,7 @@
 
 // hasCapacity reports whether a part may be saved to the store and probably fits.
 func (s *store) hasCapacity(tokens int, now time.Time) bool {
-	return s.Managed && s.fresh(now) && !now.Before(s.saveFrom) &&
+	return s.Managed && now.Sub(s.readAt) < saveReadingTTL && !now.Before(s.saveFrom) &&
 		float64(s.used+s.reserved+s.reservedByPeers+tokens) < maxFillRatio*float64(s.CapacityTokens)
 }
 
