--- a/internal/systemtest/atmostonce/faults_test.go
+++ b/internal/systemtest/atmostonce/faults_test.go
@@ -81,7 +81,7 @@
 	c.Cleanup(cancel)
 	fleet, err := testbed.Start(ctx, testbed.Spec{
 		Binaries:      binaries,
-		Folder:        c.TempDir(),
+		Folder:        testbed.Folder(c),
 		Region:        "lakes",
 		Domains:       []string{"erie", "huron"},
 		Manifest:      testManifest(),
--- a/internal/testbed/faults_test.go
+++ b/internal/testbed/faults_test.go
@@ -31,7 +31,7 @@
 	c.Assert(err, qt.IsNil)
 	return testbed.Spec{
 		Binaries:      binaries,
-		Folder:        c.TempDir(),
+		Folder:        testbed.Folder(c),
 		Region:        "lakes",
 		Domains:       profile.Domains,
 		Manifest:      profile.Manifest(),
--- a/internal/testbed/fleet_test.go
+++ b/internal/testbed/fleet_test.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	fleet, err := testbed.Start(ctx, testbed.Spec{
 		Binaries:      binaries,
-		Folder:        c.TempDir(),
+		Folder:        testbed.Folder(c),
 		Region:        "lakes",
 		Domains:       []string{"erie", "huron"},
 		Manifest:      testManifest(),
