Don't take the epoch of a store that was just read for known for 49 days

Cause: when a gateway starts, the others tell it and each other how long they have known each store's epoch, so that it need not wait for restartWait before its first save. That time was counted from the receipt of the first reading to the request of the latest one. With only one reading it is negative, and on the wire, as an unsigned number of milliseconds, it becomes 49 days. Every gateway that had the new epoch then saved to the store at once, while one that hadn't noticed the restart still fetched by its reading from before. The class: a difference of times that can be negative, sent unsigned.

The time is now never negative.

--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -190,7 +190,8 @@
 	var epochs []Epoch
 	for _, s := range c.stores {
 		if s.epoch != 0 {
-			epochs = append(epochs, Epoch{Address: s.Address, Epoch: s.epoch, Age: s.readAt.Sub(s.epochFrom)})
+			// The first reading was requested before it was received.
+			epochs = append(epochs, Epoch{Address: s.Address, Epoch: s.epoch, Age: max(0, s.readAt.Sub(s.epochFrom))})
 		}
 	}
 	return epochs
