Carry epochs in the simulation of restarts as heartbeats do

The simulation passed the age of an epoch on as it was, so it couldn't find that a negative age becomes 49 days on the wire.

--- a/internal/kvcache/restart_simulation_test.go
+++ b/internal/kvcache/restart_simulation_test.go
@@ -286,6 +286,10 @@
 // beat tells the other gateways the epochs that this one knows.
 func (g *simulatedGateway) beat() {
 	epochs := g.catalogue.Epochs()
+	for i, e := range epochs {
+		// As heartbeats carry it.
+		epochs[i].Age = time.Duration(uint32(e.Age.Milliseconds())) * time.Millisecond
+	}
 	for _, other := range g.gateways {
 		if other == g {
 			continue
