--- a/internal/systemtest/soak/releases_test.go
+++ b/internal/systemtest/soak/releases_test.go
@@ -42,7 +42,8 @@
 				continue
 			}
 			if inPlace {
-				w.crashServer(s, software, 100*time.Millisecond+rand.N(expiryTime))
+				away := 100*time.Millisecond + time.Duration(rng.Int64N(int64(expiryTime)))
+				w.inject(fault{inject: func() { w.crashServer(s, software, away) }})
 			} else {
 				w.replace(s, software, &leaving)
 			}
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -173,12 +173,7 @@
 	}
 	injectFault := func(f fault) {
 		c.Logf("%s %s", time.Now().Format(clockFormat), f.name)
-		injecting.Go(func() {
-			w.activeFaults.Add(1)
-			w.startedFaults.Add(1)
-			w.inject(f)
-			w.activeFaults.Add(-1)
-		})
+		injecting.Go(func() { w.inject(f) })
 	}
 	half := time.Duration(*lengthMS) * time.Millisecond
 	until, calmFrom := time.Now().Add(half), time.Now().Add(half)
@@ -295,6 +290,9 @@
 
 // inject injects a fault and records what it impairs.
 func (w *deployment) inject(f fault) {
+	w.activeFaults.Add(1)
+	defer w.activeFaults.Add(-1)
+	w.startedFaults.Add(1)
 	inject := f.inject
 	if f.impairs != "" {
 		inject = w.impairments.during(f.impairs, inject)
--- a/internal/systemtest/soak/weights_test.go
+++ b/internal/systemtest/soak/weights_test.go
@@ -77,6 +77,7 @@
 			w.setTargetsInARow(gaps)
 			w.inject(w.killGateway(n))
 		}, false, ""},
+		{"power loss of all gateways", w.killAllGateways, false, w.gateways[0].name},
 		{fmt.Sprintf("engine %s crashes, back after %s", e.id, away), func() { w.crashServer(e.server, e.run.Load().software, away) }, false, ""},
 		{fmt.Sprintf("engine %s dark for %s", e.id, away), w.disturbances.during(e.id, modeFault(e.proxy, stall, away)), true, e.id},
 		{fmt.Sprintf("metadata store restored from a copy of %s ago", away), func() { w.restoreStore(away) }, false, storeScope},
@@ -84,6 +85,15 @@
 	return faults[rng.IntN(len(faults))]
 }
 
+// killAllGateways kills all gateways at the same moment and starts them again.
+func (w *deployment) killAllGateways() {
+	var all sync.WaitGroup
+	for _, n := range w.gateways {
+		all.Go(func() { w.inject(w.killGateway(n)) })
+	}
+	all.Wait()
+}
+
 func (w *deployment) setTargetsInARow(gaps []time.Duration) {
 	w.setTargetWeights()
 	for _, gap := range gaps {
