Let soak proxies listen where no outgoing connection can take their port

The port was one of the kernel's range of outgoing connections, which may use it while the proxy refuses.

--- a/internal/systemtest/soak/proxy_test.go
+++ b/internal/systemtest/soak/proxy_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"balsamyoke.example/balsamyoke/internal/loopback"
 )
 
 // mode is what a proxy does with the connections through it.
@@ -37,8 +39,13 @@
 	refusing bool
 }
 
+// startProxy starts a proxy at an address that no outgoing connection can take while it refuses.
 func startProxy(to string) (*proxy, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	address, err := loopback.FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, err
 	}
