Keep the soak's addresses free and don't ignore that its store can't listen

A process that is forked while FreeAddress has its listener open holds the address until it runs its program. The stand-in had port 0, so that an outgoing connection could take its port while it was down, and the error of listening again was dropped. It listens at a FreeAddress now, and the error fails the test.

The causes are inferred from the code and the logs; no run forced them.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/joomcode/errorx"
 )
@@ -47,6 +48,9 @@
 }
 
 func isFree(address string) bool {
+	// A process that is forked meanwhile would hold the address for a moment longer.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return false
--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -82,8 +82,9 @@
 	if w.weightsWithin = defaultWeightsWithin(); k == withWeights {
 		w.weightsWithin = weightsWithin
 	}
-	var err error
-	w.store, err = standin.StartMetastore(standin.MetastoreSettings{Listen: "127.0.0.1:0", Admin: "127.0.0.1:0"})
+	address, err := loopback.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	w.store, err = standin.StartMetastore(standin.MetastoreSettings{Listen: address, Admin: "127.0.0.1:0"})
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(w.store.Stop)
 	for range storeCount {
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -326,11 +326,11 @@
 		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false, n.name},
 		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true, s.id},
 		{"metadata store down", func() {
-			_ = w.store.SetFaults(memkv.Faults{Down: true})
+			w.c.Check(w.store.SetFaults(memkv.Faults{Down: true}), qt.IsNil)
 			time.Sleep(duration)
-			_ = w.store.SetFaults(memkv.Faults{})
+			w.c.Check(w.store.SetFaults(memkv.Faults{}), qt.IsNil)
 		}, false, storeScope},
-		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false, storeScope},
+		{"metadata store loses responses", func() { w.c.Check(w.store.SetFaults(memkv.Faults{LoseResponses: 5}), qt.IsNil) }, false, storeScope},
 		{"metadata store compacted", func() { w.store.Store().Compact() }, false, ""},
 		{"configuration change", func() { w.changeConfiguration() }, false, ""},
 		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false, ""},
