--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -92,7 +92,9 @@
 	// unloadedTargets are the stored target versions that were read before the servers' clock was known, by key.
 	unloadedTargets map[string]metastore.Record
 	states          map[string]backend.State
-	background      sync.WaitGroup
+	// unreadable are the keys whose documents can't be read and have been logged.
+	unreadable map[string]bool
+	background sync.WaitGroup
 }
 
 // New returns a Fleet with an empty state.
@@ -113,6 +115,7 @@
 		ownerConnections: grpcpool.New(maxOwnerConnections),
 		feeds:            make(map[string]context.CancelFunc),
 		states:           make(map[string]backend.State),
+		unreadable:       make(map[string]bool),
 		unloadedTargets:  make(map[string]metastore.Record),
 	}
 	f.mirror = mirror.New(f.supersedes)
@@ -149,6 +152,7 @@
 	}
 	f.link = link
 	documents := f.Platform.Documents
+	f.mirror.LimitValues(documents.ServerPrefix(), backend.MaxRegistrationBytes)
 	for _, run := range []func(context.Context){
 		func(ctx context.Context) { f.follow(ctx, documents.OperatorPrefix(), f.applyOperatorChanges) },
 		func(ctx context.Context) { f.follow(ctx, documents.ServerPrefix(), f.applyServerChanges) },
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -44,6 +44,9 @@
 	DialTimeout time.Duration
 	// MaxIdle bounds how many unused connections are kept.
 	MaxIdle int
+	// CloseAfterErrors closes a connection after a response with a status of 400 or more. A server that sends such a
+	// response once more would otherwise answer the next call with it.
+	CloseAfterErrors bool
 	// Traffic counts the bytes sent and received; nil counts nothing.
 	Traffic *traffic.Counter
 }
@@ -123,7 +126,8 @@
 		_ = conn.Close()
 		return ErrInterrupted.Wrap(preferContextCause(ctx, err), "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
 	}
-	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 {
+	failed := c.options.CloseAfterErrors && response.StatusCode() >= fasthttp.StatusBadRequest
+	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 || failed {
 		_ = conn.Close()
 		return nil
 	}
@@ -151,7 +155,8 @@
 	return s, nil
 }
 
-// connect returns an unused connection that the peer has not closed, or dials a new one. The error is ErrNotSent.
+// connect returns an unused connection that the peer has not closed, or dials a new one. Bytes that have arrived on an unused
+// connection belong to no request that is still to be sent. The error is ErrNotSent.
 func (c *Client) connect(ctx context.Context) (*connection, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, ErrNotSent.Wrap(err, "call to %s", c.address)
@@ -161,7 +166,7 @@
 		if conn == nil {
 			return c.dial(ctx)
 		}
-		if time.Since(conn.idleSince) < maxIdleTime && !PeerClosed(conn.Conn) {
+		if time.Since(conn.idleSince) < maxIdleTime && peek(conn.Conn) == peerQuiet {
 			return conn, nil
 		}
 		_ = conn.Close()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// IsStoreReachable reports whether the store has replied to the latest call.
+func (r *Registry) IsStoreReachable() bool { return !r.unreachable }
+
 // StoreRestored records that the store has come back from a copy that may lack recent registrations.
 func (r *Registry) StoreRestored(now time.Time) { r.reachableAt = now }
 
@@ -99,6 +102,14 @@
 	}
 }
 
+// Drop removes a registration whose value names no server any more. Unlike one that was removed, it is in the store, so
+// that no outage explains it.
+func (r *Registry) Drop(id string) {
+	delete(r.servers, id)
+	delete(r.expired, id)
+	delete(r.resurrected, id)
+}
+
 // Servers returns the servers to use, in the order of their ids. It includes servers whose registration expired
 // because of an outage and may still return.
 func (r *Registry) Servers(now time.Time) []backend.Server {
