Keep a soak server that is being replaced draining

A server that crashed while it was being replaced registered itself as ready again and then left: releases-4, in a trial on, "request c9-200-once-once to g2 failed without a fault: unexpected EOF", sent to s4 12 ms before s4 left. The fault was the harness's.

--- a/internal/systemtest/soak/releases_test.go
+++ b/internal/systemtest/soak/releases_test.go
@@ -85,7 +85,7 @@
 		w.fleetMu.Unlock()
 	}
 	time.Sleep(releaseGap / 2)
-	w.register(s, stateDraining)
+	w.leave(s)
 	leaving.Go(func() {
 		time.Sleep(drainTime)
 		w.unregister(s, true)
--- a/internal/systemtest/soak/servers_test.go
+++ b/internal/systemtest/soak/servers_test.go
@@ -42,8 +42,8 @@
 	registering sync.Mutex
 	// state is the state that the server has registered; empty if it is not registered.
 	state string
-	// retired is set once the server has left.
-	retired bool
+	// leaving is set once the server is being replaced, retired once it has left.
+	leaving, retired bool
 }
 
 // serverRun is one run of a server, from a start to the next.
@@ -117,11 +117,22 @@
 	if s.retired {
 		return
 	}
+	if s.leaving {
+		state = stateDraining
+	}
 	s.state = state
 	w.serving.record(s, state == stateReady && !s.proxy.isRefusing())
 	w.put("servers/"+s.id, s.registration(state))
 }
 
+// leave registers a server as draining for the rest of its time.
+func (w *deployment) leave(s *server) {
+	s.registering.Lock()
+	s.leaving = true
+	s.registering.Unlock()
+	w.register(s, stateDraining)
+}
+
 // registerAgain writes the registration of a server again, or removes it if there should be none.
 func (w *deployment) registerAgain(s *server) {
 	s.registering.Lock()
