--- a/internal/gateway/midstream_test.go
+++ b/internal/gateway/midstream_test.go
@@ -73,6 +73,16 @@
 		respond: func(r *received) { r.respondError("200 OK", "", event(3)+event(4)) },
 		rest:    event(3) + event(4), complete: true,
 	},
+	"no further event before its connection ends": {respond: func(r *received) {
+		r.streamHeader("")
+		r.write("%s", event(1)+event(2))
+		_ = r.conn.Close()
+	}},
+	"a comment before its connection ends": {respond: func(r *received) {
+		r.streamHeader("")
+		r.write(": wait\n\n")
+		_ = r.conn.Close()
+	}, rest: ": wait\n\n"},
 	"no event before its connection ends": {respond: func(r *received) { r.streamHeader(""); _ = r.conn.Close() }},
 	"no further event":                    {respond: func(r *received) { r.respondStream() }, complete: true},
 	"part of the rest":                    {rest: event(3), respond: func(r *received) { r.startStream(); r.chunk(event(3) + "id: 4\n"); _ = r.conn.Close() }},
@@ -343,6 +353,21 @@
 	}
 }
 
+// takeEvents begins a stream, reads the given number of events and closes its connection. It returns the id of the request.
+func (d *deployment) takeEvents(count int) string {
+	k := d.dial()
+	defer k.Close()
+	id := k.request("POST", "/stream/x", "", "prompt")
+	for count > 0 {
+		line, err := k.reader.ReadString('\n')
+		d.c.Assert(err, qt.IsNil)
+		if strings.HasPrefix(line, "data:") {
+			count--
+		}
+	}
+	return id
+}
+
 // Guards against events that a caller has already, or an error instead of them, when it takes up a stream itself.
 func TestCallerTakesUpStream(t *testing.T) {
 	for name, test := range map[string]struct {
@@ -359,10 +384,19 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
-			a := startServer(c, test.respond)
+			a := startServer(c, func(r *received) {
+				if r.header["last-event-id"] != "" {
+					test.respond(r)
+					return
+				}
+				r.startStream()
+				r.chunk(event(1) + event(2))
+				<-r.closed
+			})
 			d := deploy(c, a)
+			id := d.takeEvents(2)
 			a.discardRequests()
-			got := d.mustSend("POST", "/stream/x", "Last-Event-Id: 2\r\n", "prompt")
+			got := d.mustSend("POST", "/stream/x", resumeHeaders(id), "prompt")
 			c.Assert(got.status, qt.Equals, test.status)
 			c.Assert(got.body, qt.Equals, test.body)
 			c.Assert(got.complete, qt.IsTrue)
