--- a/internal/systemtest/soak/releases_test.go
+++ b/internal/systemtest/soak/releases_test.go
@@ -42,7 +42,8 @@
 				continue
 			}
 			if inPlace {
-				w.crashServer(s, software, 100*time.Millisecond+rand.N(expiryTime))
+				away := 100*time.Millisecond + time.Duration(rng.Int64N(int64(expiryTime)))
+				w.inject(fault{inject: func() { w.crashServer(s, software, away) }})
 			} else {
 				w.replace(s, software, &leaving)
 			}
@@ -84,7 +85,7 @@
 		w.fleetMu.Unlock()
 	}
 	time.Sleep(releaseGap / 2)
-	w.register(s, stateDraining)
+	w.leave(s)
 	leaving.Go(func() {
 		time.Sleep(drainTime)
 		w.unregister(s, true)
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -173,12 +173,7 @@
 	}
 	injectFault := func(f fault) {
 		c.Logf("%s %s", time.Now().Format(clockFormat), f.name)
-		injecting.Go(func() {
-			w.activeFaults.Add(1)
-			w.startedFaults.Add(1)
-			w.inject(f)
-			w.activeFaults.Add(-1)
-		})
+		injecting.Go(func() { w.inject(f) })
 	}
 	half := time.Duration(*lengthMS) * time.Millisecond
 	until, calmFrom := time.Now().Add(half), time.Now().Add(half)
@@ -295,6 +290,9 @@
 
 // inject injects a fault and records what it impairs.
 func (w *deployment) inject(f fault) {
+	w.activeFaults.Add(1)
+	defer w.activeFaults.Add(-1)
+	w.startedFaults.Add(1)
 	inject := f.inject
 	if f.impairs != "" {
 		inject = w.impairments.during(f.impairs, inject)
@@ -328,11 +326,11 @@
 		{fmt.Sprintf("metadata store of %s mode %d", n.name, m), proxyFault(n.proxy), false, n.name},
 		{fmt.Sprintf("server %s mode %d", s.id, m), w.disturbances.during(s.id, proxyFault(s.proxy)), true, s.id},
 		{"metadata store down", func() {
-			_ = w.store.SetFaults(memkv.Faults{Down: true})
+			w.c.Check(w.store.SetFaults(memkv.Faults{Down: true}), qt.IsNil)
 			time.Sleep(duration)
-			_ = w.store.SetFaults(memkv.Faults{})
+			w.c.Check(w.store.SetFaults(memkv.Faults{}), qt.IsNil)
 		}, false, storeScope},
-		{"metadata store loses responses", func() { _ = w.store.SetFaults(memkv.Faults{LoseResponses: 5}) }, false, storeScope},
+		{"metadata store loses responses", func() { w.c.Check(w.store.SetFaults(memkv.Faults{LoseResponses: 5}), qt.IsNil) }, false, storeScope},
 		{"metadata store compacted", func() { w.store.Store().Compact() }, false, ""},
 		{"configuration change", func() { w.changeConfiguration() }, false, ""},
 		{"server " + s.id + " drains", func() { w.drain(s, duration) }, false, ""},
