Wait for a repeated refusal instead of a fixed time in its test

TestRepeatedRefusalIsNotTakenForTheNextResponse sent the next request 30 ms after a refusal that a server repeats 20 ms after it. On a busy machine the repeat came after the request, which is another case of the test, and the connection then broke off with 502: "while unused, plain: status 502", "cut in a header name, while unused, no body: status 502", in 2 of 2 runs with -race beside other jobs; a run of the package before them failed as well, its test was not seen.

The test now waits until the servers have sent the repeat. It asks for the same as before.

--- a/internal/gateway/stale_refusal_test.go
+++ b/internal/gateway/stale_refusal_test.go
@@ -89,6 +89,8 @@
 	*server
 	text func(id string) string
 	runs atomic.Int64
+	// refused counts the refusals, repeated those that were sent once more or are kept until the next request.
+	refused, repeated atomic.Int64
 
 	mu sync.Mutex
 	// pending are the refusals to be sent before the response to the next request.
@@ -119,22 +121,27 @@
 }
 
 func (s *repeatingServer) refuse(r *received) {
+	s.refused.Add(1)
+	defer s.repeated.Add(1)
 	first, repeated := refusal("503 Service Unavailable", idLine(r.id()), ""), s.text(r.id())
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// What another connection has left to repeat belongs to an earlier case of the test.
-	clear(s.pending)
+	kept := ""
 	switch r.header["x-moment"] {
 	case behindFirst:
-		r.write("%s", first+repeated)
+		first += repeated
 	case whileUnused:
-		r.write("%s", first)
-		time.Sleep(20 * time.Millisecond)
-		r.write("%s", repeated)
+		defer func() {
+			time.Sleep(20 * time.Millisecond)
+			r.write("%s", repeated)
+		}()
 	default:
-		s.pending[r.conn] = repeated
-		r.write("%s", first)
+		kept = repeated
 	}
+	s.mu.Lock()
+	// What another connection has left to repeat belongs to an earlier case of the test.
+	clear(s.pending)
+	s.pending[r.conn] = kept
+	s.mu.Unlock()
+	r.write("%s", first)
 }
 
 // repeatTargets are the requests for which a repeated refusal may be taken, with the body of their response.
@@ -157,37 +164,60 @@
 }
 
 // forEachRepeatedRefusal runs a test for each of repeatedRefusals with two servers that run requests by run.
-func forEachRepeatedRefusal(t *testing.T, run func(r *received), test func(d *deployment, broken bool, runs func() int64)) {
+func forEachRepeatedRefusal(t *testing.T, run func(r *received), test func(d *repeatDeployment)) {
 	for name, repeated := range repeatedRefusals {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			a, b := startRepeatingServer(c, repeated.text, run), startRepeatingServer(c, repeated.text, run)
-			runs := func() int64 { return a.runs.Swap(0) + b.runs.Swap(0) }
-			test(deploy(c, a.server, b.server), repeated.broken, runs)
+			test(&repeatDeployment{deployment: deploy(c, a.server, b.server), servers: []*repeatingServer{a, b}, broken: repeated.broken})
 		})
 	}
 }
 
-// refuseAll lets both servers refuse a request.
-func (d *deployment) refuseAll(moment string) {
+// repeatDeployment is a deployment of servers that repeat their refusals.
+type repeatDeployment struct {
+	*deployment
+	servers []*repeatingServer
+	// broken is set when the repeated refusal makes the response behind it unreadable.
+	broken bool
+}
+
+// runs returns the number of requests that the servers have run since the last call.
+func (d *repeatDeployment) runs() (n int64) {
+	for _, s := range d.servers {
+		n += s.runs.Swap(0)
+	}
+	return n
+}
+
+// refuseAll lets the servers refuse a request, and waits until they have sent their refusals once more if that isn't to be at
+// the next request.
+func (d *repeatDeployment) refuseAll(moment string) {
 	d.c.Helper()
 	d.c.Assert(d.mustSend("POST", "/book/refuse", momentHeader+moment+"\r\n", "b").status, qt.Equals, 503)
+	d.awaitRepeats()
+}
+
+func (d *repeatDeployment) awaitRepeats() {
+	d.c.Helper()
+	for _, s := range d.servers {
+		d.eventually(func() bool { return s.repeated.Load() == s.refused.Load() })
+	}
 }
 
 // Guards against a repeated refusal that is taken for the response to a later request, which ran and was refused as not run, or
 // ran at a second server.
 func TestRepeatedRefusalIsNotTakenForTheNextResponse(t *testing.T) {
-	forEachRepeatedRefusal(t, respondDone, func(d *deployment, broken bool, runs func() int64) {
+	forEachRepeatedRefusal(t, respondDone, func(d *repeatDeployment) {
 		for _, moment := range []string{atNextRequest, behindFirst, whileUnused} {
 			for name, target := range repeatTargets {
 				d.refuseAll(moment)
-				time.Sleep(30 * time.Millisecond)
 				got := d.mustSend(target.method, target.path, "", target.body)
 				served := got.status == 200 && got.complete && got.body == target.want
-				mayFail := broken && moment == atNextRequest && got.status == 502
+				mayFail := d.broken && moment == atNextRequest && got.status == 502
 				d.c.Check(served || mayFail, qt.IsTrue, qt.Commentf("%s, %s: status %d, body %q", moment, name, got.status, got.body))
-				d.c.Check(runs(), qt.Equals, int64(1), qt.Commentf("%s, %s", moment, name))
+				d.c.Check(d.runs(), qt.Equals, int64(1), qt.Commentf("%s, %s", moment, name))
 			}
 		}
 	})
@@ -196,24 +226,24 @@
 // Guards against a repeated refusal that is taken for the response to a HEAD request, whose response has no body.
 func TestRepeatedRefusalBeforeTheResponseToHead(t *testing.T) {
 	respond := func(r *received) { r.plainHeader("Content-Length: 5\r\n") }
-	forEachRepeatedRefusal(t, respond, func(d *deployment, _ bool, runs func() int64) {
+	forEachRepeatedRefusal(t, respond, func(d *repeatDeployment) {
 		d.refuseAll(atNextRequest)
 		k := d.dial()
 		k.request("HEAD", "/book/x", "", "")
 		got, err := k.readHeader()
 		d.c.Assert(err, qt.IsNil)
 		d.c.Assert(got.status == 200 || got.status == 502, qt.IsTrue, qt.Commentf("status %d", got.status))
-		d.c.Assert(runs(), qt.Equals, int64(1))
+		d.c.Assert(d.runs(), qt.Equals, int64(1))
 	})
 }
 
 // Guards against a repeated refusal that hides that the connection broke off after it.
 func TestRepeatedRefusalBeforeALostResponse(t *testing.T) {
 	breakOff := func(r *received) { _ = r.conn.Close() }
-	forEachRepeatedRefusal(t, breakOff, func(d *deployment, _ bool, runs func() int64) {
+	forEachRepeatedRefusal(t, breakOff, func(d *repeatDeployment) {
 		d.refuseAll(atNextRequest)
 		d.c.Assert(d.mustSend("POST", "/book/x", "", "b").status, qt.Equals, 502)
-		d.c.Assert(runs(), qt.Equals, int64(1))
+		d.c.Assert(d.runs(), qt.Equals, int64(1))
 	})
 }
 
@@ -232,7 +262,7 @@
 
 // Guards against a repeated refusal that is taken for the response to the same request when its caller sends that again.
 func TestRepeatedRefusalOfARequestThatIsSentAgain(t *testing.T) {
-	forEachRepeatedRefusal(t, respondDone, func(d *deployment, _ bool, runs func() int64) {
+	forEachRepeatedRefusal(t, respondDone, func(d *repeatDeployment) {
 		id := fmt.Sprintf("again%d", requestNumber.Add(1))
 		got, err := d.sendAs(id, "key-1", "POST", "/book/refuse", "b")
 		d.c.Assert(err, qt.IsNil)
@@ -240,6 +270,6 @@
 		got, err = d.sendAs(id, "key-1", "POST", "/book/x", "b")
 		d.c.Assert(err, qt.IsNil)
 		d.c.Assert(got.status, qt.Equals, 200)
-		d.c.Assert(runs(), qt.Equals, int64(1))
+		d.c.Assert(d.runs(), qt.Equals, int64(1))
 	})
 }
