Store target versions' times before the leader's first order

Cause: a leader stores the times with its first duties, and these wait until orders are safe, up to a lease after it started or the era began. Storing needs no such wait. TestTargetVersionsAreStoredBeforeTheFirstOrder failed before (not stored in 15 s) and passes now.

--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -127,6 +127,7 @@
 		if holding, err = lessor.Renew(ctx, holding); err != nil || f.hasEnded(holding) {
 			break
 		}
+		f.persistTargets(ctx)
 		if !bootclock.Now().Before(earliestOrder) {
 			f.performDuties(ctx, holding)
 		}
@@ -186,7 +187,6 @@
 		f.excludeServers(now)
 		freeableParts = f.freeableParts(now)
 	})
-	f.persistTargets(ctx)
 	for _, step := range steps {
 		go f.executeStep(ctx, holding, step)
 	}
--- a/internal/fleet/target_versions_test.go
+++ b/internal/fleet/target_versions_test.go
@@ -122,3 +122,17 @@
 	setServerClock(late, time.Hour)
 	expectSameDeadlines(c, f, late)
 }
+
+// A leader that may not order yet, as it or the era has just begun, stores when the target versions were set all the same.
+func TestTargetVersionsAreStoredBeforeTheFirstOrder(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	f := startFleetOn(c, "a", store)
+	eventually(c, "the era is known", func() bool { return f.version() == 1 })
+	f.loop.Call(func() { f.eraSince = bootclock.Now().Add(time.Hour) })
+	setServerClock(f, time.Hour)
+	addTargets(f, map[int64]time.Duration{2: 8 * time.Second})
+	eventually(c, "the target version is stored", func() bool { _, ok := storedTargetsOf(store); return ok })
+}
