Take no software version from a registration of an earlier run

A registration whose run started earlier than one that the server has registered before no longer says which software runs; the server still gets new requests.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -160,6 +160,8 @@
 	// busyUntil is until when the server has asked this gateway to send it no requests.
 	busyUntil time.Time
 	limit     limit
+	// latestStartMS is the latest start of a run that the server has registered, in Unix milliseconds.
+	latestStartMS int64
 	// runEndedUntil is until when the registration may be of an earlier run. A registration of another run ends that.
 	runEndedUntil time.Time
 	// leaving is set once the server has stated that it is about to stop. It stays set for this run of the server.
@@ -255,12 +257,18 @@
 // SoftwareVersion returns the software version that a server has registered; empty if unknown, or if the run that registered it
 // has ended.
 func (d *Dispatcher) SoftwareVersion(now time.Time, server string) string {
-	if s := d.servers[server]; s != nil && !now.Before(s.runEndedUntil) {
+	if s := d.servers[server]; s != nil && s.isRegisteredRun(now) {
 		return s.SoftwareVersion
 	}
 	return ""
 }
 
+// isRegisteredRun reports whether the server is taken to be in the run that its registration is of. A metadata store that comes back
+// from a copy brings back registrations of earlier runs.
+func (s *server) isRegisteredRun(now time.Time) bool {
+	return !now.Before(s.runEndedUntil) && s.StartedMS >= s.latestStartMS
+}
+
 // runEndedTTL is how long a server counts as one whose registration is of an earlier run, after its address has stopped accepting
 // connections. A server that has started again registers within that time, if the metadata store is reachable; a cut that looks
 // alike ends without a change of the registration.
@@ -294,9 +302,14 @@
 	for _, s := range servers {
 		current := d.servers[s.ID]
 		if current == nil || current.StartedMS != s.StartedMS && s.StartedMS != 0 && current.StartedMS != 0 {
-			current = &server{weightVersion: make(map[string]int64), slowness: 1}
+			latest := int64(0)
+			if current != nil {
+				latest = current.latestStartMS
+			}
+			current = &server{weightVersion: make(map[string]int64), slowness: 1, latestStartMS: latest}
 		}
 		current.Server = s
+		current.latestStartMS = max(current.latestStartMS, s.StartedMS)
 		for model, v := range s.Versions {
 			current.weightVersion[model] = max(current.weightVersion[model], v)
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -232,7 +232,7 @@
 // canContinue reports whether what the server writes fits what the caller has of the stream. What servers of different software
 // versions write doesn't.
 func (s *server) canContinue(now time.Time, r *Request) bool {
-	return !r.Continues || r.SoftwareVersion != "" && s.SoftwareVersion == r.SoftwareVersion && !now.Before(s.runEndedUntil)
+	return !r.Continues || r.SoftwareVersion != "" && s.SoftwareVersion == r.SoftwareVersion && s.isRegisteredRun(now)
 }
 
 // full reports whether a plain server has as many requests as its queue takes.
