Connect again to other gateways within a second, without resetting grpc's pauses

Connections between processes now pause a second at most between attempts instead of two minutes, and asks for origins have a pool of 256 connections. TestManyStreamsTakenUpAtOnceAreFound covers first asks at once.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,8 @@
 	link *peers.Link
 	// ownerConnections are those to the gateways that own limits of servers.
 	ownerConnections *grpcpool.Pool
+	// originConnections are those to the gateways that are asked where streams began.
+	originConnections *grpcpool.Pool
 	// table and contact are read by the request path. contact is the time of the latest update from the
 	// metadata store or another gateway, in Unix nanoseconds of bootclock; 0 before the first.
 	table         atomic.Pointer[routing.Table]
@@ -114,10 +116,12 @@
 		origins:    origin.NewTable(),
 
 		ownerConnections: grpcpool.New(maxOwnerConnections),
-		feeds:            make(map[string]context.CancelFunc),
-		states:           make(map[string]backend.State),
-		unreadable:       make(map[string]bool),
-		unloadedTargets:  make(map[string]metastore.Record),
+
+		originConnections: grpcpool.New(maxOriginConnections),
+		feeds:             make(map[string]context.CancelFunc),
+		states:            make(map[string]backend.State),
+		unreadable:        make(map[string]bool),
+		unloadedTargets:   make(map[string]metastore.Record),
 	}
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
@@ -165,6 +169,7 @@
 	f.setFeeds(nil)
 	f.background.Wait()
 	f.ownerConnections.Close()
+	f.originConnections.Close()
 	return link.Close()
 }
 
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -32,6 +32,9 @@
 	// of all others.
 	originWarmUp = time.Second
 	originRetry  = 50 * time.Millisecond
+	// maxOriginConnections bounds the open connections to gateways that are asked for origins. The pool closes the one that was
+	// used longest ago, also while an ask waits for its reply, so that it exceeds the asks of many streams at once.
+	maxOriginConnections = 256
 )
 
 // originRanking returns the other gateways in the order in which they keep the origin of a stream. All gateways that know the same
@@ -168,9 +171,8 @@
 
 // askOrigin asks another gateway for the origin of a stream. The origin is unknown if the gateway doesn't have it or doesn't reply.
 func (f *Fleet) askOrigin(ctx context.Context, keeper *wire.Peer, stream string) origin.Origin {
-	connection, err := f.ownerConnections.Get(keeper.GetControlAddress())
+	connection, err := f.originConnections.Get(keeper.GetControlAddress())
 	if err == nil {
-		connection.ResetConnectBackoff()
 		var reply *wire.OriginReply
 		if reply, err = wire.NewGatewaysClient(connection).Origin(ctx, &wire.OriginRequest{Stream: stream}, grpc.WaitForReady(true)); err == nil {
 			return origin.Origin{Service: reply.GetOrigin().GetService(), SoftwareVersion: reply.GetOrigin().GetSoftwareVersion()}
--- a/internal/fleet/origins_test.go
+++ b/internal/fleet/origins_test.go
@@ -159,3 +159,24 @@
 	put(c, store, "op/config", "1")
 	return store
 }
+
+// Many streams that are taken up at once, before any connection is open, are all found.
+func TestManyStreamsTakenUpAtOnceAreFound(t *testing.T) {
+	c := qt.New(t)
+	fleets := startFleets(c, 5)
+	v1 := origin.Origin{Service: "app", SoftwareVersion: "v1"}
+	const streams = 100
+	for i := range streams {
+		fleets[0].ShareOrigin(fmt.Sprint("r", i), v1)
+	}
+	found := make(chan origin.Origin, streams)
+	for _, f := range fleets[1:] {
+		f.loop.Call(func() { f.origins = origin.NewTable() })
+	}
+	for i := range streams {
+		go func() { found <- fleets[1+i%4].FindOrigin(context.Background(), fmt.Sprint("r", i)) }()
+	}
+	for range streams {
+		c.Assert(<-found, qt.Equals, v1)
+	}
+}
--- a/internal/grpcpool/pool.go
+++ b/internal/grpcpool/pool.go
@@ -5,9 +5,11 @@
 import (
 	"container/list"
 	"sync"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 
 	"balsamyoke.example/balsamyoke/internal/traffic"
@@ -24,8 +26,18 @@
 	// bufferBytes is the size of a connection's read buffer and of its write buffer. It is small because calls
 	// are small and rare, and the holder of a rollout keeps one connection to each replica.
 	bufferBytes = 4 << 10
+	// maxReconnectPause bounds the pause between two attempts to connect. Processes come back within seconds, and the default of two
+	// minutes would leave them unreachable for longer than they were away.
+	maxReconnectPause = time.Second
+	firstReconnect    = 100 * time.Millisecond
+	connectTimeout    = 2 * time.Second
 )
 
+var reconnect = grpc.ConnectParams{
+	Backoff:           backoff.Config{BaseDelay: firstReconnect, Multiplier: 1.6, Jitter: 0.2, MaxDelay: maxReconnectPause},
+	MinConnectTimeout: connectTimeout,
+}
+
 // Pool keeps the most recently used connections, up to a limit. It is safe for concurrent use.
 type Pool struct {
 	limit int
@@ -71,6 +83,7 @@
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(traffic.Control.Dial),
+		grpc.WithConnectParams(reconnect),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxReplyBytes)))
