--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -6,13 +6,14 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/origin"
+	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
 // resumeStream prepares a request for the rest of a stream that its caller has begun with an earlier request, here or at another
 // gateway. It returns the refusal of a stream that no server can be told to be able to continue: the caller would get what
 // doesn't fit together.
 func (g *Gateway) resumeStream(ctx context.Context, r *request) *response {
-	if !r.route.Resumable || r.events.LastEventID() == "" {
+	if !r.isResumableStream() || r.events.LastEventID() == "" {
 		return nil
 	}
 	began := g.fleet.FindOrigin(ctx, r.call.Resumes)
@@ -33,6 +34,10 @@
 	return nil
 }
 
+func (r *request) isResumableStream() bool {
+	return r.route.Kind == routing.Streaming && r.route.Resumable
+}
+
 // continueStream makes the request one for the rest of a stream.
 func (g *Gateway) continueStream(r *request, stream string, began origin.Origin) {
 	r.stream, r.origin = stream, began
@@ -47,7 +52,7 @@
 		return
 	case r.placeRequest.Continues:
 		g.fleet.ShareOrigin(r.stream, r.origin)
-	case r.route.Resumable:
+	case r.isResumableStream():
 		g.continueStream(r, r.call.ID, g.fleet.RecordOrigin(r.call.ID, &r.placement))
 	}
 	r.originShared = true
