Continue a stream at servers that refuse new prompts as overloaded

A stream that is taken up has missed that target whatever is done, its caller has no further retry, and a refusal wastes what was computed for it.

The rest of a stream is now refused only if its next event is predicted later than 2 s, from when on callers give up, or later than its deadline.

--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -45,6 +45,10 @@
 	// them twice.
 	overloadTTFTShare = 0.75
 	overloadWaitShare = 0.1
+	// maxContinuationWait is the predicted time to the next event from which the rest of a stream is refused. It has missed its target
+	// latency whatever is done, and a refusal would waste what was computed for it; but callers give up a stream that pauses for
+	// longer than this.
+	maxContinuationWait = 2 * time.Second
 	// memoryWaitShare is the share of the target latency that a prompt may wait for memory that more urgent prompts
 	// need too.
 	memoryWaitShare = 0.1
@@ -125,6 +129,9 @@
 		return 0, 0
 	}
 	predicted, wait := d.shortestTTFT(now, r, group, s)
+	if r.Continues {
+		return predicted - min(r.TimeLeft, maxContinuationWait), wait
+	}
 	late = predicted - time.Duration(overloadTTFTShare*float64(r.TargetLatency))
 	if r.Priority > group.topPriority {
 		late = max(late, milliseconds(group.memoryWaitMS(r, s))-time.Duration(memoryWaitShare*float64(r.TargetLatency)))
--- a/internal/dispatch/software_version_test.go
+++ b/internal/dispatch/software_version_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -50,3 +52,37 @@
 	c.Assert(d.SoftwareVersion(start, "p0"), qt.Equals, "")
 	c.Assert(d.SoftwareVersion(start.Add(runEndedTTL), "p0"), qt.Equals, "v2")
 }
+
+// Answers the load after some of the servers of a service have ended at once: their streams are taken up while the other servers have
+// queues. They go on where new prompts are refused, unless the wait is longer than callers bear.
+func TestStreamsGoOnAtServersThatRefuseNewPrompts(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(4)
+	list := servers(4)
+	for i := range list {
+		list[i].SoftwareVersion = "v1"
+	}
+	d.SetServers(list)
+	began, refused, continued, waited := 0, 0, 0, 0
+	for i := range 400 {
+		r := prompt(fmt.Sprint("new", i), 3000)
+		if p, refusal := d.Place(start, r); refusal == nil {
+			d.RecordSent(start, &p)
+			began++
+		} else {
+			refused++
+		}
+		r = prompt(fmt.Sprint("old", i), 3000)
+		r.TimeLeft = 10 * time.Second
+		r.Continues, r.SoftwareVersion = true, "v1"
+		if p, refusal := d.Place(start, r); refusal == nil {
+			d.RecordSent(start, &p)
+			continued++
+		} else {
+			waited++
+		}
+	}
+	c.Assert(refused > 0, qt.IsTrue)
+	c.Assert(continued > began, qt.IsTrue, qt.Commentf("%d went on, %d began", continued, began))
+	c.Assert(waited > 0, qt.IsTrue, qt.Commentf("no stream waits for longer than callers bear"))
+}
