--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -10,7 +10,6 @@
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/peers"
-	"balsamyoke.example/balsamyoke/internal/quarantine"
 	"balsamyoke.example/balsamyoke/internal/quota"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -29,52 +28,6 @@
 	grantWarmUp = peers.SilenceTimeout
 )
 
-// Place picks a server for a request with the parts, or returns the reason for its refusal. If only servers with a limit can
-// take the request, it asks the owner of one of their limits.
-func (f *Fleet) Place(ctx context.Context, r *dispatch.Request, parts []quarantine.Part) (dispatch.Placement, *dispatch.Refusal) {
-	for asks := 0; ; {
-		p, refusal := f.placeOnce(r, parts)
-		switch {
-		case refusal == nil && r.Continues && !f.confirmRun(ctx, &p):
-			f.withdraw(p)
-			r.Tried = append(r.Tried, p.Server)
-		case refusal == nil || refusal.GrantFrom == "" || asks == maxAsks || !f.askOwner(ctx, refusal.GrantFrom):
-			return p, refusal
-		default:
-			asks++
-		}
-	}
-}
-
-// withdraw takes back a placement with which nothing was sent.
-func (f *Fleet) withdraw(p dispatch.Placement) {
-	f.loop.Post(func() {
-		f.dispatcher.RecordEnd(bootclock.Now(), &p, dispatch.Cancelled, false)
-	})
-}
-
-// placeOnce picks a server. A refusal with GrantFrom may become a placement after a grant.
-func (f *Fleet) placeOnce(r *dispatch.Request, parts []quarantine.Part) (p dispatch.Placement, refusal *dispatch.Refusal) {
-	f.loop.Call(func() {
-		now := bootclock.Now()
-		if refusal = f.refuseHeld(now, parts); refusal != nil {
-			return
-		}
-		p, refusal = f.dispatcher.Place(now, r)
-		if refusal != nil && refusal.GrantFrom != "" && f.limitOwner(now, refusal.GrantFrom) == nil {
-			f.grantSelf(now, refusal.GrantFrom)
-			p, refusal = f.dispatcher.Place(now, r)
-		}
-		if refusal == nil {
-			f.dispatcher.RecordSent(now, &p)
-		}
-	})
-	if p.Server == "" && refusal == nil {
-		refusal = &dispatch.Refusal{Reason: dispatch.NoServer, RetryAfter: time.Second}
-	}
-	return p, refusal
-}
-
 // limitOwner returns the gateway that owns a server's limit, nil for this one.
 func (f *Fleet) limitOwner(now time.Time, server string) *wire.Peer {
 	key := rendezvous.Hash("limit/" + server)
