Wait a second for where a stream began instead of 0.3 s

A refusal costs the caller its stream, while callers wait 2 s for the next event; half of that is left for the first event. Known origins are returned when they arrive, so that only streams of which some asked gateway doesn't answer take longer.

--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -24,8 +24,9 @@
 	// originAsked is how many gateways are asked for an origin. It exceeds originKeepers because the gateway that began the
 	// stream, which doesn't count as a keeper there, and one that joined since may rank before the keepers.
 	originAsked = originKeepers + 2
-	// originTimeout bounds the time for which gateways are asked for an origin.
-	originTimeout = 300 * time.Millisecond
+	// originTimeout bounds the time for which gateways are asked for an origin: half of the pause after which callers give up a
+	// stream. A known origin arrives within milliseconds; only what some gateway doesn't answer takes longer.
+	originTimeout = time.Second
 	// confirmTimeout bounds the time for a server's report before the rest of a stream is sent to it.
 	confirmTimeout = 250 * time.Millisecond
 	// originWarmUp is how long after its start a gateway goes on asking, every originRetry. By then it has received heartbeats
