--- a/review/_harness/servers_test.go
+++ b/review/_harness/servers_test.go
@@ -39,6 +39,11 @@
 	// cache is the KV cache of what the engine has read; nil for none.
 	cache *prefixCache
 
+	// store, if set, is the store to which parts are saved, loadTime how long a load of weights takes.
+	store    *cacheStore
+	loadTime time.Duration
+	loading  bool
+
 	events int
 	pause  time.Duration
 	// prefill is held while a prompt is read, at tokensPerMS; 0 reads at once.
@@ -140,23 +145,39 @@
 	defer e.mu.Unlock()
 	out.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(out).Encode(map[string]any{
-		"stage": "both", "models": []any{map[string]any{"name": model, "version": e.weights, "adapters": []any{}}}, "busy": false,
+		"stage": "both", "models": []any{map[string]any{"name": model, "version": e.weights, "adapters": []any{}}}, "busy": e.loading,
 		"sequence": e.orders, "queued": 0, "running": 0, "kv_used": 0, "kv_total": 80000, "handles": 0, "born": e.born, "clock_ms": time.Now().UnixMilli(),
 	})
 }
 
 func (e *engine) serveOrder(out http.ResponseWriter, in *http.Request) {
 	var o struct {
-		Version int64 `json:"version"`
+		Version  int64  `json:"version"`
+		Holder   string `json:"holder"`
+		Expected *int64 `json:"expected"`
 	}
 	if json.NewDecoder(in.Body).Decode(&o) != nil {
 		out.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	e.mu.Lock()
-	e.weights, e.orders = o.Version, e.orders+1
-	e.mu.Unlock()
-	e.d.record("server %s loads weights %d", e.id, o.Version)
+	defer e.mu.Unlock()
+	switch {
+	case e.loading || o.Expected != nil && *o.Expected != e.orders:
+		out.WriteHeader(http.StatusConflict)
+		return
+	case e.weights == o.Version:
+		out.WriteHeader(http.StatusOK)
+		return
+	}
+	e.orders, e.loading = e.orders+1, true
+	e.d.record("server %s is ordered by %s to load weights %d", e.id, o.Holder, o.Version)
+	time.AfterFunc(e.loadTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.weights, e.loading = o.Version, false
+		e.d.record("server %s has weights %d", e.id, o.Version)
+	})
 	out.WriteHeader(http.StatusAccepted)
 }
 
@@ -164,7 +185,7 @@
 // software and its run.
 func (e *engine) serveStream(out http.ResponseWriter, in *http.Request) {
 	e.mu.Lock()
-	software, born, weights := e.software, e.born, e.weights
+	software, born, weights, loading := e.software, e.born, e.weights, e.loading
 	e.mu.Unlock()
 	id := in.Header.Get("Balsamyoke-Request-Id")
 	out.Header().Set("Balsamyoke-Request-Id", id)
@@ -180,6 +201,11 @@
 		e.servePlain(out, in, id)
 		return
 	}
+	if loading {
+		out.Header().Set("Balsamyoke-Not-Executed", "1")
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	last, _ := strconv.Atoi(in.Header.Get("Last-Event-Id"))
 	e.d.record("server %s (software %s) runs %s after event %d", e.id, software, id, last)
 	out.Header().Set("Balsamyoke-Response-Stamp", "stamp-"+id)
@@ -188,6 +214,9 @@
 	if e.cache != nil {
 		e.cache.read(e, in)
 	}
+	if e.store != nil {
+		e.savePromptParts(in)
+	}
 	if e.tokensPerMS > 0 {
 		prompt, _, _ := strings.Cut(in.Header.Get("Balsamyoke-Token-Usage"), ",")
 		tokens, _ := strconv.Atoi(prompt)
@@ -226,3 +255,14 @@
 	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = io.WriteString(out, body)
 }
+
+// savePromptParts saves the parts of a prompt that the request names a store for.
+func (e *engine) savePromptParts(in *http.Request) {
+	targets := strings.Split(in.Header.Get("Balsamyoke-Kv-Save"), ",")
+	for i, entry := range strings.Split(in.Header.Get("Balsamyoke-Prompt-Prefix"), ",") {
+		id, tokens, _ := strings.Cut(entry, ":")
+		if n, _ := strconv.Atoi(tokens); i < len(targets) && targets[i] == e.store.address {
+			e.store.save(in.Header.Get("Balsamyoke-Cache-Salt"), id, n)
+		}
+	}
+}
