--- a/review/_harness/deployment_test.go
+++ b/review/_harness/deployment_test.go
@@ -46,6 +46,8 @@
 	gateways       []*gatewayProcess
 	// storeAddress returns the address at which a gateway reaches the store; nil for the store's own.
 	storeAddress func(gateway int) string
+	// onSettings is called with the addresses for heartbeats and calls of each gateway that is to start; nil for none.
+	onSettings func(beats, control string)
 
 	mu  sync.Mutex
 	out *os.File
@@ -134,6 +136,9 @@
 			s.Metastore = d.storeAddress(i)
 		}
 		s.GraceMS, s.LeaseMS, s.RetryRatio, s.RetrySlack, s.RetryWindowMS, s.WeightsWithinMS = 8000, 3000, 0.2, 58, 10000, 10000
+		if d.onSettings != nil {
+			d.onSettings(s.Beats, s.Control)
+		}
 		g.address, g.ready, g.control = s.Listen, s.Ready, s.Control
 		if len(seeds) < 3 {
 			seeds = append(seeds, s.Control)
