Bound the replies of stores, engines and the metadata store by the process's memory

Cause: a reply was read into a buffer of up to 32 MB whatever the call, a stated length was allocated at once, and nothing bounded the replies that are read at the same time.

Each call now has a limit from its largest sound reply, all replies share a budget in proportion to the new setting memory_mb, and long arrays are decoded element by element.

--- a/cmd/balsam-gateway/main.go
+++ b/cmd/balsam-gateway/main.go
@@ -9,6 +9,7 @@
 import (
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"go.uber.org/zap"
@@ -22,6 +23,10 @@
 
 const program = "balsam-gateway"
 
+// heapShare is the share of the process's memory at which the garbage collector runs more often instead of letting the heap
+// grow. The rest is for what the runtime doesn't count.
+const heapShare = 0.8
+
 func main() { process.Exit(program, run()) }
 
 func run() error {
@@ -36,7 +41,8 @@
 	defer log.Close()
 	ctx, stop := process.StopContext()
 	defer stop()
-	g := gateway.New(s, platform.Connect(s.Metastore, log), platform.Headers{}, log)
+	debug.SetMemoryLimit(int64(heapShare * float64(s.Memory())))
+	g := gateway.New(s, platform.Connect(s.Metastore, s.Memory(), log), platform.Headers{}, log)
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,12 +26,13 @@
 	RetrySlack float64 `json:"retry_slack" long:"retry-slack" description:"additional retries allowed in each window, over all gateways"`
 	// WeightsWithinMS is how long after a new target weight version is set requests may still start on older ones.
 	WeightsWithinMS int `json:"weights_within_ms" long:"weights-within-ms" description:"time within which a target weight version must be in use everywhere, in milliseconds"`
+	MemoryMB        int `json:"memory_mb" long:"memory-mb" description:"memory of the process, in megabytes"`
 	RetryWindowMS   int `json:"retry_window_ms" long:"retry-window-ms" description:"window of the retry budget, in milliseconds"`
 }
 
 // DefaultSettings returns the defaults of the settings that need not be given.
 func DefaultSettings() Settings {
-	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000, WeightsWithinMS: 15000}
+	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000, WeightsWithinMS: 15000, MemoryMB: 128}
 }
 
 // Check returns an error for the first invalid setting.
@@ -59,7 +60,7 @@
 	for _, least := range []struct {
 		setting      string
 		value, least int
-	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}, {"weights_within_ms", s.WeightsWithinMS, 1000}} {
+	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}, {"weights_within_ms", s.WeightsWithinMS, 1000}, {"memory_mb", s.MemoryMB, 32}} {
 		if err := settings.CheckAtLeast(least.setting, least.value, least.least); err != nil {
 			return err
 		}
@@ -70,6 +71,12 @@
 	return nil
 }
 
+// Memory returns the memory of the process, in bytes.
+func (s *Settings) Memory() int64 { return int64(s.MemoryMB) * bytesPerMB }
+
+// bytesPerMB converts a setting in megabytes.
+const bytesPerMB = 1_000_000
+
 func (s *Settings) grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
 
 func (s *Settings) budget() dispatch.BudgetConfig {
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"balsamyoke.example/balsamyoke/internal/membudget"
 	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
@@ -24,9 +25,9 @@
 	defaultMaxIdle     = 64
 	maxIdleTime        = 30 * time.Second
 	bufferBytes        = 16 << 10
-	// maxBodyBytes bounds a response body that is read as a whole. The largest are listings of one page or of one
-	// cache store, a few megabytes.
-	maxBodyBytes = 32 << 20
+	// defaultMaxBody bounds a response body in bytes. The largest are listings of one page or of one cache store, a few
+	// megabytes.
+	defaultMaxBody = 32 << 20
 )
 
 // keepAlive closes a connection within about ten seconds after its peer has disappeared. Otherwise watches of the
@@ -47,6 +48,10 @@
 	// CloseAfterErrors closes a connection after a response with a status of 400 or more. A server that sends such a
 	// response once more would otherwise answer the next call with it.
 	CloseAfterErrors bool
+	// MaxBody bounds the body of a response that Do and DoFramed read, in bytes.
+	MaxBody int64
+	// Memory is the budget for the bodies that are being read; nil has no limit.
+	Memory *membudget.Budget
 	// Traffic counts the bytes sent and received; nil counts nothing.
 	Traffic *traffic.Counter
 }
@@ -78,6 +83,9 @@
 	if options.MaxIdle == 0 {
 		options.MaxIdle = defaultMaxIdle
 	}
+	if options.MaxBody == 0 {
+		options.MaxBody = defaultMaxBody
+	}
 	return &Client{address: address, options: options}
 }
 
@@ -97,25 +105,37 @@
 }
 
 // Do sends request and reads the complete response into response. The end of ctx interrupts it.
-// It returns ErrNotSent or ErrInterrupted. A body with neither a length nor chunks ends with its connection, also when
-// the server fails within it, so its content must show whether it is complete.
+// It returns ErrNotSent, ErrInterrupted or ErrTooLarge. A body with neither a length nor chunks ends with its connection,
+// also when the server fails within it, so its content must show whether it is complete.
 func (c *Client) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
-	return c.do(ctx, request, response, readResponse)
+	return c.Receive(ctx, request, response, c.options.MaxBody, wholeBody(response))
 }
 
 // DoFramed is Do for bodies whose content doesn't show whether they are complete. A successful response with neither a
 // length nor chunks is ErrInterrupted.
 func (c *Client) DoFramed(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
-	return c.do(ctx, request, response, readFramedResponse)
+	whole := wholeBody(response)
+	return c.Receive(ctx, request, response, c.options.MaxBody, func(body io.Reader) error {
+		success := response.StatusCode() >= fasthttp.StatusOK && response.StatusCode() < fasthttp.StatusMultipleChoices
+		if success && response.Header.ContentLength() == identityBody {
+			return errUnframed
+		}
+		return whole(body)
+	})
 }
 
-func (c *Client) do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, read responseReader) error {
+// Receive sends request and calls read with the body of the response, of at most maxBody bytes, while it arrives. The bytes
+// that read takes from it are reserved in Options.Memory until read returns. The end of ctx interrupts it.
+// It returns ErrNotSent, ErrInterrupted, also for an error of read, or ErrTooLarge.
+func (c *Client) Receive(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, maxBody int64,
+	read func(body io.Reader) error,
+) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
 	}
 	stop := interruptWith(ctx, conn)
-	err = exchange(conn, request, response, read)
+	err = c.exchange(ctx, conn, request, response, maxBody, read)
 	if !stop() && err == nil {
 		// The context ended after the response was read and has set a deadline in the past on the connection,
 		// which can't be reused.
@@ -124,7 +144,7 @@
 	}
 	if err != nil {
 		_ = conn.Close()
-		return ErrInterrupted.Wrap(preferContextCause(ctx, err), "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
+		return interruption(ctx, err).Wrap(preferContextCause(ctx, err), "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
 	}
 	failed := c.options.CloseAfterErrors && response.StatusCode() >= fasthttp.StatusBadRequest
 	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 || failed {
@@ -146,8 +166,7 @@
 	request.SetConnectionClose()
 	s := &Stream{ctx: ctx, conn: conn, Response: fasthttp.AcquireResponse()}
 	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	s.Response.StreamBody = true
-	if err := exchange(conn, request, s.Response, readResponse); err != nil {
+	if err := send(conn, request, s.Response); err != nil {
 		err = preferContextCause(ctx, err)
 		s.Close()
 		return nil, ErrInterrupted.Wrap(err, "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
@@ -218,48 +237,6 @@
 	return context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 }
 
-// responseReader reads the response to request into response.
-type responseReader func(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response) error
-
-func exchange(conn *connection, request *fasthttp.Request, response *fasthttp.Response, read responseReader) error {
-	writer := bufio.NewWriterSize(conn.counted, bufferBytes)
-	if err := request.Write(writer); err != nil {
-		return err
-	}
-	if err := writer.Flush(); err != nil {
-		return err
-	}
-	return read(conn.reader, request, response)
-}
-
-func readResponse(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response) error {
-	response.SkipBody = request.Header.IsHead()
-	return response.ReadLimitBody(reader, maxBodyBytes)
-}
-
-// identityBody is fasthttp's content length of a body with neither a length nor chunks.
-const identityBody = -2
-
-func readFramedResponse(reader *bufio.Reader, request *fasthttp.Request, response *fasthttp.Response) error {
-	response.StreamBody = true
-	if err := readResponse(reader, request, response); err != nil {
-		return err
-	}
-	success := response.StatusCode() >= fasthttp.StatusOK && response.StatusCode() < fasthttp.StatusMultipleChoices
-	if success && response.Header.ContentLength() == identityBody {
-		return errUnframed
-	}
-	body, err := io.ReadAll(io.LimitReader(response.BodyStream(), maxBodyBytes+1))
-	if err != nil {
-		return err
-	}
-	if len(body) > maxBodyBytes {
-		return fasthttp.ErrBodyTooLarge
-	}
-	response.SetBodyRaw(body)
-	return nil
-}
-
 // preferContextCause returns the cause of the context's end if the context has ended, because that end is then the
 // reason for err. Otherwise it returns err.
 func preferContextCause(ctx context.Context, err error) error {
--- a/internal/httpclient/errors.go
+++ b/internal/httpclient/errors.go
@@ -10,6 +10,8 @@
 	ErrNotSent = namespace.NewType("not_sent", errorx.Temporary())
 	// ErrInterrupted means that the request may have reached the peer and no complete response arrived.
 	ErrInterrupted = namespace.NewType("interrupted")
+	// ErrTooLarge means ErrInterrupted by a response with more bytes than its limit, or than the memory for responses.
+	ErrTooLarge = ErrInterrupted.NewSubtype("too_large")
 )
 
 // errUnframed is the cause of ErrInterrupted for a response that may have broken off unnoticed.
--- a/internal/metastore/errors.go
+++ b/internal/metastore/errors.go
@@ -10,6 +10,8 @@
 	ErrNotFound = namespace.NewType("not_found", errorx.NotFound())
 	// ErrUnavailable means that the service could not be reached and a write did not take effect.
 	ErrUnavailable = namespace.NewType("unavailable", errorx.Temporary())
+	// ErrTooLarge means ErrUnavailable because a reply is larger than the client reads.
+	ErrTooLarge = ErrUnavailable.NewSubtype("too_large")
 	// ErrOutcomeUnknown means that a write may have taken effect.
 	ErrOutcomeUnknown = namespace.NewType("outcome_unknown")
 	// ErrLeaseNotFound means that a lease has expired or was revoked.
