Leave a cache store that doesn't answer properly alone for a growing time

A store that accepts calls and answers without end was called again after 0.3 s, by all gateways, for as long as it was in trouble. The pause now doubles up to 4.8 s, but for stores that can't be reached, which may be back at any moment.

--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -5,12 +5,14 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 const (
@@ -21,8 +23,10 @@
 	feedPause = 120 * time.Millisecond
 	// feedTimeout is how much longer than its wait one call may take.
 	feedTimeout = 500 * time.Millisecond
-	// feedRetry is the longest pause after a failed call. The pause is random, at least half of it.
-	feedRetry = 300 * time.Millisecond
+	// feedRetry is the longest pause after a failed call. The pause is random, at least half of it. It doubles up to
+	// maxFeedRetry while a store accepts calls and doesn't answer them properly.
+	feedRetry    = 300 * time.Millisecond
+	maxFeedRetry = 4800 * time.Millisecond
 )
 
 // setFeeds starts and stops feeds so that exactly one runs for each store.
@@ -48,6 +52,7 @@
 func (f *Fleet) feed(ctx context.Context, address string) {
 	var since int64
 	unreachable := false
+	retry := feedRetry
 	for ctx.Err() == nil {
 		if role := f.currentRole(); !role.reads || role.starting {
 			since = 0
@@ -60,9 +65,13 @@
 				f.Log.Warn(EventCacheStoreLost, zap.String("store", address), eventlog.Error(err))
 			}
 			unreachable = true
-			sleep(ctx, feedRetry/2+rand.N(feedRetry/2))
+			sleep(ctx, retry/2+rand.N(retry/2))
+			if retry = min(2*retry, maxFeedRetry); errorx.IsOfType(err, weights.ErrUnavailable) {
+				retry = feedRetry
+			}
 			continue
 		}
+		retry = feedRetry
 		if unreachable {
 			f.Log.Info(EventCacheStoreFound, zap.String("store", address), zap.Int64("next", next))
 		}
