Bound the bodies of callers and buffered responses by the process's memory

Cause: bodies were bounded one by one only, and each was copied to be sent.

Bodies share a budget, small ones another. One that gets no memory within half a second is refused as not run, with Retry-After, and the rest of it is dropped so that the close doesn't destroy the answer. Read buffers of connections grow only for long headers, and kept decisions hold the start of long texts only. Also in here, as it is in the same files: the limits of the readiness server and of the server for other gateways.

--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -310,11 +310,6 @@
 	fleet *Fleet
 }
 
-// Register registers the service that other gateways call.
-func (f *Fleet) Register(server *grpc.Server) {
-	wire.RegisterGatewaysServer(server, &service{fleet: f})
-}
-
 // Changes implements wire.GatewaysServer.
 func (s *service) Changes(_ context.Context, request *wire.ChangesRequest) (*wire.ChangesReply, error) {
 	reply := &wire.ChangesReply{}
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/eventlog"
+	"balsamyoke.example/balsamyoke/internal/membudget"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
@@ -25,6 +27,8 @@
 	defaultIdleTimeout   = 15 * time.Second
 	// bodyTimeout bounds the time from the end of a request's header to the end of its body.
 	bodyTimeout = 10 * time.Second
+	// lingerTimeout bounds how long a caller may go on sending a request that was refused before it was read.
+	lingerTimeout = 2 * time.Second
 	// writeTimeout bounds one write to a caller, which blocks when the caller doesn't read.
 	writeTimeout = 5 * time.Second
 	// callerBufferBytes is the size of the write buffer of a caller's connection and the minimum size of its read
@@ -54,6 +58,14 @@
 	closeAfter bool
 	// takesChunks is set for callers with HTTP/1.1. A body of unknown length ends with the connection for any others.
 	takesChunks bool
+	// held is the memory of the body.
+	held *membudget.Reservation
+}
+
+// release returns the memory of the body, which isn't used any more.
+func (in *incoming) release() {
+	in.body = nil
+	in.held.Release()
 }
 
 // accept serves connections until the listener closes.
@@ -86,7 +98,7 @@
 func (g *Gateway) serveConnection(conn net.Conn) {
 	c := &callerConn{
 		Conn:   conn,
-		reader: bufio.NewReaderSize(conn, max(callerBufferBytes, g.limits().HeaderBytes)),
+		reader: bufio.NewReaderSize(conn, callerBufferBytes),
 		writer: bufio.NewWriterSize(conn, callerBufferBytes),
 	}
 	g.trackCaller(c, true)
@@ -95,12 +107,15 @@
 	for g.waitForRequest(c) {
 		in, err := g.readRequest(c)
 		if err != nil {
-			g.rejectUnreadable(c, err)
+			g.rejectUnreadable(c, in, err)
 			return
 		}
-		if !g.serveWatched(c, in) {
+		keepOpen := g.serveWatched(c, in)
+		in.release()
+		if !keepOpen {
 			return
 		}
+		c.shrinkReader()
 	}
 }
 
@@ -140,32 +155,36 @@
 	}
 }
 
-// readRequest reads the header and the body of a request. Its errors are ErrBadRequest, ErrTooLarge, and those
-// of the connection.
+// readRequest reads the header and the body of a request. With an error, it returns what it has read. Its errors are
+// ErrBadRequest, ErrTooLarge, ErrNoMemory, and those of the connection.
 func (g *Gateway) readRequest(c *callerConn) (*incoming, error) {
 	limits := g.limits()
 	in := &incoming{receivedAt: time.Now()}
 	if err := c.SetReadDeadline(in.receivedAt.Add(limits.HeaderTimeout)); err != nil {
-		return nil, err
+		return in, err
 	}
 	in.header.DisableNormalizing()
-	if err := in.header.Read(c.reader); err != nil {
-		return nil, classifyHeaderError(err)
+	err := in.header.Read(c.reader)
+	if isSmallBuffer(err) && c.reader.Size() < limits.HeaderBytes {
+		c.growReader(limits.HeaderBytes)
+		err = in.header.Read(c.reader)
+	}
+	if err != nil {
+		return in, classifyHeaderError(err)
 	}
 	if len(in.header.RawHeaders()) > limits.HeaderBytes {
-		return nil, errHeaderTooLarge
+		return in, errHeaderTooLarge
 	}
 	if err := checkFraming(&in.header); err != nil {
-		return nil, err
+		return in, err
 	}
 	if err := c.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
-		return nil, err
+		return in, err
 	}
-	body, err := readBody(c, &in.header, limits.BodyBytes)
-	if err != nil {
-		return nil, err
+	if err := g.readBody(c, in, limits.BodyBytes); err != nil {
+		in.release()
+		return in, err
 	}
-	in.body = body
 	in.takesChunks = in.header.IsHTTP11()
 	in.closeAfter = in.header.ConnectionClose() || !in.takesChunks
 	return in, nil
@@ -174,10 +193,9 @@
 var errHeaderTooLarge = ErrTooLarge.New("request header exceeds the limit")
 
 func classifyHeaderError(err error) error {
-	var smallBuffer *fasthttp.ErrSmallBuffer
 	var netErr net.Error
 	switch {
-	case errors.As(err, &smallBuffer):
+	case isSmallBuffer(err):
 		return errHeaderTooLarge
 	case errors.As(err, &netErr), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return err
@@ -186,47 +204,110 @@
 	}
 }
 
-func readBody(c *callerConn, header *fasthttp.RequestHeader, limit int) ([]byte, error) {
-	if header.ContentLength() == -1 {
-		chunks := &chunkedBody{chunks: httputil.NewChunkedReader(c.reader), reader: c.reader}
-		body, err := io.ReadAll(io.LimitReader(chunks, int64(limit)+1))
-		if len(body) > limit {
-			return nil, ErrTooLarge.New("body of more than %d bytes", limit)
+// isSmallBuffer reports whether a header didn't fit in its read buffer.
+func isSmallBuffer(err error) bool {
+	var smallBuffer *fasthttp.ErrSmallBuffer
+	return errors.As(err, &smallBuffer)
+}
+
+// growReader enlarges the read buffer, which keeps what it holds.
+func (c *callerConn) growReader(size int) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.Conn), size)
+}
+
+// shrinkReader replaces an enlarged read buffer that is empty.
+func (c *callerConn) shrinkReader() {
+	if c.reader.Size() > callerBufferBytes && c.reader.Buffered() == 0 {
+		c.reader = bufio.NewReaderSize(c.Conn, callerBufferBytes)
+	}
+}
+
+// readBody reads the body of a request of at most limit bytes into memory that it reserves. Its errors are ErrTooLarge,
+// ErrNoMemory, ErrBadRequest, and those of the connection.
+func (g *Gateway) readBody(c *callerConn, in *incoming, limit int) error {
+	length := in.header.ContentLength()
+	if length > limit {
+		return ErrTooLarge.New("body of %d bytes, more than %d", length, limit)
+	}
+	if length == chunkedLength {
+		return g.readChunkedBody(c, in, limit)
+	}
+	if length <= 0 {
+		return nil
+	}
+	held, err := g.memory.reserveBody(int64(length))
+	if err != nil {
+		return err
+	}
+	in.held = held
+	in.body = make([]byte, length)
+	_, err = io.ReadFull(c.reader, in.body)
+	return err
+}
+
+// readChunkedBody reads a body whose length isn't known. One that turns out to be large gets memory for the largest one while
+// it is read.
+func (g *Gateway) readChunkedBody(c *callerConn, in *incoming, limit int) error {
+	chunks := &chunkedBody{chunks: httputil.NewChunkedReader(c.reader), reader: c.reader}
+	for _, size := range []int{min(smallBody, limit), limit} {
+		held, err := g.memory.reserveBody(int64(size))
+		if err != nil {
+			return err
 		}
+		in.held.Release()
+		in.held = held
+		more, err := io.ReadAll(io.LimitReader(chunks, int64(size-len(in.body))+1))
+		in.body = append(in.body, more...)
 		if err != nil {
-			return nil, ErrBadRequest.Wrap(err, "read chunked body")
+			return ErrBadRequest.Wrap(err, "read chunked body")
+		}
+		if len(in.body) <= size {
+			in.held.Shrink(int64(len(in.body)))
+			return nil
 		}
-		return body, nil
-	}
-	length := max(0, header.ContentLength())
-	if length > limit {
-		return nil, ErrTooLarge.New("body of %d bytes, more than %d", length, limit)
 	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(c.reader, body)
-	return body, err
+	return ErrTooLarge.New("body of more than %d bytes", limit)
 }
 
-// rejectUnreadable responds to bytes that aren't one valid request with the status that fits err. Nothing was sent
-// to a server.
-func (g *Gateway) rejectUnreadable(c *callerConn, err error) {
-	var status int
+// rejectUnreadable responds to a request that could not be read, or to bytes that aren't one, with the status that fits err.
+// Nothing was sent to a server.
+func (g *Gateway) rejectUnreadable(c *callerConn, in *incoming, err error) {
+	var resp *response
 	switch {
 	case err == errHeaderTooLarge:
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		resp = gatewayResponse(fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errorx.IsOfType(err, ErrNoMemory):
+		resp = refusalResponse(noMemoryRetryAfter)
+		call, _ := g.protocol.ReadCall(&in.header) // malformed headers leave the id empty
+		g.recordRefusal(in, call.ID, "no_memory", eventlog.Error(err))
 	case errorx.IsOfType(err, ErrTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
+		resp = gatewayResponse(fasthttp.StatusRequestEntityTooLarge)
 	case errorx.IsOfType(err, ErrBadRequest):
-		status = fasthttp.StatusBadRequest
+		resp = gatewayResponse(fasthttp.StatusBadRequest)
 	default:
 		// The connection ended or timed out within a request.
 		return
 	}
-	g.counters.malformed.Inc(1)
-	g.log.Warn(EventMalformed, zapStatus(status), eventlog.Error(err))
-	resp := gatewayResponse(status)
+	if resp.header.StatusCode() != fasthttp.StatusServiceUnavailable {
+		g.counters.malformed.Inc(1)
+		g.log.Warn(EventMalformed, zapStatus(resp.header.StatusCode()), eventlog.Error(err))
+	}
 	resp.closeAfter = true
-	_ = c.writeResponse(resp)
+	if c.writeResponse(resp) == nil {
+		c.linger()
+	}
+}
+
+// linger drops what the caller is still sending, because a close with unread bytes resets the connection, and the caller may
+// lose the response with it.
+func (c *callerConn) linger() {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	// The error is the end of the connection or the timeout.
+	_, _ = io.Copy(io.Discard, c.reader)
 }
 
 // serveWatched serves one request. It cancels the request when the caller closes the connection before the response
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -13,6 +13,12 @@
 // maxDecisions is how many decisions a gateway keeps for balsamctl: about half a minute at peak load.
 const maxDecisions = 4096
 
+// maxLoggedText bounds each text of a caller in a decision, in bytes: the decisions that are kept must fit in memory.
+const maxLoggedText = 256
+
+// clip returns the start of a caller's text, of at most maxLoggedText bytes.
+func clip[T string | []byte](text T) string { return string(text[:min(len(text), maxLoggedText)]) }
+
 const (
 	info = zapcore.InfoLevel
 	warn = zapcore.WarnLevel
@@ -32,6 +38,7 @@
 
 // recordDecision logs a decision about a request and keeps it for balsamctl.
 func (g *Gateway) recordDecision(level zapcore.Level, event, request string, fields ...zap.Field) {
+	request = clip(request)
 	g.decisions.Add(explain.Decision{Time: time.Now(), Request: request, Step: event, Detail: detail(fields)})
 	fields = append([]zap.Field{zap.String("request", request)}, fields...)
 	if level == warn {
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -10,6 +10,8 @@
 	ErrBadRequest = namespace.NewType("bad_request")
 	// ErrTooLarge means that a header or body exceeds its limit.
 	ErrTooLarge = namespace.NewType("too_large")
+	// ErrNoMemory means that there is no memory for the body of a request.
+	ErrNoMemory = namespace.NewType("no_memory", errorx.Temporary())
 	// ErrListen means that the gateway can't listen on an address.
 	ErrListen = namespace.NewType("listen")
 	// ErrNotSent means that no byte of a request reached the server.
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/membudget"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
@@ -160,7 +161,9 @@
 	header *fasthttp.ResponseHeader, res *exchangeResult, started time.Time,
 ) {
 	reader := sc.body(header)
-	body, err := readBuffered(reader)
+	held := g.memory.responses.Reserve()
+	defer held.Release()
+	body, err := readBuffered(reader, held)
 	if errors.Is(err, errBodyTooLarge) {
 		g.forwardLarge(ctx, c, r, header, body, reader, res, started)
 		return
@@ -194,17 +197,32 @@
 	g.fleet.RecordFirstByte(r.placement, time.Since(started))
 }
 
-// errBodyTooLarge means that a response body exceeds maxBufferedBody.
-var errBodyTooLarge = ErrTooLarge.New("answer of more than %d bytes", maxBufferedBody)
+// errBodyTooLarge means that a response body exceeds maxBufferedBody, or the memory for responses.
+var errBodyTooLarge = ErrTooLarge.New("answer too large to be buffered")
 
-// readBuffered reads a complete body. If it has more than maxBufferedBody bytes, it returns the first of them and
-// errBodyTooLarge.
-func readBuffered(body io.Reader) ([]byte, error) {
-	read, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
-	if err == nil && len(read) > maxBufferedBody {
-		return read, errBodyTooLarge
+// readBuffered reads a complete body into memory that it reserves. If it has more than maxBufferedBody bytes, or there is no
+// memory, it returns the first of them and errBodyTooLarge.
+func readBuffered(body io.Reader, held *membudget.Reservation) ([]byte, error) {
+	read := make([]byte, 0, streamReadBytes)
+	for {
+		n, err := body.Read(read[len(read):cap(read)])
+		read = read[:len(read)+n]
+		if errors.Is(err, io.EOF) {
+			return read, nil
+		}
+		if err != nil {
+			return read, err
+		}
+		if len(read) < cap(read) {
+			continue
+		}
+		// One byte more than the limit shows that the body exceeds it.
+		size := min(2*cap(read), maxBufferedBody+1)
+		if len(read) > maxBufferedBody || size > unbudgetedResponse && !held.TryGrow(int64(size-cap(read))) {
+			return read, errBodyTooLarge
+		}
+		read = append(make([]byte, 0, size), read...)
 	}
-	return read, err
 }
 
 // forwardStream forwards each event when it has arrived completely.
@@ -212,6 +230,8 @@
 	header *fasthttp.ResponseHeader, res *exchangeResult, started time.Time,
 ) {
 	reader := newEventReader(sc.body(header))
+	reader.held = g.memory.responses.Reserve()
+	defer reader.held.Release()
 	out := &streamWriter{callerConn: c, length: r.unknownLength()}
 	r.events.StartRun()
 	for {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,6 +46,7 @@
 	counters *counters
 	registry *metrics.Registry
 	pool     *pool
+	memory   memory
 	crashes  *crashDetector
 	draining atomic.Bool
 	// decisions holds the latest decisions about requests, for balsamctl.
@@ -71,6 +72,7 @@
 		registry:    registry,
 		counters:    newCounters(registry.Scope),
 		pool:        newPool(),
+		memory:      newMemory(s.Memory()),
 		decisions:   explain.NewRing(maxDecisions),
 		leave:       make(chan struct{}, 1),
 		callerConns: make(map[*callerConn]struct{}),
@@ -116,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	control, err := process.ServeControl(g.settings.Control, g.register)
+	control, err := process.ServeControl(g.settings.Control, g.register, fleet.ServerOptions()...)
 	if err != nil {
 		return err
 	}
@@ -165,7 +167,7 @@
 		return nil, ErrListen.Wrap(err, "listen for readiness checks on %s", g.settings.Ready)
 	}
 	var lastReady atomic.Bool
-	server := &fasthttp.Server{NoDefaultServerHeader: true, Handler: func(ctx *fasthttp.RequestCtx) {
+	server := process.NewQueryServer(func(ctx *fasthttp.RequestCtx) {
 		if string(ctx.Path()) != g.protocol.ReadyPath() {
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 			return
@@ -177,7 +179,7 @@
 		if !ready {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		}
-	}}
+	})
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -192,6 +192,8 @@
 	stop         context.CancelFunc
 	ended        chan error
 	graceMS      int
+	// memoryMB is the memory of the gateway's process; 0 for the default.
+	memoryMB int
 }
 
 func deploy(c *qt.C, servers ...*server) *deployment {
@@ -200,8 +202,13 @@
 
 // deployWithGrace returns a deployment whose gateway has graceMS milliseconds from SIGTERM to SIGKILL.
 func deployWithGrace(c *qt.C, graceMS int, servers ...*server) *deployment {
-	d := &deployment{c: c, store: memkv.New(), ended: make(chan error, 1), graceMS: graceMS}
-	c.Cleanup(d.store.Close)
+	return deployAs(&deployment{c: c, graceMS: graceMS}, servers...)
+}
+
+// deployAs starts the gateway of a deployment with the given settings.
+func deployAs(d *deployment, servers ...*server) *deployment {
+	d.store, d.ended = memkv.New(), make(chan error, 1)
+	d.c.Cleanup(d.store.Close)
 	d.put("op/config", configuration(1, `"key-1"`))
 	for i, s := range servers {
 		d.register(fmt.Sprint("s", i), s, "ready")
@@ -265,6 +272,9 @@
 	s.Instance, s.FailureDomain = instance, "a"
 	s.Listen, s.Ready, s.Control, s.Beats, s.Metrics = addresses[0], addresses[1], addresses[2], addresses[3], addresses[4]
 	s.GraceMS = d.graceMS
+	if d.memoryMB > 0 {
+		s.MemoryMB = d.memoryMB
+	}
 	d.address, d.readyAddress = s.Listen, s.Ready
 	engines := stubEngines{}
 	log := eventlog.New(io.Discard)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -162,7 +162,7 @@
 func (g *Gateway) deny(in *incoming, id string, status int, reason string) *response {
 	g.counters.recordRefusal(reason)
 	g.recordDecision(warn, EventDenied, id, zapStatus(status), zap.String("reason", reason),
-		zap.ByteString("path", in.header.RequestURI()), zap.Int64("configuration", g.configVersion()),
+		zap.String("path", clip(in.header.RequestURI())), zap.Int64("configuration", g.configVersion()),
 		zap.Duration("news_age", g.fleet.ContactAge()))
 	return gatewayResponse(status)
 }
@@ -393,12 +393,15 @@
 	return d
 }
 
+// maxLoggedParts bounds the parts of a request in a decision.
+const maxLoggedParts = 16
+
 // partsField returns the log field for what the request may have in common with others: the ids of the prompt's parts, or for
 // a plain service its digests, if it was identified.
 func (r *request) partsField() zap.Field {
 	var ids []string
-	for _, part := range r.parts {
-		ids = append(ids, part.ID)
+	for _, part := range r.parts[:min(len(r.parts), maxLoggedParts)] {
+		ids = append(ids, clip(part.ID))
 	}
 	return zap.Strings("parts", ids)
 }
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -210,9 +210,15 @@
 // send writes a request. It returns ErrNotSent when no byte was written, and ErrBroken when a part was.
 func (sc *serverConn) send(header *fasthttp.RequestHeader, body []byte) error {
 	sc.head, sc.skipped = header.IsHead(), skippedResponses{}
-	message := header.AppendBytes(make([]byte, 0, 1024+len(body)))
-	message = append(message, body...)
+	message := header.AppendBytes(make([]byte, 0, 1024+min(len(body), smallBody)))
+	if len(body) <= smallBody {
+		message, body = append(message, body...), nil
+	}
 	n, err := sc.Write(message)
+	if err == nil && len(body) > 0 {
+		// A large body is sent without a copy of it.
+		_, err = sc.Write(body)
+	}
 	if err == nil {
 		return nil
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -6,6 +6,8 @@
 	"io"
 	"strconv"
 	"time"
+
+	"balsamyoke.example/balsamyoke/internal/membudget"
 )
 
 const (
@@ -24,6 +26,8 @@
 	err      error
 	// chunk is the buffer for one read.
 	chunk []byte
+	// held is the memory of buffered beyond unbudgetedResponse bytes.
+	held *membudget.Reservation
 }
 
 func newEventReader(body io.Reader) *eventReader {
@@ -49,8 +53,8 @@
 		if r.err != nil {
 			return nil, r.err
 		}
-		if len(r.buffered) > maxEventBytes {
-			return nil, ErrTooLarge.New("event of more than %d bytes", maxEventBytes)
+		if len(r.buffered) > maxEventBytes || !r.reserve() {
+			return nil, ErrTooLarge.New("event of more than %d bytes, or than there is memory", len(r.buffered))
 		}
 		n, err := r.body.Read(r.chunk)
 		r.buffered = append(r.buffered, r.chunk[:n]...)
@@ -58,6 +62,12 @@
 	}
 }
 
+// reserve reserves memory for what is buffered. It reports whether there is any.
+func (r *eventReader) reserve() bool {
+	beyond := int64(len(r.buffered) - unbudgetedResponse)
+	return beyond <= 0 || r.held == nil || r.held.TryGrow(beyond-r.held.Bytes())
+}
+
 // partial returns the number of bytes after the last complete event, zero when they are empty lines only.
 func (r *eventReader) partial() int {
 	if len(bytes.Trim(r.buffered, "\r\n")) == 0 {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/joomcode/errorx"
@@ -114,12 +115,12 @@
 
 // ServeControl starts a gRPC server on address with the services that register adds. It returns ErrListen
 // when the address can't be listened on.
-func ServeControl(address string, register func(*grpc.Server)) (*grpc.Server, error) {
+func ServeControl(address string, register func(*grpc.Server), options ...grpc.ServerOption) (*grpc.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "control address %s", address)
 	}
-	server := grpc.NewServer()
+	server := grpc.NewServer(options...)
 	register(server)
 	go func() { _ = server.Serve(traffic.Control.Listener(listener)) }()
 	return server, nil
@@ -132,7 +133,7 @@
 	if err != nil {
 		return nil, ErrListen.Wrap(err, "metrics address %s", address)
 	}
-	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+	server := NewQueryServer(func(ctx *fasthttp.RequestCtx) {
 		switch string(ctx.Path()) {
 		case "/metrics":
 			registry.Handler(ctx)
@@ -141,11 +142,28 @@
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
-	}}
+	})
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
 
+const (
+	// maxQueries bounds the connections of a server for queries.
+	maxQueries = 256
+	// queryTimeout bounds the time to receive a query, to send its response, and between two queries on a connection.
+	queryTimeout = 10 * time.Second
+	// maxQueryBody bounds the body of a query, which needs none, in bytes.
+	maxQueryBody = 1 << 10
+)
+
+// NewQueryServer returns an HTTP server for GET requests of the platform and of operators.
+func NewQueryServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler: handler, NoDefaultServerHeader: true, GetOnly: true, MaxRequestBodySize: maxQueryBody, Concurrency: maxQueries,
+		ReadTimeout: queryTimeout, WriteTimeout: queryTimeout, IdleTimeout: queryTimeout,
+	}
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, value any) {
 	text, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
