--- a/internal/grpcpool/pool.go
+++ b/internal/grpcpool/pool.go
@@ -21,8 +21,8 @@
 var ErrAddress = namespace.NewType("address")
 
 const (
-	// maxReplyBytes bounds the size of one reply.
-	maxReplyBytes = 32 << 20
+	// maxReplyBytes bounds the size of one reply. The largest are listings of full cache stores, and configurations.
+	maxReplyBytes = 16 << 20
 	// bufferBytes is the size of a connection's read buffer and of its write buffer. It is small because calls
 	// are small and rare, and the holder of a rollout keeps one connection to each replica.
 	bufferBytes = 4 << 10
--- a/internal/kvcache/store.go
+++ b/internal/kvcache/store.go
@@ -68,10 +68,25 @@
 	s.forceRelist()
 }
 
+// maxKnownFill is how much more than its capacity a store may report. Removals may be reported late.
+const maxKnownFill = 2
+
+// holds reports whether the store can have the part of a change beside its others. Parts that can't be saved are of no use, and
+// the catalogue of a store that reports more than fits in it would exceed the memory.
+func (s *store) holds(change Change) bool {
+	return change.Tokens >= minPartTokens && s.used+change.Tokens <= maxKnownFill*s.CapacityTokens
+}
+
 func (s *store) apply(change Change, now time.Time) {
-	before := s.complete[change.Key]
+	before, known := s.complete[change.Key]
 	s.used -= before.tokens
 	delete(s.complete, change.Key)
+	if !change.Removed && !s.holds(change) {
+		if !known {
+			return
+		}
+		change.Removed = true
+	}
 	if !change.Removed {
 		part := storedPart{tokens: change.Tokens, knownFrom: now}
 		if part.tokens == before.tokens {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -38,6 +38,8 @@
 	includePeersEvery = 8
 	// maxIncludedPeers bounds the length of that list.
 	maxIncludedPeers = 12
+	// maxMembers bounds the other gateways that are known.
+	maxMembers = 8192
 )
 
 // Member is the last known state of one other gateway.
@@ -85,6 +87,9 @@
 		return
 	}
 	member := m.members[p.GetInstance()]
+	if member == nil && len(m.members) >= maxMembers {
+		return
+	}
 	if member == nil {
 		m.members[p.GetInstance()] = &Member{Peer: p, addedAt: now, Positions: make(map[string]metastore.Position)}
 		m.countNear()
