Give organisations another shared cache whenever others are isolated

Cause: the shared salt was the same before and after the change, and nothing ended its use in engines and stores.

The name of the shared boundary now depends on which organisations are isolated, so that what is cached under it was made only by organisations that aren't. The boundary is asked for at each attempt, and a gateway that is behind shares none.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,8 +29,7 @@
 	Service string
 	// Model is empty for plain services.
 	Model string
-	// CacheBoundary is the cache isolation boundary: the name of an isolated organisation, or empty for the shared KV
-	// cache.
+	// CacheBoundary is the cache isolation boundary, as in routing.
 	CacheBoundary string
 	Parts         []kvcache.Part
 	// PromptTokens is the size of the prompt, OutputTokens the maximum size of the response.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,8 @@
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
+	// behind is set while other gateways have had a later configuration for some time.
+	behind atomic.Bool
 	// quarantineIdle is read by the request path.
 	quarantineIdle atomic.Bool
 	era            atomic.Int64 // the latest era of the metadata store that is known here; 0 before the first
@@ -79,6 +81,7 @@
 	quarantine *quarantine.Tracker
 	limits     *quota.Owner
 	origins    *origin.Table
+	lag        configurationLag
 	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
 	crashReportedAt time.Time
 	feeds           map[string]context.CancelFunc
@@ -319,6 +322,7 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	f.updateLag(now)
 	f.loadRemainingTargets(now)
 	f.evaluateQuarantine(now)
 	f.recheckLimits(now)
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -203,6 +203,46 @@
 	})
 }
 
+// A gateway that knows of a later configuration and can't get it doesn't know who is isolated, so that its organisations share no
+// KV cache until it has caught up.
+func TestGatewayThatIsBehindSharesNoCache(t *testing.T) {
+	c := qt.New(t)
+	store := memkv.New()
+	c.Cleanup(store.Close)
+	put(c, store, "op/config", "1")
+	online, offline := &switchableStore{store, make(chan struct{})}, &switchableStore{store, make(chan struct{})}
+	unreachable := func(string) string { return "127.0.0.1:1" }
+	a, b := startFleetBehind(c, "a", online, unreachable), startFleet(c, "b", offline)
+	eventually(c, "both have version 1", func() bool { return a.version() == 1 && b.version() == 1 })
+	// The boundary of requests on public routes, which share cache while no organisation is isolated.
+	shared := a.CacheBoundary("")
+	c.Assert(b.CacheBoundary(""), qt.Equals, shared)
+	close(offline.offline)
+	put(c, store, "op/config", "2")
+	eventually(c, "one gateway has version 2", func() bool { return a.version() == 2 })
+	changedAt := time.Now()
+	eventually(c, "the other one shares no cache", func() bool { return b.CacheBoundary("") != shared })
+	c.Assert(b.version(), qt.Equals, int64(1))
+	c.Assert(time.Since(changedAt) < maxConfigurationLag+time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(changedAt)))
+	c.Assert(a.CacheBoundary(""), qt.Equals, shared)
+}
+
+// A gateway that is never long behind any one configuration isn't behind, however fast they change.
+func TestConfigurationLagIsCountedByVersion(t *testing.T) {
+	c := qt.New(t)
+	var lag configurationLag
+	now := time.Unix(1000, 0)
+	for version := range int64(50) {
+		c.Assert(lag.observe(version, version+1, now.Add(time.Duration(version)*maxConfigurationLag/4)), qt.IsFalse)
+	}
+	now = now.Add(50 * maxConfigurationLag / 4)
+	c.Assert(lag.observe(50, 51, now), qt.IsFalse)
+	c.Assert(lag.observe(50, 60, now.Add(maxConfigurationLag)), qt.IsTrue)
+	c.Assert(lag.observe(51, 60, now.Add(maxConfigurationLag)), qt.IsFalse)
+	c.Assert(lag.observe(51, 60, now.Add(2*maxConfigurationLag)), qt.IsTrue)
+	c.Assert(lag.observe(60, 60, now.Add(2*maxConfigurationLag)), qt.IsFalse)
+}
+
 // A gateway that starts while it can't reach the metadata store reads the configuration from the seeds.
 func TestNewGatewayReadsFromSeeds(t *testing.T) {
 	c := qt.New(t)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -112,9 +112,6 @@
 		if organisation.HasPriority {
 			r.priority = organisation.Priority
 		}
-		if organisation.Isolated {
-			r.placeRequest.CacheBoundary = organisation.Name
-		}
 	}
 	r.service = route.ChooseService(rand.Float64())
 	r.deadline = in.receivedAt.Add(waitLimit(&call, route))
@@ -185,6 +182,8 @@
 func (g *Gateway) runAttempts(ctx context.Context, c *callerConn, r *request) bool {
 	for {
 		r.placeRequest.TimeLeft = time.Until(r.deadline)
+		// An earlier attempt may have been placed under another configuration.
+		r.placeRequest.CacheBoundary = g.fleet.CacheBoundary(r.organisation)
 		if r.call.Model != "" || !g.fleet.IsQuarantineIdle() {
 			r.identify()
 		}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -136,7 +136,10 @@
 	Configuration
 	byHost   map[string][]*Route
 	byKey    map[string]*Organisation
+	byName   map[string]*Organisation
 	services map[string]*Service
+	// sharedBoundary is the cache isolation boundary of the organisations that aren't isolated.
+	sharedBoundary string
 }
 
 // NewTable returns a Table for the configuration.
@@ -145,6 +148,7 @@
 		Configuration: c,
 		byHost:        make(map[string][]*Route),
 		byKey:         make(map[string]*Organisation),
+		byName:        make(map[string]*Organisation),
 		services:      make(map[string]*Service),
 	}
 	for i := range c.Routes {
@@ -155,10 +159,12 @@
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for i := range c.Organisations {
+		t.byName[c.Organisations[i].Name] = &c.Organisations[i]
 		for _, key := range c.Organisations[i].Keys {
 			t.byKey[key] = &c.Organisations[i]
 		}
 	}
+	t.sharedBoundary = sharedBoundary(c.Organisations)
 	for i := range c.Services {
 		t.services[c.Services[i].Name] = &c.Services[i]
 	}
