Replace channels between gateways that have become silent

Cause: grpcpool kept connections on which every call timed out.

A call that gets nothing for half of its time on a channel is made again on a new one, which later calls use. A gateway also waits a second less than the contact time for changes of the metadata store.

--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -54,7 +54,7 @@
 	ctx, cancel := c.tool.context()
 	defer cancel()
 	merged := []decided{}
-	err := c.tool.eachProcess(ctx, func(ctx context.Context, instance metastore.Instance, connection *grpc.ClientConn) func() {
+	err := c.tool.eachProcess(ctx, func(ctx context.Context, instance metastore.Instance, connection grpc.ClientConnInterface) func() {
 		found := c.decisions(ctx, instance.ID, connection)
 		return func() { merged = append(merged, found...) }
 	})
@@ -69,7 +69,7 @@
 	return c.tool.show(jsonResult(text))
 }
 
-func (c *explainCommand) decisions(ctx context.Context, instance string, connection *grpc.ClientConn) []decided {
+func (c *explainCommand) decisions(ctx context.Context, instance string, connection grpc.ClientConnInterface) []decided {
 	reply, err := wire.NewAdminClient(connection).Explain(ctx, &wire.ExplainRequest{RequestId: c.Args.Request})
 	if err != nil {
 		return nil
--- a/internal/ctl/processes.go
+++ b/internal/ctl/processes.go
@@ -125,7 +125,7 @@
 // processes returns the version in force in every entry and agent of the instance list.
 func (t *tool) processes(ctx context.Context) ([]processVersion, error) {
 	var versions []processVersion
-	err := t.eachProcess(ctx, func(ctx context.Context, instance metastore.Instance, connection *grpc.ClientConn) func() {
+	err := t.eachProcess(ctx, func(ctx context.Context, instance metastore.Instance, connection grpc.ClientConnInterface) func() {
 		version := requestVersion(ctx, connection, instance)
 		return func() { versions = append(versions, version) }
 	})
@@ -138,7 +138,7 @@
 
 // eachProcess calls visit for every entry and agent of the instance list, up to maxParallelCalls at once. The
 // functions that visit returns run one at a time.
-func (t *tool) eachProcess(ctx context.Context, visit func(context.Context, metastore.Instance, *grpc.ClientConn) func()) error {
+func (t *tool) eachProcess(ctx context.Context, visit func(context.Context, metastore.Instance, grpc.ClientConnInterface) func()) error {
 	instances, err := t.openList(t.options.InstanceList).Instances(ctx)
 	if err != nil {
 		return ErrProcess.Wrap(err, "instance list")
@@ -169,7 +169,7 @@
 	return group.Wait()
 }
 
-func requestVersion(ctx context.Context, connection *grpc.ClientConn, instance metastore.Instance) processVersion {
+func requestVersion(ctx context.Context, connection grpc.ClientConnInterface, instance metastore.Instance) processVersion {
 	version := processVersion{Instance: instance.ID}
 	reply, err := wire.NewConfigurationClient(connection).Notify(ctx, &wire.NotifyRequest{})
 	if err != nil {
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -29,7 +29,9 @@
 	OriginsUnknown     tally.Counter
 	OriginSendFailures tally.Counter
 	OriginsKept        tally.Gauge
-	scope              tally.Scope
+	// ChannelsReplaced counts the channels to other gateways that were replaced because nothing arrived on them any more.
+	ChannelsReplaced tally.Counter
+	scope            tally.Scope
 }
 
 // NewCounters returns Counters that report to scope.
@@ -56,6 +58,7 @@
 		OriginAsks:          scope.Counter("stream_origin_asks"),
 		OriginsUnknown:      scope.Counter("stream_origins_unknown"),
 		OriginSendFailures:  scope.Counter("stream_origin_send_failures"),
+		ChannelsReplaced:    scope.Counter("channels_replaced"),
 		OriginsKept:         scope.Gauge("stream_origins_kept"),
 		scope:               scope,
 	}
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -7,6 +7,7 @@
 	EventServerState      = "server_state"
 	EventServerLimit      = "server_limit"
 	EventServerLeaving    = "server_leaving"
+	EventChannelReplaced  = "channel_replaced"
 	EventPeerSilent       = "peer_silent"
 	EventEnginesAssigned  = "engines_dealt"
 	EventPeerLive         = "peer_heard"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,8 @@
 	// LeaseTTL is the TTL of the leader lease.
 	LeaseTTL time.Duration
 	Budget   dispatch.BudgetConfig
+	// ContactTime is the time within which the gateway must have the newest state again after a disruption.
+	ContactTime time.Duration
 	// WeightsWithin is how long requests may still start on older weight versions after a new target is set.
 	WeightsWithin time.Duration
 }
@@ -118,14 +120,13 @@
 		limits:     quota.NewOwner(),
 		origins:    origin.NewTable(),
 
-		ownerConnections: grpcpool.New(maxOwnerConnections),
-
-		originConnections: grpcpool.New(maxOriginConnections),
-		feeds:             make(map[string]context.CancelFunc),
-		states:            make(map[string]backend.State),
-		unreadable:        make(map[string]bool),
-		unloadedTargets:   make(map[string]metastore.Record),
+		feeds:           make(map[string]context.CancelFunc),
+		states:          make(map[string]backend.State),
+		unreadable:      make(map[string]bool),
+		unloadedTargets: make(map[string]metastore.Record),
 	}
+	f.ownerConnections = f.newPool(maxOwnerConnections)
+	f.originConnections = f.newPool(maxOriginConnections)
 	f.mirror = mirror.New(f.supersedes)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
 	f.role.Store(&role{reads: true, starting: true})
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
 	"balsamyoke.example/balsamyoke/internal/process"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
+	"balsamyoke.example/balsamyoke/internal/relaytest"
 	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/weights"
 	"balsamyoke.example/balsamyoke/internal/wire"
@@ -397,3 +398,40 @@
 		return len(used) == 1 && used["s2"]
 	})
 }
+
+// Guards against review/4: channels between gateways that become silent were kept, so that a gateway which gets all changes from
+// others had none of the changes after that.
+func TestChangesArriveAfterChannelsBetweenGatewaysBecameSilent(t *testing.T) {
+	// contactTime is the smallest of the deployments.
+	const contactTime = 3 * time.Second
+	for name, direction := range map[string]relaytest.Direction{"requests": relaytest.Requests, "replies": relaytest.Replies, "both": relaytest.Both} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			store := memkv.New()
+			c.Cleanup(store.Close)
+			put(c, store, "op/config", "1")
+			online, offline := &switchableStore{store, make(chan struct{})}, &switchableStore{store, make(chan struct{})}
+			var relay *relaytest.Relay
+			a := startFleetBehind(c, "a", online, func(address string) string {
+				var err error
+				relay, err = relaytest.Start(address)
+				c.Assert(err, qt.IsNil)
+				c.Cleanup(relay.Stop)
+				return relay.Address()
+			})
+			b := startFleet(c, "b", offline)
+			eventually(c, "both have version 1", func() bool { return a.version() == 1 && b.version() == 1 })
+			close(offline.offline)
+			for round := range 3 {
+				version := int64(round + 2)
+				put(c, store, "op/config", fmt.Sprint(version))
+				changedAt := time.Now()
+				eventually(c, "the change arrives", func() bool { return b.version() == version })
+				c.Check(time.Since(changedAt) < contactTime, qt.IsTrue, qt.Commentf("round %d took %s", round, time.Since(changedAt)))
+				time.Sleep(time.Second)
+				relay.Silence(direction)
+			}
+		})
+	}
+}
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -19,8 +19,11 @@
 )
 
 const (
-	// followWait is how long one call waits for changes. It bounds the time to detect a dead connection.
-	followWait = 4 * time.Second
+	// maxFollowWait and minFollowWait bound how long one call waits for changes. followMargin is by how much that is shorter than
+	// Options.ContactTime, within which a gateway must have the changes again after its connections have become silent.
+	maxFollowWait = 4 * time.Second
+	minFollowWait = 500 * time.Millisecond
+	followMargin  = time.Second
 	// indirectPollInterval is the shortest interval at which a gateway that receives changes through others polls the
 	// store itself, so that it doesn't depend on them alone. Those of a failure domain also receive what one of them has
 	// polled, so that together they poll every indirectPollSpacing, up to an interval of maxIndirectPollInterval.
@@ -114,7 +117,7 @@
 	if afterOutage || !f.currentRole().reads {
 		return 0
 	}
-	return followWait
+	return min(max(f.ContactTime-followMargin, minFollowWait), maxFollowWait)
 }
 
 func (f *Fleet) poll(ctx context.Context, prefix string, wait time.Duration, apply func([]string, time.Time)) error {
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -222,7 +222,7 @@
 
 // catchUp pulls from other gateways the changes that this one has not received from the metadata store.
 func (f *Fleet) catchUp(ctx context.Context) {
-	pool := grpcpool.New(maxPeerConnections)
+	pool := f.newPool(maxPeerConnections)
 	defer pool.Close()
 	behindSince, failedAt := make(map[string]time.Time), make(map[string]time.Time)
 	for ctx.Err() == nil {
@@ -441,7 +441,7 @@
 
 // bootstrap pulls the configuration from the seeds until this gateway has one from any source.
 func (f *Fleet) bootstrap(ctx context.Context) {
-	pool := grpcpool.New(maxPeerConnections)
+	pool := f.newPool(maxPeerConnections)
 	defer pool.Close()
 	for ctx.Err() == nil && f.Table() == nil {
 		sleep(ctx, bootstrapWait)
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -38,7 +38,7 @@
 // readViaPeers reads the cache stores through another gateway of the failure domain while that is this
 // gateway's role.
 func (f *Fleet) readViaPeers(ctx context.Context) {
-	pool := grpcpool.New(maxPeerConnections)
+	pool := f.newPool(maxPeerConnections)
 	defer pool.Close()
 	cursors := make(map[string]*wire.StoreCursor)
 	from := ""
--- a/internal/grpcpool/pool.go
+++ b/internal/grpcpool/pool.go
@@ -11,8 +11,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
-
-	"balsamyoke.example/balsamyoke/internal/traffic"
 )
 
 var namespace = errorx.NewNamespace("grpcpool")
@@ -41,15 +39,14 @@
 // Pool keeps the most recently used connections, up to a limit. It is safe for concurrent use.
 type Pool struct {
 	limit int
+	// repeats is set if calls may be made twice.
+	repeats bool
+	// replaced is called when a silent channel to an address was replaced; nil for none. It must not block.
+	replaced func(address string)
 
 	mu      sync.Mutex
 	entries map[string]*list.Element
-	lru     *list.List // of *entry, the most recently used in front
-}
-
-type entry struct {
-	address    string
-	connection *grpc.ClientConn
+	lru     *list.List // of *Connection, the most recently used in front
 }
 
 // New returns an empty Pool that keeps up to limit connections.
@@ -61,28 +58,38 @@
 	}
 }
 
+// NewRepeating returns a Pool for calls that may be made twice: one that gets no answer on a silent channel is made once more on a
+// new channel. It calls replaced, which must not block, with the address of each channel that is replaced.
+func NewRepeating(limit int, replaced func(address string)) *Pool {
+	p := New(limit)
+	p.repeats, p.replaced = true, replaced
+	return p
+}
+
 // Get returns the connection to address, an ip:port. It does not wait until the connection is established.
 // It returns ErrAddress if the address is invalid.
-func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
+func (p *Pool) Get(address string) (*Connection, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if element, ok := p.entries[address]; ok {
 		p.lru.MoveToFront(element)
-		return element.Value.(*entry).connection, nil
+		return element.Value.(*Connection), nil
 	}
-	connection, err := dial(address)
+	opened, err := dial(address)
 	if err != nil {
 		return nil, err
 	}
-	p.entries[address] = p.lru.PushFront(&entry{address: address, connection: connection})
+	connection := &Connection{pool: p, address: address, current: opened}
+	p.entries[address] = p.lru.PushFront(connection)
 	p.evict()
 	return connection, nil
 }
 
-func dial(address string) (*grpc.ClientConn, error) {
+func dial(address string) (*channel, error) {
+	ch := &channel{openedAt: time.Now()}
 	connection, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(traffic.Control.Dial),
+		grpc.WithContextDialer(ch.dial),
 		grpc.WithConnectParams(reconnect),
 		grpc.WithReadBufferSize(bufferBytes),
 		grpc.WithWriteBufferSize(bufferBytes),
@@ -90,15 +97,16 @@
 	if err != nil {
 		return nil, ErrAddress.Wrap(err, "address %q", address)
 	}
-	return connection, nil
+	ch.ClientConn = connection
+	return ch, nil
 }
 
 // evict closes the least recently used connections over the limit. The mutex is held.
 func (p *Pool) evict() {
 	for p.lru.Len() > p.limit {
-		oldest := p.lru.Remove(p.lru.Back()).(*entry)
+		oldest := p.lru.Remove(p.lru.Back()).(*Connection)
 		delete(p.entries, oldest.address)
-		_ = oldest.connection.Close()
+		oldest.close()
 	}
 }
 
@@ -114,8 +122,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for p.lru.Len() > 0 {
-		oldest := p.lru.Remove(p.lru.Back()).(*entry)
+		oldest := p.lru.Remove(p.lru.Back()).(*Connection)
 		delete(p.entries, oldest.address)
-		_ = oldest.connection.Close()
+		oldest.close()
 	}
 }
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -5,8 +5,7 @@
 	"sync"
 	"time"
 
-	"google.golang.org/grpc"
-
+	"balsamyoke.example/balsamyoke/internal/grpcpool"
 	"balsamyoke.example/balsamyoke/internal/rendezvous"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -30,7 +29,7 @@
 
 // Connections opens gRPC connections by address; grpcpool.Pool implements it.
 type Connections interface {
-	Get(address string) (*grpc.ClientConn, error)
+	Get(address string) (*grpcpool.Connection, error)
 }
 
 // Options configures a Limiter.
