Replace silent connections to the metadata store, engines and cache stores

A request that may be sent twice is sent again on a new connection when nothing arrives on a used one, unused connections from before it are closed, and a watch whose reply is late asks again without waiting. TestSilentConnectionsToTheMetastoreAreReplaced (the change took 4.0 s, 3 allowed) and TestSilentConnectionsToServersAreReplaced failed before.

--- a/internal/httpclient/body.go
+++ b/internal/httpclient/body.go
@@ -2,11 +2,10 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
+	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
 	"balsamyoke.example/balsamyoke/internal/membudget"
@@ -15,8 +14,9 @@
 // identityBody is fasthttp's content length of a body with neither a length nor chunks.
 const identityBody = -2
 
-// send writes request and reads the header of response, whose body is then still to be read.
-func send(conn *connection, request *fasthttp.Request, response *fasthttp.Response) error {
+// send writes request and reads the header of response, whose body is then still to be read. It returns errSilent if nothing
+// arrives for patience on a used connection, unless patience is 0.
+func send(ctx context.Context, conn *connection, request *fasthttp.Request, response *fasthttp.Response, patience time.Duration) error {
 	writer := bufio.NewWriterSize(conn.counted, bufferBytes)
 	if err := request.Write(writer); err != nil {
 		return err
@@ -24,36 +24,16 @@
 	if err := writer.Flush(); err != nil {
 		return err
 	}
+	if conn.reused && patience > 0 {
+		if err := awaitFirstByte(ctx, conn, patience); err != nil {
+			return err
+		}
+	}
 	response.SkipBody = request.Header.IsHead()
 	response.StreamBody = true
 	return response.ReadLimitBody(conn.reader, 0)
 }
 
-// exchange sends request, and passes the body of the response to read. It returns an error unless read took the whole body.
-func (c *Client) exchange(ctx context.Context, conn *connection, request *fasthttp.Request, response *fasthttp.Response,
-	maxBody int64, read func(io.Reader) error,
-) error {
-	if err := send(conn, request, response); err != nil {
-		return err
-	}
-	var stream io.Reader = bytes.NewReader(nil)
-	if response.BodyStream() != nil {
-		stream = response.BodyStream()
-	}
-	if length := response.Header.ContentLength(); int64(length) > maxBody {
-		return errBodyTooLarge(maxBody)
-	}
-	if response.Header.ContentLength() == identityBody {
-		response.SetConnectionClose()
-	}
-	body := &boundedBody{ctx: ctx, stream: stream, left: maxBody, max: maxBody, reservation: c.options.Memory.Reserve()}
-	defer body.reservation.Release()
-	if err := read(body); err != nil {
-		return err
-	}
-	return body.end()
-}
-
 // boundedBody is a response body of at most max bytes. What was read from it stays reserved until the reservation is released.
 type boundedBody struct {
 	ctx         context.Context
@@ -113,11 +93,3 @@
 func errBodyTooLarge(limit int64) error {
 	return ErrTooLarge.New("response body of more than %d bytes", limit)
 }
-
-// interruption returns the type of the error for a call that failed with err.
-func interruption(ctx context.Context, err error) *errorx.Type {
-	if ctx.Err() == nil && errorx.IsOfType(err, ErrTooLarge) {
-		return ErrTooLarge
-	}
-	return ErrInterrupted
-}
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -24,7 +24,10 @@
 	defaultDialTimeout = 2 * time.Second
 	defaultMaxIdle     = 64
 	maxIdleTime        = 30 * time.Second
-	bufferBytes        = 16 << 10
+	// maxUnprovenIdleTime is the longest time for which a connection was unused that carries a request which can't be sent again. It
+	// may have become silent since.
+	maxUnprovenIdleTime = 2 * time.Second
+	bufferBytes         = 16 << 10
 	// defaultMaxBody bounds a response body in bytes. The largest are listings of one page or of one cache store, a few
 	// megabytes.
 	defaultMaxBody = 32 << 20
@@ -52,6 +55,8 @@
 	MaxBody int64
 	// Memory is the budget for the bodies that are being read; nil has no limit.
 	Memory *membudget.Budget
+	// Replaced is called when a silent connection was replaced by a new one; nil for none. It must not block.
+	Replaced func(address string)
 	// Traffic counts the bytes sent and received; nil counts nothing.
 	Traffic *traffic.Counter
 }
@@ -73,6 +78,8 @@
 	counted   net.Conn
 	reader    *bufio.Reader
 	idleSince time.Time
+	// reused is set for a connection that has carried another request.
+	reused bool
 }
 
 // New returns a Client for address, given as ip:port.
@@ -108,51 +115,21 @@
 // It returns ErrNotSent, ErrInterrupted or ErrTooLarge. A body with neither a length nor chunks ends with its connection,
 // also when the server fails within it, so its content must show whether it is complete.
 func (c *Client) Do(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
-	return c.Receive(ctx, request, response, c.options.MaxBody, wholeBody(response))
+	return c.Receive(ctx, Call{Request: request, Response: response, MaxBody: c.options.MaxBody, Read: wholeBody(response)})
 }
 
 // DoFramed is Do for bodies whose content doesn't show whether they are complete. A successful response with neither a
 // length nor chunks is ErrInterrupted.
 func (c *Client) DoFramed(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response) error {
 	whole := wholeBody(response)
-	return c.Receive(ctx, request, response, c.options.MaxBody, func(body io.Reader) error {
+	read := func(body io.Reader) error {
 		success := response.StatusCode() >= fasthttp.StatusOK && response.StatusCode() < fasthttp.StatusMultipleChoices
 		if success && response.Header.ContentLength() == identityBody {
 			return errUnframed
 		}
 		return whole(body)
-	})
-}
-
-// Receive sends request and calls read with the body of the response, of at most maxBody bytes, while it arrives. The bytes
-// that read takes from it are reserved in Options.Memory until read returns. The end of ctx interrupts it.
-// It returns ErrNotSent, ErrInterrupted, also for an error of read, or ErrTooLarge.
-func (c *Client) Receive(ctx context.Context, request *fasthttp.Request, response *fasthttp.Response, maxBody int64,
-	read func(body io.Reader) error,
-) error {
-	conn, err := c.connect(ctx)
-	if err != nil {
-		return err
-	}
-	stop := interruptWith(ctx, conn)
-	err = c.exchange(ctx, conn, request, response, maxBody, read)
-	if !stop() && err == nil {
-		// The context ended after the response was read and has set a deadline in the past on the connection,
-		// which can't be reused.
-		_ = conn.Close()
-		return nil
-	}
-	if err != nil {
-		_ = conn.Close()
-		return interruption(ctx, err).Wrap(preferContextCause(ctx, err), "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
 	}
-	failed := c.options.CloseAfterErrors && response.StatusCode() >= fasthttp.StatusBadRequest
-	if response.ConnectionClose() || request.ConnectionClose() || conn.reader.Buffered() > 0 || failed {
-		_ = conn.Close()
-		return nil
-	}
-	c.release(conn)
-	return nil
+	return c.Receive(ctx, Call{Request: request, Response: response, MaxBody: c.options.MaxBody, Read: read})
 }
 
 // Stream sends request and returns the response while its body is still arriving. The caller must
@@ -166,7 +143,7 @@
 	request.SetConnectionClose()
 	s := &Stream{ctx: ctx, conn: conn, Response: fasthttp.AcquireResponse()}
 	s.stop = context.AfterFunc(ctx, func() { _ = conn.Close() })
-	if err := send(conn, request, s.Response); err != nil {
+	if err := send(ctx, conn, request, s.Response, 0); err != nil {
 		err = preferContextCause(ctx, err)
 		s.Close()
 		return nil, ErrInterrupted.Wrap(err, "%s %s on %s", request.Header.Method(), request.URI().Path(), c.address)
@@ -175,8 +152,9 @@
 }
 
 // connect returns an unused connection that the peer has not closed, or dials a new one. Bytes that have arrived on an unused
-// connection belong to no request that is still to be sent. The error is ErrNotSent.
-func (c *Client) connect(ctx context.Context) (*connection, error) {
+// connection belong to no request that is still to be sent. One that was unused for longer than maxIdle is closed. The error is
+// ErrNotSent.
+func (c *Client) connect(ctx context.Context, maxIdle time.Duration) (*connection, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, ErrNotSent.Wrap(err, "call to %s", c.address)
 	}
@@ -185,7 +163,7 @@
 		if conn == nil {
 			return c.dial(ctx)
 		}
-		if time.Since(conn.idleSince) < maxIdleTime && peek(conn.Conn) == peerQuiet {
+		if time.Since(conn.idleSince) < maxIdle && peek(conn.Conn) == peerQuiet {
 			return conn, nil
 		}
 		_ = conn.Close()
@@ -218,8 +196,24 @@
 	return conn
 }
 
+// dropIdle closes the connections that have been unused since before at.
+func (c *Client) dropIdle(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.idleConns[:0]
+	for _, conn := range c.idleConns {
+		if conn.idleSince.Before(at) {
+			_ = conn.Close()
+		} else {
+			kept = append(kept, conn)
+		}
+	}
+	clear(c.idleConns[len(kept):])
+	c.idleConns = kept
+}
+
 func (c *Client) release(conn *connection) {
-	conn.idleSince = time.Now()
+	conn.idleSince, conn.reused = time.Now(), true
 	c.mu.Lock()
 	keep := !c.closed && len(c.idleConns) < c.options.MaxIdle
 	if keep {
