Reuse no connection to a server that was unused for nearly the contact time

TestKeptConnectionsThatBecameSilentAreNotUsedAfterTheContactTime failed before. The contact time comes from the platform's settings (contact_ms).

--- a/internal/gateway/crash_internal_test.go
+++ b/internal/gateway/crash_internal_test.go
@@ -20,7 +20,7 @@
 	address := listener.Addr().String()
 	c.Assert(listener.Close(), qt.IsNil)
 	var crashes []quarantine.Crash
-	d := newCrashDetector(func(crash quarantine.Crash) { crashes = append(crashes, crash) }, newPool())
+	d := newCrashDetector(func(crash quarantine.Crash) { crashes = append(crashes, crash) }, newPool(time.Minute))
 	d.observeRefused("s")
 	time.Sleep(time.Millisecond)
 	sentAt := bootclock.Now()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -192,6 +192,8 @@
 	stop         context.CancelFunc
 	ended        chan error
 	graceMS      int
+	// withoutServers is set if no server is registered when the gateway starts.
+	withoutServers bool
 	// memoryMB is the memory of the gateway's process; 0 for the default.
 	memoryMB int
 }
@@ -239,8 +241,13 @@
 
 // registerVersion registers a server with a software version.
 func (d *deployment) registerVersion(id string, s *server, state, version string) {
+	d.registerAddress(id, s.listener.Addr().String(), state, version)
+}
+
+// registerAddress registers a server at an address.
+func (d *deployment) registerAddress(id, address, state, version string) {
 	entry, err := json.Marshal(map[string]any{
-		"service": "app", "address": s.listener.Addr().String(), "zone": "a", "version": version, "slots": 8, "state": state,
+		"service": "app", "address": address, "zone": "a", "version": version, "slots": 8, "state": state,
 		"cold_remaining_ms": 0, "sequence": 1,
 	})
 	d.c.Assert(err, qt.IsNil)
@@ -295,6 +302,9 @@
 		log.Close()
 	})
 	d.eventually(func() bool { return d.readiness() == 200 })
+	if d.withoutServers {
+		return
+	}
 	// The servers are registered before the gateway starts. A successful request shows that it has read them.
 	d.eventually(func() bool {
 		resp, err := d.send("GET", probePath, "", "")
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -29,6 +29,9 @@
 	defaultIdleLimit = 4 * time.Second
 	// idleShare is the share of a server's announced idle time after which its connections aren't reused.
 	idleShare = 0.6
+	// idleMargin is by how much less than the contact time a connection may be unused. Connections that are unused when all of
+	// them become silent must not carry requests from the contact time on.
+	idleMargin = 500 * time.Millisecond
 	// nonRetryableIdleLimit is how long a connection may have been unused before it carries a request that
 	// must not be retried. If the server closes the connection at that moment, the gateway can't determine
 	// whether it ran the request.
@@ -72,11 +75,16 @@
 
 // pool keeps unused connections by server id. It is safe for concurrent use.
 type pool struct {
+	// maxIdle bounds how long any connection may be unused.
+	maxIdle time.Duration
+
 	mu   sync.Mutex
 	idle map[string][]*serverConn
 }
 
-func newPool() *pool { return &pool{idle: make(map[string][]*serverConn)} }
+func newPool(maxIdle time.Duration) *pool {
+	return &pool{maxIdle: maxIdle, idle: make(map[string][]*serverConn)}
+}
 
 // get returns an unused connection to the server for the request with the given id, or opens one. nonRetryable selects the
 // shorter limit for the time that the connection was unused. A connection on which the same request was refused isn't used,
@@ -88,7 +96,7 @@
 			return dial(ctx, server, address)
 		}
 		idleTime := time.Since(sc.idleSince)
-		if idleTime < sc.idleLimit && (!nonRetryable || idleTime < nonRetryableIdleLimit) && sc.refusedID != id && usable(sc.Conn) {
+		if idleTime < min(sc.idleLimit, p.maxIdle) && (!nonRetryable || idleTime < nonRetryableIdleLimit) && sc.refusedID != id && usable(sc.Conn) {
 			return sc, nil
 		}
 		_ = sc.Close()
@@ -146,7 +154,7 @@
 	for server, list := range p.idle {
 		kept := list[:0]
 		for _, sc := range list {
-			if time.Since(sc.idleSince) < sc.idleLimit {
+			if time.Since(sc.idleSince) < min(sc.idleLimit, p.maxIdle) {
 				kept = append(kept, sc)
 			} else {
 				_ = sc.Close()
