Ignore listings older than what a mirror has for keys that are deleted

Callers could see a configuration key or a server return until the next change or listing. Everything up to the mirror's position is recorded, so changes up to there are ignored whatever the key's entry says.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -234,15 +234,14 @@
 	}
 }
 
-// put records one change if it is newer than the recorded state of its key, and reports whether it did. When
-// all changes up to the revision of the change are recorded but its key has no entry, the key was deleted,
-// before the first listing or so long ago that the deletion is no longer kept, and the change is ignored. Across eras
-// the values decide which one is newer.
+// put records one change if it is newer than the recorded state of its key, and reports whether it did. A change is ignored
+// when all changes up to its revision are recorded: if its key has no entry or an earlier deletion, the key has been deleted
+// since, as a listing without it showed. Across eras the values decide which one is newer.
 func (m *Mirror) put(prefix string, event metastore.Event, now time.Time) bool {
 	record := m.kept(prefix, event.Record)
 	recorded, ok := m.entries[record.Key]
 	switch {
-	case !ok && record.Era == m.asOf[prefix].Era && record.ModRevision <= m.asOf[prefix].Revision:
+	case record.Era == m.asOf[prefix].Era && record.ModRevision <= m.asOf[prefix].Revision:
 		return false
 	case !ok:
 	case record.Era == recorded.Era && recorded.ModRevision >= record.ModRevision:
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -278,3 +278,20 @@
 	c.Assert(values(), qt.DeepEquals, []string{""})
 	c.Assert(m.Since("p/", metastore.Position{}).Events[0].Record.Value, qt.HasLen, 0)
 }
+
+// Guards against a listing that was under way for long: a key that had been deleted, written and deleted again since the mirror
+// learnt of the first deletion came back with it.
+func TestOldListingDoesNotBringADeletedKeyBack(t *testing.T) {
+	c := qt.New(t)
+	log := []metastore.Event{
+		{Record: metastore.Record{Key: prefix + "a", ModRevision: 1, Era: 1}, Deleted: true},
+		{Record: metastore.Record{Key: prefix + "a", ModRevision: 2, Era: 1}},
+		{Record: metastore.Record{Key: prefix + "a", ModRevision: 3, Era: 1}, Deleted: true},
+	}
+	m := New(nil)
+	m.Apply(prefix, changesAfter(log[:1], metastore.Position{Era: 1}), start)
+	m.Replace(prefix, listingOf(log), start)
+	c.Assert(m.Replace(prefix, listingOf(log[:2]), start), qt.HasLen, 0)
+	_, exists := m.Get(prefix + "a")
+	c.Assert(exists, qt.IsFalse)
+}
