Answer requests that are still running at the end of a planned stop

Cause: connections were accepted for 2.5 s whatever the grace time, and running requests ended with the process. Ruled out: kept connections as the only way in (new ones were accepted as long).

Connections are accepted for a third of the grace time at most, and near its end running requests get the answer of their deadline. TestPlannedStopLeavesNoRequestWithoutAnAnswer failed before, with 0.9 s and with 4 s of grace.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -316,7 +316,7 @@
 	if err := c.SetReadDeadline(time.Time{}); err != nil {
 		return false
 	}
-	ctx, cancel := context.WithCancelCause(context.Background())
+	ctx, cancel := context.WithCancelCause(g.requests)
 	defer cancel(nil)
 	done := make(chan bool, 1)
 	go func() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -27,8 +27,12 @@
 	// drainDelay is how long after SIGTERM connections are still accepted and idle ones stay open. By then the
 	// load balancer has detected that the instance isn't ready and uses another instance, if there is one.
 	drainDelay = 2500 * time.Millisecond
-	// graceShare is the share of the grace time, from SIGTERM to SIGKILL, in which draining waits for requests.
-	graceShare = 0.95
+	// drainShare bounds drainDelay by a share of the grace time, so that the last requests have time to end.
+	drainShare = 1.0 / 3
+	// graceShare is the share of the grace time, from SIGTERM to SIGKILL, in which draining waits for requests. Those that remain
+	// get an answer in the rest, up to answerShare.
+	graceShare  = 0.95
+	answerShare = 0.98
 	// idleCheckInterval is the time between two expiry passes over the unused connections to servers.
 	idleCheckInterval = 2 * time.Second
 	// malformedHeaderInterval is the minimum time between two log lines about malformed headers of servers.
@@ -49,6 +53,9 @@
 	memory   memory
 	crashes  *crashDetector
 	draining atomic.Bool
+	// requests is the context of all requests. endRequests makes them end as at their deadline.
+	requests    context.Context
+	endRequests context.CancelCauseFunc
 	// decisions holds the latest decisions about requests, for balsamctl.
 	decisions *explain.Ring
 	// leave makes Run drain and return, as the end of its context does.
@@ -93,6 +100,7 @@
 			Budget:        s.budget(),
 		}),
 	}
+	g.requests, g.endRequests = context.WithCancelCause(context.Background())
 	g.crashes = newCrashDetector(g.fleet.RecordCrash, g.pool)
 	g.grace.Store(int64(s.grace()))
 	return g
@@ -228,27 +236,44 @@
 // drain ends the service without interrupting requests. It first reports not ready to the load balancer; from
 // now on each response is the last on its connection. After drainDelay it closes the listener and the idle
 // connections. A balancer without another instance continues to send connections; accepting them until the end
-// of the grace time would leave their requests too little time.
+// of the grace time would leave their requests too little time. Requests that are still running near the end of the
+// grace time get the response that they would get at their deadline.
 func (g *Gateway) drain(listener net.Listener) {
 	started := time.Now()
 	g.log.Info(EventDrain, zap.Int("connections", g.openConnections()))
 	g.draining.Store(true)
 	g.fleet.Leave()
-	limit := time.Duration(graceShare * float64(g.grace.Load()))
-	time.Sleep(min(drainDelay, limit))
+	grace := time.Duration(g.grace.Load())
+	time.Sleep(min(drainDelay, scale(grace, drainShare)))
 	_ = listener.Close()
-	for time.Since(started) < limit {
+	if g.awaitCallers(started.Add(scale(grace, graceShare))) {
+		return
+	}
+	g.log.Warn(EventRequestsEnded, zap.Int("connections", g.openConnections()))
+	g.endRequests(context.DeadlineExceeded)
+	g.awaitCallers(started.Add(scale(grace, answerShare)))
+}
+
+// awaitCallers closes callers' connections as they become idle. It reports whether all have ended before the deadline.
+func (g *Gateway) awaitCallers(deadline time.Time) bool {
+	for {
 		g.mu.Lock()
 		for c := range g.callerConns {
 			c.closeWhenIdle()
 		}
 		g.mu.Unlock()
 		if g.openConnections() == 0 {
-			return
+			return true
+		}
+		left := time.Until(deadline)
+		if left <= 0 {
+			return false
 		}
-		time.Sleep(drainPollInterval)
+		time.Sleep(min(drainPollInterval, left))
 	}
 }
 
+func scale(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
 // drainPollInterval is the time between two checks whether all connections have ended.
 const drainPollInterval = 50 * time.Millisecond
