Rule out that a head that breaks off becomes an answer, test buffered responses over the memory

TestResponsesAtOnceThatExceedTheMemoryAreForwarded guards the bound on buffered responses: they still arrive whole.

--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -99,3 +99,50 @@
 		c.Assert(resp.body, qt.Equals, "answer to "+id)
 	}
 }
+
+// Responses at the same time that don't fit in the memory for them are forwarded while they arrive, and reach their callers whole.
+func TestResponsesAtOnceThatExceedTheMemoryAreForwarded(t *testing.T) {
+	c := qt.New(t)
+	const size, atOnce = 200_000, 30
+	body := strings.Repeat("r", size)
+	begun, rest := make(chan struct{}, atOnce), make(chan struct{})
+	served := startServer(c, nil)
+	served.respond = func(r *received) {
+		if strings.Contains(r.requestLine, probePath) {
+			r.respondOK("probe")
+			return
+		}
+		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", r.id(), size, body[:size-1])
+		begun <- struct{}{}
+		<-rest
+		r.write("%s", body[size-1:])
+	}
+	var servers []*server
+	for range 4 {
+		servers = append(servers, served)
+	}
+	d := deployAs(&deployment{c: c, graceMS: 600, memoryMB: smallestMemoryMB}, servers...)
+	served.discardRequests()
+	results := make(chan callerResponse, atOnce)
+	for range atOnce {
+		go func() {
+			resp, err := d.send("GET", "/get/x", "", "")
+			c.Check(err, qt.IsNil)
+			results <- resp
+		}()
+	}
+	for range atOnce {
+		select {
+		case <-begun:
+		case <-time.After(testTimeout):
+			c.Fatal("the servers didn't get all requests")
+		}
+	}
+	close(rest)
+	for range atOnce {
+		resp := <-results
+		c.Check(resp.status, qt.Equals, 200)
+		c.Check(resp.complete, qt.IsTrue)
+		c.Check(len(resp.body), qt.Equals, size)
+	}
+}
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -53,6 +53,9 @@
 	for _, response := range []string{
 		"",
 		"nonsense\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Le",
 		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n",
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
