Compare only the weight versions that engines have

Cause: homeOf counted down from the newest version one by one, on the control goroutine, for each prompt. Ruled out: the leader's planner, which compares versions only.

It now compares the versions that engines have. TestStepOfWeightVersionsCanBeOfAnySize failed before.

--- a/internal/dispatch/home.go
+++ b/internal/dispatch/home.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/kvcache"
@@ -21,8 +22,7 @@
 // empty if that is little. It answers the load of deployments whose sessions return through any failure domain: an
 // engine in the home occupies the links of its stores for half as long, and those are the first to be exhausted.
 func (d *Dispatcher) homeOf(now time.Time, r *Request) string {
-	oldest := d.oldestVersion(r.Model)
-	for version := max(d.schedule.Newest(r.Model), oldest); version > 0 && version >= oldest; version-- {
+	for _, version := range d.versionsOf(r.Model) {
 		g := kvcache.Generation{Model: r.Model, Version: version}
 		domain, tokens := d.catalogue.Home(g, kvcache.Salt(g, r.CacheBoundary), r.Parts, now)
 		if tokens >= minHomeTokens {
@@ -32,6 +32,19 @@
 	return ""
 }
 
+// versionsOf returns the weight versions of the model on its engines, the newest first.
+func (d *Dispatcher) versionsOf(model string) []int64 {
+	var versions []int64
+	for _, s := range d.servers {
+		if v := s.weightVersion[model]; v > 0 && !slices.Contains(versions, v) {
+			versions = append(versions, v)
+		}
+	}
+	slices.Sort(versions)
+	slices.Reverse(versions)
+	return versions
+}
+
 // candidateProbability returns the probability that an unassigned engine is a candidate.
 func (d *Dispatcher) candidateProbability(group *service, s *server) float64 {
 	if d.home != "" && d.home != d.domain && s.FailureDomain == d.home {
--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/routing"
+	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
 // storesPerDomain returns a catalogue with one store in each simulated failure domain. Session i has been complete for a
@@ -129,3 +131,22 @@
 	_, refusal := d.Place(start, other)
 	c.Assert(refusal, qt.IsNil)
 }
+
+// Guards against work that grows with the numbers of weight versions: a target far above the engines' version held up the control
+// goroutine, and with it all requests of a gateway.
+func TestStepOfWeightVersionsCanBeOfAnySize(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(3)
+	d.AddTargetWeightVersion(weights.TargetVersion{Model: "m", Version: math.MaxInt64, SetAt: start})
+	placed := make(chan *Refusal, 1)
+	go func() {
+		_, refusal := d.Place(start, prompt("s1", 9000))
+		placed <- refusal
+	}()
+	select {
+	case refusal := <-placed:
+		c.Assert(refusal, qt.IsNil)
+	case <-time.After(2 * time.Second):
+		c.Fatal("the prompt isn't placed")
+	}
+}
