--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -11,6 +11,7 @@
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/lease"
 	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/weights"
 )
@@ -109,8 +110,21 @@
 // maxFreeBatch bounds the number of parts in one call.
 const maxFreeBatch = 400
 
-// freeParts frees parts in their stores, in batches for each store.
-func (f *Fleet) freeParts(ctx context.Context, parts []kvcache.StoredPart) {
+// startFreeing frees parts in the background, because a store may answer slowly or not at all, and the leader has other duties. It
+// does nothing while earlier parts are being freed.
+func (f *Fleet) startFreeing(ctx context.Context, holding lease.Holding, parts []kvcache.StoredPart) {
+	if len(parts) == 0 || !f.freeing.CompareAndSwap(false, true) {
+		return
+	}
+	f.background.Go(func() {
+		defer f.freeing.Store(false)
+		f.freeParts(ctx, holding, parts)
+	})
+}
+
+// freeParts frees parts in their stores, in batches for each store, until the holding ends. A store that doesn't free a batch is
+// left for the next time.
+func (f *Fleet) freeParts(ctx context.Context, holding lease.Holding, parts []kvcache.StoredPart) {
 	type target struct {
 		address string
 		epoch   int64
@@ -121,9 +135,9 @@
 		byStore[t] = append(byStore[t], p.Key)
 	}
 	for t, keys := range byStore {
-		for len(keys) > 0 {
+		for len(keys) > 0 && bootclock.Now().Before(holding.Until) {
 			n := min(maxFreeBatch, len(keys))
-			err := f.Platform.Stores.Free(ctx, t.address, t.epoch, keys[:n])
+			err := f.freeBatch(ctx, t.address, t.epoch, keys[:n])
 			f.Log.Info(EventPartsFreed, zap.String("store", t.address), zap.Int("parts", n), eventlog.Error(err))
 			if err != nil {
 				break
@@ -135,3 +149,9 @@
 		}
 	}
 }
+
+func (f *Fleet) freeBatch(ctx context.Context, address string, epoch int64, keys []kvcache.Key) error {
+	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+	defer cancel()
+	return f.Platform.Stores.Free(ctx, address, epoch, keys)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -66,6 +66,8 @@
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
+	// freeing is set while the leader frees parts.
+	freeing atomic.Bool
 	// behind is set while other gateways have had a later configuration for some time.
 	behind atomic.Bool
 	// quarantineIdle is read by the request path.
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -190,9 +190,7 @@
 	for _, step := range steps {
 		go f.executeStep(ctx, holding, step)
 	}
-	if len(freeableParts) > 0 {
-		f.freeParts(ctx, freeableParts)
-	}
+	f.startFreeing(ctx, holding, freeableParts)
 }
 
 // excludeServers updates, in the dispatcher and at the other gateways, which servers get no new requests.
