--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -281,6 +281,16 @@
 	}
 }
 
+// KeepRunsEnded keeps the servers that count as ones whose registration is of an earlier run from being taken at it again. It is
+// called while registrations may not arrive, because the metadata store isn't reachable.
+func (d *Dispatcher) KeepRunsEnded(now time.Time) {
+	for _, s := range d.servers {
+		if now.Before(s.runEndedUntil) {
+			s.runEndedUntil = now.Add(runEndedTTL)
+		}
+	}
+}
+
 // SetServices replaces the services by those of a configuration. Measured times of services that stay are kept.
 func (d *Dispatcher) SetServices(services []routing.Service) {
 	kept := make(map[string]*service, len(services))
--- a/internal/dispatch/software_version_test.go
+++ b/internal/dispatch/software_version_test.go
@@ -53,6 +53,24 @@
 	c.Assert(d.SoftwareVersion(start.Add(runEndedTTL), "p0"), qt.Equals, "v2")
 }
 
+// Guards against an old registration that is trusted again in an outage of the metadata store: the server has started again with other
+// software, and its new registration can't arrive.
+func TestEndedRunIsNotTrustedAgainWhileRegistrationsCannotArrive(t *testing.T) {
+	c := qt.New(t)
+	d := newDispatcher(0)
+	d.SetServers([]backend.Server{{
+		ID: "p0", Service: "plain", Address: "10.0.1.1:1", FailureDomain: "a", Slots: 6, StartedMS: 2000, SoftwareVersion: "v2",
+	}})
+	d.EndRun(start, "p0", 2001)
+	now := start
+	for range 100 {
+		now = now.Add(runEndedTTL / 4)
+		d.KeepRunsEnded(now)
+		c.Assert(d.SoftwareVersion(now, "p0"), qt.Equals, "")
+	}
+	c.Assert(d.SoftwareVersion(now.Add(runEndedTTL), "p0"), qt.Equals, "v2")
+}
+
 // Answers the load after some of the servers of a service have ended at once: their streams are taken up while the other servers have
 // queues. They go on where new prompts are refused, unless the wait is longer than callers bear.
 func TestStreamsGoOnAtServersThatRefuseNewPrompts(t *testing.T) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -325,6 +325,9 @@
 		f.Log.Warn(EventPeerSilent, zap.String("peer", silent))
 	}
 	f.lastExpiry = now
+	if !f.registry.IsStoreReachable() {
+		f.dispatcher.KeepRunsEnded(now)
+	}
 	f.updateLag(now)
 	f.loadRemainingTargets(now)
 	f.evaluateQuarantine(now)
