--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -44,7 +44,11 @@
 // The first call after an outage returns at once, so that the end of the outage is known before the next change.
 func TestFirstCallAfterOutageDoesNotWait(t *testing.T) {
 	c := qt.New(t)
-	f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c)})
-	c.Assert(f.pollWait(false) > 0, qt.IsTrue)
-	c.Assert(f.pollWait(true), qt.Equals, time.Duration(0))
+	for contactTime, want := range map[time.Duration]time.Duration{
+		0: minFollowWait, 3 * time.Second: 2 * time.Second, time.Minute: maxFollowWait,
+	} {
+		f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), ContactTime: contactTime})
+		c.Assert(f.pollWait(false), qt.Equals, want)
+		c.Assert(f.pollWait(true), qt.Equals, time.Duration(0))
+	}
 }
