--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -22,7 +22,8 @@
 	feedWait = 200 * time.Millisecond
 	// feedPause is the time between two calls. It lets events accumulate.
 	feedPause = 120 * time.Millisecond
-	// feedTimeout is how much longer than its wait one call may take.
+	// feedTimeout is how much longer than its wait one call for events may take. A listing may take as long as a reading is valid:
+	// that of a full store is large, and its decoding takes time on a small host.
 	feedTimeout = 500 * time.Millisecond
 	// feedRetry is the longest pause after a failed call. The pause is random, at least half of it. It doubles up to
 	// maxFeedRetry while a store accepts calls and doesn't answer them properly.
@@ -85,10 +86,8 @@
 // readFeed reads the events after since and, if the store no longer has all of them, lists its whole content.
 // It returns the position from which to read next.
 func (f *Fleet) readFeed(ctx context.Context, address string, since int64) (next int64, err error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
-	defer cancel()
 	requestedAt := bootclock.Now()
-	batch, err := f.Platform.Stores.Events(ctx, address, since, feedWait)
+	batch, err := f.readEvents(ctx, address, since)
 	if err != nil {
 		return 0, err
 	}
@@ -99,6 +98,8 @@
 	if !list {
 		return batch.Next, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, kvcache.ReadingTTL)
+	defer cancel()
 	listing, err := f.Platform.Stores.List(ctx, address)
 	if err != nil {
 		return 0, err
@@ -107,6 +108,12 @@
 	return listing.Next, nil
 }
 
+func (f *Fleet) readEvents(ctx context.Context, address string, since int64) (kvcache.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedTimeout)
+	defer cancel()
+	return f.Platform.Stores.Events(ctx, address, since, feedWait)
+}
+
 // maxFreeBatch bounds the number of parts in one call.
 const maxFreeBatch = 400
 
