Add a case: streams of a plain service go on at other software in an outage of the metadata store

Replicas of a plain service crash one after the other and start again under their ids with other software while the metadata store is silent for 4.5 s.

--- a/review/_cut/cut_test.go
+++ b/review/_cut/cut_test.go
@@ -49,7 +49,7 @@
 var (
 	gatewayFlag = flag.String("cut.gateway", "target/balsam-gateway", "the gateway program")
 	recordFlag  = flag.String("cut.record", "record.txt", "the file for the record")
-	caseFlag    = flag.String("cut.case", "freed", "what happens during the cut: freed or isolated")
+	caseFlag    = flag.String("cut.case", "freed", "the case: freed, isolated or order")
 	lengthFlag  = flag.Duration("cut.length", 30*time.Second, "length of the cut")
 	namedFlag   = flag.Duration("cut.named", 4500*time.Millisecond, "time from the start of a cut until weights are named")
 	roundsFlag  = flag.Int("cut.rounds", 1, "number of cuts")
@@ -71,8 +71,12 @@
 	stores   []*cacheStore
 	started  time.Time
 
+	apps []*app
+
 	cutMu sync.Mutex
 	cut   bool
+	// silent is set while the metadata store answers nobody.
+	silent bool
 
 	mu         sync.Mutex
 	record     *os.File
@@ -134,6 +138,9 @@
 		}
 		w.engines = append(w.engines, e)
 	}
+	if err := w.startApps(); err != nil {
+		return err
+	}
 	return w.startGateways()
 }
 
@@ -214,6 +221,7 @@
 			"link_mbps": storeMbps, "max_in_flight": 12, "managed": true, "first_ms": 6.0,
 		})
 	}
+	services = append(services, map[string]any{"name": "app", "max_connections": 110, "health_path": "/health"})
 	var list []any
 	for _, t := range tenants {
 		list = append(list, map[string]any{"name": t, "api_keys": []string{keyOf(t)}, "isolated": t == isolated})
@@ -223,6 +231,9 @@
 		"routes": []any{map[string]any{
 			"name": "trace", "host": "h.example", "prefix": "/trace/", "kind": "streaming", "timeout_ms": 15000, "target_latency_ms": 1000,
 			"priority": 1, "service": "llm", "max_attempts": 1, "public": false, "session_affinity": true, "resumable": false,
+		}, map[string]any{
+			"name": "watch", "host": "h.example", "prefix": "/watch/", "kind": "streaming", "timeout_ms": 3000, "target_latency_ms": 400, "target_gap_ms": 300,
+			"priority": 0, "service": "app", "max_attempts": 2, "public": true, "resumable": true,
 		}},
 		"services": services,
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
@@ -253,6 +264,9 @@
 		w.note("the gateways are not ready")
 		return exitNotRun
 	}
+	if *caseFlag == "order" {
+		return w.playOrder()
+	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
 	for i := range w.gateways {
--- a/review/_cut/wire_test.go
+++ b/review/_cut/wire_test.go
@@ -24,13 +24,6 @@
 
 var testContext = context.Background()
 
-// awaitHeal blocks while the cut lasts.
-func (w *world) awaitHeal() {
-	for w.isCut() {
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // startLinks starts the links over which the gateways of each group reach a gateway. Those from the other group drop everything during
 // the cut. The links translate addresses, so that each gateway knows the others by the addresses of its own links.
 func (w *world) startLinks(g *gatewayProcess) error {
@@ -149,8 +142,8 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	handler := func(out http.ResponseWriter, in *http.Request) {
 		cut := func() {
-			if g.group == 0 {
-				w.awaitHeal()
+			for g.group == 0 && w.isCut() || w.isSilent() {
+				time.Sleep(20 * time.Millisecond)
 			}
 		}
 		body, _ := io.ReadAll(in.Body)
