--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 [ -x target/balsam-gateway ] && [ -x target/review/cut ] || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review/cut -cut.case freed -cut.length 12s -cut.named 4500ms -cut.rounds 6 -cut.trouble=$trouble -cut.record review/6/record.txt
+exec target/review/cut -cut.case freed -cut.length 12s -cut.named 7500ms -cut.rounds 6 -cut.trouble=$trouble -cut.record review/6/record.txt
