Take a response with an invalid status for no answer

What callers saw: a server in trouble sent a signed answer with status 000, and its caller got it as a 200 with that body. Statuses 001 to 099 and 600 to 999 were passed on as they were ("HTTP/1.1 99 "). Such a response with a statement that the request had not run was believed, and the caller told so.

Cause: fasthttp takes any three digits for a status and keeps 0 for "none set", which StatusCode reports as 200. Both readers of responses relied on it: the gateway's connections to servers, and internal/httpclient, by which engines, plain services, cache stores and the metadata store are called. There an order, a freed part or a listing answered with 000 counted as done.

Change: internal/httphead checks the status line of each head, interim ones too, before fasthttp parses it; only 100 to 599 is valid (RFC 9110, section 15). The response then counts as broken off: another server answers where the request may run again, and any other caller gets 502. The check reads the bytes of the head itself, because the parsed header no longer tells 000 from 200. httpclient reads interim heads itself, so that each is checked.

--- /dev/null
+++ b/internal/gateway/malformed_head_test.go
@@ -0,0 +1,66 @@
+package gateway_test
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// framedBodies are the lines of a head that determine the end of a body, with a body that ends so.
+var framedBodies = map[string]string{
+	"length": "Content-Length: 5\r\n\r\nwrong",
+	"chunks": "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n0\r\n\r\n",
+	"close":  "\r\nwrong",
+	"stream": "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: wrong\n\n\n\r\n0\r\n\r\n",
+}
+
+// assertNoAnswer plays a server that sends text, in which %s stands for the id of the request, and closes the connection. A
+// request that may run again must be answered by another server; for any other the caller must be told that it failed, and not
+// that it hasn't run.
+func assertNoAnswer(c *qt.C, text string) {
+	c.Helper()
+	var times atomic.Int64
+	trouble := startServer(c, func(r *received) {
+		times.Add(1)
+		r.write(text, r.id())
+		_ = r.conn.Close()
+	})
+	// A server that has failed gets no requests for a while, so that each request needs another id.
+	alone := deploy(c, trouble, trouble)
+	for _, path := range []string{"/book/x", "/once/x"} {
+		resp := alone.mustSend("POST", path, "", "b")
+		c.Assert(resp.status, qt.Equals, 502, qt.Commentf("%s: %+v", path, resp))
+		c.Assert(resp.body, qt.Equals, "")
+	}
+	times.Store(0)
+	other := startServer(c, okResponse)
+	d := deploy(c, trouble, other)
+	for started := time.Now(); times.Load() == 0; {
+		other.discardRequests()
+		resp := d.mustSend("GET", "/get/x", "", "")
+		c.Assert(resp.status, qt.Equals, 200)
+		c.Assert(strings.HasPrefix(resp.body, "answer to r"), qt.IsTrue, qt.Commentf("%+v", resp))
+		c.Assert(time.Since(started) < testTimeout, qt.IsTrue)
+	}
+}
+
+// Guards against answers whose status is none: fasthttp reports 000 as 200 and parses any other three digits.
+func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		for framing, body := range framedBodies {
+			t.Run(status+" "+framing, func(t *testing.T) {
+				t.Parallel()
+				assertNoAnswer(qt.New(t), fmt.Sprintf("HTTP/1.1 %s OK\r\nBalsamyoke-Request-Id: %%s\r\nBalsamyoke-Response-Stamp: s\r\n%s", status, body))
+			})
+		}
+		t.Run(status+" not run", func(t *testing.T) {
+			t.Parallel()
+			assertNoAnswer(qt.New(t), fmt.Sprintf("HTTP/1.1 %s OK\r\nBalsamyoke-Request-Id: %%s\r\nBalsamyoke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status))
+		})
+	}
+}
--- a/internal/gateway/server_conn.go
+++ b/internal/gateway/server_conn.go
@@ -13,6 +13,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"balsamyoke.example/balsamyoke/internal/httphead"
 )
 
 const (
@@ -282,6 +284,9 @@
 	if err := sc.SetReadDeadline(time.Now().Add(headerTimeout)); err != nil {
 		return nil, err
 	}
+	if _, err := httphead.CheckResponse(sc.reader); err != nil {
+		return nil, err
+	}
 	header := &fasthttp.ResponseHeader{}
 	header.DisableNormalizing()
 	header.SetNoDefaultContentType(true)
--- a/internal/httpclient/body.go
+++ b/internal/httpclient/body.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"balsamyoke.example/balsamyoke/internal/httphead"
 	"balsamyoke.example/balsamyoke/internal/membudget"
 )
 
@@ -31,7 +32,27 @@
 	}
 	response.SkipBody = request.Header.IsHead()
 	response.StreamBody = true
-	return response.ReadLimitBody(conn.reader, 0)
+	return readHead(conn.reader, response)
+}
+
+// maxInterimResponses bounds the interim responses (1xx) before the final one.
+const maxInterimResponses = 100
+
+// readHead reads the head of the final response. response then streams the body.
+func readHead(reader *bufio.Reader, response *fasthttp.Response) error {
+	for range maxInterimResponses + 1 {
+		status, err := httphead.CheckResponse(reader)
+		if err != nil {
+			return err
+		}
+		if status >= fasthttp.StatusOK || status == fasthttp.StatusSwitchingProtocols {
+			return response.ReadLimitBody(reader, 0)
+		}
+		if err := response.Header.Read(reader); err != nil {
+			return err
+		}
+	}
+	return ErrInterrupted.New("more than %d interim responses", maxInterimResponses)
 }
 
 // boundedBody is a response body of at most max bytes. What was read from it stays reserved until the reservation is released.
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -74,6 +74,52 @@
 	}
 }
 
+// Guards against responses with a malformed head that are taken for what they seem to state, such as a call's success.
+func TestMalformedHeadsAreErrors(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, response := range []string{
+		"HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 099 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 600 OK\r\nContent-Length: 5\r\n\r\nwhole",
+		"HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole",
+	} {
+		client := httpclient.New(serveBytes(c, response), httpclient.Options{})
+		for name, call := range map[string]func() error{
+			"Do":       func() error { return client.Do(ctx, newRequest(client.Address()), &fasthttp.Response{}) },
+			"DoFramed": func() error { return client.DoFramed(ctx, newRequest(client.Address()), &fasthttp.Response{}) },
+			"Stream": func() error {
+				stream, err := client.Stream(ctx, newRequest(client.Address()))
+				if err == nil {
+					stream.Close()
+				}
+				return err
+			},
+		} {
+			err := call()
+			c.Check(errorx.IsOfType(err, httpclient.ErrInterrupted), qt.IsTrue, qt.Commentf("%s %q: %v", name, response, err))
+		}
+		client.Close()
+	}
+}
+
+// Interim responses precede the final one, which alone has a body.
+func TestInterimResponsesAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	address := serveBytes(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+	client := httpclient.New(address, httpclient.Options{})
+	defer client.Close()
+	got := &fasthttp.Response{}
+	c.Assert(client.Do(ctx, newRequest(address), got), qt.IsNil)
+	c.Assert(got.StatusCode(), qt.Equals, 200)
+	c.Assert(string(got.Body()), qt.Equals, "whole")
+	c.Assert(got.Header.Peek("Link"), qt.IsNil)
+}
+
 // A body that ends with its connection may have broken off, which DoFramed doesn't accept.
 func TestFramedResponsesHaveALengthOrChunks(t *testing.T) {
 	c := qt.New(t)
--- /dev/null
+++ b/internal/httphead/response.go
@@ -0,0 +1,67 @@
+// Package httphead checks the heads of HTTP/1.1 messages (RFC 9112) for faults that the parser of fasthttp accepts.
+package httphead
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+)
+
+// CheckResponse waits for the complete head of the next response, checks it and returns its status. It leaves the head in reader, to
+// be parsed. It returns ErrMalformed, bufio.ErrBufferFull for a head that doesn't fit in reader's buffer, or the error of the
+// connection, which is io.ErrUnexpectedEOF within a head.
+func CheckResponse(reader *bufio.Reader) (status int, err error) {
+	for {
+		buffered, err := reader.Peek(reader.Buffered())
+		if err != nil {
+			return 0, err
+		}
+		if status, complete, err := checkResponse(buffered); complete || err != nil {
+			return status, err
+		}
+		_, err = reader.Peek(len(buffered) + 1)
+		if errors.Is(err, io.EOF) && len(buffered) > 0 {
+			return 0, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return 0, err
+		}
+	}
+}
+
+// checkResponse checks those lines of a response's head that text has completely. It returns the status, and whether text has all
+// lines. Like the parser, it skips empty lines before the status line and takes a line feed alone for the end of a line.
+func checkResponse(text []byte) (status int, complete bool, err error) {
+	for {
+		line, rest, found := bytes.Cut(text, []byte("\n"))
+		if !found {
+			return 0, false, nil
+		}
+		text = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		switch {
+		case len(line) == 0 && status != 0:
+			return status, true, nil
+		case len(line) > 0 && status == 0:
+			if status, err = parseStatusLine(line); err != nil {
+				return 0, false, err
+			}
+		}
+	}
+}
+
+// The range of valid status codes (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
+// parseStatusLine returns the status code of a status line. fasthttp takes any three digits for one, and reports 000 as 200.
+func parseStatusLine(line []byte) (int, error) {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	status, err := strconv.ParseUint(string(digits), 10, 16)
+	if err != nil || len(digits) != 3 || status < minStatus || status > maxStatus {
+		return 0, ErrMalformed.New("invalid status in line %.40q", line)
+	}
+	return int(status), nil
+}
--- /dev/null
+++ b/internal/httphead/response_test.go
@@ -0,0 +1,64 @@
+package httphead_test
+
+import (
+	"bufio"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+
+	"balsamyoke.example/balsamyoke/internal/httphead"
+)
+
+func TestSoundHeadsAreLeftToBeParsed(t *testing.T) {
+	c := qt.New(t)
+	for head, want := range map[string]int{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n":                              200,
+		"HTTP/1.1 200\r\n\r\n":                                                      200,
+		"\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\n":                                    404,
+		"HTTP/1.0 503 Service Unavailable\nRetry-After: 1\n\n":                      503,
+		"HTTP/1.1 100 Continue\r\n\r\n":                                             100,
+		"HTTP/1.1 599 Own\r\nX-Own!#$%&'*+-.^_`|~09: a\tb:  c \r\nX-Empty:\r\n\r\n": 599,
+	} {
+		// One byte a read covers heads that arrive in pieces.
+		for _, source := range []io.Reader{strings.NewReader(head + "body"), iotest.OneByteReader(strings.NewReader(head + "body"))} {
+			reader := bufio.NewReader(source)
+			status, err := httphead.CheckResponse(reader)
+			c.Check(err, qt.IsNil, qt.Commentf("%q", head))
+			c.Check(status, qt.Equals, want, qt.Commentf("%q", head))
+			rest, err := io.ReadAll(reader)
+			c.Check(err, qt.IsNil)
+			c.Check(string(rest), qt.Equals, head+"body")
+		}
+	}
+}
+
+// The rest of a malformed head isn't awaited.
+func TestMalformedStatusLinesAreErrors(t *testing.T) {
+	c := qt.New(t)
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK",
+		"HTTP/1.1 +20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1", "HTTP/1.1 ", "200 OK", "nonsense", " HTTP/1.1 200 OK", "HTTP/1.1\t200\tOK",
+	} {
+		_, err := httphead.CheckResponse(bufio.NewReader(strings.NewReader(line + "\r\n")))
+		c.Check(errorx.IsOfType(err, httphead.ErrMalformed), qt.IsTrue, qt.Commentf("%q: %v", line, err))
+	}
+}
+
+func TestIncompleteHeadsAreErrors(t *testing.T) {
+	c := qt.New(t)
+	const head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+	for cut := range len(head) {
+		want := io.ErrUnexpectedEOF
+		if cut == 0 {
+			want = io.EOF
+		}
+		_, err := httphead.CheckResponse(bufio.NewReader(strings.NewReader(head[:cut])))
+		c.Check(err, qt.Equals, want, qt.Commentf("%q", head[:cut]))
+	}
+	_, err := httphead.CheckResponse(bufio.NewReaderSize(strings.NewReader(head), 32))
+	c.Check(err, qt.Equals, bufio.ErrBufferFull)
+}
