Take a response with a malformed field name for no answer

What callers saw: a server in trouble sent a signed answer with a space in the name of a field, before its colon, or a space or tab before the name. Its caller got a 200: with "con tent-length: 3" passed on, with the line joined to the value of the one before ("Balsamyoke-Response-Stamp: s X-Own: 1"), or with a body that wasn't the server's ("3\r\nbad\r\n0\r\n\r\n" instead of "bad", since the malformed line was the one that tells where the body ends). Other control bytes were rejected by the parser already.

Cause: fasthttp accepts spaces within a name, drops those before the colon, and joins a line that begins with whitespace to the line before (obs-fold). The gateway and internal/httpclient passed on what the parser returned.

Change: httphead.CheckResponse also requires each line of a head to be a token and a colon. Gateways may reject joined lines in responses (RFC 9112, section 5.2). For whitespace before a colon the RFC has proxies remove it; a server in trouble may have meant another line, so it is rejected as well. The check for tokens is the one of requests, moved to internal/httphead.

--- a/internal/gateway/framing.go
+++ b/internal/gateway/framing.go
@@ -4,6 +4,8 @@
 	"bytes"
 
 	"github.com/valyala/fasthttp"
+
+	"balsamyoke.example/balsamyoke/internal/httphead"
 )
 
 // checkFraming returns ErrBadRequest for headers that two HTTP parsers may read differently, as to where the
@@ -19,7 +21,7 @@
 			continue
 		}
 		name, value, found := bytes.Cut(line, []byte(":"))
-		if !found || !isToken(name) {
+		if !found || !httphead.IsToken(name) {
 			return ErrBadRequest.New("malformed header line %.40q", line)
 		}
 		if bytes.ContainsAny(value, "\r\x00") {
@@ -47,20 +49,6 @@
 	return nil
 }
 
-func isToken(name []byte) bool {
-	if len(name) == 0 {
-		return false
-	}
-	for _, b := range name {
-		letter := 'a' <= b|0x20 && b|0x20 <= 'z'
-		digit := '0' <= b && b <= '9'
-		if !letter && !digit && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) < 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func isDigits(value []byte) bool {
 	for _, b := range value {
 		if b < '0' || b > '9' {
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -64,3 +64,20 @@
 		})
 	}
 }
+
+// Guards against answers with a malformed field name. fasthttp drops whitespace after a name and accepts spaces within it, and joins a
+// line that begins with whitespace to the one before: the caller got that line, or a body that isn't the server's.
+func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, value := range map[string]string{"X-Own": "1", "Content-Length": "3", "Transfer-Encoding": "chunked"} {
+		for position, at := range map[string]int{"before": 0, "within": 3, "after": len(name)} {
+			for _, b := range []string{" ", "\t", "\r", "\x01"} {
+				t.Run(fmt.Sprintf("%s %q %s", name, b, position), func(t *testing.T) {
+					t.Parallel()
+					line := name[:at] + b + name[at:] + ": " + value + "\r\n"
+					assertNoAnswer(qt.New(t), "HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n"+line+"\r\n3\r\nbad\r\n0\r\n\r\n")
+				})
+			}
+		}
+	}
+}
--- a/internal/httphead/response.go
+++ b/internal/httphead/response.go
@@ -42,12 +42,17 @@
 		text = rest
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		switch {
-		case len(line) == 0 && status != 0:
+		case len(line) == 0 && status == 0:
+			continue
+		case len(line) == 0:
 			return status, true, nil
-		case len(line) > 0 && status == 0:
-			if status, err = parseStatusLine(line); err != nil {
-				return 0, false, err
-			}
+		case status == 0:
+			status, err = parseStatusLine(line)
+		default:
+			err = checkFieldLine(line)
+		}
+		if err != nil {
+			return 0, false, err
 		}
 	}
 }
@@ -65,3 +70,13 @@
 	}
 	return int(status), nil
 }
+
+// checkFieldLine returns ErrMalformed unless the name of a field is a token that is followed by a colon. fasthttp drops whitespace
+// after a name, keeps a space within one, and joins a line that begins with whitespace to the one before, so that it may miss the
+// fields that determine the end of the body. Gateways may reject such joined lines (RFC 9112, section 5.2).
+func checkFieldLine(line []byte) error {
+	if name, _, found := bytes.Cut(line, []byte(":")); !found || !IsToken(name) {
+		return ErrMalformed.New("malformed header line %.40q", line)
+	}
+	return nil
+}
--- a/internal/httphead/response_test.go
+++ b/internal/httphead/response_test.go
@@ -48,6 +48,32 @@
 	}
 }
 
+// Each byte that isn't allowed in a name is an error before, within and after it, and in place of it. A line feed ends the line, and a
+// colon the name.
+func TestMalformedFieldNamesAreErrors(t *testing.T) {
+	c := qt.New(t)
+	const allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789!#$%&'*+-.^_`|~"
+	for b := range 256 {
+		if b == '\n' {
+			continue
+		}
+		for _, name := range []string{"%Content-Length", "Content%Length", "Content-Length%", "%"} {
+			name = strings.ReplaceAll(name, "%", string([]byte{byte(b)}))
+			_, err := httphead.CheckResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\nX-A: b\r\n" + name + ": 5\r\n\r\n")))
+			sound := strings.IndexByte(allowed, byte(b)) >= 0 || b == ':' && name[0] != ':'
+			if sound {
+				c.Check(err, qt.IsNil, qt.Commentf("%q", name))
+			} else {
+				c.Check(errorx.IsOfType(err, httphead.ErrMalformed), qt.IsTrue, qt.Commentf("%q: %v", name, err))
+			}
+		}
+	}
+	for _, line := range []string{"X-A", "X\nA: b", ": b", "  c", "\t"} {
+		_, err := httphead.CheckResponse(bufio.NewReader(strings.NewReader("HTTP/1.1 200 OK\r\n" + line + "\r\n")))
+		c.Check(errorx.IsOfType(err, httphead.ErrMalformed), qt.IsTrue, qt.Commentf("%q: %v", line, err))
+	}
+}
+
 func TestIncompleteHeadsAreErrors(t *testing.T) {
 	c := qt.New(t)
 	const head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
