Test early answers whose connection is reset

On other systems, a part of an answer reached its caller as a complete one: a server answered a long upload at once, with neither a length nor chunks, and reset the connection while the upload was still being written. There the error of the write used up the reset, and the read after it saw an orderly end. Here it isn't so, and nothing is changed: when the write of a request fails, its answer isn't read; when the request was written before the reset, the read reports it.

The tests play four ways of a reset, requests that fit in the socket buffers and one that doesn't, plain answers and streams, at the gateway and at internal/httpclient.

--- /dev/null
+++ b/internal/gateway/early_answer_test.go
@@ -0,0 +1,98 @@
+package gateway_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/textproto"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// startEarlyServer starts a server that calls respond when it has read the head of a request, and not its body.
+func startEarlyServer(c *qt.C, respond func(id string, conn *net.TCPConn)) *server {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveEarly(conn.(*net.TCPConn), respond)
+		}
+	}()
+	return &server{listener: listener}
+}
+
+func serveEarly(conn *net.TCPConn, respond func(id string, conn *net.TCPConn)) {
+	defer conn.Close()
+	reader := textproto.NewReader(bufio.NewReaderSize(conn, 16))
+	for {
+		line, err := reader.ReadLine()
+		if err != nil {
+			return
+		}
+		header, err := reader.ReadMIMEHeader()
+		if err != nil {
+			return
+		}
+		r := &received{header: map[string]string{"balsamyoke-request-id": header.Get("Balsamyoke-Request-Id")}, conn: conn}
+		if !strings.HasPrefix(line, "POST ") {
+			r.respondOK("x")
+			continue
+		}
+		respond(r.id(), conn)
+		return
+	}
+}
+
+// earlyResets are the ways in which a server resets a connection whose request it hasn't read.
+var earlyResets = map[string]func(conn *net.TCPConn){
+	"at once":              func(conn *net.TCPConn) { reset(conn) },
+	"later":                func(conn *net.TCPConn) { time.Sleep(100 * time.Millisecond); reset(conn) },
+	"after a part is read": func(conn *net.TCPConn) { _, _ = conn.Read(make([]byte, 10<<10)); reset(conn) },
+	// The kernel resets a connection that is closed while it has unread bytes.
+	"by a close": func(conn *net.TCPConn) { time.Sleep(20 * time.Millisecond); _ = conn.Close() },
+}
+
+// Guards against a part of an answer that its caller gets as a complete one: a server answers a long request at once, with neither
+// a length nor chunks, and resets the connection while the request is still being sent.
+func TestEarlyAnswerThatIsResetIsIncomplete(t *testing.T) {
+	t.Parallel()
+	const maxBody = 16_000_000
+	longBodies := strings.Replace(configuration(1, `"key-1"`), `"max_body_bytes":100000`, fmt.Sprintf(`"max_body_bytes":%d`, maxBody), 1)
+	for name, contentType := range map[string]string{"plain": "Content-Type: text/plain\r\n", "stream": "Content-Type: text/event-stream\r\n"} {
+		for when, resetEarly := range earlyResets {
+			// The socket buffers of both ends hold the shorter requests, which the gateway has written by then, but not the longest one.
+			for _, size := range []int{1 << 10, 100 << 10, maxBody} {
+				t.Run(fmt.Sprintf("%s %s %d", name, when, size), func(t *testing.T) {
+					t.Parallel()
+					c := qt.New(t)
+					var times atomic.Int64
+					s := startEarlyServer(c, func(id string, conn *net.TCPConn) {
+						times.Add(1)
+						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n%s\r\n%s", id, contentType, event(1))
+						resetEarly(conn)
+					})
+					d := deployAs(&deployment{c: c, graceMS: 600, memoryMB: 256, configuration: longBodies}, s, s, s, s)
+					body := strings.Repeat("b", size)
+					for path, attempts := range map[string]int64{"/book/x": 1, "/get/x": 2} {
+						times.Store(0)
+						resp := d.mustSend("POST", path, "", body)
+						c.Check(resp.status, qt.Equals, 502, qt.Commentf("%s: %+v", path, resp))
+						c.Check(times.Load(), qt.Equals, attempts, qt.Commentf("%s", path))
+					}
+					// The events of a stream reach the caller as they arrive.
+					resp, err := d.send("POST", "/once/x", "", body)
+					c.Check(err == nil && resp.status == 200 && resp.complete, qt.IsFalse, qt.Commentf("%+v", resp))
+				})
+			}
+		}
+	}
+}
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -110,6 +110,39 @@
 	}
 }
 
+// Guards against a part of a response that counts as all of it: a server answers a long request before it has read it, with neither a
+// length nor chunks, and resets the connection. The socket buffers hold the shorter request, but not the longer one.
+func TestEarlyResponseThatIsResetIsAnError(t *testing.T) {
+	c := qt.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 200))
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}
+	}()
+	client := httpclient.New(listener.Addr().String(), httpclient.Options{})
+	defer client.Close()
+	for _, size := range []int{10 << 10, 16 << 20} {
+		request := newRequest(client.Address())
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetBodyRaw(make([]byte, size))
+		err := client.Do(ctx, request, &fasthttp.Response{})
+		c.Check(errorx.IsOfType(err, httpclient.ErrInterrupted), qt.IsTrue, qt.Commentf("%d bytes: %v", size, err))
+	}
+}
+
 // Interim responses precede the final one, which alone has a body.
 func TestInterimResponsesAreSkipped(t *testing.T) {
 	c := qt.New(t)
