Take chunks in another HTTP version than 1.1 for no answer

Found while looking for the same cause elsewhere.

What callers saw: a server sent a signed answer in HTTP/1.0 (or 0.9, 1.2, 2.0) with Transfer-Encoding: chunked. Its caller got a 200 whose body was the chunks with their sizes ("5\r\nwrong\r\n0\r\n\r\n" for "wrong"), as long as a Content-Length said, or as the connection lasted.

Cause: fasthttp ignores the field in any version but HTTP/1.1, and the body then ends by the length, or with the connection.

Change: httphead.CheckResponse returns ErrMalformed for the field in other versions; their framing is faulty (RFC 9112, section 6.1).

--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -81,3 +81,17 @@
 		}
 	}
 }
+
+// Guards against bodies with their chunk sizes: a response in another version of HTTP than 1.1 has no chunks, and fasthttp ignores
+// that its head states them.
+func TestResponseWithChunksInOtherVersionIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.2", "HTTP/0.9", "HTTP/2.0"} {
+		for name, lines := range map[string]string{"chunks": "", "chunks and length": "Content-Length: 13\r\n"} {
+			t.Run(version+" "+name, func(t *testing.T) {
+				t.Parallel()
+				assertNoAnswer(qt.New(t), version+" 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n"+lines+framedBodies["chunks"])
+			})
+		}
+	}
+}
--- a/internal/httphead/response.go
+++ b/internal/httphead/response.go
@@ -34,6 +34,7 @@
 // checkResponse checks those lines of a response's head that text has completely. It returns the status, and whether text has all
 // lines. Like the parser, it skips empty lines before the status line and takes a line feed alone for the end of a line.
 func checkResponse(text []byte) (status int, complete bool, err error) {
+	var start statusLine
 	for {
 		line, rest, found := bytes.Cut(text, []byte("\n"))
 		if !found {
@@ -42,14 +43,14 @@
 		text = rest
 		line = bytes.TrimSuffix(line, []byte("\r"))
 		switch {
-		case len(line) == 0 && status == 0:
+		case len(line) == 0 && start.status == 0:
 			continue
 		case len(line) == 0:
-			return status, true, nil
-		case status == 0:
-			status, err = parseStatusLine(line)
+			return start.status, true, nil
+		case start.status == 0:
+			start, err = parseStatusLine(line)
 		default:
-			err = checkFieldLine(line)
+			err = start.checkFieldLine(line)
 		}
 		if err != nil {
 			return 0, false, err
@@ -57,26 +58,40 @@
 	}
 }
 
+// statusLine is the first line of a response.
+type statusLine struct {
+	status int
+	// takesChunks is set for HTTP/1.1, the only version with transfer codings.
+	takesChunks bool
+}
+
 // The range of valid status codes (RFC 9110, section 15).
 const minStatus, maxStatus = 100, 599
 
-// parseStatusLine returns the status code of a status line. fasthttp takes any three digits for one, and reports 000 as 200.
-func parseStatusLine(line []byte) (int, error) {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+// parseStatusLine returns ErrMalformed for an invalid status. fasthttp takes any three digits for one, and reports 000 as 200.
+func parseStatusLine(line []byte) (statusLine, error) {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(digits), 10, 16)
 	if err != nil || len(digits) != 3 || status < minStatus || status > maxStatus {
-		return 0, ErrMalformed.New("invalid status in line %.40q", line)
+		return statusLine{}, ErrMalformed.New("invalid status in line %.40q", line)
 	}
-	return int(status), nil
+	return statusLine{status: int(status), takesChunks: string(version) == "HTTP/1.1"}, nil
 }
 
 // checkFieldLine returns ErrMalformed unless the name of a field is a token that is followed by a colon. fasthttp drops whitespace
 // after a name, keeps a space within one, and joins a line that begins with whitespace to the one before, so that it may miss the
 // fields that determine the end of the body. Gateways may reject such joined lines (RFC 9112, section 5.2).
-func checkFieldLine(line []byte) error {
-	if name, _, found := bytes.Cut(line, []byte(":")); !found || !IsToken(name) {
+//
+// It also returns ErrMalformed for a Transfer-Encoding in another version than HTTP/1.1 (RFC 9112, section 6.1), which fasthttp
+// ignores.
+func (s statusLine) checkFieldLine(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !IsToken(name) {
 		return ErrMalformed.New("malformed header line %.40q", line)
 	}
+	if !s.takesChunks && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		return ErrMalformed.New("%.40q in a response that isn't HTTP/1.1", line)
+	}
 	return nil
 }
--- a/internal/httphead/response_test.go
+++ b/internal/httphead/response_test.go
@@ -74,6 +74,16 @@
 	}
 }
 
+func TestChunksNeedHTTP11(t *testing.T) {
+	c := qt.New(t)
+	for version, sound := range map[string]bool{"HTTP/1.1": true, "HTTP/1.0": false, "HTTP/1.2": false, "HTTP/2.0": false} {
+		for _, name := range []string{"Transfer-Encoding", "transfer-encoding"} {
+			_, err := httphead.CheckResponse(bufio.NewReader(strings.NewReader(version + " 200 OK\r\n" + name + ": chunked\r\n\r\n")))
+			c.Check(err == nil, qt.Equals, sound, qt.Commentf("%s %s: %v", version, name, err))
+		}
+	}
+}
+
 func TestIncompleteHeadsAreErrors(t *testing.T) {
 	c := qt.New(t)
 	const head = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
