Take a response with control bytes in its status line for no answer

Found while looking for the same cause elsewhere.

What callers saw: a server sent a signed answer whose status line and Content-Length were joined by a carriage return without its line feed, and ended the connection in the body. Its caller got the part as a complete 200.

Cause: fasthttp takes all that follows the status for the reason phrase, so that the length is lost and the body ends with the connection.

Change: httphead.CheckResponse returns ErrMalformed for a status line with control bytes other than tabs; a reason phrase has none (RFC 9112, section 4).

--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -95,3 +95,15 @@
 		}
 	}
 }
+
+// Guards against a head whose first lines are joined by a lost line feed: fasthttp takes the second one for a part of the reason phrase,
+// and misses where the body ends.
+func TestResponseWithControlByteInStatusLineIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, b := range []string{"\r", "\x00", "\v", "\x7f"} {
+		t.Run(fmt.Sprintf("%q", b), func(t *testing.T) {
+			t.Parallel()
+			assertNoAnswer(qt.New(t), "HTTP/1.1 200 OK"+b+"Content-Length: 10\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n"+framedBodies["close"])
+		})
+	}
+}
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -91,6 +91,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
 		"HTTP/1.0 200 OK\r\nContent-Length: 15\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\rContent-Length: 10\r\n\r\nwhole",
 		"HTTP/1.1 102 Processing\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
 	} {
 		client := httpclient.New(serveBytes(c, response), httpclient.Options{})
--- a/internal/httphead/response.go
+++ b/internal/httphead/response.go
@@ -68,8 +68,12 @@
 // The range of valid status codes (RFC 9110, section 15).
 const minStatus, maxStatus = 100, 599
 
-// parseStatusLine returns ErrMalformed for an invalid status. fasthttp takes any three digits for one, and reports 000 as 200.
+// parseStatusLine returns ErrMalformed for an invalid status and for control bytes. fasthttp takes any three digits for a status, and
+// reports 000 as 200. It takes any bytes for the reason phrase, even a whole field after a carriage return.
 func parseStatusLine(line []byte) (statusLine, error) {
+	if bytes.ContainsFunc(line, isControl) {
+		return statusLine{}, ErrMalformed.New("control byte in line %.40q", line)
+	}
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	status, err := strconv.ParseUint(string(digits), 10, 16)
@@ -79,6 +83,9 @@
 	return statusLine{status: int(status), takesChunks: string(version) == "HTTP/1.1"}, nil
 }
 
+// isControl reports whether a reason phrase can't contain the character (RFC 9112, section 4).
+func isControl(r rune) bool { return r < ' ' && r != '\t' || r == 0x7f }
+
 // checkFieldLine returns ErrMalformed unless the name of a field is a token that is followed by a colon. fasthttp drops whitespace
 // after a name, keeps a space within one, and joins a line that begins with whitespace to the one before, so that it may miss the
 // fields that determine the end of the body. Gateways may reject such joined lines (RFC 9112, section 5.2).
--- a/internal/httphead/response_test.go
+++ b/internal/httphead/response_test.go
@@ -18,6 +18,7 @@
 	for head, want := range map[string]int{
 		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n":                              200,
 		"HTTP/1.1 200\r\n\r\n":                                                      200,
+		"HTTP/1.1 200 Tr\u00e8s\tbien \xff\r\n\r\n":                                 200,
 		"\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\n":                                    404,
 		"HTTP/1.0 503 Service Unavailable\nRetry-After: 1\n\n":                      503,
 		"HTTP/1.1 100 Continue\r\n\r\n":                                             100,
@@ -42,6 +43,7 @@
 	for _, line := range []string{
 		"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK", "HTTP/1.1 0200 OK",
 		"HTTP/1.1 +20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1", "HTTP/1.1 ", "200 OK", "nonsense", " HTTP/1.1 200 OK", "HTTP/1.1\t200\tOK",
+		"HTTP/1.1 200 OK\rContent-Length: 5", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 OK\x7f", "\x01HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r",
 	} {
 		_, err := httphead.CheckResponse(bufio.NewReader(strings.NewReader(line + "\r\n")))
 		c.Check(errorx.IsOfType(err, httphead.ErrMalformed), qt.IsTrue, qt.Commentf("%q: %v", line, err))
