Soak: servers send malformed heads

In runs with faults only, a fortieth of the requests gets a malformed head (status 000 or 600, whitespace in, before or after a field's name) the first time that a server runs it. The callers' checks, unchanged, notice an answer from it.

--- a/internal/systemtest/soak/deployment_test.go
+++ b/internal/systemtest/soak/deployment_test.go
@@ -247,7 +247,11 @@
 		return
 	}
 	count, _ := w.runCounts.LoadOrStore(request, new(atomic.Int64))
-	count.(*atomic.Int64).Add(1)
+	runs := count.(*atomic.Int64).Add(1)
+	if head := malformedHead(request); head != "" && runs == 1 && w.kind == faultsOnly {
+		sendMalformed(out, head)
+		return
+	}
 	out.Header().Set("Balsamyoke-Response-Stamp", "stamp")
 	if !strings.HasPrefix(in.URL.Path, "/stream/") && !strings.HasPrefix(in.URL.Path, "/once/") {
 		time.Sleep(2 * time.Millisecond)
--- a/internal/systemtest/soak/soak_test.go
+++ b/internal/systemtest/soak/soak_test.go
@@ -225,7 +225,7 @@
 	end()
 	calling.Wait()
 	c.Logf("%d responses read by slow callers", w.slowResponses.Load())
-	c.Logf("%d parts fetched, %d refusals repeated by the servers of all seeds", w.fetchedParts.Load(), repeatedRefusals.Load())
+	c.Logf("%d parts fetched, %d refusals repeated and %d malformed heads sent by the servers of all seeds", w.fetchedParts.Load(), repeatedRefusals.Load(), sentMalformed.Load())
 	w.checkLimits()
 	w.checkColdServers()
 	w.checkCrashes()
