--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -32,6 +32,7 @@
 
 func serveEarly(conn *net.TCPConn, respond func(id string, conn *net.TCPConn)) {
 	defer conn.Close()
+	// The smallest buffer leaves the body unread.
 	reader := textproto.NewReader(bufio.NewReaderSize(conn, 16))
 	for {
 		line, err := reader.ReadLine()
--- a/internal/httphead/response.go
+++ b/internal/httphead/response.go
@@ -18,7 +18,8 @@
 		if err != nil {
 			return 0, err
 		}
-		if status, complete, err := checkResponse(buffered); complete || err != nil {
+		status, complete, err := checkResponse(buffered)
+		if complete || err != nil {
 			return status, err
 		}
 		_, err = reader.Peek(len(buffered) + 1)
