Let each stream of a test of slow callers end by its own signal

Cause: the signal that ends a stream was buffered. While the server of the first stream was held up between two events, that of the second took the signal and ended its stream before its first event.

Change: the channel is unbuffered, so that the test goes on only when the stream that is to end has taken the signal. Nothing else is changed; the checks and bounds stay.

--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -188,7 +188,8 @@
 	// The small callers are behind by less than a quarter of the budget of 4 MB, the greedy one by what remains. Reading ahead for that
 	// one pauses for 0.5 s after each 0.5 MB, which takes 4 s: on a busy machine a deadline of 5 s would pass first.
 	const many, smallBytes = 1000, 500_000
-	enough := make(chan struct{}, 1)
+	// Unbuffered, so that no later stream takes what ends an earlier one.
+	enough := make(chan struct{})
 	s := startServer(c, func(r *received) {
 		r.startStream()
 		if r.header["x-many"] != "" {
