Play malformed heads and early answers at one deployment each

The tests started a gateway or two for each of 97 cases, up to eight at a time, beside the other parallel tests of the package, several of which depend on time. One server that sends one response after the other plays the same cases, with the same checks; a request that comes once more must now have been sent twice, no more. The budget of retries is set to the number of cases, since a third of these requests is sent again.

--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -66,33 +67,38 @@
 // a length nor chunks, and resets the connection while the request is still being sent.
 func TestEarlyAnswerThatIsResetIsIncomplete(t *testing.T) {
 	t.Parallel()
+	c := qt.New(t)
 	const maxBody = 16_000_000
 	longBodies := strings.Replace(configuration(1, `"key-1"`), `"max_body_bytes":100000`, fmt.Sprintf(`"max_body_bytes":%d`, maxBody), 1)
-	for name, contentType := range map[string]string{"plain": "Content-Type: text/plain\r\n", "stream": "Content-Type: text/event-stream\r\n"} {
-		for when, resetEarly := range earlyResets {
-			// The socket buffers of both ends hold the shorter requests, which the gateway has written by then, but not the longest one.
-			for _, size := range []int{1 << 10, 100 << 10, maxBody} {
-				t.Run(fmt.Sprintf("%s %s %d", name, when, size), func(t *testing.T) {
-					t.Parallel()
-					c := qt.New(t)
-					var times atomic.Int64
-					s := startEarlyServer(c, func(id string, conn *net.TCPConn) {
-						times.Add(1)
-						fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n%s\r\n%s", id, contentType, event(1))
-						resetEarly(conn)
-					})
-					d := deployAs(&deployment{c: c, graceMS: 600, memoryMB: 256, configuration: longBodies}, s, s, s, s)
-					body := strings.Repeat("b", size)
-					for path, attempts := range map[string]int64{"/book/x": 1, "/get/x": 2} {
-						times.Store(0)
-						resp := d.mustSend("POST", path, "", body)
-						c.Check(resp.status, qt.Equals, 502, qt.Commentf("%s: %+v", path, resp))
-						c.Check(times.Load(), qt.Equals, attempts, qt.Commentf("%s", path))
-					}
-					// The events of a stream reach the caller as they arrive.
-					resp, err := d.send("POST", "/once/x", "", body)
-					c.Check(err == nil && resp.status == 200 && resp.complete, qt.IsFalse, qt.Commentf("%+v", resp))
-				})
+	contentTypes := []string{"text/plain", "text/event-stream"}
+	// The socket buffers of both ends hold the shorter requests, which the gateway has written by then, but not the longest one.
+	sizes := []int{1 << 10, 100 << 10, maxBody}
+	var contentType atomic.Value
+	var resetEarly atomic.Value
+	var times atomic.Int64
+	s := startEarlyServer(c, func(id string, conn *net.TCPConn) {
+		times.Add(1)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: %s\r\n\r\n%s", id, contentType.Load(), event(1))
+		resetEarly.Load().(func(*net.TCPConn))(conn)
+	})
+	// A server that has broken off a response gets no requests for a while.
+	cases := len(contentTypes) * len(sizes) * len(earlyResets)
+	d := deployAs(&deployment{c: c, graceMS: 600, memoryMB: 256, retrySlack: float64(cases), configuration: longBodies}, slices.Repeat([]*server{s}, 4*cases)...)
+	for when, resetConn := range earlyResets {
+		resetEarly.Store(resetConn)
+		for _, mediaType := range contentTypes {
+			contentType.Store(mediaType)
+			for _, size := range sizes {
+				body := strings.Repeat("b", size)
+				for path, attempts := range map[string]int64{"/book/x": 1, "/get/x": 2} {
+					times.Store(0)
+					resp := d.mustSend("POST", path, "", body)
+					c.Check(resp.status, qt.Equals, 502, qt.Commentf("%s, %s, %d bytes, reset %s: %+v", path, mediaType, size, when, resp))
+					c.Check(times.Load(), qt.Equals, attempts)
+				}
+				// The events of a stream reach the caller as they arrive.
+				resp, err := d.send("POST", "/once/x", "", body)
+				c.Check(err == nil && resp.status == 200 && resp.complete, qt.IsFalse, qt.Commentf("%s, %d bytes, reset %s: %+v", mediaType, size, when, resp))
 			}
 		}
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -74,6 +74,8 @@
 	withoutServers bool
 	// memoryMB is the memory of the gateway's process; 0 for the default.
 	memoryMB int
+	// retrySlack is the number of retries that are allowed beside a share of the requests; 0 for the default.
+	retrySlack float64
 	// metastore replaces store for the gateway; nil for store itself.
 	metastore fleet.Metastore
 	// log gets the gateway's log lines; nil to discard them.
@@ -178,6 +180,9 @@
 	if d.memoryMB > 0 {
 		s.MemoryMB = d.memoryMB
 	}
+	if d.retrySlack > 0 {
+		s.RetrySlack = d.retrySlack
+	}
 	d.address, d.readyAddress, d.metricsAddress = s.Listen, s.Ready, s.Metrics
 	d.controlAddress = s.Control
 	engines := stubEngines{}
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -18,50 +18,61 @@
 	"stream": "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n14\r\nid: 1\ndata: wrong\n\n\n\r\n0\r\n\r\n",
 }
 
-// assertNoAnswer plays a server that sends text, in which %s stands for the id of the request, and closes the connection. A
-// request that may run again must be answered by another server; for any other the caller must be told that it failed, and not
-// that it hasn't run.
-func assertNoAnswer(c *qt.C, text string) {
-	c.Helper()
-	var times atomic.Int64
-	trouble := startServer(c, func(r *received) {
-		times.Add(1)
-		r.write(text, r.id())
+// malformedResponses is a deployment whose server sends text, in which %s stands for the id of the request, as its response and closes
+// the connection. It answers a request that comes once more.
+type malformedResponses struct {
+	*deployment
+	text  atomic.Value
+	times atomic.Int64
+}
+
+// deployMalformedResponses registers the server under enough ids for that many responses. A server that has sent one gets no requests
+// for a while.
+func deployMalformedResponses(c *qt.C, responses int) *malformedResponses {
+	m := &malformedResponses{}
+	m.text.Store("")
+	var s *server
+	s = startServer(c, func(r *received) {
+		<-s.requests
+		if m.times.Add(1) > 1 {
+			okResponse(r)
+			return
+		}
+		r.write(m.text.Load().(string), r.id())
 		_ = r.conn.Close()
 	})
-	// A server that has failed gets no requests for a while, so that each request needs another id.
-	alone := deploy(c, trouble, trouble)
+	m.deployment = deployAs(&deployment{c: c, graceMS: 600, retrySlack: float64(responses)}, slices.Repeat([]*server{s}, 4*responses)...)
+	return m
+}
+
+// checkNoAnswer checks that no caller gets text as an answer. A request that may run again must be answered by the next server; for any
+// other the caller must be told that it failed, and not that it hasn't run.
+func (m *malformedResponses) checkNoAnswer(text string) {
+	m.c.Helper()
+	m.text.Store(text)
 	for _, path := range []string{"/book/x", "/once/x"} {
-		resp := alone.mustSend("POST", path, "", "b")
-		c.Assert(resp.status, qt.Equals, 502, qt.Commentf("%s: %+v", path, resp))
-		c.Assert(resp.body, qt.Equals, "")
-	}
-	times.Store(0)
-	other := startServer(c, okResponse)
-	d := deploy(c, trouble, other)
-	for started := time.Now(); times.Load() == 0; {
-		other.discardRequests()
-		resp := d.mustSend("GET", "/get/x", "", "")
-		c.Assert(resp.status, qt.Equals, 200)
-		c.Assert(strings.HasPrefix(resp.body, "answer to r"), qt.IsTrue, qt.Commentf("%+v", resp))
-		c.Assert(time.Since(started) < testTimeout, qt.IsTrue)
+		m.times.Store(0)
+		resp := m.mustSend("POST", path, "", "b")
+		m.c.Check(resp.status, qt.Equals, 502, qt.Commentf("%s: %+v after %q", path, resp, text))
+		m.c.Check(resp.body, qt.Equals, "")
+		m.c.Check(m.times.Load(), qt.Equals, int64(1))
 	}
+	m.times.Store(0)
+	resp := m.mustSend("GET", "/get/x", "", "")
+	m.c.Check(resp.status == 200 && strings.HasPrefix(resp.body, "answer to r"), qt.IsTrue, qt.Commentf("%+v after %q", resp, text))
+	m.c.Check(m.times.Load(), qt.Equals, int64(2))
 }
 
 // Guards against answers whose status is none: fasthttp reports 000 as 200 and parses any other three digits.
 func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	for _, status := range []string{"000", "001", "099", "600", "999"} {
-		for framing, body := range framedBodies {
-			t.Run(status+" "+framing, func(t *testing.T) {
-				t.Parallel()
-				assertNoAnswer(qt.New(t), fmt.Sprintf("HTTP/1.1 %s OK\r\nBalsamyoke-Request-Id: %%s\r\nBalsamyoke-Response-Stamp: s\r\n%s", status, body))
-			})
+	statuses := []string{"000", "001", "099", "600", "999"}
+	m := deployMalformedResponses(qt.New(t), len(statuses)*(len(framedBodies)+1))
+	for _, status := range statuses {
+		for _, body := range framedBodies {
+			m.checkNoAnswer(fmt.Sprintf("HTTP/1.1 %s OK\r\nBalsamyoke-Request-Id: %%s\r\nBalsamyoke-Response-Stamp: s\r\n%s", status, body))
 		}
-		t.Run(status+" not run", func(t *testing.T) {
-			t.Parallel()
-			assertNoAnswer(qt.New(t), fmt.Sprintf("HTTP/1.1 %s OK\r\nBalsamyoke-Request-Id: %%s\r\nBalsamyoke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status))
-		})
+		m.checkNoAnswer(fmt.Sprintf("HTTP/1.1 %s OK\r\nBalsamyoke-Request-Id: %%s\r\nBalsamyoke-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", status))
 	}
 }
 
@@ -69,14 +80,14 @@
 // line that begins with whitespace to the one before: the caller got that line, or a body that isn't the server's.
 func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	for name, value := range map[string]string{"X-Own": "1", "Content-Length": "3", "Transfer-Encoding": "chunked"} {
-		for position, at := range map[string]int{"before": 0, "within": 3, "after": len(name)} {
-			for _, b := range []string{" ", "\t", "\r", "\x01"} {
-				t.Run(fmt.Sprintf("%s %q %s", name, b, position), func(t *testing.T) {
-					t.Parallel()
-					line := name[:at] + b + name[at:] + ": " + value + "\r\n"
-					assertNoAnswer(qt.New(t), "HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n"+line+"\r\n3\r\nbad\r\n0\r\n\r\n")
-				})
+	bytes := []string{" ", "\t", "\r", "\x01"}
+	fields := map[string]string{"X-Own": "1", "Content-Length": "3", "Transfer-Encoding": "chunked"}
+	m := deployMalformedResponses(qt.New(t), 3*len(bytes)*len(fields))
+	for name, value := range fields {
+		for _, at := range []int{0, 3, len(name)} {
+			for _, b := range bytes {
+				line := name[:at] + b + name[at:] + ": " + value + "\r\n"
+				m.checkNoAnswer("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n" + line + "\r\n3\r\nbad\r\n0\r\n\r\n")
 			}
 		}
 	}
@@ -86,12 +97,11 @@
 // that its head states them.
 func TestResponseWithChunksInOtherVersionIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	for _, version := range []string{"HTTP/1.0", "HTTP/1.2", "HTTP/0.9", "HTTP/2.0"} {
-		for name, lines := range map[string]string{"chunks": "", "chunks and length": "Content-Length: 13\r\n"} {
-			t.Run(version+" "+name, func(t *testing.T) {
-				t.Parallel()
-				assertNoAnswer(qt.New(t), version+" 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n"+lines+framedBodies["chunks"])
-			})
+	versions := []string{"HTTP/1.0", "HTTP/1.2", "HTTP/0.9", "HTTP/2.0"}
+	m := deployMalformedResponses(qt.New(t), 2*len(versions))
+	for _, version := range versions {
+		for _, length := range []string{"", "Content-Length: 13\r\n"} {
+			m.checkNoAnswer(version + " 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n" + length + framedBodies["chunks"])
 		}
 	}
 }
@@ -100,10 +110,9 @@
 // and misses where the body ends.
 func TestResponseWithControlByteInStatusLineIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	for _, b := range []string{"\r", "\x00", "\v", "\x7f"} {
-		t.Run(fmt.Sprintf("%q", b), func(t *testing.T) {
-			t.Parallel()
-			assertNoAnswer(qt.New(t), "HTTP/1.1 200 OK"+b+"Content-Length: 10\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n"+framedBodies["close"])
-		})
+	bytes := []string{"\r", "\x00", "\v", "\x7f"}
+	m := deployMalformedResponses(qt.New(t), len(bytes))
+	for _, b := range bytes {
+		m.checkNoAnswer("HTTP/1.1 200 OK" + b + "Content-Length: 10\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n" + framedBodies["close"])
 	}
 }
