Share the servers of tests that answer early

The tests of early answers had listeners, accept loops and a reader of heads of their own beside those of their packages. They use the same ones now. Checks and bounds are as they were.

--- a/internal/gateway/backend_server_test.go
+++ b/internal/gateway/backend_server_test.go
@@ -34,57 +34,71 @@
 }
 
 func startServer(c *qt.C, respond func(r *received)) *server {
+	s := &server{requests: make(chan *received, 100), respond: respond}
+	s.listener = listen(c, func(conn net.Conn) {
+		s.mu.Lock()
+		s.conns = append(s.conns, conn)
+		s.mu.Unlock()
+		go s.serve(conn)
+	})
+	c.Cleanup(func() {
+		_ = s.listener.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, conn := range s.conns {
+			_ = conn.Close()
+		}
+	})
+	return s
+}
+
+// listen calls accepted for each connection to the listener that it returns.
+func listen(c *qt.C, accepted func(conn net.Conn)) net.Listener {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	s := &server{listener: listener, requests: make(chan *received, 100), respond: respond}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			s.mu.Lock()
-			s.conns = append(s.conns, conn)
-			s.mu.Unlock()
-			go s.serve(conn)
+			accepted(conn)
 		}
 	}()
-	c.Cleanup(func() {
-		_ = listener.Close()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for _, conn := range s.conns {
-			_ = conn.Close()
+	return listener
+}
+
+// readHead reads the head of the next request on a connection.
+func readHead(reader *bufio.Reader, conn net.Conn) (*received, error) {
+	r := &received{header: make(map[string]string), conn: conn, closed: make(chan struct{})}
+	line, err := reader.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	r.requestLine = strings.TrimSpace(line)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return nil, err
 		}
-	})
-	return s
+		name, value, found := strings.Cut(strings.TrimSpace(line), ":")
+		if !found {
+			return r, nil
+		}
+		r.header[strings.ToLower(name)] = strings.TrimSpace(value)
+	}
 }
 
 func (s *server) serve(conn net.Conn) {
 	defer conn.Close()
 	reader := bufio.NewReader(conn)
 	for {
-		r := &received{header: make(map[string]string), conn: conn, closed: make(chan struct{})}
-		line, err := reader.ReadString('\n')
+		r, err := readHead(reader, conn)
 		if err != nil {
 			return
 		}
-		r.requestLine = strings.TrimSpace(line)
 		length := 0
-		for {
-			line, err := reader.ReadString('\n')
-			if err != nil {
-				return
-			}
-			name, value, found := strings.Cut(strings.TrimSpace(line), ":")
-			if !found {
-				break
-			}
-			r.header[strings.ToLower(name)] = strings.TrimSpace(value)
-			if strings.EqualFold(name, "Content-Length") {
-				fmt.Sscan(value, &length)
-			}
-		}
+		_, _ = fmt.Sscan(r.header["content-length"], &length)
 		body := make([]byte, length)
 		if _, err := io.ReadFull(reader, body); err != nil {
 			return
--- a/internal/gateway/early_answer_test.go
+++ b/internal/gateway/early_answer_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"net"
-	"net/textproto"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -14,43 +13,27 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// startEarlyServer starts a server that calls respond when it has read the head of a request, and not its body.
-func startEarlyServer(c *qt.C, respond func(id string, conn *net.TCPConn)) *server {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
+// startEarlyServer starts a server that responds to a POST request when it has read the head, and not the body.
+func startEarlyServer(c *qt.C, respond func(r *received, conn *net.TCPConn)) *server {
+	listener := listen(c, func(conn net.Conn) { go serveEarly(conn.(*net.TCPConn), respond) })
 	c.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go serveEarly(conn.(*net.TCPConn), respond)
-		}
-	}()
 	return &server{listener: listener}
 }
 
-func serveEarly(conn *net.TCPConn, respond func(id string, conn *net.TCPConn)) {
+func serveEarly(conn *net.TCPConn, respond func(r *received, conn *net.TCPConn)) {
 	defer conn.Close()
 	// The smallest buffer leaves the body unread.
-	reader := textproto.NewReader(bufio.NewReaderSize(conn, 16))
+	reader := bufio.NewReaderSize(conn, 16)
 	for {
-		line, err := reader.ReadLine()
+		r, err := readHead(reader, conn)
 		if err != nil {
 			return
 		}
-		header, err := reader.ReadMIMEHeader()
-		if err != nil {
+		if strings.HasPrefix(r.requestLine, "POST ") {
+			respond(r, conn)
 			return
 		}
-		r := &received{header: map[string]string{"balsamyoke-request-id": header.Get("Balsamyoke-Request-Id")}, conn: conn}
-		if !strings.HasPrefix(line, "POST ") {
-			r.respondOK("x")
-			continue
-		}
-		respond(r.id(), conn)
-		return
+		r.respondOK("x")
 	}
 }
 
@@ -76,9 +59,9 @@
 	var contentType atomic.Value
 	var resetEarly atomic.Value
 	var times atomic.Int64
-	s := startEarlyServer(c, func(id string, conn *net.TCPConn) {
+	s := startEarlyServer(c, func(r *received, conn *net.TCPConn) {
 		times.Add(1)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: %s\r\n\r\n%s", id, contentType.Load(), event(1))
+		r.write("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\nContent-Type: %s\r\n\r\n%s", r.id(), contentType.Load(), event(1))
 		resetEarly.Load().(func(*net.TCPConn))(conn)
 	})
 	// A server that has broken off a response gets no requests for a while.
--- a/internal/gateway/malformed_head_test.go
+++ b/internal/gateway/malformed_head_test.go
@@ -63,7 +63,7 @@
 	m.c.Check(m.times.Load(), qt.Equals, int64(2))
 }
 
-// Guards against answers whose status is none: fasthttp reports 000 as 200 and parses any other three digits.
+// Guards against answers whose status isn't a valid one: fasthttp reports 000 as 200 and parses any other three digits.
 func TestResponseWithInvalidStatusIsNoAnswer(t *testing.T) {
 	t.Parallel()
 	statuses := []string{"000", "001", "099", "600", "999"}
@@ -80,12 +80,12 @@
 // line that begins with whitespace to the one before: the caller got that line, or a body that isn't the server's.
 func TestResponseWithInvalidFieldNameIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	bytes := []string{" ", "\t", "\r", "\x01"}
+	invalid := []string{" ", "\t", "\r", "\x01"}
 	fields := map[string]string{"X-Own": "1", "Content-Length": "3", "Transfer-Encoding": "chunked"}
-	m := deployMalformedResponses(qt.New(t), 3*len(bytes)*len(fields))
+	m := deployMalformedResponses(qt.New(t), 3*len(invalid)*len(fields))
 	for name, value := range fields {
 		for _, at := range []int{0, 3, len(name)} {
-			for _, b := range bytes {
+			for _, b := range invalid {
 				line := name[:at] + b + name[at:] + ": " + value + "\r\n"
 				m.checkNoAnswer("HTTP/1.1 200 OK\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n" + line + "\r\n3\r\nbad\r\n0\r\n\r\n")
 			}
@@ -110,9 +110,9 @@
 // and misses where the body ends.
 func TestResponseWithControlByteInStatusLineIsNoAnswer(t *testing.T) {
 	t.Parallel()
-	bytes := []string{"\r", "\x00", "\v", "\x7f"}
-	m := deployMalformedResponses(qt.New(t), len(bytes))
-	for _, b := range bytes {
+	invalid := []string{"\r", "\x00", "\v", "\x7f"}
+	m := deployMalformedResponses(qt.New(t), len(invalid))
+	for _, b := range invalid {
 		m.checkNoAnswer("HTTP/1.1 200 OK" + b + "Content-Length: 10\r\nBalsamyoke-Request-Id: %s\r\nBalsamyoke-Response-Stamp: s\r\n" + framedBodies["close"])
 	}
 }
--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -22,6 +22,14 @@
 
 // serveBytes starts a server that writes response to each connection and closes it. It returns its address.
 func serveBytes(c *qt.C, response string) string {
+	return serveConns(c, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, response)
+	})
+}
+
+// serveConns starts a server that calls serve for each connection and then closes it. It returns its address.
+func serveConns(c *qt.C, serve func(conn net.Conn)) string {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() { _ = listener.Close() })
@@ -31,8 +39,7 @@
 			if err != nil {
 				return
 			}
-			_, _ = conn.Read(make([]byte, 4096))
-			_, _ = io.WriteString(conn, response)
+			serve(conn)
 			_ = conn.Close()
 		}
 	}()
@@ -119,23 +126,13 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer listener.Close()
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			_, _ = conn.Read(make([]byte, 200))
-			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
-			time.Sleep(20 * time.Millisecond)
-			_ = conn.(*net.TCPConn).SetLinger(0)
-			_ = conn.Close()
-		}
-	}()
-	client := httpclient.New(listener.Addr().String(), httpclient.Options{})
+	address := serveConns(c, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 200))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\na part")
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	})
+	client := httpclient.New(address, httpclient.Options{})
 	defer client.Close()
 	for _, size := range []int{10 << 10, 16 << 20} {
 		request := newRequest(client.Address())
