Fetch cached parts only by a lease of the leader, which waits for leases

Cause: a gateway was permitted to fetch for 8 s after any update, and a heartbeat of any gateway counted as one, also of one that is cut off as well. The leader stopped to wait for a gateway that it hadn't heard for 10 s. So the permission and the wait went by different facts. A gateway that reaches the metadata store but no other gateway had the permission for the same reason.

Change: a gateway asks the leader once a second and fetches only by the lease that it gets, for 12 s from when it asked, by its own clock. The leader frees what has retired at every gateway whose lease may not have ended (kvcache.Freeing), and nothing in the first 14 s, when leases of its predecessor may last. A leader that had no lease at its election, and so may not know what its predecessor has freed, permits fetches only by readings of the cache stores from after it; the calls of a leader that free parts end before its own lease does.

--- a/internal/dispatch/home_test.go
+++ b/internal/dispatch/home_test.go
@@ -24,7 +24,7 @@
 		})
 	}
 	catalogue.SetStores(stores, 18_432)
-	catalogue.RecordUpdate(now)
+	catalogue.ExtendFetchLease(now.Add(kvcache.FetchLeaseTTL), time.Time{})
 	salt := kvcache.Salt(kvcache.Generation{Model: "m", Version: 1}, "")
 	for i := range simulationDomains {
 		batch := kvcache.Batch{Epoch: 1, Changes: []kvcache.Change{{Key: kvcache.Key{Salt: salt, ID: "base"}, Tokens: 300}}}
@@ -50,7 +50,7 @@
 	now := start
 	for i := range 6000 {
 		now = now.Add(time.Millisecond)
-		catalogue.RecordUpdate(now)
+		catalogue.ExtendFetchLease(now.Add(kvcache.FetchLeaseTTL), time.Time{})
 		d := h.gateways[h.rng.IntN(len(h.gateways))]
 		d.catalogue = catalogue
 		session := h.rng.IntN(sessions)
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -114,8 +114,12 @@
 	return f.Platform.Stores.Events(ctx, address, since, feedWait)
 }
 
-// maxFreeBatch bounds the number of parts in one call.
-const maxFreeBatch = 400
+const (
+	// maxFreeBatch bounds the number of parts in one call.
+	maxFreeBatch = 400
+	// freedCheckInterval is the interval at which a leader that leaves checks whether its calls that free parts have ended.
+	freedCheckInterval = 5 * time.Millisecond
+)
 
 // startFreeing frees parts in the background, because a store may answer slowly or not at all, and the leader has other duties. It
 // does nothing while earlier parts are being freed.
@@ -129,6 +133,13 @@
 	})
 }
 
+// awaitFreed waits until startFreeing has nothing under way.
+func (f *Fleet) awaitFreed() {
+	for f.freeing.Load() {
+		time.Sleep(freedCheckInterval)
+	}
+}
+
 // freeParts frees parts in their stores, in batches for each store, until the holding ends. A store that doesn't free a batch is
 // left for the next time.
 func (f *Fleet) freeParts(ctx context.Context, holding lease.Holding, parts []kvcache.StoredPart) {
@@ -144,7 +155,7 @@
 	for t, keys := range byStore {
 		for len(keys) > 0 && bootclock.Now().Before(holding.Until) {
 			n := min(maxFreeBatch, len(keys))
-			err := f.freeBatch(ctx, t.address, t.epoch, keys[:n])
+			err := f.freeBatch(ctx, holding, t.address, t.epoch, keys[:n])
 			f.Log.Info(EventPartsFreed, zap.String("store", t.address), zap.Int("parts", n), eventlog.Error(err))
 			if err != nil {
 				break
@@ -157,8 +168,9 @@
 	}
 }
 
-func (f *Fleet) freeBatch(ctx context.Context, address string, epoch int64, keys []kvcache.Key) error {
-	ctx, cancel := context.WithTimeout(ctx, stepTimeout)
+// freeBatch frees parts in a store. The call ends before the holding does, so that the next leader sees what was freed.
+func (f *Fleet) freeBatch(ctx context.Context, holding lease.Holding, address string, epoch int64, keys []kvcache.Key) error {
+	ctx, cancel := context.WithTimeout(ctx, min(stepTimeout, holding.Until.Sub(bootclock.Now())))
 	defer cancel()
 	return f.Platform.Stores.Free(ctx, address, epoch, keys)
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -186,7 +186,7 @@
 			f.follow(ctx, documents.OperatorPrefix(), func(keys []string, now time.Time) { f.applyOperatorChanges(keys, sourceStore, now) })
 		},
 		func(ctx context.Context) { f.follow(ctx, documents.ServerPrefix(), f.applyServerChanges) },
-		f.sendBeats, f.catchUp, f.announce, f.campaign, f.evaluate, f.bootstrap, f.readViaPeers,
+		f.sendBeats, f.requestConfirmations, f.catchUp, f.announce, f.campaign, f.evaluate, f.bootstrap, f.readViaPeers,
 	} {
 		f.background.Go(func() { run(ctx) })
 	}
@@ -211,10 +211,7 @@
 	return bootclock.Now().Sub(time.Unix(0, at))
 }
 
-func (f *Fleet) recordContact(now time.Time) {
-	f.contact.Store(now.UnixNano())
-	f.catalogue.RecordUpdate(now)
-}
+func (f *Fleet) recordContact(now time.Time) { f.contact.Store(now.UnixNano()) }
 
 // Leave announces to the other gateways that this one is about to stop, and releases the leader lease.
 func (f *Fleet) Leave() { f.leaving.Store(true) }
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -86,12 +86,7 @@
 
 // broadcast sends a heartbeat to all gateways.
 func (f *Fleet) broadcast(beat *wire.Beat) {
-	to := f.members.BeatAddresses()
-	go func() {
-		if err := f.link.Send(beat, to); err != nil {
-			f.Log.Warn(EventBeatFailed, eventlog.Error(err))
-		}
-	}()
+	f.send(beat, f.members.BeatAddresses()...)
 }
 
 // addEpochs adds to a heartbeat how long this gateway has known the epochs of the cache stores.
@@ -118,9 +113,7 @@
 	for address, reserved := range f.catalogue.Reserved() {
 		beat.StoreLoads = append(beat.StoreLoads, &wire.StoreLoad{Address: address, Reserved: uint32(reserved)})
 	}
-	for g, share := range f.catalogue.RetiredShares() {
-		beat.Retired = append(beat.Retired, &wire.RetiredShare{Model: g.Model, Version: g.Version, Thousandths: uint32(share)})
-	}
+	beat.Retired = f.retiredShares()
 	for _, s := range f.dispatcher.Leaving() {
 		beat.LeavingServers = append(beat.LeavingServers, &wire.LeavingServer{Server: s.ID, StartedMs: s.StartedMS})
 	}
@@ -176,6 +169,14 @@
 	if beat.GetFrom().GetInstance() == f.Self.GetInstance() {
 		return
 	}
+	if request := beat.GetConfirmationRequest(); request != nil {
+		f.confirm(beat.GetFrom(), beat.GetIncarnation(), request, now)
+		return
+	}
+	if confirmation := beat.GetConfirmation(); confirmation != nil {
+		f.mergeConfirmation(confirmation, now)
+		return
+	}
 	if beat.GetOnlyEvidence() {
 		f.mergeQuarantine(beat, now)
 		return
@@ -189,9 +190,7 @@
 		f.Log.Info(EventPeerLive, zap.String("peer", member.GetInstance()), zap.Int("known", f.members.Count()))
 	}
 	f.recordContact(now)
-	for _, r := range beat.GetRetired() {
-		f.catalogue.Retire(kvcache.Generation{Model: r.GetModel(), Version: r.GetVersion()}, int(r.GetThousandths()))
-	}
+	f.mergeRetired(beat.GetRetired())
 	loads := make(map[string]dispatch.PeerLoad, len(beat.GetLoads()))
 	for _, l := range beat.GetLoads() {
 		loads[l.GetServer()] = dispatch.PeerLoad{Running: int(l.GetRunning()), WaitingTokens: int(l.GetTokens()), ReservedTokens: int(l.GetHeld()), KB: int(l.GetKilobytes())}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -15,7 +15,6 @@
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/lease"
-	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
@@ -35,38 +34,24 @@
 	leaderBeatTimeout = 1500 * time.Millisecond
 	// stepTimeout bounds a report or an order.
 	stepTimeout = time.Second
-	// freeAfter is the time from when every gateway has acknowledged that parts are retired until they are freed.
-	// By then the fetches that were planned before have ended or were discarded.
-	freeAfter = kvcache.FetchTimeout + 300*time.Millisecond
 	// freeInterval is the minimum time between two rounds of freeing.
 	freeInterval = 500 * time.Millisecond
-	// silentPeerWait is how long the leader waits for the acknowledgement of a gateway from which it receives no
-	// heartbeats. After that time such a gateway isn't permitted to fetch unless it receives heartbeats of other
-	// gateways, which relay the retired shares.
-	silentPeerWait = kvcache.MaxUpdateAge + 2*time.Second
 )
 
 // leadership is the state of the leader. The control goroutine owns it.
 type leadership struct {
 	// fence is the fencing token of the lease; 0 when this gateway isn't the leader.
-	fence    int64
+	fence int64
+	// until is the end of the lease as of its latest renewal.
+	until    time.Time
 	planner  *weights.Planner
 	excluded []string
-	// acknowledged are the retired shares that all gateways have acknowledged, and freeable those whose parts
-	// may be freed, in thousandths.
-	acknowledged map[kvcache.Generation]acknowledgedShare
-	freeable     map[kvcache.Generation]int
-	freedAt      time.Time
+	freeing  *kvcache.Freeing
+	freedAt  time.Time
 	// persisted are the target weight versions that are stored in the metadata store, by model.
 	persisted map[string][]weights.TargetVersion
 }
 
-// acknowledgedShare is a retired share, in thousandths, and since when all gateways have acknowledged it.
-type acknowledgedShare struct {
-	share int
-	since time.Time
-}
-
 // campaign tries to acquire the leader lease and performs the leader's duties while this gateway holds it. In
 // large deployments only gateways that read for others campaign.
 func (f *Fleet) campaign(ctx context.Context) {
@@ -111,14 +96,15 @@
 // runAsLeader performs the leader's duties until the lease ends, an engine rejects its fencing token, or this
 // gateway leaves.
 func (f *Fleet) runAsLeader(ctx context.Context, lessor *lease.Lessor, holding lease.Holding) {
+	freeing, stopFreeing := context.WithCancel(ctx)
+	defer stopFreeing()
 	earliestOrder := f.earliestOrder()
 	f.loop.Call(func() {
+		handover := later(bootclock.Now(), earliestOrder)
 		f.lead = leadership{
-			fence:        int64(holding.Fence),
-			planner:      weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
-			acknowledged: make(map[kvcache.Generation]acknowledgedShare),
-			freeable:     make(map[kvcache.Generation]int),
-
+			fence:     int64(holding.Fence),
+			planner:   weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
+			freeing:   kvcache.NewFreeing(handover, f.catalogue.HasFetchLease(handover)),
 			persisted: make(map[string][]weights.TargetVersion),
 		}
 	})
@@ -127,9 +113,10 @@
 		if holding, err = lessor.Renew(ctx, holding); err != nil || f.hasEnded(holding) {
 			break
 		}
+		f.recordHolding(holding)
 		f.persistTargets(ctx)
 		if !bootclock.Now().Before(earliestOrder) {
-			f.performDuties(ctx, holding)
+			f.performDuties(ctx, freeing, holding)
 		}
 		fenced := false
 		f.loop.Call(func() { fenced = f.lead.fence == 0 })
@@ -144,10 +131,30 @@
 	})
 	f.Log.Info(EventLeaseLost, zap.Uint64("fence", holding.Fence), eventlog.Error(err), zap.Bool("leaving", f.leaving.Load()))
 	if err == nil {
+		// The next leader may grant leases for all that is in the stores.
+		stopFreeing()
+		f.awaitFreed()
 		lessor.Release(context.WithoutCancel(ctx), holding)
 	}
 }
 
+// recordHolding records the leader lease as of its latest renewal. While it lasts, this gateway may fetch cached parts.
+func (f *Fleet) recordHolding(holding lease.Holding) {
+	f.loop.Call(func() {
+		f.lead.until = holding.Until
+		if now := bootclock.Now(); f.mayGrantFetches(now) {
+			f.catalogue.ExtendFetchLease(now.Add(kvcache.FetchLeaseTTL), f.lead.freeing.ReadFrom())
+		}
+	})
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // hasEnded reports whether a holding has ended with its era of the metadata store, in which another gateway may lead.
 func (f *Fleet) hasEnded(holding lease.Holding) bool { return int64(holding.Lease.Era) < f.era.Load() }
 
@@ -174,8 +181,8 @@
 	return from
 }
 
-// performDuties executes the planner's next steps and frees cached parts that no engine can use.
-func (f *Fleet) performDuties(ctx context.Context, holding lease.Holding) {
+// performDuties executes the planner's next steps and frees, until the context freeing ends, cached parts that no engine can use.
+func (f *Fleet) performDuties(ctx, freeing context.Context, holding lease.Holding) {
 	var steps []weights.Step
 	var freeableParts []kvcache.StoredPart
 	f.loop.Call(func() {
@@ -190,7 +197,7 @@
 	for _, step := range steps {
 		go f.executeStep(ctx, holding, step)
 	}
-	f.startFreeing(ctx, holding, freeableParts)
+	f.startFreeing(freeing, holding, freeableParts)
 }
 
 // excludeServers updates, in the dispatcher and at the other gateways, which servers get no new requests.
@@ -261,24 +268,13 @@
 		return nil
 	}
 	f.lead.freedAt = now
-	for g, share := range f.catalogue.RetiredShares() {
-		for _, member := range f.members.ActiveWithin(now, silentPeerWait) {
-			share = min(share, retiredShare(member, g))
-		}
-		acknowledged := f.lead.acknowledged[g]
-		if acknowledged.share > 0 && now.Sub(acknowledged.since) >= freeAfter {
-			f.lead.freeable[g] = acknowledged.share
-		}
-		if share > acknowledged.share && (acknowledged.share == 0 || f.lead.freeable[g] == acknowledged.share) {
-			f.lead.acknowledged[g] = acknowledgedShare{share: share, since: now}
-		}
-	}
-	return f.catalogue.Freeable(f.lead.freeable)
+	f.lead.freeing.Update(f.catalogue.RetiredShares(), f.reportedShare, now)
+	return f.catalogue.Freeable(f.lead.freeing.Freeable(now))
 }
 
-// retiredShare returns the retired share of a generation that another gateway has reported, in thousandths.
-func retiredShare(member *peers.Member, g kvcache.Generation) int {
-	for _, r := range member.Retired {
+// reportedShare returns the retired share of a generation that another gateway has reported, in thousandths.
+func (f *Fleet) reportedShare(gateway string, g kvcache.Generation) int {
+	for _, r := range f.members.Retired(gateway) {
 		if r.GetModel() == g.Model && r.GetVersion() == g.Version {
 			return int(r.GetThousandths())
 		}
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -8,16 +8,18 @@
 
 // State is a dump of the control state.
 type State struct {
-	Instance      string           `json:"instance"`
-	Configuration int64            `json:"configuration"`
-	ContactAgeMS  int64            `json:"contact_age_ms"`
-	Era           int64            `json:"era"`
-	Revisions     map[string]int64 `json:"revisions"`
-	Leader        bool             `json:"leader"`
-	Fence         int64            `json:"fence"`
-	Excluded      []string         `json:"withheld"`
-	Peers         []string         `json:"live_peers"`
-	Servers       any              `json:"servers"`
+	Instance      string `json:"instance"`
+	Configuration int64  `json:"configuration"`
+	ContactAgeMS  int64  `json:"contact_age_ms"`
+	// FetchLeaseMS is how much longer this gateway may fetch cached parts.
+	FetchLeaseMS int64            `json:"fetch_lease_ms"`
+	Era          int64            `json:"era"`
+	Revisions    map[string]int64 `json:"revisions"`
+	Leader       bool             `json:"leader"`
+	Fence        int64            `json:"fence"`
+	Excluded     []string         `json:"withheld"`
+	Peers        []string         `json:"live_peers"`
+	Servers      any              `json:"servers"`
 	// TargetWeights are the target weight versions and the ages that they have as far as this gateway knows.
 	TargetWeights []TargetWeightsState `json:"weights_named"`
 	// Shedding is what load shedding decides by at each service; absent where it isn't used.
@@ -68,6 +70,7 @@
 				state.TargetWeights = append(state.TargetWeights, TargetWeightsState{model, target.Version, now.Sub(target.SetAt).Milliseconds()})
 			}
 		}
+		state.FetchLeaseMS = f.catalogue.FetchLease(now).Milliseconds()
 		state.Stores = f.catalogue.State(now)
 		state.Evacuated = f.evacuationStates(now)
 		state.RecentCrashes = f.quarantine.CrashCount()
--- a/internal/kvcache/gap.go
+++ b/internal/kvcache/gap.go
@@ -16,20 +16,27 @@
 	Unsettled Gap = "unsettled"
 	// StaleReading means that a store had the part at its latest reading, which is too old.
 	StaleReading Gap = "stale_reading"
-	// Retired means that the part is of weights that are being replaced, or that no updates have arrived for too long.
+	// Retired means that the part is of weights that are being replaced.
 	Retired Gap = "retired"
+	// NoFetchLease means that this gateway has no lease from the leader, which may free parts without waiting for it.
+	NoFetchLease Gap = "no_fetch_lease"
 	// FetchTooSlow means that the fetch would take too long, so that the part is computed.
 	FetchTooSlow Gap = "fetch_too_slow"
 )
 
 // gap returns why a part isn't fetched.
 func (c *Catalogue) gap(g Generation, key Key, tokens int, fetch bool, now time.Time) Gap {
+	if !c.HasFetchLease(now) {
+		return NoFetchLease
+	}
 	if !c.mayFetch(g, key.ID, tokens, now) {
 		return Retired
 	}
 	gap := NotStored
 	for _, s := range c.stores {
 		switch {
+		case s.readAt.Before(c.readFrom):
+			gap = StaleReading
 		case s.canServe(key, tokens, now):
 			if !fetch {
 				return FetchTooSlow
--- a/internal/kvcache/generation.go
+++ b/internal/kvcache/generation.go
@@ -14,10 +14,6 @@
 	// minShareTokens is the size, in tokens, from which a part retires by its share: one step of an engine.
 	// Many prompts begin with smaller parts, so these retire only with the complete generation.
 	minShareTokens = 1024
-	// MaxUpdateAge is how long a gateway continues to fetch without updates from the metadata store or from
-	// another gateway. After that a newer generation may have become the target, and the parts of the older one
-	// may have been freed.
-	MaxUpdateAge = 8 * time.Second
 	// saltSeparator separates the fields of a salt.
 	saltSeparator = "|"
 	saltFields    = 3
@@ -67,15 +63,29 @@
 // RetiredShares returns the retired share by generation, in thousandths. The caller must not change the map.
 func (c *Catalogue) RetiredShares() map[Generation]int { return c.retiredShares }
 
-// RecordUpdate records that an update was received from the metadata store or from another gateway.
-func (c *Catalogue) RecordUpdate(now time.Time) { c.updatedAt = now }
+// ExtendFetchLease extends the lease by which parts may be fetched. It never ends a lease earlier. Only readings that were requested
+// at readFrom or later count from then on; a zero readFrom sets no bound.
+func (c *Catalogue) ExtendFetchLease(until, readFrom time.Time) {
+	if until.After(c.fetchUntil) {
+		c.fetchUntil = until
+	}
+	if readFrom.After(c.readFrom) {
+		c.readFrom = readFrom
+	}
+}
+
+// HasFetchLease reports whether parts may be fetched.
+func (c *Catalogue) HasFetchLease(now time.Time) bool { return now.Before(c.fetchUntil) }
+
+// FetchLease returns how much longer parts may be fetched; 0 without a lease.
+func (c *Catalogue) FetchLease(now time.Time) time.Duration { return max(0, c.fetchUntil.Sub(now)) }
 
 // mayFetch reports whether a part of a generation may be fetched.
 //
 // Invariant: the leader may free the parts that this function refuses because of a share which this gateway has
-// reported to the leader, or because MaxUpdateAge has passed without updates.
+// reported to the leader, or because its lease has ended.
 func (c *Catalogue) mayFetch(g Generation, id string, tokens int, now time.Time) bool {
-	if now.Sub(c.updatedAt) > MaxUpdateAge {
+	if !c.HasFetchLease(now) {
 		return false
 	}
 	share := c.retiredShares[g]
--- a/internal/kvcache/kvcache.go
+++ b/internal/kvcache/kvcache.go
@@ -91,8 +91,10 @@
 	// generation, in thousandths.
 	newestVersions map[string]int64
 	retiredShares  map[Generation]int
-	// updatedAt is when the latest update was received.
-	updatedAt time.Time
+	// fetchUntil is the end of the lease to fetch; zero before the first.
+	fetchUntil time.Time
+	// readFrom is from when a store must have been read for fetches from it.
+	readFrom time.Time
 	// firstChange is the first change number. It differs between runs of a gateway.
 	firstChange int64
 }
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -30,7 +30,7 @@
 		{Address: fastStore, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
 		{Address: slowStore, FailureDomain: "b", CapacityTokens: 200_000, LinkMbps: 10_000, FirstByteDelay: 6 * time.Millisecond, Managed: true},
 	}, 18_432)
-	c.RecordUpdate(start)
+	c.ExtendFetchLease(start.Add(FetchLeaseTTL), time.Time{})
 	for _, address := range []string{fastStore, slowStore} {
 		c.Apply(address, Batch{Epoch: 1}, start.Add(-time.Minute), start.Add(-time.Minute))
 		c.Apply(address, Batch{Epoch: 1}, start, start)
@@ -270,19 +270,36 @@
 	})
 }
 
-// A gateway that receives no updates must stop fetching before the leader stops waiting for it and frees parts.
-func TestFetchingStopsWithoutUpdates(t *testing.T) {
+// A gateway must stop fetching before the leader frees parts without waiting for it.
+func TestFetchingStopsWhenTheLeaseEnds(t *testing.T) {
 	c := qt.New(t)
 	catalogue := newCatalogue()
 	salt := Salt(gen1, "")
-	now := start.Add(MaxUpdateAge + time.Millisecond)
+	now := start.Add(FetchLeaseTTL)
 	catalogue.Apply(fastStore, Batch{Epoch: 1}, now, now)
 	catalogue.report(fastStore, now, salt, prompt("s")[:2]...)
 	c.Assert(catalogue.Estimate(gen1, salt, prompt("s"), "a", now).Tokens, qt.Equals, 0)
-	catalogue.RecordUpdate(now)
+	catalogue.ExtendFetchLease(now.Add(FetchLeaseTTL), time.Time{})
 	c.Assert(catalogue.Estimate(gen1, salt, prompt("s"), "a", now).Tokens, qt.Equals, 6500)
 }
 
+// Guards against a leader that doesn't know what its predecessor has freed, and permits fetches by readings from before.
+func TestFetchesNeedReadingsThatTheLeaseAllows(t *testing.T) {
+	c := qt.New(t)
+	catalogue := newCatalogue()
+	salt := Salt(gen1, "")
+	catalogue.report(fastStore, start, salt, prompt("s")[:2]...)
+	handover := start.Add(100 * time.Millisecond)
+	c.Assert(NewFreeing(handover, true).ReadFrom().IsZero(), qt.IsTrue)
+	readFrom := NewFreeing(handover, false).ReadFrom()
+	catalogue.ExtendFetchLease(handover.Add(FetchLeaseTTL), readFrom)
+	plan := catalogue.Plan(gen1, salt, prompt("s"), "a", true, handover)
+	c.Assert(plan.FetchTokens, qt.Equals, 0)
+	c.Assert(plan.Gap, qt.Equals, StaleReading)
+	catalogue.Apply(fastStore, Batch{Epoch: 1}, handover, handover)
+	c.Assert(catalogue.Estimate(gen1, salt, prompt("s"), "a", handover).Tokens, qt.Equals, 6500)
+}
+
 // Nothing is saved for a weight version that a newer one will replace.
 func TestNothingIsSavedForSupersededWeights(t *testing.T) {
 	c := qt.New(t)
@@ -309,7 +326,7 @@
 	later := start.Add(8 * time.Second)
 	catalogue.report(fastStore, later, salt, part)
 	catalogue.report(slowStore, later, salt, part)
-	catalogue.RecordUpdate(later)
+	catalogue.ExtendFetchLease(later.Add(FetchLeaseTTL), time.Time{})
 	c.Assert(catalogue.Plan(gen1, salt, []Part{part, {ID: "o", Tokens: 1}}, "a", true, later).Fetch[0], qt.Equals, fastStore)
 }
 
@@ -325,7 +342,7 @@
 		catalogue.SetStores([]routing.CacheStore{
 			{Address: fastStore, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
 		}, 18_432)
-		catalogue.RecordUpdate(start)
+		catalogue.ExtendFetchLease(start.Add(FetchLeaseTTL), time.Time{})
 		catalogue.Apply(fastStore, batch, start, start)
 		return catalogue
 	}
@@ -353,7 +370,7 @@
 	early.SetStores([]routing.CacheStore{
 		{Address: fastStore, FailureDomain: "a", CapacityTokens: 20_000, LinkMbps: 100_000, Managed: true},
 	}, 18_432)
-	early.RecordUpdate(start)
+	early.ExtendFetchLease(start.Add(FetchLeaseTTL), time.Time{})
 	c.Check(saves(early, start), qt.IsTrue, qt.Commentf("the confirmation came before the first reading"))
 	later := catalogueAfter(content)
 	later.Apply(fastStore, Batch{Epoch: 5}, start.Add(restartWait), start.Add(restartWait))
@@ -376,7 +393,7 @@
 	now := start.Add(time.Second)
 	saved := Change{Key: Key{Salt: salt, ID: "unnoticed"}, Tokens: 900}
 	starting.Apply(slowStore, Batch{Epoch: 2, Changes: []Change{saved}}, now, now)
-	starting.RecordUpdate(now)
+	starting.ExtendFetchLease(now.Add(FetchLeaseTTL), time.Time{})
 	parts := []Part{{ID: "base", Tokens: 500}, {ID: "own", Tokens: 900}}
 	fetch := fetching.Plan(gen1, salt, parts, "b", true, now)
 	save := starting.Plan(gen1, salt, parts, "b", true, now)
--- a/internal/kvcache/plan.go
+++ b/internal/kvcache/plan.go
@@ -152,7 +152,7 @@
 	var best *store
 	var bestMS float64
 	for _, s := range c.stores {
-		if !s.canServe(key, tokens, now) {
+		if s.readAt.Before(c.readFrom) || !s.canServe(key, tokens, now) {
 			continue
 		}
 		ms := c.transferMS(s, tokens, domain) + s.lag(now)
--- a/internal/kvcache/restart_simulation_test.go
+++ b/internal/kvcache/restart_simulation_test.go
@@ -305,7 +305,7 @@
 
 // request plans and sends a prompt. Its engine reads and saves parts after a delay.
 func (g *simulatedGateway) request(parts []Part) {
-	g.catalogue.RecordUpdate(g.now)
+	g.catalogue.ExtendFetchLease(g.now.Add(FetchLeaseTTL), time.Time{})
 	salt := Salt(gen1, "")
 	plan := g.catalogue.Plan(gen1, salt, parts, simulatedDomain, true, g.now)
 	g.count(parts, &plan)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -234,15 +234,22 @@
 	return index, count
 }
 
-// ActiveWithin returns the members that were added, or whose latest heartbeat was received, no longer than d ago.
-func (m *Members) ActiveWithin(now time.Time, d time.Duration) []*Member {
-	var found []*Member
-	for _, member := range m.members {
-		if now.Sub(member.LastBeatAt) <= d || now.Sub(member.addedAt) <= d {
-			found = append(found, member)
+// Leader returns the live member that leads by its latest heartbeat, the one with the highest fencing token if several do, or nil.
+func (m *Members) Leader(now time.Time) (leader *Member) {
+	for _, member := range m.Live(now) {
+		if member.Fence > 0 && (leader == nil || member.Fence > leader.Fence) {
+			leader = member
 		}
 	}
-	return found
+	return leader
+}
+
+// Retired returns the retired shares that a gateway has reported; none if it isn't known.
+func (m *Members) Retired(gateway string) []*wire.RetiredShare {
+	if member := m.members[gateway]; member != nil {
+		return member.Retired
+	}
+	return nil
 }
 
 // Expire removes members that have been silent for longer than removeAfter. It returns the names of those that
