Rely on a configuration only while the metadata store confirms it

Cause: a gateway shares no cache when its latest contact is 6 s old, and a heartbeat of any gateway counted as contact. Denials of unknown keys and routes went by the same contact.

Change: what counts is the time as of which the metadata store is known to have had no later configuration: as of a call for the operator's documents, or as of a request to another gateway less the age that the other one states in its reply, if that one has no later version. Heartbeats and calls about registrations confirm nothing. Calls for the operator's documents end while the configuration is still confirmed, since a reply with changes counts as of its call.

TestGatewaysThatHearOnlyEachOtherShareNoCache fails on the code before.

contact_age_ms of the metrics, the dump and balsamctl explain-place is now configuration_age_ms, and news_age of the log lines configuration_age.

--- a/internal/ctl/explain_place_text.go
+++ b/internal/ctl/explain_place_text.go
@@ -23,7 +23,7 @@
 
 func (p placeResult) text() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "gateway %s, configuration %d, latest contact %.0f ms ago\n", p.Instance, p.Configuration, p.ContactAgeMS)
+	fmt.Fprintf(&b, "gateway %s, configuration %d, confirmed %.0f ms ago\n", p.Instance, p.Configuration, p.ConfigurationAgeMS)
 	fmt.Fprintf(&b, "route %s (%s), target %.0f ms, time left %.0f ms", p.Route, p.Kind, p.TargetMS, p.TimeLeftMS)
 	if p.Organisation != "" {
 		fmt.Fprintf(&b, ", organisation %s", p.Organisation)
--- a/internal/explain/place.go
+++ b/internal/explain/place.go
@@ -3,12 +3,12 @@
 // Place states where a gateway would send a request now, and why. Nothing was sent.
 type Place struct {
 	Instance string `json:"instance"`
-	// Configuration is the version in force at the gateway. ContactAgeMS is the time since its latest update from the metadata store
-	// or another gateway.
-	Configuration int64   `json:"configuration"`
-	ContactAgeMS  float64 `json:"contact_age_ms"`
-	Route         string  `json:"route"`
-	Kind          string  `json:"kind"`
+	// Configuration is the version in force at the gateway. ConfigurationAgeMS is the time since the metadata store is known
+	// to have had no later one.
+	Configuration      int64   `json:"configuration"`
+	ConfigurationAgeMS float64 `json:"configuration_age_ms"`
+	Route              string  `json:"route"`
+	Kind               string  `json:"kind"`
 	// Organisation is empty on routes without API keys.
 	Organisation string `json:"organisation,omitempty"`
 	// Priority is the one in force and PrioritySource where it is from: "request", "organisation" or "route". Without load shedding it
--- a/internal/fleet/boundary.go
+++ b/internal/fleet/boundary.go
@@ -5,13 +5,14 @@
 
 	"go.uber.org/zap"
 
+	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
 const (
-	// maxSharingContactAge is the age of the latest update from which on this gateway may not know who is isolated. It is longer
-	// than the metadata store takes to respond to a waiting call.
-	maxSharingContactAge = 6 * time.Second
+	// configurationTTL is how long this gateway relies on its configuration after it was confirmed. It is longer than the metadata
+	// store takes to respond to a waiting call.
+	configurationTTL = 6 * time.Second
 	// maxConfigurationLag is how long another gateway may have a later configuration until this one counts as behind. One that
 	// reaches the metadata store or another gateway has it earlier.
 	maxConfigurationLag = time.Second
@@ -35,17 +36,48 @@
 	return l.version > own && now.Sub(l.since) >= maxConfigurationLag
 }
 
+// confirmConfiguration records that the metadata store had no later configuration at a time than the one in force here.
+func (f *Fleet) confirmConfiguration(at time.Time) {
+	if ns := at.UnixNano(); ns > f.confirmedAt.Load() {
+		f.confirmedAt.Store(ns)
+	}
+}
+
+// confirmedBy returns the time as of which a reply of the metadata store has all changes. The store replies as soon as there are
+// changes, which may have been at any time since the request; without any it replies at the end of the wait.
+func confirmedBy(requestedAt time.Time, wait time.Duration, changed bool, now time.Time) time.Time {
+	if end := requestedAt.Add(wait); !changed && !end.After(now) {
+		return end
+	}
+	return requestedAt
+}
+
+// ConfigurationAge returns the time since the metadata store is known to have had no later configuration than the one in force here,
+// and one hour before that is first known.
+func (f *Fleet) ConfigurationAge() time.Duration {
+	at := f.confirmedAt.Load()
+	if at == 0 {
+		return time.Hour
+	}
+	return bootclock.Now().Sub(time.Unix(0, at))
+}
+
+// IsConfigurationConfirmed reports whether this gateway may rely on what its configuration doesn't have: no other organisation is
+// isolated, no other key or route exists.
+func (f *Fleet) IsConfigurationConfirmed() bool {
+	return f.Table() != nil && !f.behind.Load() && f.ConfigurationAge() <= configurationTTL
+}
+
 // CacheBoundary returns the cache isolation boundary of the requests of an organisation. While this gateway may not have the
 // configuration in force, no organisation shares KV cache with others: one of them may have become isolated.
 func (f *Fleet) CacheBoundary(organisation string) string {
-	table := f.Table()
-	if table == nil || f.behind.Load() || f.ContactAge() > maxSharingContactAge {
+	if !f.IsConfigurationConfirmed() {
 		return routing.OwnBoundary(organisation)
 	}
-	return table.CacheBoundary(organisation)
+	return f.Table().CacheBoundary(organisation)
 }
 
-// updateLag updates whether this gateway is behind the configurations of others.
+// updateLag updates whether this gateway is behind the configurations of others, and logs when its own is no longer confirmed.
 func (f *Fleet) updateLag(now time.Time) {
 	latest := int64(0)
 	for _, member := range f.members.Live(now) {
@@ -55,4 +87,9 @@
 	if f.behind.Swap(behind) != behind {
 		f.Log.Info(EventConfigurationLag, zap.Bool("behind", behind), zap.Int64("version", f.configurationVersion()), zap.Int64("latest", latest))
 	}
+	if confirmed := f.IsConfigurationConfirmed(); confirmed != f.confirmed {
+		f.confirmed = confirmed
+		f.Log.Info(EventConfigurationConfirmed, zap.Bool("confirmed", confirmed), zap.Int64("version", f.configurationVersion()),
+			zap.Duration("age", f.ConfigurationAge()))
+	}
 }
--- a/internal/fleet/confirm.go
+++ b/internal/fleet/confirm.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
@@ -18,6 +20,11 @@
 	// lease to fetch cached parts.
 	confirmInterval      = time.Second
 	firstConfirmInterval = 200 * time.Millisecond
+	// askOthersAfter is the age of the configuration from which not only the leader is asked. A gateway that reads the metadata
+	// store itself confirms its configuration more often.
+	askOthersAfter = 2500 * time.Millisecond
+	// maxOthersAsked bounds the gateways that are asked then, apart from the leader and the readers of this gateway.
+	maxOthersAsked = 3
 )
 
 // requestConfirmations asks other gateways for confirmations until ctx ends.
@@ -26,9 +33,9 @@
 		interval := confirmInterval
 		f.loop.Call(func() {
 			now := bootclock.Now()
-			if leader := f.members.Leader(now); leader != nil {
+			if to := f.confirmers(now); len(to) > 0 {
 				request := &wire.ConfirmationRequest{SentNs: now.UnixNano()}
-				f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, ConfirmationRequest: request}, leader.GetBeatAddress())
+				f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, ConfirmationRequest: request}, to...)
 			}
 			if !f.catalogue.HasFetchLease(now) {
 				interval = firstConfirmInterval
@@ -38,17 +45,49 @@
 	}
 }
 
-// confirm replies to another gateway's request. Only the leader does: it grants a lease to fetch cached parts.
+// confirmers returns the heartbeat addresses of the gateways to ask: the leader and, when it doesn't confirm the configuration, the
+// readers of this gateway and some others.
+func (f *Fleet) confirmers(now time.Time) (to []string) {
+	if leader := f.members.Leader(now); leader != nil {
+		to = append(to, leader.GetBeatAddress())
+	}
+	if f.ConfigurationAge() < askOthersAfter {
+		return to
+	}
+	to = append(to, f.currentRole().readerBeats...)
+	live := f.members.Live(now)
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	for _, member := range live[:min(maxOthersAsked, len(live))] {
+		to = append(to, member.GetBeatAddress())
+	}
+	slices.Sort(to)
+	return slices.Compact(to)
+}
+
+// confirm replies to another gateway's request with how old this gateway's configuration is. The leader grants a lease to fetch
+// cached parts besides.
 func (f *Fleet) confirm(from *wire.Peer, incarnation uint64, request *wire.ConfirmationRequest, now time.Time) {
-	if from.GetInstance() == "" || from.GetBeatAddress() == "" || !f.mayGrantFetches(now) {
+	if from.GetInstance() == "" || from.GetBeatAddress() == "" {
 		return
 	}
-	f.lead.freeing.Grant(from.GetInstance(), now)
-	reply := &wire.Confirmation{Incarnation: incarnation, RequestSentNs: request.GetSentNs(), FetchLease: true, Retired: f.retiredShares()}
+	reply := &wire.Confirmation{Incarnation: incarnation, RequestSentNs: request.GetSentNs()}
+	if f.IsConfigurationConfirmed() {
+		// Rounded up, so that the configuration doesn't appear newer than it is.
+		reply.Configuration, reply.ConfigurationAgeMs = f.configurationVersion(), uint32(f.ConfigurationAge().Milliseconds())+1
+	}
+	if f.mayGrantFetches(now) {
+		f.grantFetches(from.GetInstance(), reply, now)
+	}
+	f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, Confirmation: reply}, from.GetBeatAddress())
+}
+
+// grantFetches grants another gateway a lease to fetch cached parts.
+func (f *Fleet) grantFetches(gateway string, reply *wire.Confirmation, now time.Time) {
+	f.lead.freeing.Grant(gateway, now)
+	reply.FetchLease, reply.Retired = true, f.retiredShares()
 	if readFrom := f.lead.freeing.ReadFrom(); !readFrom.IsZero() {
 		reply.MaxReadingAgeMs = uint32(max(1, now.Sub(readFrom).Milliseconds()))
 	}
-	f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, Confirmation: reply}, from.GetBeatAddress())
 }
 
 // mayGrantFetches reports whether this gateway is the leader and may grant leases to fetch cached parts.
@@ -62,6 +101,9 @@
 	if c.GetIncarnation() != f.Incarnation || requestedAt.After(now) {
 		return
 	}
+	if version := c.GetConfiguration(); version > 0 && version <= f.configurationVersion() {
+		f.confirmConfiguration(requestedAt.Add(-time.Duration(c.GetConfigurationAgeMs()) * time.Millisecond))
+	}
 	f.mergeRetired(c.GetRetired())
 	if c.GetFetchLease() {
 		readFrom := time.Time{}
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -67,6 +67,77 @@
 	c.Check(fetches(f), qt.IsFalse)
 }
 
+// Guards against gateways that are cut off together and go on sharing KV cache with an organisation that has become isolated, and denying
+// what has been added since.
+func TestGatewaysThatHearOnlyEachOtherShareNoCache(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	store := startStore(c)
+	put(c, store, "op/config", "1")
+	a, b := startFleetOn(c, "a", store), startFleetOn(c, "b", store)
+	share := func(f *Fleet) bool { return f.CacheBoundary("") != routing.OwnBoundary("") }
+	eventually(c, "both share", func() bool { return share(a) && share(b) })
+	store.SetFaults(memkv.Faults{Down: true})
+	cutAt := time.Now()
+	eventually(c, "neither shares", func() bool { return !share(a) && !share(b) })
+	c.Check(time.Since(cutAt) < configurationTTL+time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(cutAt)))
+	c.Check([]int{liveCount(a), liveCount(b)}, qt.DeepEquals, []int{1, 1})
+	store.SetFaults(memkv.Faults{})
+	eventually(c, "both share again", func() bool { return share(a) && share(b) })
+}
+
+// A gateway that the metadata store refuses shares KV cache as long as another one, which isn't the leader, confirms its configuration.
+func TestOthersConfirmTheConfiguration(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	store := startStore(c)
+	put(c, store, "op/config", "1")
+	_, err := store.CompareAndSwap(context.Background(), metastore.Swap{Key: leaderKey, Value: []byte("another gateway")})
+	c.Assert(err, qt.IsNil)
+	offline := &switchableStore{store, make(chan struct{})}
+	a, b := startFleetOn(c, "a", store), startFleet(c, "b", offline)
+	eventually(c, "both have the configuration", func() bool { return a.IsConfigurationConfirmed() && b.IsConfigurationConfirmed() })
+	close(offline.offline)
+	for until := time.Now().Add(configurationTTL + 2*time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if !b.IsConfigurationConfirmed() {
+			c.Fatalf("not confirmed for %s", b.ConfigurationAge())
+		}
+	}
+}
+
+func TestConfirmedConfigurationIsAsOldAsItsProof(t *testing.T) {
+	c := qt.New(t)
+	f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), Incarnation: 2})
+	f.table.Store(routing.NewTable(routing.Configuration{Version: 7}))
+	now := bootclock.Now()
+	confirm := func(version int64, askedAt time.Time, ageMS uint32) time.Time {
+		f.mergeConfirmation(&wire.Confirmation{
+			Incarnation: 2, RequestSentNs: askedAt.UnixNano(), Configuration: version, ConfigurationAgeMs: ageMS,
+		}, now)
+		return time.Unix(0, f.confirmedAt.Load())
+	}
+	askedAt := now.Add(-time.Second)
+	c.Check(confirm(8, askedAt, 0).Equal(time.Unix(0, 0)), qt.IsTrue, qt.Commentf("a later configuration than the one in force here"))
+	c.Check(confirm(7, askedAt, 2000).Equal(askedAt.Add(-2*time.Second)), qt.IsTrue)
+	c.Check(confirm(6, askedAt, 500).Equal(askedAt.Add(-time.Second/2)), qt.IsTrue)
+	c.Check(confirm(7, askedAt, 900).Equal(askedAt.Add(-time.Second/2)), qt.IsTrue, qt.Commentf("an older proof"))
+}
+
+// A reply that was held up, or that reports changes, confirms nothing later than what the store knew for sure.
+func TestReplyConfirmsWhatTheStoreKnew(t *testing.T) {
+	c := qt.New(t)
+	asked := time.Unix(1000, 0)
+	const wait = 2 * time.Second
+	for _, test := range []struct {
+		changed bool
+		took    time.Duration
+		want    time.Duration
+	}{{false, wait, wait}, {false, 10 * time.Second, wait}, {false, time.Second, 0}, {true, wait, 0}} {
+		got := confirmedBy(asked, wait, test.changed, asked.Add(test.took)).Sub(asked)
+		c.Check(got, qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
+
 // Guards against a lease of an earlier run, which may have been granted for what that run knew.
 func TestConfirmationOfAnEarlierRunIsIgnored(t *testing.T) {
 	c := qt.New(t)
--- a/internal/fleet/counters.go
+++ b/internal/fleet/counters.go
@@ -10,7 +10,7 @@
 	PartsFreed          tally.Counter
 	UnreadableDocuments tally.Counter
 	ConfigVersion       tally.Gauge
-	ContactAgeMS        tally.Gauge
+	ConfigurationAgeMS  tally.Gauge
 	Peers               tally.Gauge
 	Servers             tally.Gauge
 	LogLinesLost        tally.Gauge
@@ -64,7 +64,7 @@
 		PartsFreed:          scope.Counter("cache_parts_freed"),
 		UnreadableDocuments: scope.Counter("unreadable_documents"),
 		ConfigVersion:       scope.Gauge("configuration_version"),
-		ContactAgeMS:        scope.Gauge("contact_age_ms"),
+		ConfigurationAgeMS:  scope.Gauge("configuration_age_ms"),
 		Peers:               scope.Gauge("peers_live"),
 		Servers:             scope.Gauge("servers"),
 		LogLinesLost:        scope.Gauge("log_lines_lost"),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,10 +63,10 @@
 	ownerConnections *grpcpool.Pool
 	// originConnections are those to the gateways that are asked where streams began.
 	originConnections *grpcpool.Pool
-	// table and contact are read by the request path. contact is the time of the latest update from the
-	// metadata store or another gateway, in Unix nanoseconds of bootclock; 0 before the first.
+	// table and confirmedAt are read by the request path. confirmedAt is the latest time at which the metadata store is known to
+	// have had no later configuration than table, in Unix nanoseconds of bootclock; 0 if none is known.
 	table         atomic.Pointer[routing.Table]
-	contact       atomic.Int64
+	confirmedAt   atomic.Int64
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
@@ -92,6 +92,8 @@
 	limits     *quota.Owner
 	origins    *origin.Table
 	lag        configurationLag
+	// confirmed is what IsConfigurationConfirmed reported last, for the log.
+	confirmed bool
 	// evacuations are the failure domains that the operator has evacuated.
 	evacuations *evacuations
 	// crashReportedAt is when a heartbeat was last sent at once because of a crash.
@@ -201,18 +203,6 @@
 // Table returns the configuration in force, or nil before the first.
 func (f *Fleet) Table() *routing.Table { return f.table.Load() }
 
-// ContactAge returns the time since the latest update from the metadata store or another gateway, and one hour
-// before the first.
-func (f *Fleet) ContactAge() time.Duration {
-	at := f.contact.Load()
-	if at == 0 {
-		return time.Hour
-	}
-	return bootclock.Now().Sub(time.Unix(0, at))
-}
-
-func (f *Fleet) recordContact(now time.Time) { f.contact.Store(now.UnixNano()) }
-
 // Leave announces to the other gateways that this one is about to stop, and releases the leader lease.
 func (f *Fleet) Leave() { f.leaving.Store(true) }
 
@@ -355,7 +345,7 @@
 	f.evaluateQuarantine(now)
 	f.recheckLimits(now)
 	f.logCold(now)
-	f.Counters.ContactAgeMS.Update(float64(f.ContactAge().Milliseconds()))
+	f.Counters.ConfigurationAgeMS.Update(float64(f.ConfigurationAge().Milliseconds()))
 	f.Counters.LogLinesLost.Update(float64(f.Log.Lost()))
 	f.Counters.Peers.Update(float64(len(f.members.Live(now))))
 	f.Counters.Era.Update(float64(f.era.Load()))
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -54,7 +54,7 @@
 			err = f.list(ctx, prefix, apply)
 			listed = err == nil
 		} else {
-			err = f.poll(ctx, prefix, f.pollWait(unreachable), apply)
+			err = f.poll(ctx, prefix, f.pollWait(prefix, unreachable), apply)
 		}
 		if ctx.Err() != nil {
 			return
@@ -98,26 +98,32 @@
 func (f *Fleet) list(ctx context.Context, prefix string, apply func([]string, time.Time)) error {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
+	requestedAt := bootclock.Now()
 	listing, err := f.Platform.Metastore.Snapshot(ctx, prefix)
 	if err != nil {
 		return err
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
-		f.recordContact(now)
 		f.registry.StoreReachable(now)
 		apply(f.applyListing(prefix, listing, now), now)
+		f.recordReply(prefix, requestedAt)
 	})
 	return nil
 }
 
 // pollWait returns how long a call waits for changes. The first call after an outage doesn't wait: if it did, the store
 // would count as unreachable until the next change, and that change as one of the outage.
-func (f *Fleet) pollWait(afterOutage bool) time.Duration {
+// A call for the operator's documents ends while the configuration is still confirmed, as its reply may confirm it only as of the request.
+func (f *Fleet) pollWait(prefix string, afterOutage bool) time.Duration {
 	if afterOutage || !f.currentRole().reads {
 		return 0
 	}
-	return min(max(f.ContactTime-followMargin, minFollowWait), maxFollowWait)
+	wait := min(max(f.ContactTime-followMargin, minFollowWait), maxFollowWait)
+	if prefix == f.Platform.Documents.OperatorPrefix() {
+		wait = min(wait, max(0, configurationTTL-followMargin-f.ConfigurationAge()))
+	}
+	return wait
 }
 
 func (f *Fleet) poll(ctx context.Context, prefix string, wait time.Duration, apply func([]string, time.Time)) error {
@@ -125,19 +131,27 @@
 	if !f.loop.Call(func() { from = f.mirror.AsOf(prefix) }) {
 		return nil
 	}
+	requestedAt := bootclock.Now()
 	changes, err := f.Platform.Metastore.Changes(ctx, prefix, from, wait)
 	if err != nil {
 		return err
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
-		f.recordContact(now)
 		f.registry.StoreReachable(now)
 		apply(f.mirror.Apply(prefix, changes, now), now)
+		f.recordReply(prefix, confirmedBy(requestedAt, wait, len(changes.Events) > 0, now))
 	})
 	return nil
 }
 
+// recordReply records that all changes under prefix up to a time have been applied.
+func (f *Fleet) recordReply(prefix string, asOf time.Time) {
+	if prefix == f.Platform.Documents.OperatorPrefix() && f.Table() != nil {
+		f.confirmConfiguration(asOf)
+	}
+}
+
 // applyOperatorChanges applies changed keys of the operator. Evacuations come first, so that no request is placed under a new
 // configuration without them.
 func (f *Fleet) applyOperatorChanges(keys []string, source string, now time.Time) {
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -189,7 +189,6 @@
 	if !wasLive {
 		f.Log.Info(EventPeerLive, zap.String("peer", member.GetInstance()), zap.Int("known", f.members.Count()))
 	}
-	f.recordContact(now)
 	f.mergeRetired(beat.GetRetired())
 	loads := make(map[string]dispatch.PeerLoad, len(beat.GetLoads()))
 	for _, l := range beat.GetLoads() {
--- a/internal/fleet/outage_test.go
+++ b/internal/fleet/outage_test.go
@@ -47,7 +47,19 @@
 		0: minFollowWait, 3 * time.Second: 2 * time.Second, time.Minute: maxFollowWait,
 	} {
 		f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), ContactTime: contactTime})
-		c.Assert(f.pollWait(false), qt.Equals, want)
-		c.Assert(f.pollWait(true), qt.Equals, time.Duration(0))
+		c.Assert(f.pollWait("servers/", false), qt.Equals, want)
+		c.Assert(f.pollWait("servers/", true), qt.Equals, time.Duration(0))
+	}
+}
+
+// Guards against a call that lasts until the configuration is no longer confirmed.
+func TestCallForTheConfigurationEndsWhileItIsConfirmed(t *testing.T) {
+	c := qt.New(t)
+	f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), ContactTime: time.Minute})
+	c.Check(f.pollWait("op/", false), qt.Equals, time.Duration(0))
+	for _, age := range []time.Duration{0, 3 * time.Second, configurationTTL} {
+		f.confirmedAt.Store(bootclock.Now().Add(-age).UnixNano())
+		wait := f.pollWait("op/", false)
+		c.Check(wait <= max(0, configurationTTL-followMargin-age), qt.IsTrue, qt.Commentf("%s at the age of %s", wait, age))
 	}
 }
--- a/internal/fleet/roles.go
+++ b/internal/fleet/roles.go
@@ -24,6 +24,8 @@
 	forOthers bool
 	// readers are the control addresses of the gateways that read for this one.
 	readers []string
+	// readerBeats are their heartbeat addresses.
+	readerBeats []string
 	// indirect is the number of gateways of the failure domain for which others read.
 	indirect int
 }
@@ -50,11 +52,11 @@
 		f.role.Store(&role{reads: true})
 		return
 	}
-	type candidate struct{ name, address string }
-	candidates := []candidate{{f.Self.GetInstance(), f.Self.GetControlAddress()}}
+	type candidate struct{ name, control, beats string }
+	candidates := []candidate{{f.Self.GetInstance(), f.Self.GetControlAddress(), f.Self.GetBeatAddress()}}
 	for _, member := range f.members.Expected(now) {
 		if member.GetFailureDomain() == f.Self.GetFailureDomain() && !member.Leaving {
-			candidates = append(candidates, candidate{member.GetInstance(), member.GetControlAddress()})
+			candidates = append(candidates, candidate{member.GetInstance(), member.GetControlAddress(), member.GetBeatAddress()})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -69,7 +71,7 @@
 			f.role.Store(&role{reads: true, forOthers: true})
 			return
 		}
-		next.readers = append(next.readers, c.address)
+		next.readers, next.readerBeats = append(next.readers, c.control), append(next.readerBeats, c.beats)
 	}
 	f.role.Store(next)
 }
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -10,7 +10,8 @@
 type State struct {
 	Instance      string `json:"instance"`
 	Configuration int64  `json:"configuration"`
-	ContactAgeMS  int64  `json:"contact_age_ms"`
+	// ConfigurationAgeMS is the time since the configuration was confirmed.
+	ConfigurationAgeMS int64 `json:"configuration_age_ms"`
 	// FetchLeaseMS is how much longer this gateway may fetch cached parts.
 	FetchLeaseMS int64            `json:"fetch_lease_ms"`
 	Era          int64            `json:"era"`
@@ -51,7 +52,7 @@
 
 // State returns the control state as a value that marshals to JSON.
 func (f *Fleet) State() State {
-	state := State{Instance: f.Self.GetInstance(), ContactAgeMS: f.ContactAge().Milliseconds(), Era: f.era.Load(), Revisions: make(map[string]int64)}
+	state := State{Instance: f.Self.GetInstance(), ConfigurationAgeMS: f.ConfigurationAge().Milliseconds(), Era: f.era.Load(), Revisions: make(map[string]int64)}
 	if table := f.Table(); table != nil {
 		state.Configuration = table.Version
 	}
--- a/internal/gateway/explain_place.go
+++ b/internal/gateway/explain_place.go
@@ -52,7 +52,7 @@
 	}
 	timeLeft := waitLimit(call, route)
 	e := explain.Place{
-		Instance: g.settings.Instance, Configuration: table.Version, ContactAgeMS: inMS(g.fleet.ContactAge()), Route: route.Name,
+		Instance: g.settings.Instance, Configuration: table.Version, ConfigurationAgeMS: inMS(g.fleet.ConfigurationAge()), Route: route.Name,
 		Kind: route.Kind.String(), Priority: route.Priority, PrioritySource: "route", PriorityUnused: call.Model == "",
 		TargetMS: inMS(route.TargetLatency), TimeLeftMS: inMS(timeLeft), PromptTokens: call.PromptTokens, OutputTokens: call.OutputTokens,
 	}
@@ -133,8 +133,8 @@
 
 // invalid returns a status for what isn't in the configuration, with its version and the age of the gateway's view.
 func (g *Gateway) invalid(format string, args ...any) error {
-	args = append(args, g.configVersion(), g.fleet.ContactAge().Round(time.Millisecond))
-	return status.Errorf(codes.InvalidArgument, format+" (configuration %d, latest contact %s ago)", args...)
+	args = append(args, g.configVersion(), g.fleet.ConfigurationAge().Round(time.Millisecond))
+	return status.Errorf(codes.InvalidArgument, format+" (configuration %d, confirmed %s ago)", args...)
 }
 
 // explainedCall returns the call that a request states.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -24,10 +24,6 @@
 const (
 	// maxSends bounds the number of servers that a request is sent to when none of them runs it.
 	maxSends = 4
-	// staleAfter is the time without contact to the metadata store or other gateways after which a key or route
-	// that isn't in the configuration may exist in a newer one. It is longer than the metadata store takes
-	// to respond to a waiting call.
-	staleAfter = 6 * time.Second
 	// deniedRetryAfter is the Retry-After for requests refused because this gateway has no configuration or a
 	// stale one, and for those that were never sent before their deadline.
 	deniedRetryAfter = 500 * time.Millisecond
@@ -157,8 +153,8 @@
 // denyUnknown returns the response to a request whose key or route isn't in the configuration: a denial with
 // status, or a 503 with Retry-After when the configuration may be stale.
 func (g *Gateway) denyUnknown(in *incoming, id string, status int, reason string) *response {
-	if age := g.fleet.ContactAge(); age > staleAfter {
-		g.recordRefusal(in, id, reason, zap.Duration("news_age", age))
+	if !g.fleet.IsConfigurationConfirmed() {
+		g.recordRefusal(in, id, reason, zap.Duration("configuration_age", g.fleet.ConfigurationAge()))
 		return refusalResponse(deniedRetryAfter)
 	}
 	return g.deny(in, id, status, reason)
@@ -168,7 +164,7 @@
 	g.counters.recordRefusal(reason)
 	g.recordDecision(warn, EventDenied, id, zapStatus(status), zap.String("reason", reason),
 		zap.String("path", clip(in.header.RequestURI())), zap.Int64("configuration", g.configVersion()),
-		zap.Duration("news_age", g.fleet.ContactAge()))
+		zap.Duration("configuration_age", g.fleet.ConfigurationAge()))
 	return gatewayResponse(status)
 }
 
