--- a/internal/fleet/confirm.go
+++ b/internal/fleet/confirm.go
@@ -64,8 +64,8 @@
 	return slices.Compact(to)
 }
 
-// confirm replies to another gateway's request with how old this gateway's configuration is. The leader grants a lease to fetch
-// cached parts besides.
+// confirm replies to another gateway's request with the configuration that is confirmed here, if one is, and with a lease to fetch
+// cached parts if this gateway leads.
 func (f *Fleet) confirm(from *wire.Peer, incarnation uint64, request *wire.ConfirmationRequest, now time.Time) {
 	if from.GetInstance() == "" || from.GetBeatAddress() == "" {
 		return
@@ -78,6 +78,9 @@
 	if f.mayGrantFetches(now) {
 		f.grantFetches(from.GetInstance(), reply, now)
 	}
+	if reply.GetConfiguration() == 0 && !reply.GetFetchLease() {
+		return
+	}
 	f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, Confirmation: reply}, from.GetBeatAddress())
 }
 
