Lead again without waiting for the lease of an earlier run

After all gateways have been killed at once, prompts were computed instead of fetched for three to four seconds: no gateway had a lease to fetch until one of them led, and the leader lease of the run that had been killed had to end first. Then the new leader, which sees the era of the metadata store for the first time, permitted fetches only by readings from LeaseTTL after its start.

A gateway now ends the leader lease of its own earlier run when it starts again. That lease also shows that the era hasn't just begun, so that the handover counts from then. Orders still wait for LeaseTTL after the start.

--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -55,9 +56,11 @@
 // campaign tries to acquire the leader lease and performs the leader's duties while this gateway holds it. In
 // large deployments only gateways that read for others campaign.
 func (f *Fleet) campaign(ctx context.Context) {
+	ownerPrefix := f.Self.GetInstance() + "/"
 	lessor := lease.New(f.Platform.Metastore, lease.Options{
 		Key:           leaderKey,
-		Owner:         f.Self.GetInstance() + "/" + strconv.FormatUint(f.Incarnation, 16),
+		Owner:         ownerPrefix + strconv.FormatUint(f.Incarnation, 16),
+		IsEarlierRun:  func(owner string) bool { return strings.HasPrefix(owner, ownerPrefix) },
 		TTL:           f.LeaseTTL,
 		Margin:        time.Duration(leaseMargin * float64(f.LeaseTTL)),
 		RenewInterval: f.LeaseTTL / renewalsPerTTL,
@@ -100,7 +103,7 @@
 	defer stopFreeing()
 	earliestOrder := f.earliestOrder()
 	f.loop.Call(func() {
-		handover := later(bootclock.Now(), earliestOrder)
+		handover := f.handover(holding, bootclock.Now())
 		f.lead = leadership{
 			fence:     int64(holding.Fence),
 			planner:   weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
@@ -148,6 +151,16 @@
 	})
 }
 
+// handover returns the time from which no earlier leader grants leases to fetch or frees parts, for a holding that begins now. A leader
+// does neither after its lease, which may have been lost when the era began without its holder knowing. A lease of this era that an
+// earlier run of this gateway held shows that the era hasn't just begun.
+func (f *Fleet) handover(holding lease.Holding, now time.Time) time.Time {
+	if holding.FromEarlierRun || f.eraSince.IsZero() {
+		return now
+	}
+	return later(now, f.eraSince.Add(f.LeaseTTL))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -162,11 +175,13 @@
 // as the leader has released its lease. The first order waits for LeaseTTL after that gateway's last heartbeat as the
 // leader. If that gateway is stopping and so won't lead again, the wait is stepTimeout, the time for which its last
 // orders may be in flight. A former leader that became silent has sent no orders since its lease ended. A lease may
-// have been lost when the era began without its holder knowing, so that orders also wait for LeaseTTL after that.
+// have been lost when the era began without its holder knowing, so that orders also wait for LeaseTTL after that. An earlier run of this
+// gateway may have led until just before this one began.
 func (f *Fleet) earliestOrder() (from time.Time) {
+	from = f.startedAt.Add(f.LeaseTTL)
 	f.loop.Call(func() {
 		if !f.eraSince.IsZero() {
-			from = f.eraSince.Add(f.LeaseTTL)
+			from = later(from, f.eraSince.Add(f.LeaseTTL))
 		}
 		for _, member := range f.members.Live(bootclock.Now()) {
 			gap := f.LeaseTTL
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -25,6 +25,9 @@
 	Margin time.Duration
 	// RenewInterval is the minimum time between two renewals.
 	RenewInterval time.Duration
+	// IsEarlierRun reports whether an owner is an earlier run of this process, which has ended: its lease is ended rather than
+	// waited for. Nil stands for no owner.
+	IsEarlierRun func(owner string) bool
 	// Clock defaults to time.Now. Where the process can be suspended, it must advance during suspension.
 	Clock func() time.Time
 }
@@ -35,6 +38,8 @@
 	Fence uint64
 	// Until is the time at which the holder must stop unless the lease is renewed.
 	Until time.Time
+	// FromEarlierRun is set if an earlier run of this process held the lease until this holding began.
+	FromEarlierRun bool
 
 	Lease     metastore.LeaseID
 	renewedAt time.Time
@@ -62,11 +67,14 @@
 func (l *Lessor) Acquire(ctx context.Context) (Holding, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.TTL-l.Margin)
 	defer cancel()
-	_, err := l.kv.Get(ctx, l.Key)
-	if err == nil {
-		return Holding{}, ErrHeld.New("key %q exists", l.Key)
-	}
-	if !errorx.IsOfType(err, metastore.ErrNotFound) {
+	record, err := l.kv.Get(ctx, l.Key)
+	exists := err == nil
+	switch {
+	case exists:
+		if err := l.endEarlierRun(ctx, record); err != nil {
+			return Holding{}, err
+		}
+	case !errorx.IsOfType(err, metastore.ErrNotFound):
 		return Holding{}, ErrUnavailable.Wrap(err, "key %q cannot be read", l.Key)
 	}
 	start := l.Clock()
@@ -79,7 +87,18 @@
 		_ = l.kv.Revoke(ctx, lease)
 		return Holding{}, err
 	}
-	return Holding{Fence: fence, Until: l.validUntil(start), Lease: lease, renewedAt: start}, nil
+	return Holding{Fence: fence, Until: l.validUntil(start), FromEarlierRun: exists, Lease: lease, renewedAt: start}, nil
+}
+
+// endEarlierRun ends the lease of an earlier run of this process. It returns ErrHeld when another process is the holder.
+func (l *Lessor) endEarlierRun(ctx context.Context, record metastore.Record) error {
+	if owner := string(record.Value); owner == l.Owner || l.IsEarlierRun == nil || !l.IsEarlierRun(owner) {
+		return ErrHeld.New("key %q exists", l.Key)
+	}
+	if err := l.kv.Revoke(ctx, record.Lease); err != nil && !errorx.IsOfType(err, metastore.ErrLeaseNotFound) {
+		return ErrUnavailable.Wrap(err, "cannot end the lease of an earlier run for key %q", l.Key)
+	}
+	return nil
 }
 
 // create creates the key and returns its fencing token. If the response is lost, it reads the key to find out.
