Share KV cache in an outage of the metadata store that a majority is in

Since configurations have to be confirmed, organisations shared no KV cache from the sixth second of an outage of the metadata store on, and prompts were computed that others had computed before. If a gateway hears a majority of the gateways and none of them has a later configuration or confirms the present one, the store is now taken to be down, so that nothing can change. Gateways that are cut off from a majority stop as before; a gateway that was frozen counts as cut off until it has checked again.

--- a/internal/fleet/boundary.go
+++ b/internal/fleet/boundary.go
@@ -13,6 +13,9 @@
 	// configurationTTL is how long this gateway relies on its configuration after it was confirmed. It is longer than the metadata
 	// store takes to respond to a waiting call.
 	configurationTTL = 6 * time.Second
+	// majorityTTL is how long this gateway counts as hearing a majority after that was checked. It is longer than evaluateInterval; only
+	// a gateway that was frozen exceeds it.
+	majorityTTL = time.Second
 	// maxConfigurationLag is how long another gateway may have a later configuration until this one counts as behind. One that
 	// reaches the metadata store or another gateway has it earlier.
 	maxConfigurationLag = time.Second
@@ -63,9 +66,19 @@
 }
 
 // IsConfigurationConfirmed reports whether this gateway may rely on what its configuration doesn't have: no other organisation is
-// isolated, no other key or route exists.
+// isolated, no other key or route exists. If the metadata store confirms the configuration of no gateway in a majority, it is taken to be
+// down, so that nothing can change.
 func (f *Fleet) IsConfigurationConfirmed() bool {
-	return f.Table() != nil && !f.behind.Load() && f.ConfigurationAge() <= configurationTTL
+	if f.Table() == nil || f.behind.Load() {
+		return false
+	}
+	return f.ConfigurationAge() <= configurationTTL || f.heardMajority()
+}
+
+// heardMajority reports whether this gateway has just heard a majority of the gateways, and none had a later configuration.
+func (f *Fleet) heardMajority() bool {
+	at := f.majorityAt.Load()
+	return at != 0 && bootclock.Now().Sub(time.Unix(0, at)) <= majorityTTL
 }
 
 // CacheBoundary returns the cache isolation boundary of the requests of an organisation. While this gateway may not have the
@@ -83,6 +96,9 @@
 	for _, member := range f.members.Live(now) {
 		latest = max(latest, member.Configuration)
 	}
+	if latest <= f.configurationVersion() && f.members.HearsMajority(now, configurationTTL-majorityTTL) {
+		f.majorityAt.Store(now.UnixNano())
+	}
 	behind := f.lag.observe(f.configurationVersion(), latest, now)
 	if f.behind.Swap(behind) != behind {
 		f.Log.Info(EventConfigurationLag, zap.Bool("behind", behind), zap.Int64("version", f.configurationVersion()), zap.Int64("latest", latest))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -65,8 +65,10 @@
 	originConnections *grpcpool.Pool
 	// table and confirmedAt are read by the request path. confirmedAt is the latest time at which the metadata store is known to
 	// have had no later configuration than table, in Unix nanoseconds of bootclock; 0 if none is known.
-	table         atomic.Pointer[routing.Table]
-	confirmedAt   atomic.Int64
+	table       atomic.Pointer[routing.Table]
+	confirmedAt atomic.Int64
+	// majorityAt is when this gateway last heard a majority of the gateways and none had a later configuration, in the same form.
+	majorityAt    atomic.Int64
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
--- a/internal/peers/quorum.go
+++ b/internal/peers/quorum.go
@@ -67,19 +67,32 @@
 
 // hearsQuorum reports whether this gateway has heard more than half of the gateways within quorumWithin, itself included.
 func (m *Members) hearsQuorum(now time.Time) bool {
+	heard, all := m.countHeard(now, quorumWithin)
+	m.quorumOf = max(m.quorumOf, all)
+	if 2*heard <= m.quorumOf {
+		return false
+	}
+	m.quorumOf = all
+	return true
+}
+
+// countHeard returns the number of gateways that this one has heard no longer than d ago, and of all, itself included.
+func (m *Members) countHeard(now time.Time, d time.Duration) (heard, all int) {
 	known := m.Known()
-	heard := 1
+	heard = 1
 	for _, member := range known {
-		if now.Sub(member.LastBeatAt) <= quorumWithin {
+		if now.Sub(member.LastBeatAt) <= d {
 			heard++
 		}
 	}
-	m.quorumOf = max(m.quorumOf, len(known)+1)
-	if 2*heard <= m.quorumOf {
-		return false
-	}
-	m.quorumOf = len(known) + 1
-	return true
+	return heard, len(known) + 1
+}
+
+// HearsMajority reports whether this gateway has heard more than half of the gateways no longer than d ago, itself included. It counts
+// them as Quorum does.
+func (m *Members) HearsMajority(now time.Time, d time.Duration) bool {
+	heard, all := m.countHeard(now, d)
+	return 2*heard > max(m.quorumOf, all)
 }
 
 // Listed records that the gateways that the metadata store lists have been added.
--- a/internal/peers/quorum_test.go
+++ b/internal/peers/quorum_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
 // newQuorumMembers returns the Members of a gateway that has heard two others, and a function that handles the next heartbeat of
@@ -53,3 +55,31 @@
 	c.Assert(m.Quorum(now), qt.IsFalse)
 	c.Assert(m.Quorum(now.Add(SilenceTimeout)), qt.IsTrue)
 }
+
+// Guards against a minority that is cut off and, once the others are forgotten, counts as a majority.
+func TestMinorityStaysOneWhenTheOthersAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	m := NewMembers(&wire.Peer{Instance: "a", BeatAddress: "a"})
+	sequence := uint64(0)
+	beat := func(names ...string) {
+		sequence++
+		for _, name := range names {
+			m.HandleBeat(&wire.Beat{From: &wire.Peer{Instance: name, BeatAddress: name}, Incarnation: 1, Sequence: sequence}, now)
+		}
+	}
+	beat("b", "c", "d")
+	c.Check(m.Quorum(now), qt.IsTrue)
+	c.Check(m.HearsMajority(now, time.Second), qt.IsTrue)
+	for silentSince := now; now.Sub(silentSince) <= 2*removeAfter; now = now.Add(quorumCheckInterval) {
+		beat("b")
+		m.Quorum(now)
+		m.Expire(now, now.Add(-quorumCheckInterval))
+		if now.Sub(silentSince) > time.Second {
+			c.Check(m.HearsMajority(now, time.Second), qt.IsFalse, qt.Commentf("after %s", now.Sub(silentSince)))
+		}
+	}
+	c.Check(m.Count(), qt.Equals, 2)
+	beat("b", "c")
+	c.Check(m.HearsMajority(now, time.Second), qt.IsTrue)
+}
