Let a new leader find out who may have leases instead of waiting for all

Since leases to fetch exist, a leader freed nothing in the first 14 s after its election, because its predecessor's leases might last. In rolling restarts the leaders follow each other faster, so that the cache stores stayed full of parts of earlier weights and new ones found no room.

No lease outlasts the gateway's announcement in the metadata store any more. A leader lists the announcements after its election, and waits for these gateways alone. In an era of the metadata store that may have begun less than 14 s ago it waits as before, as the announcements were lost with the era before. That the era is older is known from a lease of an earlier run of the gateway.

--- a/internal/fleet/confirm.go
+++ b/internal/fleet/confirm.go
@@ -20,6 +20,9 @@
 	// lease to fetch cached parts.
 	confirmInterval      = time.Second
 	firstConfirmInterval = 200 * time.Millisecond
+	// registrationMargin is by how much earlier a lease to fetch ends than this gateway's announcement in the metadata store, because
+	// clocks don't run at quite the same rate.
+	registrationMargin = time.Second
 	// askOthersAfter is the age of the configuration from which not only the leader is asked. A gateway that reads the metadata
 	// store itself confirms its configuration more often.
 	askOthersAfter = 2500 * time.Millisecond
@@ -34,7 +37,7 @@
 		f.loop.Call(func() {
 			now := bootclock.Now()
 			if to := f.confirmers(now); len(to) > 0 {
-				request := &wire.ConfirmationRequest{SentNs: now.UnixNano()}
+				request := &wire.ConfirmationRequest{SentNs: now.UnixNano(), RegisteredNs: f.registeredAt.Load()}
 				f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, ConfirmationRequest: request}, to...)
 			}
 			if !f.catalogue.HasFetchLease(now) {
@@ -70,7 +73,7 @@
 	if from.GetInstance() == "" || from.GetBeatAddress() == "" {
 		return
 	}
-	reply := &wire.Confirmation{Incarnation: incarnation, RequestSentNs: request.GetSentNs()}
+	reply := &wire.Confirmation{Incarnation: incarnation, Request: request}
 	if f.IsConfigurationConfirmed() {
 		// Rounded up, so that the configuration doesn't appear newer than it is.
 		reply.Configuration, reply.ConfigurationAgeMs = f.configurationVersion(), uint32(f.ConfigurationAge().Milliseconds())+1
@@ -100,7 +103,7 @@
 
 // mergeConfirmation records another gateway's reply to a request.
 func (f *Fleet) mergeConfirmation(c *wire.Confirmation, now time.Time) {
-	requestedAt := time.Unix(0, c.GetRequestSentNs())
+	requestedAt := time.Unix(0, c.GetRequest().GetSentNs())
 	if c.GetIncarnation() != f.Incarnation || requestedAt.After(now) {
 		return
 	}
@@ -113,10 +116,24 @@
 		if age := c.GetMaxReadingAgeMs(); age > 0 {
 			readFrom = now.Add(-time.Duration(age) * time.Millisecond)
 		}
-		f.catalogue.ExtendFetchLease(requestedAt.Add(kvcache.FetchLeaseTTL), readFrom)
+		f.extendFetchLease(requestedAt, c.GetRequest().GetRegisteredNs(), readFrom)
 	}
 }
 
+// extendFetchLease extends this gateway's lease to fetch cached parts, for which it asked at a time. registeredNs is when its announcement
+// had been renewed by then, 0 for never. No lease outlasts the announcement, so that the next leader finds all gateways with leases in
+// the metadata store.
+func (f *Fleet) extendFetchLease(askedAt time.Time, registeredNs int64, readFrom time.Time) {
+	if registeredNs == 0 {
+		return
+	}
+	until := askedAt.Add(kvcache.FetchLeaseTTL)
+	if end := time.Unix(0, registeredNs).Add(peerLeaseTTL - registrationMargin); end.Before(until) {
+		until = end
+	}
+	f.catalogue.ExtendFetchLease(until, readFrom)
+}
+
 // mergeRetired records shares of cached parts that have retired at another gateway.
 func (f *Fleet) mergeRetired(shares []*wire.RetiredShare) {
 	for _, r := range shares {
--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -142,7 +142,7 @@
 	now := bootclock.Now()
 	confirm := func(version int64, askedAt time.Time, ageMS uint32) time.Time {
 		f.mergeConfirmation(&wire.Confirmation{
-			Incarnation: 2, RequestSentNs: askedAt.UnixNano(), Configuration: version, ConfigurationAgeMs: ageMS,
+			Incarnation: 2, Request: &wire.ConfirmationRequest{SentNs: askedAt.UnixNano(), RegisteredNs: askedAt.UnixNano()}, Configuration: version, ConfigurationAgeMs: ageMS,
 		}, now)
 		return time.Unix(0, f.confirmedAt.Load())
 	}
@@ -168,16 +168,28 @@
 	}
 }
 
-// Guards against a lease of an earlier run, which may have been granted for what that run knew.
-func TestConfirmationOfAnEarlierRunIsIgnored(t *testing.T) {
+// Guards against a lease of an earlier run, which may have been granted for what that run knew, and one that the next leader doesn't know of.
+func TestFetchLeaseIsOfThisRunAndAnnounced(t *testing.T) {
 	c := qt.New(t)
-	f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), Incarnation: 2})
 	now := bootclock.Now()
-	lease := func(incarnation uint64, askedAt time.Time) bool {
-		f.mergeConfirmation(&wire.Confirmation{Incarnation: incarnation, RequestSentNs: askedAt.UnixNano(), FetchLease: true}, now)
-		return f.catalogue.HasFetchLease(now)
+	for _, test := range []struct {
+		name              string
+		incarnation       uint64
+		asked, registered time.Duration
+		want              time.Duration
+	}{
+		{"of an earlier run", 1, 0, 0, 0},
+		{"asked now", 2, 0, 0, kvcache.FetchLeaseTTL},
+		{"asked a while ago", 2, 5 * time.Second, 5 * time.Second, kvcache.FetchLeaseTTL - 5*time.Second},
+		{"delayed for as long as a lease", 2, kvcache.FetchLeaseTTL, kvcache.FetchLeaseTTL, 0},
+		{"announced a while ago", 2, 0, 10 * time.Second, peerLeaseTTL - registrationMargin - 10*time.Second},
+	} {
+		f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), Incarnation: 2})
+		request := &wire.ConfirmationRequest{SentNs: now.Add(-test.asked).UnixNano(), RegisteredNs: now.Add(-test.registered).UnixNano()}
+		f.mergeConfirmation(&wire.Confirmation{Incarnation: test.incarnation, Request: request, FetchLease: true}, now)
+		c.Check(f.catalogue.FetchLease(now), qt.Equals, test.want, qt.Commentf("%s", test.name))
 	}
-	c.Check(lease(1, now), qt.IsFalse)
-	c.Check(lease(2, now.Add(-kvcache.FetchLeaseTTL)), qt.IsFalse, qt.Commentf("a reply that was delayed for as long as a lease"))
-	c.Check(lease(2, now), qt.IsTrue)
+	f := New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), Incarnation: 2})
+	f.mergeConfirmation(&wire.Confirmation{Incarnation: 2, Request: &wire.ConfirmationRequest{SentNs: now.UnixNano()}, FetchLease: true}, now)
+	c.Check(f.catalogue.HasFetchLease(now), qt.IsFalse, qt.Commentf("never announced"))
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,7 +68,9 @@
 	table       atomic.Pointer[routing.Table]
 	confirmedAt atomic.Int64
 	// majorityAt is when this gateway last heard a majority of the gateways and none had a later configuration, in the same form.
-	majorityAt    atomic.Int64
+	majorityAt atomic.Int64
+	// registeredAt is a time before the latest renewal of this gateway's announcement in the metadata store, in the same form.
+	registeredAt  atomic.Int64
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
@@ -114,8 +116,10 @@
 	// sendEpochs makes the next heartbeat include the epochs of the cache stores, for a gateway that has started.
 	sendEpochs bool
 	// eraSince is when the latest era was first seen.
-	eraSince   time.Time
-	lastExpiry time.Time
+	eraSince time.Time
+	// eraFromBefore is set if an earlier run of this gateway held a lease in the latest era.
+	eraFromBefore bool
+	lastExpiry    time.Time
 	// unloadedTargets are the stored target versions that were read before the servers' clock was known, by key.
 	unloadedTargets map[string]metastore.Record
 	states          map[string]backend.State
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -384,8 +384,13 @@
 	defer cancel()
 	kv := f.Platform.Metastore
 	f.Counters.StoreCalls.Inc(1)
+	startedAt := bootclock.Now().UnixNano()
 	if !lease.IsZero() {
-		return kv.KeepAlive(ctx, *lease)
+		err := kv.KeepAlive(ctx, *lease)
+		if err == nil {
+			f.registeredAt.Store(startedAt)
+		}
+		return err
 	}
 	granted, err := kv.Grant(ctx, peerLeaseTTL)
 	if err != nil {
@@ -399,7 +404,10 @@
 	swap := metastore.Swap{Key: key, Value: value, Lease: granted}
 	result, err := kv.CompareAndSwap(ctx, swap)
 	if err == nil && !result.Swapped {
-		// An earlier run of this gateway left the key.
+		// An earlier run of this gateway left the key, or this one did under an earlier lease.
+		if f.registeredAt.Load() == 0 {
+			f.loop.Post(func() { f.eraFromBefore = int64(result.Current.Era) == f.era.Load() })
+		}
 		swap.Expect = result.Current.ModRevision
 		result, err = kv.CompareAndSwap(ctx, swap)
 	}
@@ -410,6 +418,7 @@
 		return ErrPeer.New("key %q was changed by another writer", key)
 	}
 	*lease = granted
+	f.registeredAt.Store(startedAt)
 	return nil
 }
 
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -16,6 +16,7 @@
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
 	"balsamyoke.example/balsamyoke/internal/lease"
+	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/weights"
 )
 
@@ -102,8 +103,10 @@
 	freeing, stopFreeing := context.WithCancel(ctx)
 	defer stopFreeing()
 	earliestOrder := f.earliestOrder()
+	var handover time.Time
 	f.loop.Call(func() {
-		handover := f.handover(holding, bootclock.Now())
+		f.eraFromBefore = f.eraFromBefore || holding.FromEarlierRun
+		handover = f.handover(bootclock.Now())
 		f.lead = leadership{
 			fence:     int64(holding.Fence),
 			planner:   weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
@@ -111,6 +114,7 @@
 			persisted: make(map[string][]weights.TargetVersion),
 		}
 	})
+	f.background.Go(func() { f.listHolders(freeing, handover) })
 	var err error
 	for ctx.Err() == nil && !f.leaving.Load() {
 		if holding, err = lessor.Renew(ctx, holding); err != nil || f.hasEnded(holding) {
@@ -146,19 +150,60 @@
 	f.loop.Call(func() {
 		f.lead.until = holding.Until
 		if now := bootclock.Now(); f.mayGrantFetches(now) {
-			f.catalogue.ExtendFetchLease(now.Add(kvcache.FetchLeaseTTL), f.lead.freeing.ReadFrom())
+			f.extendFetchLease(now, f.registeredAt.Load(), f.lead.freeing.ReadFrom())
 		}
 	})
 }
 
-// handover returns the time from which no earlier leader grants leases to fetch or frees parts, for a holding that begins now. A leader
-// does neither after its lease, which may have been lost when the era began without its holder knowing. A lease of this era that an
-// earlier run of this gateway held shows that the era hasn't just begun.
-func (f *Fleet) handover(holding lease.Holding, now time.Time) time.Time {
-	if holding.FromEarlierRun || f.eraSince.IsZero() {
-		return now
+// listHolders reads from the metadata store, after the handover and until ctx ends, which gateways may have leases to fetch. They are
+// those that are announced.
+func (f *Fleet) listHolders(ctx context.Context, handover time.Time) {
+	for sleep(ctx, handover.Sub(bootclock.Now())); ctx.Err() == nil; sleep(ctx, announceRetry) {
+		f.Counters.StoreCalls.Inc(1)
+		listing, err := f.snapshot(ctx, peerPrefix)
+		if err != nil {
+			f.Counters.StoreFailures.Inc(1)
+			f.Log.Warn(EventAnnounceFailed, eventlog.Error(err))
+			continue
+		}
+		var gateways []string
+		for _, record := range listing.Records {
+			if name := strings.TrimPrefix(record.Key, peerPrefix); name != f.Self.GetInstance() {
+				gateways = append(gateways, name)
+			}
+		}
+		f.loop.Call(func() {
+			if f.lead.freeing != nil && ctx.Err() == nil {
+				f.lead.freeing.SetHolders(gateways, handover, f.newEraSince())
+			}
+		})
+		return
+	}
+}
+
+// snapshot lists a prefix of the metadata store.
+func (f *Fleet) snapshot(ctx context.Context, prefix string) (metastore.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return f.Platform.Metastore.Snapshot(ctx, prefix)
+}
+
+// newEraSince returns since when the era of the metadata store may exist; zero if an earlier run of this gateway held a lease in it, so
+// that it hasn't just begun.
+func (f *Fleet) newEraSince() time.Time {
+	if f.eraFromBefore {
+		return time.Time{}
+	}
+	return f.eraSince
+}
+
+// handover returns the time from which no earlier leader grants leases to fetch or frees parts, if this one's lease begins now. A leader
+// does neither after its lease, which may have been lost when the era began without its holder knowing.
+func (f *Fleet) handover(now time.Time) time.Time {
+	if since := f.newEraSince(); !since.IsZero() {
+		return later(now, since.Add(f.LeaseTTL))
 	}
-	return later(now, f.eraSince.Add(f.LeaseTTL))
+	return now
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/kvcache/freeing.go
+++ b/internal/kvcache/freeing.go
@@ -38,7 +38,7 @@
 
 // NewFreeing returns the Freeing of a leader. No earlier leader grants leases or frees parts after handover. hadLease reports whether
 // the leader had a lease at handover: it then knows all retired shares that earlier leaders have freed. Otherwise only readings of
-// the cache stores from after handover show what is left.
+// the cache stores from after handover show what is left. Until SetHolders any gateway may have a lease of an earlier leader.
 func NewFreeing(handover time.Time, hadLease bool) *Freeing {
 	f := &Freeing{
 		freeFrom:  handover.Add(fetchLeaseWait),
@@ -50,6 +50,22 @@
 	return f
 }
 
+// SetHolders records the other gateways that may have leases of earlier leaders. A gateway that isn't one of them may have a lease only
+// from before the era of the metadata store that began at eraSince; zero for none.
+func (f *Freeing) SetHolders(gateways []string, handover, eraSince time.Time) {
+	for _, gateway := range gateways {
+		if f.grantedAt[gateway].Before(handover) {
+			f.grantedAt[gateway] = handover
+		}
+	}
+	clear(f.retired)
+	clear(f.freeable)
+	f.freeFrom = handover
+	if leasesEnd := eraSince.Add(fetchLeaseWait); !eraSince.IsZero() && leasesEnd.After(handover) {
+		f.freeFrom = leasesEnd
+	}
+}
+
 // ReadFrom returns from when the cache stores must have been read for fetches under this leader's leases; zero for no bound.
 func (f *Freeing) ReadFrom() time.Time { return f.readFrom }
 
--- a/internal/kvcache/freeing_simulation_test.go
+++ b/internal/kvcache/freeing_simulation_test.go
@@ -20,6 +20,9 @@
 	leaderMargin       = 600 * time.Millisecond
 	leaderSilence      = 2500 * time.Millisecond
 	confirmInterval    = time.Second
+	announcementTTL    = 15 * time.Second
+	announceInterval   = 5 * time.Second
+	registrationMargin = time.Second
 	freeInterval       = 500 * time.Millisecond
 	maxOutage          = 15 * time.Second
 	maxFreezeTime      = 12 * time.Second
@@ -44,6 +47,8 @@
 	knownRuns   map[string]int
 	catalogue   *Catalogue
 	frozenUntil time.Time
+	// registeredAt is when it last renewed its announcement in the metadata store; zero if this run never did.
+	registeredAt time.Time
 	// leader is the gateway whose heartbeats say that it leads, leaderAt when the latest of them was handled.
 	leader      *leasingGateway
 	leaderFence int
@@ -66,7 +71,9 @@
 	// fence and expiresAt are the leader lease in the metadata store.
 	fence     int
 	expiresAt time.Time
-	version   int64
+	// announcedUntil are the ends of the announcements in the metadata store by gateway.
+	announcedUntil map[string]time.Time
+	version        int64
 	// byHeartbeat makes each heartbeat extend the receiver's lease, as any heartbeat once did.
 	byHeartbeat bool
 	fetches     []simulatedFetch
@@ -93,7 +100,7 @@
 func (g *leasingGateway) start() {
 	g.runs++
 	g.catalogue, g.reported, g.knownRuns = New(), make(map[string]map[Generation]int), make(map[string]int)
-	g.leader, g.leaderFence, g.leaderAt = nil, 0, time.Time{}
+	g.leader, g.leaderFence, g.leaderAt, g.registeredAt = nil, 0, time.Time{}, time.Time{}
 	g.fence, g.freeing = 0, nil
 }
 
@@ -166,7 +173,7 @@
 
 // ask asks the leader for a lease.
 func (g *leasingGateway) ask() {
-	leader, askedAt, run := g.leader, g.now, g.runs
+	leader, askedAt, registeredAt, run := g.leader, g.now, g.registeredAt, g.runs
 	if leader == nil || g.now.Sub(g.leaderAt) > leaderSilence || g.byHeartbeat {
 		return
 	}
@@ -183,12 +190,39 @@
 		leader.deliver(g, func() {
 			if g.runs == run {
 				g.retire(retired)
-				g.catalogue.ExtendFetchLease(askedAt.Add(FetchLeaseTTL), readFrom)
+				g.extend(askedAt, registeredAt, readFrom)
 			}
 		})
 	})
 }
 
+// extend extends this gateway's lease, which doesn't outlast its announcement.
+func (g *leasingGateway) extend(askedAt, registeredAt, readFrom time.Time) {
+	until, announced := askedAt.Add(FetchLeaseTTL), registeredAt.Add(announcementTTL-registrationMargin)
+	if announced.Before(until) {
+		until = announced
+	}
+	g.catalogue.ExtendFetchLease(until, readFrom)
+}
+
+// register renews this gateway's announcement.
+func (g *leasingGateway) register() {
+	if g.reachesStore() {
+		g.registeredAt = g.now
+		g.announcedUntil[g.name] = g.now.Add(announcementTTL)
+	}
+}
+
+// announced returns the other gateways that are announced.
+func (g *leasingGateway) announced() (names []string) {
+	for name, until := range g.announcedUntil {
+		if name != g.name && g.now.Before(until) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // lead renews the leader lease, or acquires it.
 func (g *leasingGateway) lead() {
 	if g.fence > 0 && !g.now.Before(g.until) {
@@ -203,11 +237,13 @@
 	case g.fence == 0 && expired:
 		g.freeingSimulation.fence++
 		g.fence, g.freeing = g.freeingSimulation.fence, NewFreeing(g.now, g.catalogue.HasFetchLease(g.now))
+		handover, freeing := g.now, g.freeing
+		g.after(g.upTo(time.Second), func() { freeing.SetHolders(g.announced(), handover, time.Time{}) })
 	default:
 		return
 	}
 	g.expiresAt, g.until = g.now.Add(leaderTTL), g.now.Add(leaderTTL-leaderMargin)
-	g.catalogue.ExtendFetchLease(g.now.Add(FetchLeaseTTL), g.freeing.ReadFrom())
+	g.extend(g.now, g.registeredAt, g.freeing.ReadFrom())
 }
 
 // free retires the parts of earlier versions, in two steps, and frees what may be freed.
@@ -323,7 +359,7 @@
 func playFreeing(seed uint64, faults, byHeartbeat bool) *freeingSimulation {
 	m := &freeingSimulation{
 		simulation: &simulation{rng: rand.New(rand.NewPCG(seed, seed)), now: start},
-		cut:        make(map[[2]string]bool), version: 1, byHeartbeat: byHeartbeat, freed: make(map[Generation][]freedShare),
+		cut:        make(map[[2]string]bool), announcedUntil: make(map[string]time.Time), version: 1, byHeartbeat: byHeartbeat, freed: make(map[Generation][]freedShare),
 	}
 	for i := range freeingGateways {
 		g := &leasingGateway{freeingSimulation: m, name: fmt.Sprint("g", i)}
@@ -331,6 +367,7 @@
 		m.members = append(m.members, g)
 		for interval, action := range map[time.Duration]func(){
 			heartbeatInterval: g.beat, confirmInterval: g.ask, leaderTTL / 4: g.lead, freeInterval: g.free, simulatedFetchRate: g.fetch,
+			announceInterval: g.register,
 		} {
 			m.after(time.Duration(i)*time.Millisecond+interval/10, func() { g.every(interval, action) })
 		}
--- a/internal/kvcache/kvcache_test.go
+++ b/internal/kvcache/kvcache_test.go
@@ -300,6 +300,33 @@
 	c.Assert(catalogue.Estimate(gen1, salt, prompt("s"), "a", handover).Tokens, qt.Equals, 6500)
 }
 
+// A leader that knows who may have leases of earlier leaders waits for these alone.
+func TestLeaderFreesWhatHasRetiredAtAllHolders(t *testing.T) {
+	c := qt.New(t)
+	shares := map[Generation]int{gen1: FullShare}
+	for _, test := range []struct {
+		name     string
+		holders  []string
+		eraSince time.Time
+		reported int
+		want     time.Duration
+	}{
+		{"no holders", nil, time.Time{}, 0, freeAfter},
+		{"a holder that has reported", []string{"b"}, time.Time{}, FullShare, freeAfter},
+		{"a holder that hasn't", []string{"b"}, time.Time{}, 0, fetchLeaseWait + freeAfter},
+		{"holders of an earlier era", nil, start.Add(-time.Second), 0, fetchLeaseWait - time.Second},
+	} {
+		f := NewFreeing(start, true)
+		f.SetHolders(test.holders, start, test.eraSince)
+		var freed time.Duration
+		for now := start; f.Freeable(now)[gen1] == 0; now = now.Add(10 * time.Millisecond) {
+			f.Update(shares, func(string, Generation) int { return test.reported }, now)
+			freed = now.Sub(start)
+		}
+		c.Check(freed >= test.want-10*time.Millisecond && freed < test.want+100*time.Millisecond, qt.IsTrue, qt.Commentf("%s: %s", test.name, freed))
+	}
+}
+
 // Nothing is saved for a weight version that a newer one will replace.
 func TestNothingIsSavedForSupersededWeights(t *testing.T) {
 	c := qt.New(t)
