Remember in which era an earlier run held a lease, tell apart what is called freeing

The first announcement of a run may be written before the era of the metadata store is known from a listing; then the evidence that the era is older was lost, and a leader freed nothing for 14 s. Otherwise only names and comments change.

--- a/internal/fleet/era.go
+++ b/internal/fleet/era.go
@@ -22,7 +22,7 @@
 		return
 	}
 	f.era.Store(int64(era))
-	f.eraSince, f.eraFromBefore = now, false
+	f.eraSince = now
 	if known == 0 {
 		return
 	}
--- a/internal/fleet/feeds.go
+++ b/internal/fleet/feeds.go
@@ -124,18 +124,18 @@
 // startFreeing frees parts in the background, because a store may answer slowly or not at all, and the leader has other duties. It
 // does nothing while earlier parts are being freed.
 func (f *Fleet) startFreeing(ctx context.Context, holding lease.Holding, parts []kvcache.StoredPart) {
-	if len(parts) == 0 || !f.freeing.CompareAndSwap(false, true) {
+	if len(parts) == 0 || !f.freesParts.CompareAndSwap(false, true) {
 		return
 	}
 	f.background.Go(func() {
-		defer f.freeing.Store(false)
+		defer f.freesParts.Store(false)
 		f.freeParts(ctx, holding, parts)
 	})
 }
 
 // awaitFreed waits until startFreeing has nothing under way.
 func (f *Fleet) awaitFreed() {
-	for f.freeing.Load() {
+	for f.freesParts.Load() {
 		time.Sleep(freedCheckInterval)
 	}
 }
--- a/internal/fleet/feeds_test.go
+++ b/internal/fleet/feeds_test.go
@@ -49,7 +49,7 @@
 		c.Assert(time.Since(started) < 100*time.Millisecond, qt.IsTrue)
 	}
 	eventually(c, "the parts are being freed", func() bool { return stores.calls.Load() == 1 })
-	eventually(c, "the call has been given up", func() bool { return !f.freeing.Load() })
+	eventually(c, "the call has been given up", func() bool { return !f.freesParts.Load() })
 	f.startFreeing(context.Background(), holding, parts)
 	eventually(c, "the parts are freed once more", func() bool { return stores.calls.Load() == 2 })
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,8 +74,8 @@
 	leaving       atomic.Bool
 	role          atomic.Pointer[role]
 	clockOffsetMS atomic.Int64 // the servers' clock minus this host's, in milliseconds; 0 when unknown
-	// freeing is set while the leader frees parts.
-	freeing atomic.Bool
+	// freesParts is set while the leader frees parts.
+	freesParts atomic.Bool
 	// behind is set while other gateways have had a later configuration for some time.
 	behind atomic.Bool
 	// quarantineIdle is read by the request path.
@@ -117,8 +117,8 @@
 	sendEpochs bool
 	// eraSince is when the latest era was first seen.
 	eraSince time.Time
-	// eraFromBefore is set if an earlier run of this gateway held a lease in the latest era.
-	eraFromBefore bool
+	// earlierRunEra is an era in which an earlier run of this gateway held a lease; 0 if none is known.
+	earlierRunEra int64
 	lastExpiry    time.Time
 	// unloadedTargets are the stored target versions that were read before the servers' clock was known, by key.
 	unloadedTargets map[string]metastore.Record
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -406,7 +406,8 @@
 	if err == nil && !result.Swapped {
 		// An earlier run of this gateway left the key, or this one did under an earlier lease.
 		if f.registeredAt.Load() == 0 {
-			f.loop.Post(func() { f.eraFromBefore = int64(result.Current.Era) == f.era.Load() })
+			era := int64(result.Current.Era)
+			f.loop.Post(func() { f.earlierRunEra = era })
 		}
 		swap.Expect = result.Current.ModRevision
 		result, err = kv.CompareAndSwap(ctx, swap)
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -48,8 +48,9 @@
 	until    time.Time
 	planner  *weights.Planner
 	excluded []string
-	freeing  *kvcache.Freeing
-	freedAt  time.Time
+	// freeing decides which cached parts may be freed, by the leases to fetch that this leader grants.
+	freeing *kvcache.Freeing
+	freedAt time.Time
 	// persisted are the target weight versions that are stored in the metadata store, by model.
 	persisted map[string][]weights.TargetVersion
 }
@@ -100,12 +101,14 @@
 // runAsLeader performs the leader's duties until the lease ends, an engine rejects its fencing token, or this
 // gateway leaves.
 func (f *Fleet) runAsLeader(ctx context.Context, lessor *lease.Lessor, holding lease.Holding) {
-	freeing, stopFreeing := context.WithCancel(ctx)
+	freeCtx, stopFreeing := context.WithCancel(ctx)
 	defer stopFreeing()
 	earliestOrder := f.earliestOrder()
 	var handover time.Time
 	f.loop.Call(func() {
-		f.eraFromBefore = f.eraFromBefore || holding.FromEarlierRun
+		if holding.FromEarlierRun {
+			f.earlierRunEra = int64(holding.Lease.Era)
+		}
 		handover = f.handover(bootclock.Now())
 		f.lead = leadership{
 			fence:     int64(holding.Fence),
@@ -114,7 +117,7 @@
 			persisted: make(map[string][]weights.TargetVersion),
 		}
 	})
-	f.background.Go(func() { f.listHolders(freeing, handover) })
+	f.background.Go(func() { f.listHolders(freeCtx, handover) })
 	var err error
 	for ctx.Err() == nil && !f.leaving.Load() {
 		if holding, err = lessor.Renew(ctx, holding); err != nil || f.hasEnded(holding) {
@@ -123,7 +126,7 @@
 		f.recordHolding(holding)
 		f.persistTargets(ctx)
 		if !bootclock.Now().Before(earliestOrder) {
-			f.performDuties(ctx, freeing, holding)
+			f.performDuties(ctx, freeCtx, holding)
 		}
 		fenced := false
 		f.loop.Call(func() { fenced = f.lead.fence == 0 })
@@ -191,7 +194,7 @@
 // newEraSince returns since when the era of the metadata store may exist; zero if an earlier run of this gateway held a lease in it, so
 // that it hasn't just begun.
 func (f *Fleet) newEraSince() time.Time {
-	if f.eraFromBefore {
+	if f.earlierRunEra != 0 && f.earlierRunEra == f.era.Load() {
 		return time.Time{}
 	}
 	return f.eraSince
@@ -241,8 +244,8 @@
 	return from
 }
 
-// performDuties executes the planner's next steps and frees, until the context freeing ends, cached parts that no engine can use.
-func (f *Fleet) performDuties(ctx, freeing context.Context, holding lease.Holding) {
+// performDuties executes the planner's next steps and frees, until freeCtx ends, cached parts that no engine can use.
+func (f *Fleet) performDuties(ctx, freeCtx context.Context, holding lease.Holding) {
 	var steps []weights.Step
 	var freeableParts []kvcache.StoredPart
 	f.loop.Call(func() {
@@ -257,7 +260,7 @@
 	for _, step := range steps {
 		go f.executeStep(ctx, holding, step)
 	}
-	f.startFreeing(freeing, holding, freeableParts)
+	f.startFreeing(freeCtx, holding, freeableParts)
 }
 
 // excludeServers updates, in the dispatcher and at the other gateways, which servers get no new requests.
--- a/internal/kvcache/freeing.go
+++ b/internal/kvcache/freeing.go
@@ -18,11 +18,11 @@
 // leader granted, and the leader frees only what has retired at every gateway that may have a lease, its own or an earlier leader's.
 // A gateway whose messages don't reach the leader, or the reverse, gets no lease.
 type Freeing struct {
-	// freeFrom is when the leases of earlier leaders have ended.
+	// freeFrom is when the leases of earlier leaders have ended that grantedAt doesn't have.
 	freeFrom time.Time
 	// readFrom is from when the cache stores must have been read for fetches; zero for no bound.
 	readFrom time.Time
-	// grantedAt is the time of the latest lease by gateway.
+	// grantedAt is the time of the latest lease by gateway. SetHolders enters those of earlier leaders.
 	grantedAt map[string]time.Time
 	// retired are the shares that have retired at every gateway with a lease, freeable those whose parts may be freed, in
 	// thousandths.
