--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -33,6 +33,13 @@
 	return fetched > 0
 }
 
+// startTwo runs two Fleets on a store that has a configuration.
+func startTwo(c *qt.C) (store *memkv.Store, a, b *Fleet) {
+	store = startStore(c)
+	put(c, store, "op/config", "1")
+	return store, startFleetOn(c, "a", store), startFleetOn(c, "b", store)
+}
+
 func liveCount(f *Fleet) (count int) {
 	f.loop.Call(func() { count = len(f.members.Live(bootclock.Now())) })
 	return count
@@ -42,9 +49,7 @@
 func TestGatewaysThatHearOnlyEachOtherStopFetching(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	store := startStore(c)
-	put(c, store, "op/config", "1")
-	a, b := startFleetOn(c, "a", store), startFleetOn(c, "b", store)
+	store, a, b := startTwo(c)
 	eventually(c, "both fetch", func() bool { return fetches(a) && fetches(b) })
 	store.SetFaults(memkv.Faults{Down: true})
 	time.Sleep(kvcache.FetchLeaseTTL)
@@ -72,9 +77,7 @@
 func TestGatewaysThatHearOnlyEachOtherShareNoCache(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	store := startStore(c)
-	put(c, store, "op/config", "1")
-	a, b := startFleetOn(c, "a", store), startFleetOn(c, "b", store)
+	store, a, b := startTwo(c)
 	eventually(c, "both share", func() bool { return shares(a) && shares(b) })
 	store.SetFaults(memkv.Faults{Down: true})
 	cutAt := time.Now()
@@ -102,9 +105,7 @@
 func TestMajoritySharesInAnOutage(t *testing.T) {
 	t.Parallel()
 	c := qt.New(t)
-	store := startStore(c)
-	put(c, store, "op/config", "1")
-	a, b := startFleetOn(c, "a", store), startFleetOn(c, "b", store)
+	store, a, b := startTwo(c)
 	eventually(c, "both share", func() bool { return shares(a) && shares(b) && liveCount(a) == 1 && liveCount(b) == 1 })
 	store.SetFaults(memkv.Faults{Down: true})
 	hear(a, "c")
