--- /dev/null
+++ b/review/_harness3/main_test.go
@@ -0,0 +1,77 @@
+// Package harness holds the stand-ins and the cases of a review. It is compiled by review/build-3.sh into one program, which the
+// script of each case starts.
+package harness
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	held        = 0
+	broken      = 1
+	couldNotRun = 2
+)
+
+func TestMain(*testing.M) {
+	if settings := os.Getenv("REVIEW_REPLICA"); settings != "" {
+		os.Exit(runReplica(settings))
+	}
+	cases := map[string]func(*deployment) (int, error){"drain": caseDrain, "versions": caseVersions, "serve": caseServe}
+	run := cases[os.Getenv("REVIEW_CASE")]
+	if run == nil {
+		fmt.Fprintln(os.Stderr, "REVIEW_CASE names no case")
+		os.Exit(couldNotRun)
+	}
+	os.Exit(runCase(run))
+}
+
+// maxRunTime ends a case that hangs.
+const maxRunTime = 100 * time.Second
+
+func runCase(run func(*deployment) (int, error)) int {
+	d, err := newDeployment()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return couldNotRun
+	}
+	defer d.stop()
+	ended := make(chan int, 1)
+	go func() {
+		code, err := run(d)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = couldNotRun
+		}
+		ended <- code
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	code := couldNotRun
+	select {
+	case code = <-ended:
+	case <-signals:
+	case <-time.After(maxRunTime):
+		fmt.Fprintln(os.Stderr, "the case takes too long")
+	}
+	d.writeRecord()
+	return code
+}
+
+func caseServe(d *deployment) (int, error) {
+	d.store.put("op/config", []byte(plainConfiguration))
+	if err := d.startGateways("erie", "huron"); err != nil {
+		return couldNotRun, err
+	}
+	if err := d.awaitReady(10 * time.Second); err != nil {
+		return couldNotRun, err
+	}
+	fmt.Println("STORE", d.store.address, "FRONT", d.gateways[0].front, d.gateways[1].front, "FOLDER", d.folder, "PID", d.gateways[0].command.Process.Pid)
+	time.Sleep(100 * time.Second)
+	return held, nil
+}
