--- a/review/_harness3/foreign_test.go
+++ b/review/_harness3/foreign_test.go
@@ -1,6 +1,8 @@
 package harness
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"time"
 )
@@ -12,10 +14,35 @@
 	servesOnLong = 2 * time.Second
 )
 
-// caseForeign lets one replica leave that never reports "draining". One second after its registration was removed another writer
-// writes that key, with fields missing. The rule is broken if a request reaches the replica later than drain_ms after the store's
-// acknowledgement of the removal.
+// caseForeign writes the registration of a replica that has left once more, with fields missing.
 func caseForeign(d *deployment) (int, error) {
+	return d.runReturningRegistration("another writer", func(r replicaSettings, _ []byte) []byte {
+		// Without version, cold_remaining_ms, sequence and born.
+		return fmt.Appendf(nil, `{"service":"archive","address":%q,"zone":%q,"slots":16,"state":"ready"}`, r.Address, r.Zone)
+	})
+}
+
+// caseLate carries out an earlier status report of a replica after it has left: one that got no answer from the store when it was
+// sent, before the latest one that the store had taken.
+func caseLate(d *deployment) (int, error) {
+	return d.runReturningRegistration("the store carries out an earlier report late and", func(_ replicaSettings, last []byte) []byte {
+		var entry map[string]any
+		decoder := json.NewDecoder(bytes.NewReader(last))
+		decoder.UseNumber()
+		if err := decoder.Decode(&entry); err != nil {
+			return nil
+		}
+		sequence, _ := entry["sequence"].(json.Number).Int64()
+		entry["sequence"] = sequence - 1
+		text, _ := json.Marshal(entry)
+		return text
+	})
+}
+
+// runReturningRegistration lets one replica leave that never reports "draining". Its registration is removed, and foreignAfter later
+// there is an entry under its key again, which entry makes of the replica and its last registration. The rule is broken if a request
+// reaches the replica later than drain_ms after the store's acknowledgement of the removal.
+func (d *deployment) runReturningRegistration(writer string, entry func(r replicaSettings, last []byte) []byte) (int, error) {
 	d.store.put("op/config", []byte(plainConfiguration))
 	for i := range 4 {
 		s := replicaSettings{ID: fmt.Sprint("archive-", i), Service: "archive", Zone: zoneOf(i), Software: "v1", WorkMS: 60}
@@ -33,13 +60,13 @@
 	time.Sleep(6 * time.Second)
 	const id = "archive-3"
 	d.silenceReplica(id)
+	last := d.store.value("servers/" + id)
 	removedAt := d.removeRegistration(id)
 	time.Sleep(foreignAfter)
 	if d.trouble {
-		// Without version, cold_remaining_ms, sequence and born.
-		entry := fmt.Sprintf(`{"service":"archive","address":%q,"zone":%q,"slots":16,"state":"ready"}`, d.replicas[id].Address, d.replicas[id].Zone)
-		d.store.put("servers/"+id, []byte(entry))
-		d.logf("another writer writes servers/%s: %s", id, entry)
+		text := entry(d.replicas[id].replicaSettings, last)
+		d.store.put("servers/"+id, text)
+		d.logf("%s writes servers/%s: %s", writer, id, text)
 	}
 	time.Sleep(time.Until(removedAt.Add(drainTime + servesOnLong)))
 	d.killReplica(id)
--- a/review/_harness3/metastore_test.go
+++ b/review/_harness3/metastore_test.go
@@ -69,6 +69,13 @@
 	return time.Now()
 }
 
+// value returns the value of a key.
+func (s *metastore) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
 // remove removes a key and returns the time of the acknowledgement.
 func (s *metastore) remove(key string) time.Time {
 	s.mu.Lock()
