--- a/review/_harness3/deployment_test.go
+++ b/review/_harness3/deployment_test.go
@@ -31,8 +31,13 @@
 }
 
 type gatewayProcess struct {
-	name, front, ready string
-	command            *exec.Cmd
+	name, zone, front, ready, control string
+	// firstPort and lastPort are the internal ports for heartbeats and metrics.
+	firstPort, lastPort int
+	// settings and log are the paths of its settings file and its output.
+	settings, log string
+	fields        fields
+	command       *exec.Cmd
 }
 
 type replicaProcess struct {
@@ -95,36 +100,27 @@
 	return listener.Addr().String()
 }
 
-// startGateways starts one gateway in each zone, with the command of the deploy file and settings as its template gives them.
+// startGateways starts one gateway in each zone.
 func (d *deployment) startGateways(zones ...string) error {
+	root, err := repositoryRoot()
+	if err != nil {
+		return err
+	}
 	var seeds []string
 	for range zones {
 		seeds = append(seeds, freeAddress())
 	}
 	for i, zone := range zones {
-		g := &gatewayProcess{name: "edge-" + zone + "-1", front: freeAddress(), ready: freeAddress()}
-		settings := map[string]any{
-			"instance": g.name, "failure_domain": zone, "listen": g.front, "ready": g.ready, "control": seeds[i],
-			"beats": freeAddress(), "metrics": freeAddress(), "metastore": d.store.address, "seeds": seeds[:min(3, len(seeds))],
-			"grace_ms": 8000, "lease_ms": 3000, "contact_ms": 3000, "memory_mb": gatewayMemoryMB(), "retry_ratio": 0.2, "retry_slack": 52,
-			"retry_window_ms": 10000, "cold_overage": 1, "cold_slack": 0, "weights_within_ms": 15000,
-		}
-		text, _ := json.MarshalIndent(settings, "", "\t")
-		path := filepath.Join(d.folder, g.name+".json")
-		if err := os.WriteFile(path, text, 0o644); err != nil {
-			return err
-		}
-		output, err := os.Create(filepath.Join(d.folder, g.name+".log"))
-		if err != nil {
-			return err
+		g := &gatewayProcess{
+			name: "edge-" + zone + "-1", zone: zone, front: freeAddress(), ready: freeAddress(), control: seeds[i],
+			firstPort: portOf(freeAddress()), lastPort: portOf(freeAddress()),
 		}
-		root, err := repositoryRoot()
-		if err != nil {
+		g.settings, g.log = filepath.Join(d.folder, g.name+".json"), filepath.Join(d.folder, g.name+".log")
+		g.fields = newFields(g, d.store.address, seeds[:min(3, len(seeds))])
+		if err := g.writeSettings(root); err != nil {
 			return err
 		}
-		g.command = exec.Command("target/balsam-gateway", "--settings", path)
-		g.command.Dir, g.command.Stdout, g.command.Stderr = root, output, output
-		if err := g.command.Start(); err != nil {
+		if err := g.start(root); err != nil {
 			return err
 		}
 		d.gateways = append(d.gateways, g)
@@ -132,6 +128,12 @@
 	return nil
 }
 
+func portOf(address string) int {
+	_, text, _ := net.SplitHostPort(address)
+	port, _ := strconv.Atoi(text)
+	return port
+}
+
 func repositoryRoot() (string, error) {
 	folder, err := os.Getwd()
 	for err == nil && folder != "/" {
@@ -225,10 +227,3 @@
 		fmt.Println("logs in", d.folder)
 	}
 }
-
-func gatewayMemoryMB() int {
-	if n, err := strconv.Atoi(os.Getenv("REVIEW_MEM")); err == nil {
-		return n
-	}
-	return 284
-}
