--- a/review/_harness3/drain_test.go
+++ b/review/_harness3/drain_test.go
@@ -27,7 +27,7 @@
 func caseDrain(d *deployment) (int, error) {
 	d.store.put("op/config", []byte(plainConfiguration))
 	for i := range 4 {
-		s := replicaSettings{ID: fmt.Sprint("archive-", i), Service: "archive", Zone: zoneOf(i), Software: "v1", WorkMS: 60}
+		s := replicaSettings{ID: fmt.Sprint("archive-", i), Service: "archive", Zone: zoneOf(i), Software: "v1", WorkMS: 60, Slots: 6}
 		if err := d.startReplica(s); err != nil {
 			return couldNotRun, err
 		}
@@ -51,21 +51,22 @@
 		removedAt[id] = d.removeRegistration(id)
 		time.Sleep(time.Until(removedAt[id].Add(drainTime + servesOn)))
 		d.killReplica(id)
-		s := replicaSettings{ID: fmt.Sprint("archive-", 4+round), Service: "archive", Zone: zoneOf(3 - round), Software: "v1", WorkMS: 60}
+		s := replicaSettings{ID: fmt.Sprint("archive-", 4+round), Service: "archive", Zone: zoneOf(3 - round), Software: "v1", WorkMS: 60, Slots: 6}
 		if err := d.startReplica(s); err != nil {
 			return couldNotRun, err
 		}
 		time.Sleep(5 * time.Second)
 	}
 	load.stop()
-	return d.judgeDrain(load, removedAt)
+	return d.judgeDrain(load, removedAt, drainTime)
 }
 
-// judgeDrain checks the rule DRAIN for replicas whose removal was acknowledged, and records what was seen.
-func (d *deployment) judgeDrain(load *checkouts, removedAt map[string]time.Time) (int, error) {
-	late := d.lateArrivals(removedAt)
+// judgeDrain checks the rule DRAIN for replicas whose removal was acknowledged, and records what was seen. Requests count that reach
+// them later than lateAfter.
+func (d *deployment) judgeDrain(load *checkouts, removedAt map[string]time.Time, lateAfter time.Duration) (int, error) {
+	late := d.lateArrivals(removedAt, lateAfter)
 	d.logf("watches cut: %d; checkouts: %d answered with 200, %d with 502, %d with 503 or nothing", d.store.cuts, load.count(200), load.count(502), load.all()-load.count(200)-load.count(502))
-	d.logf("requests that reached a replica later than drain_ms after its removal was acknowledged: %d", len(late))
+	d.logf("requests that reached a replica later than %v after its removal was acknowledged: %d", lateAfter, len(late))
 	for _, line := range late {
 		d.logf("late: %s", line)
 	}
@@ -81,14 +82,14 @@
 
 func zoneOf(i int) string { return []string{"erie", "huron"}[i%2] }
 
-// lateArrivals returns the requests that reached a replica later than drainTime after its removal was acknowledged.
-func (d *deployment) lateArrivals(removedAt map[string]time.Time) (late []string) {
+// lateArrivals returns the requests that reached a replica later than lateAfter after its removal was acknowledged.
+func (d *deployment) lateArrivals(removedAt map[string]time.Time, lateAfter time.Duration) (late []string) {
 	for _, line := range d.runs() {
 		for id, at := range removedAt {
 			_, text, found := strings.Cut(line, " at ")
 			arrivedMS, err := strconv.ParseInt(text, 10, 64)
 			if found && err == nil && strings.Contains(line, "replica "+id+" ") {
-				if after := time.UnixMilli(arrivedMS).Sub(at); after > drainTime {
+				if after := time.UnixMilli(arrivedMS).Sub(at); after > lateAfter {
 					late = append(late, fmt.Sprintf("%s (%v after the acknowledgement)", line, after.Round(time.Millisecond)))
 				}
 			}
--- a/review/_harness3/replica_test.go
+++ b/review/_harness3/replica_test.go
@@ -23,6 +23,8 @@
 	Software string `json:"software"`
 	// Model is empty for a plain service.
 	Model string `json:"model"`
+	// Slots is how many requests it says to process at once.
+	Slots int    `json:"slots"`
 	Store string `json:"store"`
 	// Events and GapMS are the length of each stream and the pause between two events.
 	Events int `json:"events"`
@@ -80,7 +82,7 @@
 			continue
 		}
 		entry := map[string]any{
-			"service": r.Service, "address": r.Address, "zone": r.Zone, "version": r.Software, "slots": 16, "state": "ready",
+			"service": r.Service, "address": r.Address, "zone": r.Zone, "version": r.Software, "slots": r.Slots, "state": "ready",
 			"cold_remaining_ms": 0, "sequence": sequence, "born": r.born,
 		}
 		if r.Model != "" {
@@ -116,7 +118,7 @@
 	id := request.Header.Get("Balsamyoke-Request-Id")
 	w.Header()["Balsamyoke-Request-Id"] = []string{id}
 	w.Header().Set("Balsamyoke-Instance-Id", r.ID)
-	w.Header().Set("Balsamyoke-Server-Load", fmt.Sprintf("%d,0,16", r.running.Load()))
+	w.Header().Set("Balsamyoke-Server-Load", fmt.Sprintf("%d,0,%d", r.running.Load(), r.Slots))
 	if expected := request.Header.Get("Balsamyoke-Expect-Instance"); expected != "" && expected != r.ID {
 		w.Header().Set("Balsamyoke-Not-Executed", "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/review/_harness3/settings_test.go
+++ b/review/_harness3/settings_test.go
@@ -153,7 +153,7 @@
 func caseSettings(d *deployment) (int, error) {
 	d.store.put("op/config", []byte(plainConfiguration))
 	for i := range 4 {
-		s := replicaSettings{ID: fmt.Sprint("archive-", i), Service: "archive", Zone: zoneOf(i), Software: "v1", WorkMS: 60}
+		s := replicaSettings{ID: fmt.Sprint("archive-", i), Service: "archive", Zone: zoneOf(i), Software: "v1", WorkMS: 60, Slots: 6}
 		if err := d.startReplica(s); err != nil {
 			return couldNotRun, err
 		}
--- a/review/_harness3/versions_test.go
+++ b/review/_harness3/versions_test.go
@@ -34,7 +34,7 @@
 func caseVersions(d *deployment) (int, error) {
 	d.store.put("op/config", []byte(streamConfiguration))
 	for i := range 4 {
-		s := replicaSettings{ID: fmt.Sprint("tracer-", i), Service: "tracer", Zone: zoneOf(i), Software: "v1", Model: "m0", Events: 40, GapMS: 80}
+		s := replicaSettings{ID: fmt.Sprint("tracer-", i), Service: "tracer", Zone: zoneOf(i), Software: "v1", Model: "m0", Events: 40, GapMS: 80, Slots: 128}
 		if err := d.startReplica(s); err != nil {
 			return couldNotRun, err
 		}
