--- a/review/_harness3/deployment_test.go
+++ b/review/_harness3/deployment_test.go
@@ -91,16 +91,18 @@
 	return lines
 }
 
-// Ports of freeAddress. They are below those that the system gives to outgoing connections.
+// Ports of freeAddress. They are below those that the system gives to outgoing connections. Each process takes its own range of them,
+// so that cases can run beside each other.
 const (
 	firstFreePort = 12000
-	freePorts     = 18000
+	freePorts     = 200
+	portRanges    = 97
 )
 
 // freeAddress returns a loopback address with a port that is free now, and that it hasn't returned before.
 func freeAddress() string {
 	for {
-		address := fmt.Sprint("127.0.0.1:", firstFreePort+rand.IntN(freePorts))
+		address := fmt.Sprint("127.0.0.1:", firstFreePort+os.Getpid()%portRanges*freePorts+rand.IntN(freePorts))
 		if _, given := givenAddresses.LoadOrStore(address, true); given {
 			continue
 		}
