Review case 11: a gateway that wakes goes by registrations from before

A gateway that stood still for 1.7 s sends the rest of streams to replicas of a plain service that have started again in place with other software meanwhile; the store is up all the time (ORDER).

--- a/review/_harness3/main_test.go
+++ b/review/_harness3/main_test.go
@@ -19,7 +19,7 @@
 )
 
 // cases are the cases by the name in REVIEW_CASE.
-var cases = map[string]func(*deployment) (int, error){"drain": caseDrain, "versions": caseVersions, "foreign": caseForeign, "late": caseLate, "settings": caseSettings, "frozen": caseFrozen, "restarts": caseRestarts, "cache": caseCache}
+var cases = map[string]func(*deployment) (int, error){"drain": caseDrain, "versions": caseVersions, "foreign": caseForeign, "late": caseLate, "settings": caseSettings, "frozen": caseFrozen, "thawed": caseThawed, "restarts": caseRestarts, "cache": caseCache}
 
 func TestMain(*testing.M) {
 	if settings := os.Getenv("REVIEW_REPLICA"); settings != "" {
--- a/review/_harness3/metastore_test.go
+++ b/review/_harness3/metastore_test.go
@@ -30,6 +30,8 @@
 	// down makes every call return 503.
 	down bool
 	cuts int
+	// answerTime is how long each call takes.
+	answerTime time.Duration
 }
 
 type storedItem struct {
@@ -160,8 +162,9 @@
 func (s *metastore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Store-Era", "1")
 	s.mu.Lock()
-	down := s.down
+	down, answerTime := s.down, s.answerTime
 	s.mu.Unlock()
+	time.Sleep(answerTime)
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
