--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -155,8 +155,12 @@
 	if bound && before.Sub(after) < minLoggedCorrection {
 		return
 	}
+	unread := zap.Skip()
+	if !f.operatorReadAt.IsZero() {
+		unread = zap.Duration("operator_unread", now.Sub(f.operatorReadAt))
+	}
 	f.Log.Info(EventTargetWeights, zap.String("model", target.Model), zap.Int64("version", target.Version),
-		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)))
+		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)), unread)
 }
 
 // loadTargets adds stored target versions and returns them. While the servers' clock is unknown the record is kept until it is known.
