--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -141,6 +142,16 @@
 // startFleetBehind is startFleetOn for a Fleet that tells the others the address which announce returns for its control
 // address.
 func startFleetBehind(c *qt.C, name string, store Metastore, announce func(controlAddress string) string, seeds ...string) *Fleet {
+	f, _ := startStoppableFleetBehind(c, name, store, announce, seeds...)
+	return f
+}
+
+// startStoppableFleet is startFleetOn for a Fleet that may be stopped before the end of the test.
+func startStoppableFleet(c *qt.C, name string, store Metastore) (f *Fleet, stop func()) {
+	return startStoppableFleetBehind(c, name, store, func(controlAddress string) string { return controlAddress })
+}
+
+func startStoppableFleetBehind(c *qt.C, name string, store Metastore, announce func(controlAddress string) string, seeds ...string) (f *Fleet, stop func()) {
 	beatAddress, err := loopback.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	controlAddress, err := loopback.FreeAddress()
@@ -150,7 +161,7 @@
 	if !found {
 		domain = "a"
 	}
-	f := New(Options{
+	f = New(Options{
 		Platform: Platform{Metastore: store, Documents: documents{}, Engines: unavailablePlatform{}, Stores: unavailablePlatform{}},
 		Log:      log, Counters: NewCounters(tally.NoopScope), Incarnation: process.NewIncarnation(), Seeds: seeds,
 		Self:          &wire.Peer{Instance: name, BeatAddress: beatAddress, ControlAddress: announce(controlAddress), FailureDomain: domain},
@@ -162,13 +173,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- f.Run(ctx) }()
-	c.Cleanup(func() {
+	stop = sync.OnceFunc(func() {
 		cancel()
 		c.Check(<-ended, qt.IsNil)
 		server.Stop()
 		log.Close()
 	})
-	return f
+	c.Cleanup(stop)
+	return f, stop
 }
 
 func eventually(c *qt.C, description string, condition func() bool) {
