Count a target weight version from the last reading that lacked it

What callers saw (soak): all gateways lost power 5 ms after a target weight version had been set, and were back after 2 s. Prompts began on weights whose replacement was overdue, 3 to 311 ms after the deadline.

Cause: a gateway counted a version from when it read it. If all of them read it late, because their watches are silent, cut or refused, the history is dropped, or all of them ended before a leader had stored its time, engines with older weights were due as much later. Only the margin of 1.2 s covered that.

Change: a target version has, beside the earliest time at which some gateway read it, a bound for how much earlier it may have been set: the time since that gateway's last complete reading, none if a watch brought it while it waited. Gateways exchange both and take the smaller of each, so that neither a heartbeat that waited nor a gateway that was cut off for long makes the time later or much earlier. The leader stores every 2 s up to when all versions are stored; gateways that start bound by it what they find. The bound shortens the time for older versions by half at most.

--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -7,7 +7,7 @@
 )
 
 // AddTargetWeightVersion records that a weight version became the target of its model, in any order of the versions. It
-// reports whether that shortens the time for which some engines may keep their weights.
+// reports whether that changed what is known.
 func (d *Dispatcher) AddTargetWeightVersion(target weights.TargetVersion) bool {
 	if !d.schedule.Add(target) {
 		return false
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -468,10 +468,8 @@
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
+		f.loadStored(listing.Records, now)
 		for _, record := range listing.Records {
-			if strings.HasPrefix(record.Key, targetPrefix) {
-				f.loadTargets(record, now)
-			}
 			if !strings.HasPrefix(record.Key, peerPrefix) {
 				continue
 			}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -118,6 +118,7 @@
 		}
 	})
 	f.background.Go(func() { f.listHolders(freeCtx, handover) })
+	f.background.Go(func() { f.persistReadings(freeCtx) })
 	var err error
 	for ctx.Err() == nil && !f.leaving.Load() {
 		if holding, err = lessor.Renew(ctx, holding); err != nil || f.hasEnded(holding) {
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +21,12 @@
 	// targetPrefix is the prefix of the keys in which the leader stores when weight versions became the target, for gateways
 	// that start when no other one is left that knows.
 	targetPrefix = ownPrefix + "named/"
+	// readingKey is the key in which the leader stores up to when all target versions are stored. It sorts before targetPrefix, so that
+	// a listing has what is stored under that as of the reading or later.
+	readingKey = ownPrefix + "confirmed"
+	// readingInterval is the interval at which it is written: the time by which a version counts as set too early at gateways
+	// that start when no other one is left.
+	readingInterval = 2 * time.Second
 	// persistTolerance is by how much a stored time may be later than the known one before it is stored again.
 	persistTolerance = 500 * time.Millisecond
 )
@@ -34,6 +41,38 @@
 	// SetMS is when the version became the target, in Unix milliseconds of the servers' clock: the hosts' clocks differ and
 	// may be stepped.
 	SetMS int64 `json:"set_ms"`
+	// LagMS is by how much earlier it may have become the target; negative if nothing bounds that.
+	LagMS int64 `json:"lag_ms,omitempty"`
+}
+
+// storedReading is the value of readingKey.
+type storedReading struct {
+	// ReadMS is the time, in Unix milliseconds of the servers' clock, up to which all target versions are stored.
+	ReadMS int64 `json:"read_ms"`
+}
+
+// lagMS returns a lag in milliseconds, rounded up; negative if it is unknown.
+func lagMS(lag time.Duration) int64 {
+	if lag == weights.UnknownLag {
+		return -1
+	}
+	return (lag + time.Millisecond - 1).Milliseconds()
+}
+
+// lagOf is the inverse of lagMS.
+func lagOf(ms int64) time.Duration {
+	if ms < 0 {
+		return weights.UnknownLag
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// operatorLag bounds how long before now a change of the operator's keys that is new to this gateway was made.
+func (f *Fleet) operatorLag(now time.Time) time.Duration {
+	if f.operatorReadAt.IsZero() {
+		return weights.UnknownLag
+	}
+	return max(0, now.Sub(f.operatorReadAt))
 }
 
 // persistTargets stores when the target versions were set, unless this leader has done so.
@@ -59,7 +98,7 @@
 func covers(stored, known []weights.TargetVersion) bool {
 	for _, target := range known {
 		if !slices.ContainsFunc(stored, func(s weights.TargetVersion) bool {
-			return s.Version >= target.Version && s.SetAt.Sub(target.SetAt) <= persistTolerance
+			return s.Version >= target.Version && s.NotBefore().Sub(target.NotBefore()) <= persistTolerance
 		}) {
 			return false
 		}
@@ -108,7 +147,7 @@
 		known = f.dispatcher.Targets().Binding(model, bootclock.Now())
 		for _, target := range known {
 			if ms, ok := f.ServerClock(target.SetAt); ok {
-				stored.Versions = append(stored.Versions, storedTarget{Version: target.Version, SetMS: ms})
+				stored.Versions = append(stored.Versions, storedTarget{Version: target.Version, SetMS: ms, LagMS: lagMS(target.Lag)})
 			}
 		}
 	})
@@ -127,7 +166,7 @@
 	for _, model := range f.dispatcher.Targets().Models() {
 		for _, target := range f.dispatcher.Targets().Binding(model, now) {
 			beat.TargetVersions = append(beat.TargetVersions, &wire.TargetVersion{
-				Model: model, Version: target.Version, AgeMs: ageMS(now, target.SetAt),
+				Model: model, Version: target.Version, AgeMs: ageMS(now, target.SetAt), LagMs: lagMS(target.Lag),
 			})
 		}
 	}
@@ -136,23 +175,25 @@
 // mergeTargetVersions adds the target versions of another gateway's heartbeat.
 func (f *Fleet) mergeTargetVersions(beat *wire.Beat, now time.Time) {
 	for _, reported := range beat.GetTargetVersions() {
-		target := weights.TargetVersion{Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(now, reported.GetAgeMs())}
+		target := weights.TargetVersion{
+			Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(now, reported.GetAgeMs()), Lag: lagOf(reported.GetLagMs()),
+		}
 		f.addTargetVersion(target, beat.GetFrom().GetInstance(), now)
 	}
 }
 
-// minLoggedCorrection is the smallest correction of a known target version's time that is logged: heartbeats take some
+// minLoggedCorrection is the smallest correction of a known target version's deadline that is logged: heartbeats take some
 // milliseconds.
 const minLoggedCorrection = 250 * time.Millisecond
 
-// addTargetVersion records a target version and logs it if it is new or was set earlier than known.
+// addTargetVersion records a target version and logs it if it is new or its deadline changes.
 func (f *Fleet) addTargetVersion(target weights.TargetVersion, source string, now time.Time) {
 	before, bound := f.dispatcher.Targets().Deadline(target.Model, target.Version-1)
 	if !f.dispatcher.AddTargetWeightVersion(target) {
 		return
 	}
 	after, _ := f.dispatcher.Targets().Deadline(target.Model, target.Version-1)
-	if bound && before.Sub(after) < minLoggedCorrection {
+	if bound && before.Sub(after).Abs() < minLoggedCorrection {
 		return
 	}
 	unread := zap.Skip()
@@ -160,7 +201,93 @@
 		unread = zap.Duration("operator_unread", now.Sub(f.operatorReadAt))
 	}
 	f.Log.Info(EventTargetWeights, zap.String("model", target.Model), zap.Int64("version", target.Version),
-		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)), unread)
+		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)), zap.Int64("lag_ms", lagMS(target.Lag)), unread)
+}
+
+// persistReadings stores, until ctx ends, up to when all target versions are stored.
+func (f *Fleet) persistReadings(ctx context.Context) {
+	swap := metastore.Swap{Key: readingKey}
+	for ctx.Err() == nil {
+		reading, ok := f.completeReading()
+		if !ok {
+			sleep(ctx, dutyInterval)
+			continue
+		}
+		if err := f.persistReading(ctx, &swap, reading); err != nil {
+			f.Counters.StoreFailures.Inc(1)
+			f.Log.Warn(EventAnnounceFailed, zap.String("key", swap.Key), eventlog.Error(err))
+		}
+		sleep(ctx, readingInterval)
+	}
+}
+
+// persistReading stores a reading. The swap has the revision of the key, as far as known.
+func (f *Fleet) persistReading(ctx context.Context, swap *metastore.Swap, reading storedReading) error {
+	value, err := json.Marshal(reading)
+	if err != nil {
+		return ErrPeer.Wrap(err, "cannot encode the reading")
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	swap.Value = value
+	for {
+		f.Counters.StoreCalls.Inc(1)
+		result, err := f.Platform.Metastore.CompareAndSwap(ctx, *swap)
+		if err != nil {
+			return err
+		}
+		if result.Swapped {
+			swap.Expect = result.Revision
+			return nil
+		}
+		// An earlier leader has written the key.
+		swap.Expect = result.Current.ModRevision
+	}
+}
+
+// completeReading returns this leader's latest reading of the operator's keys. It returns false if some target version isn't stored,
+// the servers' clock is unknown or there are no engines.
+func (f *Fleet) completeReading() (reading storedReading, ok bool) {
+	f.loop.Call(func() {
+		if f.lead.fence == 0 || f.operatorReadAt.IsZero() {
+			return
+		}
+		models := f.dispatcher.Targets().Models()
+		if table := f.Table(); len(models) == 0 && (table == nil || tokenBytes(table.Services) == 0) {
+			return
+		}
+		now := bootclock.Now()
+		for _, model := range models {
+			if !covers(f.lead.persisted[model], f.dispatcher.Targets().Binding(model, now)) {
+				return
+			}
+		}
+		reading.ReadMS, ok = f.ServerClock(f.operatorReadAt)
+	})
+	return reading, ok
+}
+
+// loadReading takes over up to when all target versions are stored. Those of which only this gateway's first reading is known were set
+// after that.
+func (f *Fleet) loadReading(record metastore.Record, now time.Time) {
+	var stored storedReading
+	if err := json.Unmarshal(record.Value, &stored); err != nil {
+		f.Log.Warn(EventUnreadable, zap.String("key", record.Key), eventlog.Error(err))
+		return
+	}
+	readAt := time.UnixMilli(stored.ReadMS - f.clockOffsetMS.Load())
+	if readAt.After(now) {
+		readAt = now
+	}
+	f.operatorReadAt = later(f.operatorReadAt, readAt)
+	for _, model := range f.dispatcher.Targets().Models() {
+		for _, target := range f.dispatcher.Targets().Binding(model, now) {
+			if target.Lag == weights.UnknownLag {
+				target.Lag = max(0, target.SetAt.Sub(readAt))
+				f.addTargetVersion(target, "stored", now)
+			}
+		}
+	}
 }
 
 // loadTargets adds stored target versions and returns them. While the servers' clock is unknown the record is kept until it is known.
@@ -176,7 +303,9 @@
 		return nil
 	}
 	for _, s := range stored.Versions {
-		target := weights.TargetVersion{Model: strings.TrimPrefix(record.Key, targetPrefix), Version: s.Version, SetAt: time.UnixMilli(s.SetMS - offset)}
+		target := weights.TargetVersion{
+			Model: strings.TrimPrefix(record.Key, targetPrefix), Version: s.Version, SetAt: time.UnixMilli(s.SetMS - offset), Lag: lagOf(s.LagMS),
+		}
 		if target.SetAt.After(now) {
 			target.SetAt = now
 		}
@@ -186,13 +315,31 @@
 	return loaded
 }
 
-// loadRemainingTargets adds the stored target versions that were read before the servers' clock was known.
+// loadStored takes over what the leader has stored, in the records of one listing of the system's own keys, or when the servers'
+// clock is known.
+func (f *Fleet) loadStored(records []metastore.Record, now time.Time) {
+	for _, record := range records {
+		if strings.HasPrefix(record.Key, targetPrefix) {
+			f.loadTargets(record, now)
+		}
+	}
+	for _, record := range records {
+		switch {
+		case record.Key != readingKey:
+		case f.clockOffsetMS.Load() == 0:
+			f.unloadedTargets[record.Key] = record
+		default:
+			f.loadReading(record, now)
+		}
+	}
+}
+
+// loadRemainingTargets takes over what was read before the servers' clock was known.
 func (f *Fleet) loadRemainingTargets(now time.Time) {
-	if f.clockOffsetMS.Load() == 0 {
+	if f.clockOffsetMS.Load() == 0 || len(f.unloadedTargets) == 0 {
 		return
 	}
-	for key, record := range f.unloadedTargets {
-		delete(f.unloadedTargets, key)
-		f.loadTargets(record, now)
-	}
+	records := slices.Collect(maps.Values(f.unloadedTargets))
+	clear(f.unloadedTargets)
+	f.loadStored(records, now)
 }
--- a/internal/systemtest/soak/engines_test.go
+++ b/internal/systemtest/soak/engines_test.go
@@ -224,6 +224,8 @@
 	running       int
 	orderCount    int64
 	highestFence  int64
+	// refusesOrders keeps the engine on its weights.
+	refusesOrders bool
 }
 
 func (w *deployment) startEngine(software string, weightVersion int64) *engine {
@@ -289,7 +291,7 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 	case o.Fence < e.highestFence:
 		out.WriteHeader(http.StatusPreconditionFailed)
-	case e.busy || o.Expected != nil && *o.Expected != e.orderCount:
+	case e.busy || e.refusesOrders || o.Expected != nil && *o.Expected != e.orderCount:
 		out.WriteHeader(http.StatusConflict)
 	case o.Version <= e.weightVersion:
 		e.highestFence = o.Fence
--- a/internal/systemtest/soak/faults_test.go
+++ b/internal/systemtest/soak/faults_test.go
@@ -96,6 +96,11 @@
 
 // restart returns a function that ends a gateway, paused or not, and starts it again.
 func (w *deployment) restart(n *gatewayProcess, stop func(*testbed.Process)) func() {
+	return w.restartAfter(n, stop, 0)
+}
+
+// restartAfter is restart for a gateway that stays away for a time.
+func (w *deployment) restartAfter(n *gatewayProcess, stop func(*testbed.Process), away time.Duration) func() {
 	return w.disturbances.during("", func() {
 		n.mu.Lock()
 		p := n.process
@@ -103,6 +108,7 @@
 		p.Thaw()
 		stop(p)
 		<-p.Ended()
+		time.Sleep(away)
 		w.restartGateway(n, p, w.gatewayBinary())
 	})
 }
--- a/internal/weights/schedule.go
+++ b/internal/weights/schedule.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -8,23 +9,46 @@
 // maxScheduled bounds the target versions that a Schedule keeps for each model.
 const maxScheduled = 32
 
-// TargetVersion is a weight version that the operator set as the target of a model, and the earliest known time at which
-// it was set.
+// UnknownLag is the Lag of a target version that may have been set any time before SetAt.
+const UnknownLag time.Duration = -1
+
+// maxLagShare is the share of the time for older versions by which a Lag shortens it at most. Gateways that start after a long stop would
+// otherwise take all engines as overdue at once.
+const maxLagShare = 0.5
+
+// TargetVersion is a weight version that the operator set as the target of a model.
 type TargetVersion struct {
 	Model   string
 	Version int64
-	SetAt   time.Time
+	// SetAt is the earliest time at which some gateway is known to have read the version.
+	SetAt time.Time
+	// Lag is by how much earlier than SetAt it may have been set, as far as some gateway can tell from its readings; or UnknownLag.
+	Lag time.Duration
+}
+
+// merge adds what another gateway knows of the same version. Neither value depends on how long that was on its way: a message
+// that arrives late makes SetAt too late, and the earliest wins.
+func (t *TargetVersion) merge(other TargetVersion) {
+	if other.SetAt.Before(t.SetAt) {
+		t.SetAt = other.SetAt
+	}
+	if other.Lag != UnknownLag && (t.Lag == UnknownLag || other.Lag < t.Lag) {
+		t.Lag = other.Lag
+	}
 }
 
+// NotBefore returns the earliest time at which the version may have been set. Nothing is subtracted for an unknown Lag.
+func (t *TargetVersion) NotBefore() time.Time { return t.SetAt.Add(-max(0, t.Lag)) }
+
 // Schedule records when each weight version became the target of its model, and from that by when engines must have left
 // older versions. It is not safe for concurrent use.
 //
-// Invariant: each target version binds the engines with older versions from its own time on, whatever versions follow it.
+// Invariant: each target version binds the engines with older versions from its own time on, whatever versions follow it. The
+// time is not later than when the version was set, unless its Lag is unknown or exceeds maxLagShare.
 type Schedule struct {
 	// within is the time for which requests may still start on older versions.
 	within time.Duration
-	// versions are, by model, the target versions that bind engines, in ascending order. Their times ascend too: a version
-	// whose time isn't earlier than that of a later one binds no engine sooner than that one.
+	// versions are, by model, the target versions in ascending order. SetAt ascends too: a version was set before a later one.
 	versions map[string][]TargetVersion
 }
 
@@ -34,28 +58,32 @@
 // SetWithin sets the time for which requests may still start on older versions after a target version is set.
 func (s *Schedule) SetWithin(within time.Duration) { s.within = within }
 
-// Add records a target version, in any order. It reports whether that binds some engines, or binds them earlier than known.
+// Add records a target version, or what another gateway knows of it, in any order. It reports whether that changed anything.
 func (s *Schedule) Add(target TargetVersion) bool {
 	list := s.versions[target.Model]
-	at, known := slices.BinarySearchFunc(list, target.Version, func(t TargetVersion, v int64) int { return int(t.Version - v) })
-	if at < len(list) && !target.SetAt.Before(list[at].SetAt) {
-		return false
-	}
-	if !known {
+	at, known := slices.BinarySearchFunc(list, target.Version, func(t TargetVersion, v int64) int { return cmp.Compare(t.Version, v) })
+	before := target
+	if known {
+		before = list[at]
+		target.merge(before)
+	} else {
 		list = slices.Insert(list, at, target)
 	}
-	list[at].SetAt = target.SetAt
-	first := at
-	for first > 0 && !list[first-1].SetAt.Before(target.SetAt) {
-		first--
+	if next := at + 1; next < len(list) && list[next].SetAt.Before(target.SetAt) {
+		target.SetAt = list[next].SetAt
+	}
+	list[at] = target
+	for i := range list[:at] {
+		if target.SetAt.Before(list[i].SetAt) {
+			list[i].SetAt = target.SetAt
+		}
 	}
-	list = slices.Delete(list, first, at)
 	if len(list) > maxScheduled {
-		list[1].SetAt = list[0].SetAt
+		list[1].SetAt, list[1].Lag = list[0].SetAt, list[0].Lag
 		list = slices.Delete(list, 0, 1)
 	}
 	s.versions[target.Model] = list
-	return true
+	return !known || target != before
 }
 
 // Newest returns the newest target version of a model; 0 if there is none.
@@ -72,19 +100,25 @@
 func (s *Schedule) Deadline(model string, version int64) (time.Time, bool) {
 	for _, target := range s.versions[model] {
 		if target.Version > version {
-			return target.SetAt.Add(s.within), true
+			return s.deadline(&target), true
 		}
 	}
 	return time.Time{}, false
 }
 
+// deadline returns the time until which requests may start on versions older than the target.
+func (s *Schedule) deadline(target *TargetVersion) time.Time {
+	lag := min(max(0, target.Lag), time.Duration(maxLagShare*float64(s.within)))
+	return target.SetAt.Add(s.within - lag)
+}
+
 // Binding returns the target versions of a model that another gateway needs to derive the same deadlines from now on. Those
 // before the last one whose time is over bind no engine that it doesn't bind.
 func (s *Schedule) Binding(model string, now time.Time) []TargetVersion {
 	list := s.versions[model]
 	first := 0
 	for i, target := range list {
-		if !now.Before(target.SetAt.Add(s.within)) {
+		if !now.Before(s.deadline(&target)) {
 			first = i
 		}
 	}
--- a/internal/weights/schedule_test.go
+++ b/internal/weights/schedule_test.go
@@ -74,6 +74,60 @@
 	})
 }
 
+// Guards against inc1 of issue 56: a deadline counted from a late reading. Gateways read versions late and know by how much at most;
+// what they tell each other arrives at once and, held up on the way, again.
+func TestLateReadingsNeverExtendADeadline(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const within = time.Minute
+		s := NewSchedule()
+		s.SetWithin(within)
+		milliseconds := func(most int, label string) time.Duration {
+			return time.Duration(rapid.IntRange(0, most).Draw(t, label)) * time.Millisecond
+		}
+		setAt := start
+		times := make(map[int64]time.Time)
+		exact := make(map[int64]bool)
+		var told []TargetVersion
+		for version := int64(2); version <= 5; version++ {
+			setAt = setAt.Add(milliseconds(6000, "pause"))
+			times[version] = setAt
+			for range rapid.IntRange(1, 3).Draw(t, "gateways") {
+				late, slack := milliseconds(8000, "late"), milliseconds(4000, "slack")
+				known := TargetVersion{Model: "m", Version: version, SetAt: setAt.Add(late), Lag: late + slack}
+				exact[version] = exact[version] || known.Lag == 0
+				heldUp := known
+				heldUp.SetAt = known.SetAt.Add(milliseconds(20_000, "held up"))
+				unbounded := known
+				unbounded.Lag = UnknownLag
+				told = append(told, known, heldUp, unbounded)
+			}
+		}
+		for _, target := range rapid.Permutation(told).Draw(t, "order") {
+			s.Add(target)
+		}
+		for version, at := range times {
+			deadline, bound := s.Deadline("m", version-1)
+			if !bound || deadline.After(at.Add(within)) {
+				t.Fatalf("version %d is due %v late (%t)", version-1, deadline.Sub(at.Add(within)), bound)
+			}
+			if exact[version] && !deadline.Equal(at.Add(within)) {
+				t.Fatalf("version %d is due %v early, though a gateway knows the time", version-1, at.Add(within).Sub(deadline))
+			}
+		}
+	})
+}
+
+// Gateways that start after a long stop must not take all engines as overdue at once.
+func TestLongLagLeavesTimeToLoad(t *testing.T) {
+	c := qt.New(t)
+	s := NewSchedule()
+	s.SetWithin(10 * time.Second)
+	s.Add(TargetVersion{Model: "m", Version: 2, SetAt: start, Lag: time.Hour})
+	deadline, bound := s.Deadline("m", 1)
+	c.Assert(bound, qt.IsTrue)
+	c.Assert(deadline.Sub(start), qt.Equals, 5*time.Second)
+}
+
 // Versions that are set faster than they can be kept bind engines too early rather than too late.
 func TestManyTargetVersionsNeverBindLater(t *testing.T) {
 	c := qt.New(t)
