Send no prompt to an engine where it would wait until the weights are overdue

Cause: gateways stop using an engine 1.2 s before its weights are overdue, to cover the wait there.

Change: the predicted time to the first token must fit as well, the margin covers what the prediction misses. Within 5 s of the deadline only, because a prediction costs as much as a candidate of the placement.

--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -66,8 +66,8 @@
 	e.left++
 }
 
-// hasWeights reports whether a request for a model may start on the weights that the server has.
+// hasWeights reports whether a request for a model would start on weights of the server on which it may.
 func (d *Dispatcher) hasWeights(now time.Time, r *Request, s *server) bool {
 	version := s.weightVersion[r.Model]
-	return version != 0 && version >= r.MinVersion && !d.overdue(now, s, r.Model)
+	return version != 0 && version >= r.MinVersion && !d.startsOverdue(now, r, s)
 }
--- a/internal/dispatch/weights.go
+++ b/internal/dispatch/weights.go
@@ -19,16 +19,30 @@
 // SetWeightsWithin sets how long requests may still start on older weights after a target weight version is set.
 func (d *Dispatcher) SetWeightsWithin(within time.Duration) { d.schedule.SetWithin(within) }
 
-// overdueMargin is subtracted from the time during which requests may start on older weights. It covers the time that
-// a request takes to reach the server and waits there.
-const overdueMargin = 1200 * time.Millisecond
+const (
+	// overdueMargin is subtracted from the time during which requests may start on older weights. It covers the time that
+	// a request takes to reach the server, and for which it waits there beyond the predicted time.
+	overdueMargin = 1200 * time.Millisecond
+	// longestStart is the time before a server's weights are overdue from which on the time to start there is predicted.
+	longestStart = 5 * time.Second
+)
 
-// overdue reports whether requests may no longer start on a server's weights.
+// overdue reports whether requests may no longer be sent to a server because of its weights.
 func (d *Dispatcher) overdue(now time.Time, s *server, model string) bool {
 	deadline, bound := d.schedule.Deadline(model, s.weightVersion[model])
 	return bound && now.After(deadline.Add(-overdueMargin))
 }
 
+// startsOverdue reports whether a request sent to a server now would start there on overdue weights, by the predicted time.
+func (d *Dispatcher) startsOverdue(now time.Time, r *Request, s *server) bool {
+	if d.overdue(now, s, r.Model) {
+		return true
+	}
+	deadline, bound := d.schedule.Deadline(r.Model, s.weightVersion[r.Model])
+	left := deadline.Add(-overdueMargin).Sub(now)
+	return bound && left < longestStart && left < milliseconds(d.predictMS(now, r, d.services[s.Service], s))
+}
+
 // weightsDueIn returns the time until no request may start on the server's weights; 0 if no newer ones are the target.
 func (d *Dispatcher) weightsDueIn(now time.Time, s *server, model string) time.Duration {
 	deadline, bound := d.schedule.Deadline(model, s.weightVersion[model])
