Let an engine that is found to have newer weights than known yield to those due first

Cause: a new leader doesn't know which loads of the earlier one have ended until the engines register again, up to 2 s later. It took these engines for the ones due first, had them drained, read in their reports that they had newer weights, and ordered them all the same.

TestEngineFoundWithNewerWeightsYieldsToThoseDueFirst failed before (in the first of 20 rounds, or soon after) and passes. Its simulation now takes an engine's version from every report, as the gateway does.

--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -94,11 +94,13 @@
 
 // progress is the planner's state of one engine.
 type progress struct {
-	machine    chart.Machine
-	address    string
-	model      string
-	version    int64
-	stateSince time.Time
+	machine chart.Machine
+	address string
+	model   string
+	version int64
+	// knownVersion is the engine's version as known when it was chosen.
+	knownVersion int64
+	stateSince   time.Time
 	// callPending is true while a step for this engine is carried out.
 	callPending bool
 	nextCallAt  time.Time
@@ -271,7 +273,7 @@
 		return false
 	}
 	p.fire(g, eventChoose, now)
-	g.address, g.model, g.version, g.reported = e.Address, t.Model, t.Version, false
+	g.address, g.model, g.version, g.knownVersion, g.reported = e.Address, t.Model, t.Version, e.Version, false
 	g.nextCallAt, g.evacuated = now, e.Evacuated
 	return true
 }
@@ -315,6 +317,11 @@
 	if !g.reported {
 		return p.requestReport(g, e), false
 	}
+	if e.Version > g.knownVersion {
+		// A load that an earlier leader ordered has ended. Other engines may be due sooner.
+		p.fire(g, eventSettled, now)
+		return nil, false
+	}
 	if !mayLoad || e.InFlight > 0 && now.Sub(g.stateSince) < drainTime {
 		return nil, false
 	}
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -84,7 +84,8 @@
 	e := w.engines[s.Server]
 	if s.Order == nil {
 		report := backend.Report{Versions: map[string]int64{"m": e.version}, Loading: e.loadingVersion > 0, AcceptedOrders: e.orders}
-		if w.planner.RecordReport(w.now, s.Server, report, !e.unreachable) {
+		w.planner.RecordReport(w.now, s.Server, report, !e.unreachable)
+		if !report.Loading && !e.unreachable {
 			e.reportedVersion = e.version
 		}
 		return
@@ -224,6 +225,22 @@
 	c.Assert(w.maxLoading <= 6, qt.IsTrue)
 }
 
+// Guards against loads of engines that had just loaded: a new leader that didn't know it ordered these before the ones due first.
+func TestEngineFoundWithNewerWeightsYieldsToThoseDueFirst(t *testing.T) {
+	c := qt.New(t)
+	for range 20 {
+		w := newSimulation(2, 15*time.Second)
+		w.now = w.now.Add(4 * time.Second)
+		w.setTarget(3)
+		loaded, due := w.engines["e00"], w.engines["e01"]
+		loaded.version = 2
+		for loaded.loads+due.loads == 0 {
+			w.step(loseNone)
+		}
+		c.Assert(due.loads, qt.Equals, 1)
+	}
+}
+
 // A leader whose fence is outdated must release its lease when an engine refuses an order as fenced.
 func TestFencedLeaderMustReleaseItsLease(t *testing.T) {
 	c := qt.New(t)
