Ignore which engines a former leader excludes

Cause: a gateway took the list of excluded engines from any leader's heartbeat. One that a frozen leader sends when it wakes, before it notices the end of its lease, replaced the list of the leader in office until that one's next heartbeat.

Change: lists of leaders with a lower fence than the highest heard are ignored.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -110,6 +110,8 @@
 	feeds           map[string]context.CancelFunc
 	sequence        uint64
 	lead            leadership
+	// latestFence is the highest fence of a leader that this gateway has heard.
+	latestFence int64
 	// startedAt is when this run began; peersListed is set after the first listing of the other gateways.
 	startedAt   time.Time
 	peersListed bool
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -249,7 +249,14 @@
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(now, v.GetServer(), v.GetModel(), v.GetVersion())
 	}
-	if member.Fence > 0 && member.Fence > f.lead.fence {
+	f.mergeExcluded(beat, now)
+}
+
+// mergeExcluded takes over which servers get no new requests, unless a later leader is known. A leader that was frozen may still
+// send what it decided before.
+func (f *Fleet) mergeExcluded(beat *wire.Beat, now time.Time) {
+	if fence := beat.GetFence(); fence > 0 && fence >= f.latestFence && fence > f.lead.fence {
+		f.latestFence = fence
 		f.dispatcher.SetExcluded(beat.GetWithheld(), now)
 	}
 }
