Let a new leader plan with the load time that the one before measured

Cause: each leader began with an expected load time of 1.5 s and corrected it by a third with each load.

Change: the leader's heartbeats say how long loads take. The load time is that of the latest leader heard.

TestNewLeaderPlansWithTheLoadTimeOfTheFormer (4 engines at once without it, 6 with it) and TestLoadTimeOfTheLatestLeaderIsKept are new: the code before has no such value.

--- a/internal/fleet/exclusions_test.go
+++ b/internal/fleet/former_leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/uber-go/tally/v4"
@@ -40,3 +41,19 @@
 	hear("next", 3)
 	c.Assert(excluded(), qt.HasLen, 0)
 }
+
+// Guards against a new leader that plans with the default time of a load, though the one before measured it.
+func TestLoadTimeOfTheLatestLeaderIsKept(t *testing.T) {
+	c := qt.New(t)
+	f := New(Options{Self: self("a"), Log: newTestLog(c), Counters: NewCounters(tally.NoopScope)})
+	for i, leader := range []struct {
+		name   string
+		fence  int64
+		loadMS uint32
+		kept   time.Duration
+	}{{"former", 1, 2000, 2 * time.Second}, {"leader", 2, 4000, 4 * time.Second}, {"former", 1, 2000, 4 * time.Second}, {"follower", 0, 0, 4 * time.Second}} {
+		peer := &wire.Peer{Instance: leader.name, BeatAddress: leader.name, ControlAddress: leader.name, FailureDomain: "a"}
+		f.handleBeat(&wire.Beat{From: peer, Incarnation: 1, Sequence: uint64(i + 1), Fence: leader.fence, LoadMs: leader.loadMS}, bootclock.Now())
+		c.Assert(f.formerLoadTime, qt.Equals, leader.kept)
+	}
+}
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -121,6 +121,7 @@
 	f.addTargetVersions(beat, now)
 	if f.lead.fence > 0 {
 		beat.Versions = f.reportedVersions(now)
+		beat.LoadMs = uint32(f.lead.planner.LoadTime().Milliseconds())
 	}
 	if includePeers {
 		beat.Peers = f.members.RecentPeers(now)
@@ -249,14 +250,15 @@
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(now, v.GetServer(), v.GetModel(), v.GetVersion())
 	}
-	f.mergeExcluded(beat, now)
+	f.mergeLeader(beat, now)
 }
 
-// mergeExcluded takes over which servers get no new requests, unless a later leader is known. A leader that was frozen may still
-// send what it decided before.
-func (f *Fleet) mergeExcluded(beat *wire.Beat, now time.Time) {
+// mergeLeader takes over which servers get no new requests and what the leader has measured, unless a later leader is known. A leader
+// that was frozen may still send what it decided before.
+func (f *Fleet) mergeLeader(beat *wire.Beat, now time.Time) {
 	if fence := beat.GetFence(); fence > 0 && fence >= f.latestFence && fence > f.lead.fence {
 		f.latestFence = fence
+		f.formerLoadTime = time.Duration(beat.GetLoadMs()) * time.Millisecond
 		f.dispatcher.SetExcluded(beat.GetWithheld(), now)
 	}
 }
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -112,7 +112,7 @@
 		handover = f.handover(bootclock.Now())
 		f.lead = leadership{
 			fence:     int64(holding.Fence),
-			planner:   weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence)),
+			planner:   weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence), f.formerLoadTime),
 			freeing:   kvcache.NewFreeing(handover, f.catalogue.HasFetchLease(handover)),
 			persisted: make(map[string][]weights.TargetVersion),
 		}
--- a/internal/weights/planner.go
+++ b/internal/weights/planner.go
@@ -122,11 +122,15 @@
 	loadTime time.Duration
 }
 
-// NewPlanner returns a Planner for the holder of the leader lease with the given fence.
-func NewPlanner(holder string, fence int64) *Planner {
-	return &Planner{holder: holder, fence: fence, engines: make(map[string]*progress), loadTime: initialLoadTime}
+// NewPlanner returns a Planner for the holder of the leader lease with the given fence. loadTime is the LoadTime of the leader
+// before; 0 if it isn't known.
+func NewPlanner(holder string, fence int64, loadTime time.Duration) *Planner {
+	return &Planner{holder: holder, fence: fence, engines: make(map[string]*progress), loadTime: cmp.Or(loadTime, initialLoadTime)}
 }
 
+// LoadTime returns the expected time from an order to the end of its load.
+func (p *Planner) LoadTime() time.Duration { return p.loadTime }
+
 // Next returns the steps to carry out now.
 func (p *Planner) Next(now time.Time, targets []Target) []Step {
 	var steps []Step
--- a/internal/weights/planner_test.go
+++ b/internal/weights/planner_test.go
@@ -22,6 +22,8 @@
 	schedule *Schedule
 	// maxLoading is the most engines in use that loaded at once.
 	maxLoading int
+	// loadTime is the time that a load takes.
+	loadTime time.Duration
 }
 
 type fakeEngine struct {
@@ -37,7 +39,7 @@
 }
 
 func newSimulation(n int, timeout time.Duration) *simulation {
-	w := &simulation{now: start, planner: NewPlanner("leader", 7), engines: make(map[string]*fakeEngine), schedule: NewSchedule()}
+	w := &simulation{now: start, planner: NewPlanner("leader", 7, 0), engines: make(map[string]*fakeEngine), schedule: NewSchedule(), loadTime: 1800 * time.Millisecond}
 	for i := range n {
 		w.engines[fmt.Sprintf("e%02d", i)] = &fakeEngine{version: 1, reportedVersion: 1}
 	}
@@ -90,14 +92,14 @@
 		}
 		return
 	}
-	outcome := e.order(s.Order, w.now)
+	outcome := e.order(s.Order, w.now, w.loadTime)
 	if loseReply(s.Order) {
 		outcome = Unknown
 	}
 	w.planner.RecordOutcome(w.now, s.Server, outcome)
 }
 
-func (e *fakeEngine) order(o *Order, now time.Time) Outcome {
+func (e *fakeEngine) order(o *Order, now time.Time, loadTime time.Duration) Outcome {
 	switch {
 	case e.unreachable:
 		return Unknown
@@ -111,7 +113,7 @@
 	e.fence = o.Fence
 	e.orders++
 	e.loads++
-	e.loadingVersion, e.loadEnds = o.Version, now.Add(1800*time.Millisecond)
+	e.loadingVersion, e.loadEnds = o.Version, now.Add(loadTime)
 	return Accepted
 }
 
@@ -244,7 +246,7 @@
 // A leader whose fence is outdated must release its lease when an engine refuses an order as fenced.
 func TestFencedLeaderMustReleaseItsLease(t *testing.T) {
 	c := qt.New(t)
-	p := NewPlanner("old", 7)
+	p := NewPlanner("old", 7, 0)
 	c.Assert(p.RecordOutcome(start, "e", Fenced), qt.IsTrue)
 	c.Assert(p.RecordOutcome(start, "e", Accepted), qt.IsFalse)
 }
@@ -310,3 +312,27 @@
 		c.Assert(w.outdated(), qt.Equals, 0)
 	}
 }
+
+// Guards against a new leader that loads too few engines at once, because it expects loads to be shorter than they are.
+func TestNewLeaderPlansWithTheLoadTimeOfTheFormer(t *testing.T) {
+	c := qt.New(t)
+	const loadTime = 4 * time.Second
+	loadsAtOnce := func(known time.Duration) int {
+		w := newSimulation(12, 10*time.Second)
+		w.planner = NewPlanner("next", 8, known)
+		for range 10 {
+			w.step(loseNone)
+		}
+		return w.maxLoading
+	}
+	former := newSimulation(12, 10*time.Second)
+	former.loadTime = loadTime
+	for range 400 {
+		former.step(loseNone)
+	}
+	measured := former.planner.LoadTime()
+	c.Assert((measured-loadTime).Abs() < time.Second, qt.IsTrue, qt.Commentf("%s measured", measured))
+	c.Assert(NewPlanner("next", 8, 0).LoadTime(), qt.Equals, initialLoadTime)
+	c.Assert(loadsAtOnce(0), qt.Equals, 4)
+	c.Assert(loadsAtOnce(measured), qt.Equals, 6)
+}
