Bound target versions by times that no delay changes

Change: a target version has the time before which it is known not to have been set, by a reading that ended before it was read, on the servers' clock in heartbeats and records. The latest wins, 0 is unknown. No reply counts as prompt; instead gateways wait for changes for random times, one to two seconds, so that some reading is recent. The leader stores a reading only after it has read what is stored.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -127,8 +127,8 @@
 	// unloadedTargets are the stored target versions that were read before the servers' clock was known, by key.
 	unloadedTargets map[string]metastore.Record
 	states          map[string]backend.State
-	// operatorReadAt is the latest time up to which this gateway has read all changes of the operator's keys from the metadata store;
-	// zero before the first reading.
+	// operatorReadAt is the latest time up to which all target versions are known here, by this gateway's own readings of the
+	// operator's keys or by what a leader has stored; zero if there is none.
 	operatorReadAt time.Time
 	// unreadable are the keys whose documents can't be read and have been logged.
 	unreadable map[string]bool
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -34,9 +34,6 @@
 	// readerPause applies to gateways that read for others, in deployments with many changes.
 	followPause = 120 * time.Millisecond
 	readerPause = 350 * time.Millisecond
-	// promptAfter is how long a call must have waited for its reply to bring a change at once. The changes of an earlier reply may have
-	// been made at any time since the reading before, and the reply may have been slow.
-	promptAfter = 250 * time.Millisecond
 	// listTimeout bounds one listing.
 	listTimeout = 2 * time.Second
 	// followRetry is the longest pause after a failed call. The pause is random, at least half of it. It doubles
@@ -124,6 +121,8 @@
 	}
 	wait := min(max(f.ContactTime-followMargin, minFollowWait), maxFollowWait)
 	if prefix == f.Platform.Documents.OperatorPrefix() {
+		// Gateways that read at different times know together more exactly when a change was made.
+		wait -= rand.N(wait/2 + 1)
 		wait = min(wait, max(0, configurationTTL-followMargin-f.ConfigurationAge()))
 	}
 	return wait
@@ -142,9 +141,6 @@
 	f.loop.Post(func() {
 		now := bootclock.Now()
 		f.registry.StoreReachable(now)
-		if took := now.Sub(requestedAt); prefix == f.Platform.Documents.OperatorPrefix() && took > promptAfter && took < wait {
-			f.operatorReadAt = later(f.operatorReadAt, now)
-		}
 		apply(f.mirror.Apply(prefix, changes, now), now)
 		f.recordReply(prefix, confirmedBy(requestedAt, wait, len(changes.Events) > 0, now))
 	})
@@ -185,7 +181,7 @@
 			f.applyConfiguration(*c, entry, now)
 		}
 		if w := document.Weights; w != nil {
-			f.addTargetVersion(weights.TargetVersion{Model: w.Model, Version: w.Version, SetAt: now, Lag: f.operatorLag(now)}, "operator", now)
+			f.addTargetVersion(weights.TargetVersion{Model: w.Model, Version: w.Version, SetAt: now, NotBefore: f.operatorReadAt}, "operator", now)
 		}
 	}
 }
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -110,6 +110,7 @@
 			f.earlierRunEra = int64(holding.Lease.Era)
 		}
 		handover = f.handover(bootclock.Now())
+		f.latestFence = max(f.latestFence, int64(holding.Fence))
 		f.lead = leadership{
 			fence:     int64(holding.Fence),
 			planner:   weights.NewPlanner(f.Self.GetInstance(), int64(holding.Fence), f.formerLoadTime),
@@ -137,6 +138,7 @@
 		sleep(ctx, dutyInterval)
 	}
 	f.loop.Call(func() {
+		f.formerLoadTime = f.lead.planner.LoadTime()
 		f.lead = leadership{}
 		f.dispatcher.SetExcluded(nil, bootclock.Now())
 	})
--- a/internal/fleet/state.go
+++ b/internal/fleet/state.go
@@ -38,8 +38,8 @@
 	Model   string `json:"model"`
 	Version int64  `json:"version"`
 	AgeMS   int64  `json:"age_ms"`
-	// LagMS is by how much earlier the version may have been set; negative if nothing bounds that.
-	LagMS int64 `json:"lag_ms"`
+	// EarliestAgeMS is the longest time for which the version may have been set.
+	EarliestAgeMS int64 `json:"earliest_age_ms"`
 }
 
 // HeldPart is a part in a dump whose requests are kept away from servers.
@@ -70,7 +70,7 @@
 		state.Servers, state.Shedding = f.dispatcher.State(now), f.dispatcher.SheddingStates(now)
 		for _, model := range f.dispatcher.Targets().Models() {
 			for _, target := range f.dispatcher.Targets().Binding(model, now) {
-				state.TargetWeights = append(state.TargetWeights, TargetWeightsState{model, target.Version, now.Sub(target.SetAt).Milliseconds(), lagMS(target.Lag)})
+				state.TargetWeights = append(state.TargetWeights, TargetWeightsState{model, target.Version, now.Sub(target.SetAt).Milliseconds(), now.Sub(target.EarliestSetAt()).Milliseconds()})
 			}
 		}
 		state.FetchLeaseMS = f.catalogue.FetchLease(now).Milliseconds()
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -41,8 +41,8 @@
 	// SetMS is when the version became the target, in Unix milliseconds of the servers' clock: the hosts' clocks differ and
 	// may be stepped.
 	SetMS int64 `json:"set_ms"`
-	// LagMS is by how much earlier it may have become the target; negative if nothing bounds that.
-	LagMS int64 `json:"lag_ms,omitempty"`
+	// NotBeforeMS is up to when it is known not to have become the target, on the same clock; 0 if unknown.
+	NotBeforeMS int64 `json:"not_before_ms,omitempty"`
 }
 
 // storedReading is the value of readingKey.
@@ -51,28 +51,21 @@
 	ReadMS int64 `json:"read_ms"`
 }
 
-// lagMS returns a lag in milliseconds, rounded up; negative if it is unknown.
-func lagMS(lag time.Duration) int64 {
-	if lag == weights.UnknownLag {
-		return -1
+// notBeforeMS returns, on the servers' clock, up to when a version is known not to have been set; 0 if that or the clock is unknown.
+func (f *Fleet) notBeforeMS(target *weights.TargetVersion) int64 {
+	if ms, ok := f.ServerClock(target.NotBefore); ok && !target.NotBefore.IsZero() {
+		return ms
 	}
-	return (lag + time.Millisecond - 1).Milliseconds()
+	return 0
 }
 
-// lagOf is the inverse of lagMS.
-func lagOf(ms int64) time.Duration {
-	if ms < 0 {
-		return weights.UnknownLag
-	}
-	return time.Duration(ms) * time.Millisecond
-}
-
-// operatorLag bounds how long before now a change of the operator's keys that is new to this gateway was made.
-func (f *Fleet) operatorLag(now time.Time) time.Duration {
-	if f.operatorReadAt.IsZero() {
-		return weights.UnknownLag
+// fromServerClock is the inverse of ServerClock; zero if ms is 0 or the clock is unknown.
+func (f *Fleet) fromServerClock(ms int64) time.Time {
+	offset := f.clockOffsetMS.Load()
+	if ms == 0 || offset == 0 {
+		return time.Time{}
 	}
-	return max(0, now.Sub(f.operatorReadAt))
+	return time.UnixMilli(ms - offset)
 }
 
 // persistTargets stores when the target versions were set, unless this leader has done so.
@@ -98,7 +91,7 @@
 func covers(stored, known []weights.TargetVersion) bool {
 	for _, target := range known {
 		if !slices.ContainsFunc(stored, func(s weights.TargetVersion) bool {
-			return s.Version >= target.Version && s.NotBefore().Sub(target.NotBefore()) <= persistTolerance
+			return s.Version >= target.Version && s.EarliestSetAt().Sub(target.EarliestSetAt()) <= persistTolerance
 		}) {
 			return false
 		}
@@ -147,7 +140,7 @@
 		known = f.dispatcher.Targets().Binding(model, bootclock.Now())
 		for _, target := range known {
 			if ms, ok := f.ServerClock(target.SetAt); ok {
-				stored.Versions = append(stored.Versions, storedTarget{Version: target.Version, SetMS: ms, LagMS: lagMS(target.Lag)})
+				stored.Versions = append(stored.Versions, storedTarget{Version: target.Version, SetMS: ms, NotBeforeMS: f.notBeforeMS(&target)})
 			}
 		}
 	})
@@ -166,7 +159,7 @@
 	for _, model := range f.dispatcher.Targets().Models() {
 		for _, target := range f.dispatcher.Targets().Binding(model, now) {
 			beat.TargetVersions = append(beat.TargetVersions, &wire.TargetVersion{
-				Model: model, Version: target.Version, AgeMs: ageMS(now, target.SetAt), LagMs: lagMS(target.Lag),
+				Model: model, Version: target.Version, AgeMs: ageMS(now, target.SetAt), NotBeforeMs: f.notBeforeMS(&target),
 			})
 		}
 	}
@@ -176,7 +169,7 @@
 func (f *Fleet) mergeTargetVersions(beat *wire.Beat, now time.Time) {
 	for _, reported := range beat.GetTargetVersions() {
 		target := weights.TargetVersion{
-			Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(now, reported.GetAgeMs()), Lag: lagOf(reported.GetLagMs()),
+			Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(now, reported.GetAgeMs()), NotBefore: f.fromServerClock(reported.GetNotBeforeMs()),
 		}
 		f.addTargetVersion(target, beat.GetFrom().GetInstance(), now)
 	}
@@ -201,7 +194,7 @@
 		unread = zap.Duration("operator_unread", now.Sub(f.operatorReadAt))
 	}
 	f.Log.Info(EventTargetWeights, zap.String("model", target.Model), zap.Int64("version", target.Version),
-		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)), zap.Int64("lag_ms", lagMS(target.Lag)), unread)
+		zap.String("source", source), zap.Duration("age", now.Sub(target.SetAt)), zap.Duration("earliest_age", now.Sub(target.EarliestSetAt())), unread)
 }
 
 // persistReadings stores, until ctx ends, up to when all target versions are stored.
@@ -240,16 +233,17 @@
 			swap.Expect = result.Revision
 			return nil
 		}
-		// An earlier leader has written the key.
+		// An earlier leader has written the key. What it says must be known before it is replaced.
 		swap.Expect = result.Current.ModRevision
+		f.loop.Call(func() { f.loadReading(result.Current, bootclock.Now()) })
 	}
 }
 
-// completeReading returns this leader's latest reading of the operator's keys. It returns false if some target version isn't stored,
-// the servers' clock is unknown or there are no engines.
+// completeReading returns up to when this leader knows all target versions. It returns false if some of them isn't stored, what is
+// stored hasn't been read, the servers' clock is unknown, or there are no engines.
 func (f *Fleet) completeReading() (reading storedReading, ok bool) {
 	f.loop.Call(func() {
-		if f.lead.fence == 0 || f.operatorReadAt.IsZero() {
+		if f.lead.fence == 0 || f.operatorReadAt.IsZero() || !f.peersListed || len(f.unloadedTargets) > 0 {
 			return
 		}
 		models := f.dispatcher.Targets().Models()
@@ -275,15 +269,15 @@
 		f.Log.Warn(EventUnreadable, zap.String("key", record.Key), eventlog.Error(err))
 		return
 	}
-	readAt := time.UnixMilli(stored.ReadMS - f.clockOffsetMS.Load())
+	readAt := f.fromServerClock(stored.ReadMS)
 	if readAt.After(now) {
-		readAt = now
+		return
 	}
 	f.operatorReadAt = later(f.operatorReadAt, readAt)
 	for _, model := range f.dispatcher.Targets().Models() {
 		for _, target := range f.dispatcher.Targets().Binding(model, now) {
-			if target.Lag == weights.UnknownLag {
-				target.Lag = max(0, target.SetAt.Sub(readAt))
+			if target.NotBefore.IsZero() && readAt.Before(target.SetAt) {
+				target.NotBefore = readAt
 				f.addTargetVersion(target, "stored", now)
 			}
 		}
@@ -304,7 +298,7 @@
 	}
 	for _, s := range stored.Versions {
 		target := weights.TargetVersion{
-			Model: strings.TrimPrefix(record.Key, targetPrefix), Version: s.Version, SetAt: time.UnixMilli(s.SetMS - offset), Lag: lagOf(s.LagMS),
+			Model: strings.TrimPrefix(record.Key, targetPrefix), Version: s.Version, SetAt: time.UnixMilli(s.SetMS - offset), NotBefore: f.fromServerClock(s.NotBeforeMS),
 		}
 		if target.SetAt.After(now) {
 			target.SetAt = now
--- a/internal/weights/schedule.go
+++ b/internal/weights/schedule.go
@@ -9,42 +9,43 @@
 // maxScheduled bounds the target versions that a Schedule keeps for each model.
 const maxScheduled = 32
 
-// UnknownLag is the Lag of a target version that may have been set any time before SetAt.
-const UnknownLag time.Duration = -1
-
-// maxLagShare is the share of the time for older versions by which a Lag shortens it at most. Gateways that start after a long stop would
-// otherwise take all engines as overdue at once.
-const maxLagShare = 0.5
+// maxEarlyShare is the share of the time for older versions by which NotBefore shortens it at most. Gateways that start after a long
+// stop would otherwise take all engines as overdue at once.
+const maxEarlyShare = 0.5
 
 // TargetVersion is a weight version that the operator set as the target of a model.
 type TargetVersion struct {
 	Model   string
 	Version int64
-	// SetAt is the earliest time at which some gateway is known to have read the version.
+	// SetAt is the earliest time at which some gateway is known to have read the version: it was set by then.
 	SetAt time.Time
-	// Lag is by how much earlier than SetAt it may have been set, as far as some gateway can tell from its readings; or UnknownLag.
-	Lag time.Duration
+	// NotBefore is the latest time at which some gateway is known to have read that it wasn't set yet; zero if none is known.
+	NotBefore time.Time
 }
 
-// merge adds what another gateway knows of the same version. Neither value depends on how long that was on its way: a message
-// that arrives late makes SetAt too late, and the earliest wins.
+// merge adds what another gateway knows of the same version.
 func (t *TargetVersion) merge(other TargetVersion) {
 	if other.SetAt.Before(t.SetAt) {
 		t.SetAt = other.SetAt
 	}
-	if other.Lag != UnknownLag && (t.Lag == UnknownLag || other.Lag < t.Lag) {
-		t.Lag = other.Lag
+	if other.NotBefore.After(t.NotBefore) {
+		t.NotBefore = other.NotBefore
 	}
 }
 
-// NotBefore returns the earliest time at which the version may have been set. Nothing is subtracted for an unknown Lag.
-func (t *TargetVersion) NotBefore() time.Time { return t.SetAt.Add(-max(0, t.Lag)) }
+// EarliestSetAt returns the earliest time at which the version may have been set, SetAt if nothing bounds that.
+func (t *TargetVersion) EarliestSetAt() time.Time {
+	if t.NotBefore.IsZero() || t.NotBefore.After(t.SetAt) {
+		return t.SetAt
+	}
+	return t.NotBefore
+}
 
 // Schedule records when each weight version became the target of its model, and from that by when engines must have left
 // older versions. It is not safe for concurrent use.
 //
 // Invariant: each target version binds the engines with older versions from its own time on, whatever versions follow it. The
-// time is not later than when the version was set, unless its Lag is unknown or exceeds maxLagShare.
+// time is not later than when the version was set, unless its NotBefore is unknown or maxEarlyShare limits it.
 type Schedule struct {
 	// within is the time for which requests may still start on older versions.
 	within time.Duration
@@ -79,7 +80,9 @@
 		}
 	}
 	if len(list) > maxScheduled {
-		list[1].SetAt, list[1].Lag = list[0].SetAt, list[0].Lag
+		if s.deadline(&list[0]).Before(s.deadline(&list[1])) {
+			list[1].SetAt, list[1].NotBefore = list[0].SetAt, list[0].NotBefore
+		}
 		list = slices.Delete(list, 0, 1)
 	}
 	s.versions[target.Model] = list
@@ -108,8 +111,8 @@
 
 // deadline returns the time until which requests may start on versions older than the target.
 func (s *Schedule) deadline(target *TargetVersion) time.Time {
-	lag := min(max(0, target.Lag), time.Duration(maxLagShare*float64(s.within)))
-	return target.SetAt.Add(s.within - lag)
+	early := min(target.SetAt.Sub(target.EarliestSetAt()), time.Duration(maxEarlyShare*float64(s.within)))
+	return target.SetAt.Add(s.within - early)
 }
 
 // Binding returns the target versions of a model that another gateway needs to derive the same deadlines from now on. Those
