TestEvacuationFollowsItsKey waits until its gateways hear each other

Cause: the test presumes that the refused gateway learns the evacuation from the other one, but took the store away before the two knew each other. The refused one can't list the other's announcement any more, and the other one lists again after 10 s (peerListInterval).

Change: before the store is taken away, awaitPeers waits until each gateway hears the other. What is checked afterwards and its bound of 2 s are as before. The old form would also have failed on gateways that find each other only by the next listing; so that this isn't lost, awaitPeers checks that it took less than half of peerListInterval.

--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -90,6 +90,7 @@
 		c.Check(time.Since(at) < 2*time.Second, qt.IsTrue, qt.Commentf("%s took %s", description, time.Since(at)))
 	}
 	both("uses both domains", "xy")
+	awaitPeers(c, a, b)
 	close(refused.offline)
 	put(c, store, "op/evacuate/x", "{}")
 	both("evacuates x", "y")
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -193,6 +193,16 @@
 	c.Fatalf("condition not met in time: %s", description)
 }
 
+// awaitPeers waits until each gateway hears all the others, and checks that none had to wait for the next listing of announcements.
+func awaitPeers(c *qt.C, fleets ...*Fleet) {
+	c.Helper()
+	at := time.Now()
+	for _, f := range fleets {
+		eventually(c, f.Self.GetInstance()+" hears the others", func() bool { return liveCount(f) == len(fleets)-1 })
+	}
+	c.Check(time.Since(at) < peerListInterval/2, qt.IsTrue, qt.Commentf("the gateways heard each other after %s", time.Since(at)))
+}
+
 func startStore(c *qt.C) *memkv.Store {
 	store := memkv.New()
 	c.Cleanup(store.Close)
