TestChangesArriveAfterChannelsBetweenGatewaysBecameSilent waits until its gateways hear each other

Cause: as in TestEvacuationFollowsItsKey; the store was taken away from the second gateway before the two knew each other.

Change: awaitPeers before that. The rounds, their order and their bound of 3 s are as before, and awaitPeers checks that the gateways don't have to wait for the next listing of announcements to find each other.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -463,6 +463,7 @@
 			})
 			b := startFleet(c, "b", offline)
 			eventually(c, "both have version 1", func() bool { return a.version() == 1 && b.version() == 1 })
+			awaitPeers(c, a, b)
 			close(offline.offline)
 			for round := range 3 {
 				version := int64(round + 2)
