TestGatewaysThatHearOnlyEachOtherShareNoCache waits until its gateways hear each other

Cause: as in TestEvacuationFollowsItsKey; the store was taken away from both before they knew each other, which is what the test's name and its last check presume.

Change: awaitPeers before that. The checks and the bound of configurationTTL and a second are as before, and awaitPeers checks that the gateways don't have to wait for the next listing of announcements to find each other.

--- a/internal/fleet/confirm_test.go
+++ b/internal/fleet/confirm_test.go
@@ -79,6 +79,7 @@
 	c := qt.New(t)
 	store, a, b := startTwo(c)
 	eventually(c, "both share", func() bool { return shares(a) && shares(b) })
+	awaitPeers(c, a, b)
 	store.SetFaults(memkv.Faults{Down: true})
 	cutAt := time.Now()
 	for _, other := range []string{"c", "d"} {
