TestSlowCallerGetsAllOfAResponseThatItsServerEndsEarly/stream gives its request 30 s

Cause: the request has 5 s, and a gateway may end a request at its deadline. On a slow machine the server's 400 writes of 16 kB into a buffer of 8 kB take longer than that one after the other, without any of them waiting for 1.5 s.

Change: route and request of this subtest have 30 s. The bounds that state what is tested stay: the server waits for no write for longer than 1.5 s, and the response is complete. Subtest "large response" keeps its 5 s.

What the 5 s checked by the way, that the server as a whole isn't held back for a slow caller, has a test of its own: TestServerOfASlowCallerIsNotHeldBack sends the same stream to a caller that reads nothing and to one that reads at once, at the same time, and allows the first one half longer and 0.5 s. It needs no bound that depends on the machine.

--- a/internal/gateway/slow_callers_test.go
+++ b/internal/gateway/slow_callers_test.go
@@ -25,8 +25,23 @@
 	slowEventBytes = 16 << 10
 	// behindEvents is the number of events by which a caller that reads nothing is behind, whatever the kernel holds of them.
 	behindEvents = 400
+	// longTimeoutMS is the time limit, in milliseconds, of streams whose length isn't what is tested: a gateway may end a request at its
+	// limit, and on a busy machine the servers of these tests take longer than 5 s to write a stream.
+	longTimeoutMS = 30_000
 )
 
+// deployWithLongStreams is deployWithGrace with streams that may take longTimeoutMS.
+func deployWithLongStreams(c *qt.C, graceMS int, servers ...*server) *deployment {
+	long := strings.ReplaceAll(configuration(1, `"key-1"`), `"timeout_ms":5000`, fmt.Sprintf(`"timeout_ms":%d`, longTimeoutMS))
+	return deployAs(&deployment{c: c, graceMS: graceMS, configuration: long}, servers...)
+}
+
+// requestLong writes a GET request that may take longTimeoutMS.
+func (k *client) requestLong(path, headers string) {
+	fmt.Fprintf(k, "GET %s HTTP/1.1\r\nHost: %s\r\nBalsamyoke-Request-Id: long-%d\r\nBalsamyoke-Credential: key-1\r\nBalsamyoke-Deadline-Ms: %d\r\n%s\r\n",
+		path, host, requestNumber.Add(1), longTimeoutMS, headers)
+}
+
 // dialSlow opens a caller's connection that holds few bytes that weren't read.
 func (d *deployment) dialSlow() *client {
 	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
@@ -101,9 +116,11 @@
 	body := strings.Repeat("0123456789abcdef", events<<10)
 	for name, test := range map[string]struct {
 		path, want string
+		deploy     func(c *qt.C, graceMS int, servers ...*server) *deployment
+		request    func(k *client, path string)
 		send       func(r *received) bool
 	}{
-		"stream": {"/stream/x", wholeEvents(events), func(r *received) bool {
+		"stream": {"/stream/x", wholeEvents(events), deployWithLongStreams, func(k *client, path string) { k.requestLong(path, "") }, func(r *received) bool {
 			_ = r.conn.(*net.TCPConn).SetWriteBuffer(slowBufferBytes)
 			r.startStream()
 			if !r.sendEvents(1, events) {
@@ -112,7 +129,7 @@
 			r.endStream()
 			return true
 		}},
-		"large response": {"/stream/x", body, func(r *received) bool {
+		"large response": {"/stream/x", body, deployWithGrace, func(k *client, path string) { k.request("GET", path, "", "") }, func(r *received) bool {
 			_ = r.conn.(*net.TCPConn).SetWriteBuffer(slowBufferBytes)
 			r.plainHeader(fmt.Sprintf("Content-Type: text/plain\r\nContent-Length: %d\r\n", len(body)))
 			for rest := body; rest != ""; rest = rest[slowEventBytes:] {
@@ -142,9 +159,9 @@
 				c.Check(test.send(r), qt.IsTrue, qt.Commentf("the server had to wait for longer than %s", serverPatience))
 				close(sent)
 			})
-			d := deploy(c, s)
+			d := test.deploy(c, 600, s)
 			k := d.dialSlow()
-			k.request("GET", test.path, "", "")
+			test.request(k, test.path)
 			k = k.trickle(sent)
 			k.request("GET", "/get/x", "X-Next: 1\r\n", "")
 			// The run has ended as far as predictions are concerned, though its caller is behind, and the server's connection, the
@@ -167,6 +184,35 @@
 	}
 }
 
+// Guards against a gateway that holds back the server of a slow caller while there is memory: it takes a stream as fast as that of a
+// caller that reads at once, at the same time.
+func TestServerOfASlowCallerIsNotHeldBack(t *testing.T) {
+	c := qt.New(t)
+	took := map[string]chan time.Duration{"slow": make(chan time.Duration, 1), "prompt": make(chan time.Duration, 1)}
+	s := startServer(c, func(r *received) {
+		_ = r.conn.(*net.TCPConn).SetWriteBuffer(slowBufferBytes)
+		startedAt := time.Now()
+		r.startStream()
+		c.Check(r.sendEvents(1, behindEvents), qt.IsTrue, qt.Commentf("the server had to wait for longer than %s", serverPatience))
+		took[r.header["x-caller"]] <- time.Since(startedAt)
+		r.endStream()
+	})
+	d := deployWithLongStreams(c, 600, s)
+	slow, prompt := d.dialSlow(), d.dial()
+	_ = prompt.SetDeadline(time.Now().Add(3 * testTimeout))
+	slow.requestLong("/stream/x", "X-Caller: slow\r\n")
+	prompt.requestLong("/stream/x", "X-Caller: prompt\r\n")
+	header, err := prompt.readHeader()
+	c.Assert(err, qt.IsNil)
+	c.Assert(header.status, qt.Equals, 200)
+	read, err := io.CopyN(io.Discard, prompt.reader, int64(len(wholeEvents(behindEvents))))
+	c.Assert(err, qt.IsNil, qt.Commentf("%d bytes", read))
+	slowTook, promptTook := <-took["slow"], <-took["prompt"]
+	c.Assert(d.slowCallers().SlowCallers.Callers, qt.HasLen, 1)
+	c.Logf("%s, and %s for a caller that reads at once", slowTook, promptTook)
+	c.Check(slowTook < promptTook+promptTook/2+500*time.Millisecond, qt.IsTrue, qt.Commentf("%s, and %s for a caller that reads at once", slowTook, promptTook))
+}
+
 // slowCallers reads the dump.
 func (d *deployment) slowCallers() (state slowCallers) {
 	conn, err := net.Dial("tcp4", d.metricsAddress)
