--- a/internal/fleet/late_readings_test.go
+++ b/internal/fleet/late_readings_test.go
@@ -104,7 +104,8 @@
 			put(c, store.Store, "op/weights/m", "1")
 			a, _ := startStoppableFleet(c, "a", store, contactIn3s)
 			b, _ := startStoppableFleet(c, "b", store, contactIn3s)
-			eventually(c, "both know version 1 and each other", func() bool { return knows(a, 1) && knows(b, 1) && hears(a, "b") && hears(b, "a") })
+			eventually(c, "both know version 1", func() bool { return knows(a, 1) && knows(b, 1) })
+			awaitPeers(c, a, b)
 			disturb := store.disturbances()[name]
 			store.disturbed.Store(&disturb)
 			time.Sleep(silence / 2)
@@ -131,7 +132,8 @@
 	put(c, store, "op/weights/m", "1")
 	cut := &switchableStore{store, make(chan struct{})}
 	a, b := startFleetOn(c, "a", store), startFleet(c, "b", cut)
-	eventually(c, "both know version 1 and each other", func() bool { return knows(a, 1) && knows(b, 1) && hears(a, "b") && hears(b, "a") })
+	eventually(c, "both know version 1", func() bool { return knows(a, 1) && knows(b, 1) })
+	awaitPeers(c, a, b)
 	setServerClock(a, time.Hour)
 	setServerClock(b, time.Hour)
 	close(cut.offline)
@@ -192,9 +194,3 @@
 
 // knows reports whether a gateway knows that a version of model m is the target.
 func knows(f *Fleet, version int64) bool { _, bound := untilDue(f, version-1); return bound }
-
-// hears reports whether a gateway hears another one.
-func hears(f *Fleet, instance string) (live bool) {
-	f.loop.Call(func() { live = f.members.IsLive(instance, bootclock.Now()) })
-	return live
-}
