fleet: the rest of a stream relies on registrations read since its request

A gateway sent the rest of a stream to a server of a plain service at its registration while no call to the metadata store had failed. A gateway that wakes from a freeze has had no failed call and no reply either, and sent the rest of the streams that waited there to servers that had started again under their ids with other software. In the first moment of an outage the same happened until a call failed.

Before it sends the rest of a stream to a server without a report of its run, the gateway now reads the changes of registrations that the store has since the request came. Requests share these reads, which are 50 ms apart or more and at most 1,000 a second at all gateways; if none succeeds within 0.25 s, or the store is known to be unreachable, the request is refused as not run. A confirmation, also one by an engine's report, must be younger than 0.5 s when the first byte is sent. An engine without a known start is no longer taken unconfirmed. Explain says run_unconfirmed for plain services too.

TestRestOfStreamIsNotSentAtRegistrationFromBeforeAFreeze on the code before (failed): got "s1", which had registered v2, want "s2". TestStreamsTakenUpAtOnceShareReadsOfRegistrations fails there too, as the streams are placed.

--- a/internal/ctl/explain_place_text.go
+++ b/internal/ctl/explain_place_text.go
@@ -76,7 +76,7 @@
 	default:
 		fmt.Fprintf(b, "placed on %s", s.Server)
 		if s.RunUnconfirmed {
-			b.WriteString(" if it reports the run that it registered")
+			b.WriteString(" if it is still in the run that it registered")
 		}
 	}
 	if s.Server != "" {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -70,6 +70,9 @@
 	// if unknown.
 	SoftwareVersion string
 	StartedMS       int64
+	// RunConfirmedAt is as of when the server was confirmed to be in the run that registered SoftwareVersion; zero unless the
+	// request Continues.
+	RunConfirmedAt time.Time
 	// Version is the server's last known weight version; 0 for plain services.
 	Version int64
 	// WeightsDueIn is the time until no request may start on these weights; 0 if no newer ones are the target.
--- a/internal/dispatch/explain.go
+++ b/internal/dispatch/explain.go
@@ -34,7 +34,7 @@
 	if best != nil {
 		e.Server, e.Score = best.ID, score
 	}
-	e.RunUnconfirmed = refusal == nil && r.Continues && r.Model != "" && best.StartedMS != 0
+	e.RunUnconfirmed = refusal == nil && r.Continues
 	if refusal != nil {
 		e.Refusal = refusal.Explain()
 		if refusal.FromCold {
--- a/internal/dispatch/server_runs.go
+++ b/internal/dispatch/server_runs.go
@@ -11,6 +11,12 @@
 	return ""
 }
 
+// IsRegistered reports whether the server of a placement is still registered at the placement's address with its software version.
+func (d *Dispatcher) IsRegistered(now time.Time, p *Placement) bool {
+	s := d.servers[p.Server]
+	return s != nil && s.Address == p.Address && s.SoftwareVersion == p.SoftwareVersion && s.isRegisteredRun(now)
+}
+
 // isRegisteredRun reports whether the server is taken to be in the run that its registration is of. A metadata store that comes back
 // from a copy brings back registrations of earlier runs.
 func (s *server) isRegisteredRun(now time.Time) bool {
--- a/internal/explain/place.go
+++ b/internal/explain/place.go
@@ -57,8 +57,8 @@
 	Score       float64 `json:"score_ms,omitempty"`
 	Candidates  int     `json:"candidates"`
 	PredictedMS float64 `json:"predicted_ms,omitempty"`
-	// RunUnconfirmed reports that the server would first be asked whether it is still in the run that it registered. If it isn't, the
-	// request goes elsewhere.
+	// RunUnconfirmed reports that it would first be confirmed, by the server's report or the metadata store, that the server is still in
+	// the run that it registered. If it isn't, the request goes elsewhere.
 	RunUnconfirmed bool `json:"run_unconfirmed,omitempty"`
 	// Home is the failure domain whose stores hold most of the prompt; empty if that is little.
 	Home string `json:"home,omitempty"`
--- a/internal/fleet/events.go
+++ b/internal/fleet/events.go
@@ -31,6 +31,7 @@
 	EventOrder                  = "order"
 	EventEngineReady            = "engine_has_version"
 	EventReportFailed           = "report_failed"
+	EventRegistrationsUnread    = "registrations_unread"
 	EventPartsFreed             = "parts_freed"
 	EventCacheStoreLost         = "cache_store_lost"
 	EventCacheStoreFound        = "cache_store_found"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -131,8 +131,9 @@
 	// operator's keys or by what a leader has stored; zero if there is none.
 	operatorReadAt time.Time
 	// unreadable are the keys whose documents can't be read and have been logged.
-	unreadable map[string]bool
-	background sync.WaitGroup
+	unreadable        map[string]bool
+	registrationReads registrationReads
+	background        sync.WaitGroup
 }
 
 // New returns a Fleet with an empty state.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -35,7 +35,7 @@
 const eventuallyTimeout = 15 * time.Second
 
 // documents reads plain values: op/config holds a version, op/weights/MODEL a weight version, op/evacuate/DOMAIN {}, servers/ID an
-// address and, after a space, a failure domain.
+// address and, after spaces, a failure domain and a software version.
 type documents struct{}
 
 func (documents) OperatorPrefix() string     { return "op/" }
@@ -52,8 +52,9 @@
 
 func (documents) Read(key string, value []byte) (Document, error) {
 	if strings.HasPrefix(key, "servers/") {
-		address, domain, _ := strings.Cut(string(value), " ")
-		return Document{Server: &backend.Server{ID: strings.TrimPrefix(key, "servers/"), Service: "app", Address: address, FailureDomain: domain, Slots: 4}}, nil
+		address, rest, _ := strings.Cut(string(value), " ")
+		domain, software, _ := strings.Cut(rest, " ")
+		return Document{Server: &backend.Server{ID: strings.TrimPrefix(key, "servers/"), Service: "app", Address: address, FailureDomain: domain, SoftwareVersion: software, Slots: 4}}, nil
 	}
 	if strings.HasPrefix(key, "op/evacuate/") {
 		if string(value) != "{}" {
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -93,32 +93,6 @@
 	}
 }
 
-// confirmRun reports whether the server of a placement is still in the run that registered its software version. A server may start
-// again under its id with another version, and its registration may arrive late. Plain services have no report; they are taken at
-// their registration while the metadata store replies.
-func (f *Fleet) confirmRun(ctx context.Context, p *dispatch.Placement) bool {
-	if p.Plan == nil {
-		current := false
-		f.loop.Call(func() { current = f.registry.IsStoreReachable() })
-		return current
-	}
-	if p.StartedMS == 0 {
-		return true
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	report, err := f.Platform.Engines.Report(ctx, p.Address)
-	if err != nil {
-		f.Log.Warn(EventReportFailed, zap.String("server", p.Server), eventlog.Error(err))
-		return false
-	}
-	if report.StartedMS == p.StartedMS || report.StartedMS == 0 {
-		return true
-	}
-	f.loop.Call(func() { f.dispatcher.EndRun(bootclock.Now(), p.Server, report.StartedMS) })
-	return false
-}
-
 // FindOrigin returns the origin of a stream, from this gateway or from the others that keep it. It is unknown if none of them
 // replies in time that it has it. A gateway that has just started asks again while it gets to know the others.
 func (f *Fleet) FindOrigin(ctx context.Context, stream string) origin.Origin {
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -15,10 +15,11 @@
 // goes to a server that needs none. The rest of a stream goes to a server whose run is confirmed.
 func (f *Fleet) Place(ctx context.Context, r *dispatch.Request, parts []quarantine.Part) (dispatch.Placement, *dispatch.Refusal) {
 	r.NoAsk = false
+	runs := runConfirmation{fleet: f}
 	for asks := 0; ; {
 		p, refusal := f.placeOnce(r, parts)
 		switch {
-		case refusal == nil && r.Continues && !f.confirmRun(ctx, &p):
+		case refusal == nil && r.Continues && !runs.confirm(ctx, &p):
 			f.withdraw(p)
 			r.Tried = append(r.Tried, p.Server)
 		case refusal == nil && f.IsEvacuated(p.FailureDomain):
@@ -57,9 +58,12 @@
 	})
 }
 
-// MaySend reports whether a placed request may still be sent to its server. One whose server has become cold since needs a grant. It
-// is called right before the first byte is written.
+// MaySend reports whether a placed request may still be sent to its server. One whose server has become cold since needs a grant, and
+// the rest of a stream a server whose run was confirmed lately. It is called right before the first byte is written.
 func (f *Fleet) MaySend(p dispatch.Placement) (may bool) {
+	if !p.RunConfirmedAt.IsZero() && bootclock.Now().Sub(p.RunConfirmedAt) >= confirmedFor {
+		return false
+	}
 	if f.dispatcher == nil || !f.dispatcher.MayHaveBecomeCold(&p) {
 		return true
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -78,7 +78,7 @@
 		if stop() {
 			g.pool.putUnused(sc)
 		}
-		return exchangeResult{dispatchResult: dispatch.Cancelled, err: ErrNotSent.New("server %s has become cold", r.placement.Server)}
+		return exchangeResult{dispatchResult: dispatch.Cancelled, err: ErrNotSent.New("server %s has become cold, or its run isn't confirmed any more", r.placement.Server)}
 	}
 	if err := sc.send(header, r.body); err != nil {
 		_ = sc.Close()
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -63,6 +63,12 @@
 // IsStoreReachable reports whether the store has replied to the latest call.
 func (r *Registry) IsStoreReachable() bool { return !r.unreachable }
 
+// IsRegistered reports whether a server has a registration; one whose registration has expired hasn't.
+func (r *Registry) IsRegistered(id string) bool {
+	_, ok := r.servers[id]
+	return ok
+}
+
 // StoreRestored records that the store has come back from a copy that may lack recent registrations.
 func (r *Registry) StoreRestored(now time.Time) { r.reachableAt = now }
 
