--- a/internal/fleet/registrations.go
+++ b/internal/fleet/registrations.go
@@ -152,7 +152,7 @@
 	}
 	r.fleet.loop.Call(func() {
 		now := bootclock.Now()
-		confirmed = now.Sub(r.asOf) < confirmedFor && r.fleet.registry.IsRegistered(p.Server) && r.fleet.dispatcher.IsRegistered(now, p)
+		confirmed = now.Sub(r.asOf) < confirmedFor && r.fleet.registry.IsCurrent(p.Server, now) && r.fleet.dispatcher.IsRegistered(now, p)
 	})
 	p.RunConfirmedAt = r.asOf
 	return confirmed
--- a/internal/fleet/registrations_test.go
+++ b/internal/fleet/registrations_test.go
@@ -171,3 +171,26 @@
 	none, _, makes := reads.join(start.Add(time.Millisecond), 2*confirmTimeout)
 	c.Check(none == nil && !makes, qt.IsTrue)
 }
+
+// Guards against the rest of a stream that is sent at a registration which the metadata store has from a copy, before the server has
+// written the one of its present run again.
+func TestRestOfStreamIsNotSentAtRegistrationFromACopy(t *testing.T) {
+	c := qt.New(t)
+	store, f := startWithServers(c, "s1")
+	early := store.Copy()
+	put(c, store.Store, "servers/s1", "127.0.0.1:1 a v2")
+	eventually(c, "the gateway knows the new run", func() bool {
+		_, refusal := placeRest(f)
+		return refusal != nil
+	})
+	store.Restore(early)
+	eventually(c, "the gateway has seen the new era", func() bool { return f.era.Load() == int64(store.Era()) })
+	for until := time.Now().Add(time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		p, refusal := placeRest(f)
+		c.Assert(refusal, qt.IsNotNil, qt.Commentf("placed on %s", p.Server))
+	}
+	eventually(c, "streams go on at the server that is still at that version", func() bool {
+		_, refusal := placeRest(f)
+		return refusal == nil
+	})
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -41,6 +41,8 @@
 	resurrected map[string]time.Time
 	// reachableAt is when the store became reachable again after the latest outage.
 	reachableAt time.Time
+	// restoredAt is when the store was last known to have come back from a copy.
+	restoredAt  time.Time
 	unreachable bool
 }
 
@@ -63,14 +65,16 @@
 // IsStoreReachable reports whether the store has replied to the latest call.
 func (r *Registry) IsStoreReachable() bool { return !r.unreachable }
 
-// IsRegistered reports whether a server has a registration; one whose registration has expired hasn't.
-func (r *Registry) IsRegistered(id string) bool {
+// IsCurrent reports whether a server has a registration that is of its present run as far as the store's content shows. It hasn't if
+// the registration has expired, or if it may be of an earlier run because the store came back from a copy and the servers haven't all
+// written again.
+func (r *Registry) IsCurrent(id string, now time.Time) bool {
 	_, ok := r.servers[id]
-	return ok
+	return ok && (r.restoredAt.IsZero() || now.Sub(r.restoredAt) >= returnTimeout)
 }
 
 // StoreRestored records that the store has come back from a copy that may lack recent registrations.
-func (r *Registry) StoreRestored(now time.Time) { r.reachableAt = now }
+func (r *Registry) StoreRestored(now time.Time) { r.reachableAt, r.restoredAt = now, now }
 
 // Put adds or replaces a registration. A run of a server that was draining stays so: the store may have lost that
 // report.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -85,6 +85,19 @@
 	c.Assert(r.Servers(start.Add(returnTimeout+time.Millisecond)), qt.HasLen, 5)
 }
 
+// Guards against a registration of an earlier run that a restored store has until the server writes again, and against an expired one.
+func TestOnlyRegistrationsOfPresentRunsAreCurrent(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(6)
+	c.Check(r.IsCurrent("s0", start), qt.IsTrue)
+	r.StoreRestored(start)
+	c.Check(r.IsCurrent("s0", start.Add(returnTimeout-time.Millisecond)), qt.IsFalse)
+	c.Check(r.IsCurrent("s0", start.Add(returnTimeout)), qt.IsTrue)
+	r.Remove("s0", start)
+	c.Check(r.Servers(start), qt.HasLen, 6)
+	c.Check(r.IsCurrent("s0", start.Add(returnTimeout)), qt.IsFalse)
+}
+
 // A restored store may list a draining server as ready. The same run of the server stays draining; a new run doesn't.
 func TestDrainingOutlivesRestore(t *testing.T) {
 	c := qt.New(t)
