fleet: confirm the run in which a stream begins while registrations may be old

The software version that began a stream was that of the registration known when the request was placed. An engine that had started again under its id with other software in an outage of the metadata store, or a plain service that had while the gateway was frozen, was recorded with the software of its earlier run, and the stream went on there.

TestStreamThatBeginsInAnOutageIsOfTheRunThatTheServerReports and TestStreamThatBeginsAfterAFreezeIsOfTheRegistrationSince fail without the confirmation: got "v1", want "".

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -133,7 +133,10 @@
 	// unreadable are the keys whose documents can't be read and have been logged.
 	unreadable        map[string]bool
 	registrationReads registrationReads
-	background        sync.WaitGroup
+	// registrationsAsOf is the time as of which all registrations were last known here. tickedAt is when evaluate last ticked, awakeSince
+	// when the latest freeze ended.
+	registrationsAsOf, tickedAt, awakeSince time.Time
+	background                              sync.WaitGroup
 }
 
 // New returns a Fleet with an empty state.
@@ -167,6 +170,7 @@
 	f.role.Store(&role{reads: true, starting: true})
 	f.quarantineIdle.Store(true)
 	f.startedAt = bootclock.Now()
+	f.tickedAt = f.startedAt
 	catalogue.SetFirstChange(bootclock.Now().UnixNano())
 	catalogue.RecordGatewayRestart(bootclock.Now())
 	return f
@@ -335,7 +339,10 @@
 		if suspended > evaluateInterval {
 			f.Log.Warn(EventSuspended, zap.Duration("for", suspended))
 		}
-		f.loop.Post(func() { f.evaluateServers(now) })
+		f.loop.Post(func() {
+			f.recordTick(now)
+			f.evaluateServers(now)
+		})
 	}
 }
 
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -156,6 +156,9 @@
 	if f.Table() != nil {
 		f.confirmConfiguration(asOf)
 	}
+	if prefix == f.Platform.Documents.ServerPrefix() && asOf.After(f.registrationsAsOf) {
+		f.registrationsAsOf = asOf
+	}
 }
 
 // applyOperatorChanges applies changed keys of the operator. Evacuations come first, so that no request is placed under a new
--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -49,11 +49,19 @@
 }
 
 // RecordOrigin records that a stream began at the server of a placement, here and at the gateways that keep it. It returns when
-// these have been sent the origin, so that the caller may get the stream's first event.
-func (f *Fleet) RecordOrigin(stream string, p *dispatch.Placement) origin.Origin {
-	var began origin.Origin
+// these have been sent the origin, so that the caller may get the stream's first event. While the server's registration may be of an
+// earlier run, it confirms the run first, as the first event has come from a run since. The software version is unknown if it can't.
+func (f *Fleet) RecordOrigin(ctx context.Context, stream string, p *dispatch.Placement) origin.Origin {
+	outdated := false
+	f.loop.Call(func() { outdated = f.registrationsMayBeOld(bootclock.Now()) })
+	began := origin.Origin{Service: p.Service, SoftwareVersion: p.SoftwareVersion}
+	if outdated {
+		placed, runs := *p, runConfirmation{fleet: f}
+		if !runs.confirm(ctx, &placed) {
+			began.SoftwareVersion = ""
+		}
+	}
 	f.loop.Call(func() {
-		began = origin.Origin{Service: p.Service, SoftwareVersion: p.SoftwareVersion}
 		if f.dispatcher.SoftwareVersion(bootclock.Now(), p.Server) != p.SoftwareVersion {
 			// The server has restarted, or changed its registration, since the request was sent to it.
 			began.SoftwareVersion = ""
--- a/internal/fleet/registrations_test.go
+++ b/internal/fleet/registrations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -9,10 +10,12 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"balsamyoke.example/balsamyoke/internal/backend"
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
 	"balsamyoke.example/balsamyoke/internal/metastore"
 	"balsamyoke.example/balsamyoke/internal/metastore/memkv"
+	"balsamyoke.example/balsamyoke/internal/routing"
 )
 
 // heldUpStore is a metadata store that answers, but whose answers to calls that wait for changes aren't read while they are held up, as
@@ -194,3 +197,73 @@
 		return refusal == nil
 	})
 }
+
+// Guards against a stream that begins at a server whose registration is of an earlier run, and whose rest then goes to servers with the
+// software of that run.
+func TestStreamThatBeginsInAnOutageIsOfTheRunThatTheServerReports(t *testing.T) {
+	c := qt.New(t)
+	store := newHeldUpStore(c)
+	f := startFleetOn(c, "a", store)
+	eventually(c, "the configuration is in force", func() bool { return f.version() == 1 })
+	f.loop.Call(func() {
+		f.dispatcher.SetServices([]routing.Service{{Name: "llm", Engine: &routing.Engine{Slots: 4, CacheTokens: 1000, TokenBytes: 1, Models: []string{"m"}}}})
+		f.dispatcher.SetServers([]backend.Server{{
+			ID: "e", Service: "llm", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 4, StartedMS: 1000, SoftwareVersion: "v1",
+			Versions: map[string]int64{"m": 1},
+		}})
+	})
+	p, refusal := f.Place(context.Background(), &dispatch.Request{Service: "llm", Model: "m", PromptTokens: 10, TargetLatency: time.Second, TimeLeft: time.Second}, nil)
+	c.Assert(refusal, qt.IsNil)
+	begin := func(stream string, startedMS int64) string {
+		f.loop.Call(func() { f.Platform.Engines = restartedEngines{startedMS: startedMS} })
+		return f.RecordOrigin(context.Background(), stream, &p).SoftwareVersion
+	}
+	c.Check(begin("before the outage", 1000), qt.Equals, "v1")
+	store.SetFaults(memkv.Faults{Down: true})
+	eventually(c, "the store is known to be down", func() (down bool) {
+		f.loop.Call(func() { down = !f.registry.IsStoreReachable() })
+		return down
+	})
+	c.Check(begin("in the registered run", 1000), qt.Equals, "v1")
+	c.Check(begin("in the next run", 2000), qt.Equals, "")
+	c.Check(begin("in that run, known by now", 2000), qt.Equals, "")
+}
+
+// Guards against a stream that begins at a plain service just after a freeze and is recorded at the registration from before.
+func TestStreamThatBeginsAfterAFreezeIsOfTheRegistrationSince(t *testing.T) {
+	c := qt.New(t)
+	store, f := startWithServers(c, "s1", "s2")
+	first, refusal := placeRest(f)
+	c.Assert(refusal, qt.IsNil)
+	defer store.hold(false)()
+	put(c, store.Store, "servers/"+first.Server, "127.0.0.1:1 a v2")
+	second, refusal := placeRest(f)
+	for refusal == nil && second.Server == first.Server {
+		second, refusal = placeRest(f)
+	}
+	c.Assert(refusal, qt.IsNil)
+	put(c, store.Store, "servers/"+second.Server, "127.0.0.1:1 a v2")
+	f.loop.Call(func() { f.tickedAt = bootclock.Now().Add(-2 * maxTickDelay) })
+	c.Check(f.RecordOrigin(context.Background(), "r", &second).SoftwareVersion, qt.Equals, "")
+}
+
+// Guards against calls for each stream that begins while nothing indicates that registrations are old.
+func TestStreamsBeginWithoutReadsOfRegistrations(t *testing.T) {
+	c := qt.New(t)
+	store, f := startWithServers(c, "s1")
+	p, refusal := placeRest(f)
+	c.Assert(refusal, qt.IsNil)
+	before := store.reads.Load()
+	for i := range 100 {
+		c.Assert(f.RecordOrigin(context.Background(), fmt.Sprint("r", i), &p).SoftwareVersion, qt.Equals, "v1")
+	}
+	c.Check(store.reads.Load(), qt.Equals, before)
+	f.loop.Call(func() {
+		f.recordTick(bootclock.Now().Add(2 * maxTickDelay))
+		c.Check(f.registrationsMayBeOld(f.tickedAt), qt.IsTrue)
+		f.recordReply("servers/", f.awakeSince.Add(-time.Millisecond))
+		c.Check(f.registrationsMayBeOld(f.tickedAt), qt.IsTrue)
+		f.recordReply("servers/", f.awakeSince)
+		c.Check(f.registrationsMayBeOld(f.tickedAt), qt.IsFalse)
+	})
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -286,7 +286,7 @@
 			if !res.gotFirstByte {
 				g.recordFirstByte(r, res, started)
 			}
-			if !g.forwardEvents(c, r, header, out, events, res) {
+			if !g.forwardEvents(ctx, c, r, header, out, events, res) {
 				return
 			}
 		}
@@ -308,9 +308,9 @@
 
 // forwardEvents writes those of the events to the caller that it gets next, after the header if that wasn't sent yet. It
 // reports whether the stream goes on, and otherwise completes res.
-func (g *Gateway) forwardEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte, res *exchangeResult) bool {
+func (g *Gateway) forwardEvents(ctx context.Context, c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte, res *exchangeResult) bool {
 	next, err := r.events.Admit(events)
-	if werr := g.writeEvents(c, r, header, out, next); werr != nil {
+	if werr := g.writeEvents(ctx, c, r, header, out, next); werr != nil {
 		res.callerFailed, res.err = true, ErrCallerDisconnected.Wrap(werr, "write to the caller")
 		res.dispatchResult = dispatch.Cancelled
 		return false
@@ -322,11 +322,11 @@
 	return true
 }
 
-func (g *Gateway) writeEvents(c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte) error {
+func (g *Gateway) writeEvents(ctx context.Context, c *callerConn, r *request, header *fasthttp.ResponseHeader, out *streamWriter, events []byte) error {
 	if len(events) == 0 {
 		return nil
 	}
-	g.shareOrigin(r)
+	g.shareOrigin(ctx, r)
 	if err := g.startStream(c, r, header); err != nil {
 		return err
 	}
--- a/internal/gateway/resumption.go
+++ b/internal/gateway/resumption.go
@@ -54,14 +54,14 @@
 
 // shareOrigin lets the other gateways know where the stream began, before the caller gets the first event that this request
 // brings. From then on the caller may come back to any of them.
-func (g *Gateway) shareOrigin(r *request) {
+func (g *Gateway) shareOrigin(ctx context.Context, r *request) {
 	switch {
 	case r.originShared:
 		return
 	case r.placeRequest.Continues:
 		g.fleet.ShareOrigin(r.stream, r.origin)
 	case r.isResumableStream():
-		g.continueStream(r, r.call.ID, g.fleet.RecordOrigin(r.call.ID, &r.placement))
+		g.continueStream(r, r.call.ID, g.fleet.RecordOrigin(ctx, r.call.ID, &r.placement))
 	}
 	r.originShared = true
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -73,6 +73,11 @@
 	return ok && (r.restoredAt.IsZero() || now.Sub(r.restoredAt) >= returnTimeout)
 }
 
+// MayBeOld reports whether registrations may be of earlier runs because the store doesn't take new ones, or has only just begun to.
+func (r *Registry) MayBeOld(now time.Time) bool {
+	return r.unreachable || !r.reachableAt.IsZero() && now.Sub(r.reachableAt) < returnTimeout
+}
+
 // StoreRestored records that the store has come back from a copy that may lack recent registrations.
 func (r *Registry) StoreRestored(now time.Time) { r.reachableAt, r.restoredAt = now, now }
 
@@ -107,8 +112,7 @@
 		return
 	}
 	if s.State == backend.Ready {
-		inOutage := r.unreachable || !r.reachableAt.IsZero() && now.Sub(r.reachableAt) < returnTimeout
-		r.expired[id] = expiry{server: s, at: now, inOutage: inOutage}
+		r.expired[id] = expiry{server: s, at: now, inOutage: r.MayBeOld(now)}
 	}
 }
 
