fleet: record where a stream begins with one call to the control loop

The confirmation of runs had made it two for each stream; it needs more only while registrations may be old. The tests of origins and registrations pass.

--- a/internal/fleet/origins.go
+++ b/internal/fleet/origins.go
@@ -52,25 +52,28 @@
 // these have been sent the origin, so that the caller may get the stream's first event. While the server's registration may be of an
 // earlier run, it confirms the run first, as the first event has come from a run since. The software version is unknown if it can't.
 func (f *Fleet) RecordOrigin(ctx context.Context, stream string, p *dispatch.Placement) origin.Origin {
-	outdated := false
-	f.loop.Call(func() { outdated = f.registrationsMayBeOld(bootclock.Now()) })
 	began := origin.Origin{Service: p.Service, SoftwareVersion: p.SoftwareVersion}
-	if outdated {
+	var mayBeOld, known bool
+	f.loop.Call(func() { mayBeOld, known = f.registrationsMayBeOld(bootclock.Now()), f.isRunKnown(p) })
+	if known && mayBeOld {
 		placed, runs := *p, runConfirmation{fleet: f}
-		if !runs.confirm(ctx, &placed) {
-			began.SoftwareVersion = ""
+		if known = runs.confirm(ctx, &placed); known {
+			f.loop.Call(func() { known = f.isRunKnown(p) })
 		}
 	}
-	f.loop.Call(func() {
-		if f.dispatcher.SoftwareVersion(bootclock.Now(), p.Server) != p.SoftwareVersion {
-			// The server has restarted, or changed its registration, since the request was sent to it.
-			began.SoftwareVersion = ""
-		}
-	})
+	if !known {
+		began.SoftwareVersion = ""
+	}
 	f.ShareOrigin(stream, began)
 	return began
 }
 
+// isRunKnown reports whether the server of a placement has neither restarted nor changed its registration, as far as is known, since the
+// request was sent to it.
+func (f *Fleet) isRunKnown(p *dispatch.Placement) bool {
+	return f.dispatcher.SoftwareVersion(bootclock.Now(), p.Server) == p.SoftwareVersion
+}
+
 // ShareOrigin records the known origin of a stream here and at the gateways that keep it, once more if they have it.
 func (f *Fleet) ShareOrigin(stream string, began origin.Origin) {
 	var keepers []string
