fleet: record readings of registrations after the merge

recordReply returned before it looked at registrations, so that they counted as old for good after the first freeze. TestStreamsBeginWithoutReadsOfRegistrations failed 9 of 9 and passes.

--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -149,15 +149,14 @@
 
 // recordReply records that all changes under prefix up to a time have been applied.
 func (f *Fleet) recordReply(prefix string, asOf time.Time) {
-	if prefix != f.Platform.Documents.OperatorPrefix() {
-		return
-	}
-	f.operatorReadAt = later(f.operatorReadAt, asOf)
-	if f.Table() != nil {
-		f.confirmConfiguration(asOf)
-	}
-	if prefix == f.Platform.Documents.ServerPrefix() && asOf.After(f.registrationsAsOf) {
-		f.registrationsAsOf = asOf
+	switch prefix {
+	case f.Platform.Documents.OperatorPrefix():
+		f.operatorReadAt = later(f.operatorReadAt, asOf)
+		if f.Table() != nil {
+			f.confirmConfiguration(asOf)
+		}
+	case f.Platform.Documents.ServerPrefix():
+		f.registrationsAsOf = later(f.registrationsAsOf, asOf)
 	}
 }
 
