--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -24,8 +24,8 @@
 	// readingKey is the key in which the leader stores up to when all target versions are stored. It sorts before targetPrefix, so that
 	// a listing has what is stored under that as of the reading or later.
 	readingKey = ownPrefix + "confirmed"
-	// readingInterval is the interval at which it is written: the time by which a version counts as set too early at gateways
-	// that start when no other one is left.
+	// readingInterval is the interval at which it is written. Gateways that start when no other one is left may count a version as set
+	// so much too early.
 	readingInterval = 2 * time.Second
 	// persistTolerance is by how much a stored time may be later than the known one before it is stored again.
 	persistTolerance = 500 * time.Millisecond
