A former leader keeps the exclusions of the next one

Cause, found by reading: when a leader loses its lease it ended all exclusions in its own dispatcher, among them those that the next leader had just sent, until that one's next heartbeat. A report of an engine that arrives after the freeze also replaced them by the former leader's own. Now a leader's exclusions expire at its own gateway as they do at the others, and a leader that has heard of a later one excludes nothing.

TestFormerLeaderKeepsTheExclusionsOfTheNextOne fails without either part.

--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -137,11 +137,7 @@
 		}
 		sleep(ctx, dutyInterval)
 	}
-	f.loop.Call(func() {
-		f.formerLoadTime = f.lead.planner.LoadTime()
-		f.lead = leadership{}
-		f.dispatcher.SetExcluded(nil, bootclock.Now())
-	})
+	f.loop.Call(f.endLeadership)
 	f.Log.Info(EventLeaseLost, zap.Uint64("fence", holding.Fence), eventlog.Error(err), zap.Bool("leaving", f.leaving.Load()))
 	if err == nil {
 		// The next leader may grant leases for all that is in the stores.
@@ -151,6 +147,12 @@
 	}
 }
 
+// endLeadership ends this gateway's duties as the leader. What it has excluded from new requests expires here as at the other gateways.
+func (f *Fleet) endLeadership() {
+	f.formerLoadTime = f.lead.planner.LoadTime()
+	f.lead = leadership{}
+}
+
 // recordHolding records the leader lease as of its latest renewal. While it lasts, this gateway may fetch cached parts.
 func (f *Fleet) recordHolding(holding lease.Holding) {
 	f.loop.Call(func() {
@@ -266,8 +268,12 @@
 	f.startFreeing(freeCtx, holding, freeableParts)
 }
 
-// excludeServers updates, in the dispatcher and at the other gateways, which servers get no new requests.
+// excludeServers updates, in the dispatcher and at the other gateways, which servers get no new requests. A leader that has heard of a
+// later one, as after a freeze, leaves that to it.
 func (f *Fleet) excludeServers(now time.Time) {
+	if f.lead.fence < f.latestFence {
+		return
+	}
 	excluded := f.lead.planner.Excluded()
 	f.dispatcher.SetExcluded(excluded, now)
 	if slices.Equal(excluded, f.lead.excluded) {
