Ages in a heartbeat count from when it was sent

A heartbeat that waited in the socket while its receiver was frozen looked new: what it says happened before the freeze was dated after it. With heartbeats held up by 3 s, a response from before a crash released the part that was held for it, the report of a crash counted as a second one, an earlier limit of a server replaced the latest one, and a target weight version counted 3 s too late.

Change: a heartbeat tells when it was made, by its sender's clock since boot. The receiver compares how long heartbeats take with the fastest of the last 30 to 60 s of the same run, and dates ages back by the difference. Where counting from the receipt is on the safe side nothing changes: who is live, which servers may be cold. Heartbeats without the field count as before.

The four TestHeldUpHeartbeat... fail when SentAt returns the time of receipt. go test -race of internal/fleet and internal/peers passes.

--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -99,7 +99,7 @@
 func (f *Fleet) newBeat(now time.Time, includePeers bool) *wire.Beat {
 	f.sequence++
 	beat := &wire.Beat{
-		From: f.Self, Incarnation: f.Incarnation, Sequence: f.sequence, Leaving: f.leaving.Load(),
+		From: f.Self, Incarnation: f.Incarnation, Sequence: f.sequence, SentNs: now.UnixNano(), Leaving: f.leaving.Load(),
 		Fence: f.lead.fence, Withheld: f.lead.excluded, Configuration: f.configurationVersion(),
 	}
 	for _, prefix := range f.prefixes() {
@@ -212,8 +212,9 @@
 		f.mergeConfirmation(confirmation, now)
 		return
 	}
+	sentAt := f.members.SentAt(beat, now)
 	if beat.GetOnlyEvidence() {
-		f.mergeQuarantine(beat, now)
+		f.mergeQuarantine(beat, sentAt, now)
 		return
 	}
 	wasLive := f.members.IsLive(beat.GetFrom().GetInstance(), now)
@@ -243,10 +244,10 @@
 			f.Log.Info(EventServerLeaving, zap.String("server", s.GetServer()), zap.String("source", member.GetInstance()))
 		}
 	}
-	f.mergeQuarantine(beat, now)
-	f.mergeLimits(beat, now)
+	f.mergeQuarantine(beat, sentAt, now)
+	f.mergeLimits(beat, sentAt)
 	f.mergeCold(beat, now)
-	f.mergeTargetVersions(beat, now)
+	f.mergeTargetVersions(beat, sentAt, now)
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(now, v.GetServer(), v.GetModel(), v.GetVersion())
 	}
--- /dev/null
+++ b/internal/fleet/held_up_test.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/quarantine"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+const heldUp = 3 * time.Second
+
+// hearHeldUp lets f hear, after a freeze, a heartbeat that was sent after it began and returns when that was.
+func hearHeldUp(f *Fleet, beat *wire.Beat) (sentAt time.Time) {
+	from := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	frozenAt := bootclock.Now().Add(-heldUp)
+	f.members.Add(from, frozenAt)
+	f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: 1, SentNs: frozenAt.UnixNano()}, frozenAt)
+	beat.From, beat.Incarnation, beat.Sequence, beat.SentNs = from, 1, 2, frozenAt.UnixNano()
+	f.handleBeat(beat, frozenAt.Add(heldUp))
+	return frozenAt
+}
+
+// Guards against requests that crash servers going on to more of them: a response from before the crash released their part.
+func TestHeldUpHeartbeatReleasesNoPart(t *testing.T) {
+	for _, only := range []bool{false, true} {
+		c := qt.New(t)
+		f, _ := fleetWithEngines(c)
+		part := quarantine.Part{Scope: "m", ID: "p"}
+		crashedAt := bootclock.Now().Add(-time.Second)
+		f.quarantine.MergeHold(bootclock.Now(), quarantine.Hold{Part: part, CrashedAt: crashedAt, Crashes: 2, Length: time.Minute})
+		hearHeldUp(f, &wire.Beat{OnlyEvidence: only, ServedParts: []*wire.ServedPart{{Part: requestPart(part)}}})
+		_, held := f.quarantine.Held(bootclock.Now(), []quarantine.Part{part}, false)
+		c.Assert(held, qt.IsTrue)
+	}
+}
+
+// Guards against crashes that count twice: a held-up report of one was dated after this gateway's own.
+func TestHeldUpHeartbeatReportsNoSecondCrash(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	part := quarantine.Part{Scope: "m", ID: "p"}
+	at := bootclock.Now().Add(-heldUp)
+	suspect := quarantine.Suspect{Part: part, Request: 1, SentAt: at.Add(-time.Second)}
+	f.quarantine.RecordCrash(bootclock.Now(), quarantine.Crash{Server: "e1", At: at, Suspects: []quarantine.Suspect{suspect}})
+	reported := &wire.CrashSuspect{Part: requestPart(part), Request: 2, SentBeforeMs: 1000}
+	hearHeldUp(f, &wire.Beat{Crashes: []*wire.ServerCrash{{Server: "e1", Suspects: []*wire.CrashSuspect{reported}}}})
+	crashes := f.quarantine.Report(at.Add(time.Second)).Crashes
+	c.Assert(crashes, qt.HasLen, 1)
+	c.Assert(crashes[0].Suspects, qt.HasLen, 2)
+}
+
+// Guards against requests beyond a server's limit: an earlier statement replaced the latest one.
+func TestHeldUpHeartbeatReplacesNoLaterLimit(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	f.dispatcher.SetLimit(dispatch.ServerLimit{ID: "e1", Stated: true, PerSecond: 2, At: bootclock.Now().Add(-time.Second)})
+	hearHeldUp(f, &wire.Beat{ServerLimits: []*wire.ServerLimit{{Server: "e1", Stated: true, PerSecond: 9}}})
+	perSecond, _ := f.dispatcher.Limit("e1")
+	c.Assert(perSecond, qt.Equals, 2.0)
+}
+
+// Guards against engines that serve overdue weights: a version counted from the receipt of a held-up heartbeat.
+func TestHeldUpHeartbeatDatesATargetVersion(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	sentAt := hearHeldUp(f, &wire.Beat{TargetVersions: []*wire.TargetVersion{{Model: "m", Version: 2, AgeMs: 300}}})
+	binding := f.dispatcher.Targets().Binding("m", bootclock.Now())
+	c.Assert(binding, qt.HasLen, 1)
+	c.Assert(binding[0].SetAt.Equal(sentAt.Add(-300*time.Millisecond)), qt.IsTrue)
+}
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -165,10 +165,10 @@
 }
 
 // mergeLimits adds the limits of another gateway's heartbeat.
-func (f *Fleet) mergeLimits(beat *wire.Beat, now time.Time) {
+func (f *Fleet) mergeLimits(beat *wire.Beat, sentAt time.Time) {
 	for _, l := range beat.GetServerLimits() {
 		if f.dispatcher.SetLimit(dispatch.ServerLimit{
-			ID: l.GetServer(), StartedMS: l.GetStartedMs(), Stated: l.GetStated(), PerSecond: l.GetPerSecond(), At: timeBefore(now, l.GetAgeMs()),
+			ID: l.GetServer(), StartedMS: l.GetStartedMs(), Stated: l.GetStated(), PerSecond: l.GetPerSecond(), At: timeBefore(sentAt, l.GetAgeMs()),
 		}) {
 			f.logLimit(l.GetServer(), beat.GetFrom().GetInstance())
 		}
--- a/internal/fleet/quarantine.go
+++ b/internal/fleet/quarantine.go
@@ -24,7 +24,7 @@
 	}
 	f.crashReportedAt = now
 	f.sequence++
-	beat := &wire.Beat{From: f.Self, Incarnation: f.Incarnation, Sequence: f.sequence, OnlyEvidence: true}
+	beat := &wire.Beat{From: f.Self, Incarnation: f.Incarnation, Sequence: f.sequence, SentNs: now.UnixNano(), OnlyEvidence: true}
 	f.addQuarantine(beat, now)
 	f.broadcast(beat)
 }
@@ -126,16 +126,16 @@
 }
 
 // mergeQuarantine adds the crashes, holds and served parts of another gateway's heartbeat.
-func (f *Fleet) mergeQuarantine(beat *wire.Beat, now time.Time) {
+func (f *Fleet) mergeQuarantine(beat *wire.Beat, sentAt, now time.Time) {
 	for _, served := range beat.GetServedParts() {
 		part := commonPart(served.GetPart())
-		if f.quarantine.MergeServed(part, timeBefore(now, served.GetAgeMs())) {
+		if f.quarantine.MergeServed(part, timeBefore(sentAt, served.GetAgeMs())) {
 			f.logReleased([]quarantine.Part{part})
 		}
 	}
 	answer := false
 	for _, reported := range beat.GetCrashes() {
-		crash := quarantine.Crash{Server: reported.GetServer(), At: timeBefore(now, reported.GetAgeMs())}
+		crash := quarantine.Crash{Server: reported.GetServer(), At: timeBefore(sentAt, reported.GetAgeMs())}
 		for _, s := range reported.GetSuspects() {
 			crash.Suspects = append(crash.Suspects, quarantine.Suspect{
 				Part: commonPart(s.GetPart()), Request: s.GetRequest(), SentAt: timeBefore(crash.At, s.GetSentBeforeMs()), Depth: int(s.GetDepth()),
@@ -149,7 +149,7 @@
 	}
 	for _, held := range beat.GetHeldParts() {
 		hold := quarantine.Hold{
-			Part: commonPart(held.GetPart()), CrashedAt: timeBefore(now, held.GetCrashAgeMs()), Crashes: int(held.GetCrashes()),
+			Part: commonPart(held.GetPart()), CrashedAt: timeBefore(sentAt, held.GetCrashAgeMs()), Crashes: int(held.GetCrashes()),
 			Length: time.Duration(held.GetHoldMs()) * time.Millisecond,
 		}
 		if f.quarantine.MergeHold(now, hold) {
--- a/internal/fleet/target_versions.go
+++ b/internal/fleet/target_versions.go
@@ -166,10 +166,10 @@
 }
 
 // mergeTargetVersions adds the target versions of another gateway's heartbeat.
-func (f *Fleet) mergeTargetVersions(beat *wire.Beat, now time.Time) {
+func (f *Fleet) mergeTargetVersions(beat *wire.Beat, sentAt, now time.Time) {
 	for _, reported := range beat.GetTargetVersions() {
 		target := weights.TargetVersion{
-			Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(now, reported.GetAgeMs()), NotBefore: f.fromServerClock(reported.GetNotBeforeMs()),
+			Model: reported.GetModel(), Version: reported.GetVersion(), SetAt: timeBefore(sentAt, reported.GetAgeMs()), NotBefore: f.fromServerClock(reported.GetNotBeforeMs()),
 		}
 		f.addTargetVersion(target, beat.GetFrom().GetInstance(), now)
 	}
--- /dev/null
+++ b/internal/peers/delay.go
@@ -0,0 +1,44 @@
+package peers
+
+import (
+	"time"
+
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// delayWindow is for how long at least the fastest heartbeat counts, and half of how long it may.
+const delayWindow = 30 * time.Second
+
+// delayEstimate tells how long the heartbeats of one run of a gateway are held up: by how much longer they take than the fastest of the
+// latest ones. The clocks of two hosts have different starts, so that the transit time itself is unknown.
+type delayEstimate struct {
+	incarnation uint64
+	// least is the smallest difference between the time of receipt and the time of sending since beganAt, formerLeast that of the
+	// window before.
+	least, formerLeast time.Duration
+	beganAt            time.Time
+}
+
+// add adds a heartbeat that was sent at a time of the sender's clock and arrived at now, and returns how long it was held up.
+func (e *delayEstimate) add(incarnation uint64, sentNS int64, now time.Time) time.Duration {
+	difference := time.Duration(now.UnixNano() - sentNS)
+	switch {
+	case e.beganAt.IsZero() || e.incarnation != incarnation:
+		*e = delayEstimate{incarnation: incarnation, least: difference, formerLeast: difference, beganAt: now}
+	case now.Sub(e.beganAt) > delayWindow:
+		e.formerLeast, e.least, e.beganAt = e.least, difference, now
+	default:
+		e.least = min(e.least, difference)
+	}
+	return difference - min(e.least, e.formerLeast)
+}
+
+// SentAt returns when a heartbeat that arrives at now was sent, on this gateway's clock and less what even the fastest ones take. Ages
+// in it are as of that time: one that waited while the receiver was frozen looks new otherwise. It returns now if that isn't known.
+func (m *Members) SentAt(beat *wire.Beat, now time.Time) time.Time {
+	member := m.members[beat.GetFrom().GetInstance()]
+	if member == nil || beat.GetSentNs() == 0 || beat.GetIncarnation() == member.formerIncarnation {
+		return now
+	}
+	return now.Add(-member.delay.add(beat.GetIncarnation(), beat.GetSentNs(), now))
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -53,6 +53,7 @@
 	sequence    uint64
 	// formerIncarnation is the one before incarnation, whose heartbeats may still arrive.
 	formerIncarnation uint64
+	delay             delayEstimate
 	// NewRun is set if the latest heartbeat was the first one of the gateway's run.
 	NewRun bool
 	// Restarted is set if, in addition, an earlier run of the gateway is known.
