A gateway that wakes from a freeze learns from the leader at once which servers are excluded

After a freeze the heartbeats that waited in the socket made the woken gateway exclude, for up to 1.5 s, engines that had loaded their weights long before, and it didn't know those that load now: the latest heartbeats don't fit into the socket's buffer, so that it waited for the leader's next one.

Change: an exclusion counts from when its heartbeat was sent, and a leader sends a heartbeat at once to a gateway that it hears again, or for the first time. The woken gateway's own heartbeat is due when it wakes.

TestHeldUpHeartbeatExcludesNoServer and TestLeaderTellsAGatewayThatIsBackWhichServersAreExcluded fail without the change.

--- a/internal/fleet/former_leader_test.go
+++ b/internal/fleet/former_leader_test.go
@@ -15,7 +15,7 @@
 
 // fleetWithEngines returns a Fleet that has two engines and isn't started, and a function that lists those that are excluded.
 func fleetWithEngines(c *qt.C) (f *Fleet, excluded func() []string) {
-	f = New(Options{Self: self("a"), Log: newTestLog(c), Counters: NewCounters(tally.NoopScope)})
+	f = New(Options{Platform: Platform{Documents: documents{}}, Self: self("a"), Log: newTestLog(c), Counters: NewCounters(tally.NoopScope)})
 	f.dispatcher.SetServers([]backend.Server{{ID: "e1"}, {ID: "e2"}})
 	return f, func() (ids []string) {
 		states := f.dispatcher.State(bootclock.Now())
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -186,6 +186,10 @@
 	}
 	if !wasLive {
 		f.Log.Info(EventPeerLive, zap.String("peer", member.GetInstance()), zap.Int("known", f.members.Count()))
+		if f.lead.fence > beat.GetFence() {
+			// It may have been frozen and doesn't know which servers are excluded now.
+			f.send(f.newBeat(now, false), member.GetBeatAddress())
+		}
 	}
 	f.mergeRetired(beat.GetRetired())
 	loads := make(map[string]dispatch.PeerLoad, len(beat.GetLoads()))
@@ -213,15 +217,15 @@
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(now, v.GetServer(), v.GetModel(), v.GetVersion())
 	}
-	f.mergeLeader(beat, now)
+	f.mergeLeader(beat, sentAt)
 }
 
 // mergeLeader takes over which servers get no new requests and what the leader has measured, unless a later leader is known. A leader
 // that was frozen may still send what it decided before.
-func (f *Fleet) mergeLeader(beat *wire.Beat, now time.Time) {
+func (f *Fleet) mergeLeader(beat *wire.Beat, sentAt time.Time) {
 	if fence := beat.GetFence(); fence > 0 && fence >= f.latestFence && fence > f.lead.fence {
 		f.latestFence = fence
 		f.formerLoadTime = time.Duration(beat.GetLoadMs()) * time.Millisecond
-		f.dispatcher.SetExcluded(beat.GetWithheld(), now)
+		f.dispatcher.SetExcluded(beat.GetWithheld(), sentAt)
 	}
 }
--- a/internal/fleet/held_up_test.go
+++ b/internal/fleet/held_up_test.go
@@ -8,7 +8,10 @@
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/loopback"
+	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
+	"balsamyoke.example/balsamyoke/internal/weights"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -73,3 +76,45 @@
 	c.Assert(binding, qt.HasLen, 1)
 	c.Assert(binding[0].SetAt.Equal(sentAt.Add(-300*time.Millisecond)), qt.IsTrue)
 }
+
+// Guards against requests refused after a freeze because of engines that had loaded long before.
+func TestHeldUpHeartbeatExcludesNoServer(t *testing.T) {
+	c := qt.New(t)
+	f, excluded := fleetWithEngines(c)
+	hearHeldUp(f, &wire.Beat{Fence: 1, Withheld: []string{"e1"}})
+	c.Assert(excluded(), qt.HasLen, 0)
+}
+
+// Guards against requests sent to loading engines by a gateway that was frozen, until the leader's next heartbeat.
+func TestLeaderTellsAGatewayThatIsBackWhichServersAreExcluded(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	f.lead.fence, f.lead.planner, f.lead.excluded = 1, weights.NewPlanner("a", 1, 0), []string{"e1"}
+	listen := func(receive func(*wire.Beat)) (*peers.Link, string) {
+		address, err := loopback.FreeAddress()
+		c.Assert(err, qt.IsNil)
+		link, err := peers.Listen(address, receive)
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(func() { c.Check(link.Close(), qt.IsNil) })
+		return link, address
+	}
+	received := make(chan *wire.Beat, 8)
+	f.link, _ = listen(func(*wire.Beat) {})
+	_, address := listen(func(beat *wire.Beat) { received <- beat })
+	from := &wire.Peer{Instance: "b", BeatAddress: address, ControlAddress: address, FailureDomain: "a"}
+	now := bootclock.Now()
+	for i, at := range []time.Time{now, now.Add(time.Second), now.Add(time.Minute)} {
+		f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: uint64(i + 1)}, at)
+		if i == 1 {
+			continue // It was not away.
+		}
+		select {
+		case beat := <-received:
+			c.Assert(beat.GetWithheld(), qt.DeepEquals, []string{"e1"})
+		case <-time.After(5 * time.Second):
+			c.Fatalf("nothing received after heartbeat %d", i)
+		}
+	}
+	time.Sleep(100 * time.Millisecond)
+	c.Assert(received, qt.HasLen, 0)
+}
