Prompts wait after a freeze until the leader has been heard

What a gateway that wakes knows about loading engines is as old as its freeze, and the prompts that waited in its sockets are placed before it has read a heartbeat. They were sent to engines that load (503) or have newer weights by now (421), up to four each, and refused after that. The leader's prompt heartbeat comes too late for them.

Change: after a tick that was late by over half a second, prompts wait until a heartbeat of the leader is heard that was sent since, for 0.25 s at most. By then the gateway also knows which of their callers have left. The leader itself waits for nothing.

TestExclusionsMayBeOldAfterAFreezeUntilTheLeaderIsHeard; TestPromptAfterAFreezeWaitsForTheLeader fails without the wait.

--- /dev/null
+++ b/internal/fleet/freeze.go
@@ -0,0 +1,43 @@
+package fleet
+
+import "time"
+
+const (
+	// maxTickDelay is the delay of a tick of evaluate from which this gateway counts as having been frozen.
+	maxTickDelay = 2 * evaluateInterval
+	// leaderWait bounds how long prompts wait after a freeze for the leader's heartbeat: a little over the interval of heartbeats, in
+	// case that there is no leader.
+	leaderWait = 250 * time.Millisecond
+	// leaderCheckInterval is the interval at which a waiting prompt looks whether the heartbeat has come.
+	leaderCheckInterval = 10 * time.Millisecond
+)
+
+// recordTick records a tick of evaluate.
+func (f *Fleet) recordTick(now time.Time) {
+	if f.tickIsLate(now) {
+		f.awakeSince = now
+	}
+	f.tickedAt = now
+}
+
+// tickIsLate reports whether this gateway has been frozen since the latest tick of evaluate.
+func (f *Fleet) tickIsLate(now time.Time) bool { return now.Sub(f.tickedAt) > maxTickDelay }
+
+// registrationsMayBeOld reports whether servers may have started again without this gateway having had the time to learn of it: in an
+// outage of the metadata store, and after a freeze until the registrations have been read again.
+func (f *Fleet) registrationsMayBeOld(now time.Time) bool {
+	return f.registry.MayBeOld(now) || f.tickIsLate(now) || f.registrationsAsOf.Before(f.awakeSince)
+}
+
+// exclusionsMayBeOld reports whether this gateway was frozen lately and hasn't heard from the leader since. It is false while this
+// gateway leads.
+func (f *Fleet) exclusionsMayBeOld(now time.Time) bool {
+	switch {
+	case f.lead.fence > 0 && now.Before(f.lead.until):
+		return false
+	case f.tickIsLate(now):
+		return true
+	default:
+		return f.leaderKnownAt.Before(f.awakeSince) && now.Sub(f.awakeSince) < leaderWait
+	}
+}
--- /dev/null
+++ b/internal/fleet/freeze_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"balsamyoke.example/balsamyoke/internal/bootclock"
+	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/wire"
+)
+
+// Guards against prompts sent to loading engines in the moments after a freeze, before the leader's heartbeat.
+func TestExclusionsMayBeOldAfterAFreezeUntilTheLeaderIsHeard(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	start := bootclock.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	leader := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	sequence := uint64(0)
+	hear := func(sentMS, receivedMS int) {
+		sequence++
+		f.handleBeat(&wire.Beat{From: leader, Incarnation: 1, Sequence: sequence, SentNs: at(sentMS).UnixNano(), Fence: 1}, at(receivedMS))
+	}
+	f.tickedAt = start
+	hear(0, 0)
+	hear(100, 100)
+	c.Check(f.exclusionsMayBeOld(at(200)), qt.IsFalse)
+	c.Check(f.exclusionsMayBeOld(at(3000)), qt.IsTrue)
+	f.recordTick(at(3000))
+	hear(300, 3001)
+	c.Check(f.exclusionsMayBeOld(at(3002)), qt.IsTrue)
+	hear(3003, 3003)
+	c.Check(f.exclusionsMayBeOld(at(3004)), qt.IsFalse)
+	f.recordTick(at(3250))
+	f.recordTick(at(6000))
+	c.Check(f.exclusionsMayBeOld(at(6000).Add(leaderWait-1)), qt.IsTrue)
+	c.Check(f.exclusionsMayBeOld(at(6000).Add(leaderWait)), qt.IsFalse)
+	f.lead = leadership{fence: 2, until: at(6100)}
+	c.Check(f.exclusionsMayBeOld(at(6099)), qt.IsFalse)
+	c.Check(f.exclusionsMayBeOld(at(6100)), qt.IsTrue)
+}
+
+func TestPromptAfterAFreezeWaitsForTheLeader(t *testing.T) {
+	c := qt.New(t)
+	_, f := startWithServers(c, "s1")
+	freeze := func() time.Time {
+		f.loop.Call(func() { f.tickedAt, f.awakeSince = bootclock.Now(), bootclock.Now() })
+		return bootclock.Now()
+	}
+	place := func(ctx context.Context, model string) *dispatch.Refusal {
+		_, refusal := f.Place(ctx, &dispatch.Request{Service: "s", Model: model}, nil)
+		return refusal
+	}
+	awake := freeze()
+	c.Check(place(context.Background(), "m"), qt.IsNotNil)
+	c.Check(bootclock.Now().Sub(awake) >= leaderWait-time.Millisecond, qt.IsTrue)
+	cancelled, cancel := context.WithCancel(context.Background())
+	cancel()
+	freeze()
+	c.Check(place(cancelled, "m"), qt.IsNotNil)
+}
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -227,5 +227,6 @@
 		f.latestFence = fence
 		f.formerLoadTime = time.Duration(beat.GetLoadMs()) * time.Millisecond
 		f.dispatcher.SetExcluded(beat.GetWithheld(), sentAt)
+		f.leaderKnownAt = later(f.leaderKnownAt, sentAt)
 	}
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -12,13 +12,16 @@
 
 // Place picks a server for a request with the parts, or returns the reason for its refusal. If only servers with a limit can
 // take the request, it asks the owner of one of their limits. A request for which the owners of several cold servers have no grant
-// goes to a server that needs none. The rest of a stream goes to a server whose run is confirmed.
+// goes to a server that needs none. The rest of a stream goes to a server whose run is confirmed. After a freeze a prompt waits until
+// this gateway has heard from the leader which servers are excluded.
 func (f *Fleet) Place(ctx context.Context, r *dispatch.Request, parts []quarantine.Part) (dispatch.Placement, *dispatch.Refusal) {
 	r.NoAsk = false
 	runs := runConfirmation{fleet: f}
 	for asks := 0; ; {
-		p, refusal := f.placeOnce(r, parts)
+		p, refusal, waits := f.placeOnce(r, parts)
 		switch {
+		case waits && ctx.Err() == nil:
+			sleep(ctx, leaderCheckInterval)
 		case refusal == nil && r.Continues && !runs.confirm(ctx, &p):
 			f.withdraw(p)
 			r.Tried = append(r.Tried, p.Server)
@@ -80,10 +83,14 @@
 	return may
 }
 
-// placeOnce picks a server. A refusal with GrantFrom may become a placement after a grant.
-func (f *Fleet) placeOnce(r *dispatch.Request, parts []quarantine.Part) (p dispatch.Placement, refusal *dispatch.Refusal) {
+// placeOnce picks a server. A refusal with GrantFrom may become a placement after a grant. It reports whether the request waits for
+// the leader's heartbeat instead.
+func (f *Fleet) placeOnce(r *dispatch.Request, parts []quarantine.Part) (p dispatch.Placement, refusal *dispatch.Refusal, waits bool) {
 	f.loop.Call(func() {
 		now := bootclock.Now()
+		if waits = r.Model != "" && f.exclusionsMayBeOld(now); waits {
+			return
+		}
 		if refusal = f.refuseHeld(now, parts); refusal != nil {
 			return
 		}
@@ -106,5 +113,5 @@
 	if p.Server == "" && refusal == nil {
 		refusal = &dispatch.Refusal{Reason: dispatch.NoServer, RetryAfter: time.Second}
 	}
-	return p, refusal
+	return p, refusal, waits
 }
--- a/internal/fleet/registrations.go
+++ b/internal/fleet/registrations.go
@@ -24,23 +24,6 @@
 	confirmedFor = 2 * confirmTimeout
 )
 
-// maxTickDelay is the delay of a tick of evaluate from which this gateway counts as having been frozen.
-const maxTickDelay = 2 * evaluateInterval
-
-// recordTick records a tick of evaluate.
-func (f *Fleet) recordTick(now time.Time) {
-	if now.Sub(f.tickedAt) > maxTickDelay {
-		f.awakeSince = now
-	}
-	f.tickedAt = now
-}
-
-// registrationsMayBeOld reports whether servers may have started again without this gateway having had the time to learn of it: in an
-// outage of the metadata store, and after a freeze until the registrations have been read again.
-func (f *Fleet) registrationsMayBeOld(now time.Time) bool {
-	return f.registry.MayBeOld(now) || now.Sub(f.tickedAt) > maxTickDelay || f.registrationsAsOf.Before(f.awakeSince)
-}
-
 // registrationReads reads the registrations of servers for the requests that rely on them. Requests that come before a read begins
 // share it, because each call is charged.
 type registrationReads struct {
