A prompt doesn't wait for as long as the control goroutine is behind

A tick of evaluate was recorded with the time at which it was queued. While the control goroutine is behind by over maxTickDelay (0.5 s), the latest tick therefore always looked late, and prompts waited until their callers gave up, asking the busy goroutine 100 times a second each.

Change: a tick counts from when the control goroutine handles it. One that was queued before a freeze ends it as the next one does.

TestPromptIsPlacedWhileTheControlGoroutineIsBehind (0.8 s behind) fails without the change: not placed in 12 s.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -342,7 +342,8 @@
 			f.Log.Warn(EventSuspended, zap.Duration("for", suspended))
 		}
 		f.loop.Post(func() {
-			f.recordTick(now)
+			// Not now: while the control goroutine is behind, its latest tick would look late for as long.
+			f.recordTick(bootclock.Now())
 			f.evaluateServers(now)
 		})
 	}
--- a/internal/fleet/freeze_test.go
+++ b/internal/fleet/freeze_test.go
@@ -62,3 +62,24 @@
 	freeze()
 	c.Check(place(cancelled, "m"), qt.IsNotNil)
 }
+
+// Guards against prompts that wait for as long as the control goroutine is behind.
+func TestPromptIsPlacedWhileTheControlGoroutineIsBehind(t *testing.T) {
+	c := qt.New(t)
+	_, f := startWithServers(c, "s1")
+	ctx, cancel := context.WithTimeout(context.Background(), 12*time.Second)
+	defer cancel()
+	var work func()
+	work = func() {
+		time.Sleep(10 * time.Millisecond)
+		if ctx.Err() == nil {
+			f.loop.TryPost(work)
+		}
+	}
+	for range 80 {
+		f.loop.TryPost(work)
+	}
+	time.Sleep(2 * time.Second)
+	_, _ = f.Place(ctx, &dispatch.Request{Service: "s", Model: "m"}, nil)
+	c.Check(ctx.Err(), qt.IsNil)
+}
