A leader that wakes while its lease lasts has its exclusions at once

A leader's exclusions expire at its own gateway after 1.5 s, its lease 2.4 s after a renewal (with lease_ms 3000). After a freeze in between, prompts there were placed without exclusions until the next round of its duties, as exclusionsMayBeOld is false while it leads.

Change: prompts at a leader too wait for the first tick after a freeze, and that tick excludes again what the leader has excluded.

TestLeaderThatWakesHasItsExclusions fails without the change.

--- a/internal/fleet/freeze.go
+++ b/internal/fleet/freeze.go
@@ -16,6 +16,10 @@
 func (f *Fleet) recordTick(now time.Time) {
 	if f.tickIsLate(now) {
 		f.awakeSince = now
+		if f.holdsLead(now) {
+			// This gateway's own exclusions have expired meanwhile.
+			f.dispatcher.SetExcluded(f.lead.excluded, now)
+		}
 	}
 	f.tickedAt = now
 }
@@ -29,14 +33,19 @@
 	return f.registry.MayBeOld(now) || f.tickIsLate(now) || f.registrationsAsOf.Before(f.awakeSince)
 }
 
-// exclusionsMayBeOld reports whether this gateway was frozen lately and hasn't heard from the leader since. It is false while this
-// gateway leads.
+// holdsLead reports whether this gateway leads and decides which servers are excluded.
+func (f *Fleet) holdsLead(now time.Time) bool {
+	return f.lead.fence > 0 && f.lead.fence >= f.latestFence && now.Before(f.lead.until)
+}
+
+// exclusionsMayBeOld reports whether this gateway was frozen lately and hasn't heard from the leader since. While it leads that is until
+// the next tick.
 func (f *Fleet) exclusionsMayBeOld(now time.Time) bool {
 	switch {
-	case f.lead.fence > 0 && now.Before(f.lead.until):
-		return false
 	case f.tickIsLate(now):
 		return true
+	case f.holdsLead(now):
+		return false
 	default:
 		return f.leaderKnownAt.Before(f.awakeSince) && now.Sub(f.awakeSince) < leaderWait
 	}
--- a/internal/fleet/freeze_test.go
+++ b/internal/fleet/freeze_test.go
@@ -9,6 +9,7 @@
 
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/dispatch"
+	"balsamyoke.example/balsamyoke/internal/weights"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -43,6 +44,22 @@
 	c.Check(f.exclusionsMayBeOld(at(6100)), qt.IsTrue)
 }
 
+// Guards against prompts sent to loading engines by their leader: its own exclusions expired in a freeze shorter than its lease.
+func TestLeaderThatWakesHasItsExclusions(t *testing.T) {
+	c := qt.New(t)
+	f, excluded := fleetWithEngines(c)
+	now := bootclock.Now()
+	frozenAt := now.Add(-2 * time.Second)
+	f.tickedAt = frozenAt
+	f.lead = leadership{fence: 1, until: now.Add(time.Minute), planner: weights.NewPlanner("a", 1, 0), excluded: []string{"e1"}}
+	f.dispatcher.SetExcluded(f.lead.excluded, frozenAt)
+	c.Assert(excluded(), qt.HasLen, 0)
+	c.Assert(f.exclusionsMayBeOld(now), qt.IsTrue)
+	f.recordTick(now)
+	c.Assert(f.exclusionsMayBeOld(now), qt.IsFalse)
+	c.Assert(excluded(), qt.DeepEquals, []string{"e1"})
+}
+
 func TestPromptAfterAFreezeWaitsForTheLeader(t *testing.T) {
 	c := qt.New(t)
 	_, f := startWithServers(c, "s1")
