Heartbeats held up by a freeze of over 30 s don't look new

The estimate of how long heartbeats are held up was kept with the sender's member. A gateway that wakes after more than removeAfter (30 s) removes all members in its first tick, and heartbeats that waited and are read after that were the first of their senders, dated by their receipt.

Change: the estimates outlast their members, for 10 minutes.

--- a/internal/fleet/held_up_test.go
+++ b/internal/fleet/held_up_test.go
@@ -42,6 +42,27 @@
 	}
 }
 
+// Guards against the same after a freeze that removed the sender from the members before its heartbeats were read.
+func TestHeartbeatHeldUpByALongFreezeReleasesNoPart(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	part := quarantine.Part{Scope: "m", ID: "p"}
+	now := bootclock.Now()
+	frozenAt := now.Add(-40 * time.Second)
+	from := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	hear := func(sequence uint64, at time.Time, served ...*wire.ServedPart) {
+		f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: sequence, SentNs: frozenAt.UnixNano(), ServedParts: served}, at)
+	}
+	hear(1, frozenAt)
+	hear(2, frozenAt)
+	f.evaluateServers(frozenAt)
+	f.quarantine.MergeHold(now, quarantine.Hold{Part: part, CrashedAt: now.Add(-5 * time.Second), Crashes: 2, Length: time.Minute})
+	f.evaluateServers(now)
+	hear(3, now, &wire.ServedPart{Part: requestPart(part)})
+	_, held := f.quarantine.Held(now, []quarantine.Part{part}, false)
+	c.Assert(held, qt.IsTrue)
+}
+
 // Guards against crashes that count twice: a held-up report of one was dated after this gateway's own.
 func TestHeldUpHeartbeatReportsNoSecondCrash(t *testing.T) {
 	c := qt.New(t)
--- a/internal/peers/delay.go
+++ b/internal/peers/delay.go
@@ -9,6 +9,9 @@
 // delayWindow is for how long at least the fastest heartbeat counts, and half of how long it may.
 const delayWindow = 30 * time.Second
 
+// keepDelays is how long the estimate for a gateway is kept after its latest window began.
+const keepDelays = 10 * time.Minute
+
 // delayEstimate tells how long the heartbeats of one run of a gateway are held up: by how much longer they take than the fastest of the
 // latest ones. The clocks of two hosts have different starts, so that the transit time itself is unknown.
 type delayEstimate struct {
@@ -36,9 +39,26 @@
 // SentAt returns when a heartbeat that arrives at now was sent, on this gateway's clock and less what even the fastest ones take. Ages
 // in it are as of that time: one that waited while the receiver was frozen looks new otherwise. It returns now if that isn't known.
 func (m *Members) SentAt(beat *wire.Beat, now time.Time) time.Time {
-	member := m.members[beat.GetFrom().GetInstance()]
-	if member == nil || beat.GetSentNs() == 0 || beat.GetIncarnation() == member.formerIncarnation {
+	name := beat.GetFrom().GetInstance()
+	member, estimate := m.members[name], m.delays[name]
+	if beat.GetSentNs() == 0 || member != nil && beat.GetIncarnation() == member.formerIncarnation {
 		return now
 	}
-	return now.Add(-member.delay.add(beat.GetIncarnation(), beat.GetSentNs(), now))
+	if estimate == nil {
+		if member == nil {
+			return now
+		}
+		estimate = &delayEstimate{}
+		m.delays[name] = estimate
+	}
+	return now.Add(-estimate.add(beat.GetIncarnation(), beat.GetSentNs(), now))
+}
+
+// expireDelays removes the estimates for gateways that haven't been heard for a long time.
+func (m *Members) expireDelays(now time.Time) {
+	for name, estimate := range m.delays {
+		if now.Sub(estimate.beganAt) > keepDelays {
+			delete(m.delays, name)
+		}
+	}
 }
--- a/internal/peers/delay_test.go
+++ b/internal/peers/delay_test.go
@@ -48,3 +48,24 @@
 		})
 	}
 }
+
+// Guards against heartbeats that look new because a long freeze of the receiver has removed their sender.
+func TestHeartbeatHeldUpUntilItsSenderIsRemovedLooksOld(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(peer("me", "a"))
+	hear := func(sequence uint64, sent, received time.Duration) time.Time {
+		held := beat("x", 1, sequence)
+		held.SentNs = start.Add(sent).UnixNano()
+		sentAt := m.SentAt(held, start.Add(received))
+		m.HandleBeat(held, start.Add(received))
+		return sentAt
+	}
+	hear(1, 0, 0)
+	hear(2, time.Second, time.Second)
+	awake := 2*time.Second + removeAfter
+	m.Expire(start.Add(awake), start.Add(time.Second))
+	c.Assert(m.Count(), qt.Equals, 1)
+	c.Assert(hear(3, 2*time.Second, awake), qt.Equals, start.Add(2*time.Second))
+	m.Expire(start.Add(awake+2*keepDelays), start.Add(awake))
+	c.Assert(m.delays, qt.HasLen, 0)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -53,7 +53,6 @@
 	sequence    uint64
 	// formerIncarnation is the one before incarnation, whose heartbeats may still arrive.
 	formerIncarnation uint64
-	delay             delayEstimate
 	// NewRun is set if the latest heartbeat was the first one of the gateway's run.
 	NewRun bool
 	// Restarted is set if, in addition, an earlier run of the gateway is known.
@@ -74,6 +73,9 @@
 type Members struct {
 	self    *wire.Peer
 	members map[string]*Member
+	// delays are the estimates by gateway. They outlast the members: after a long freeze all of those are removed before the heartbeats
+	// that waited are read.
+	delays map[string]*delayEstimate
 	// nearCount is the number of members in this gateway's failure domain.
 	nearCount int
 	beats     uint64
@@ -85,7 +87,7 @@
 
 // NewMembers returns empty Members for the gateway self.
 func NewMembers(self *wire.Peer) *Members {
-	return &Members{self: self, members: make(map[string]*Member)}
+	return &Members{self: self, members: make(map[string]*Member), delays: make(map[string]*delayEstimate)}
 }
 
 // Add adds another gateway that was found in the store, a seed or a heartbeat.
@@ -260,6 +262,7 @@
 // have become silent since the previous call.
 func (m *Members) Expire(now time.Time, previous time.Time) (silent []string) {
 	defer m.countNear()
+	m.expireDelays(now)
 	for name, member := range m.members {
 		last := member.LastBeatAt
 		if last.IsZero() {
