Exclusions last on a link that has become slow

Since an exclusion (1.5 s) counts from when its heartbeat was sent. Where heartbeats of the leader come to take longer than that, by a link with a queue for example, all exclusions have expired when they arrive, for the 30 to 60 s for which the estimate keeps the faster ones.

Change: only what was sent before this gateway woke counts from when it was sent.

TestHeartbeatOnASlowLinkExcludesServers fails without the change. TestHeldUpHeartbeatExcludesNoServer now has a freeze, before and after its first tick, and fails without either condition.

--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -217,16 +217,20 @@
 	for _, v := range beat.GetVersions() {
 		f.dispatcher.SetVersion(now, v.GetServer(), v.GetModel(), v.GetVersion())
 	}
-	f.mergeLeader(beat, sentAt)
+	f.mergeLeader(beat, sentAt, now)
 }
 
 // mergeLeader takes over which servers get no new requests and what the leader has measured, unless a later leader is known. A leader
 // that was frozen may still send what it decided before.
-func (f *Fleet) mergeLeader(beat *wire.Beat, sentAt time.Time) {
+func (f *Fleet) mergeLeader(beat *wire.Beat, sentAt, now time.Time) {
 	if fence := beat.GetFence(); fence > 0 && fence >= f.latestFence && fence > f.lead.fence {
 		f.latestFence = fence
 		f.formerLoadTime = time.Duration(beat.GetLoadMs()) * time.Millisecond
-		f.dispatcher.SetExcluded(beat.GetWithheld(), sentAt)
+		excludedAt := now // On a slow link the latest heartbeat is the best there is.
+		if f.tickIsLate(now) || sentAt.Before(f.awakeSince) {
+			excludedAt = sentAt
+		}
+		f.dispatcher.SetExcluded(beat.GetWithheld(), excludedAt)
 		f.leaderKnownAt = later(f.leaderKnownAt, sentAt)
 	}
 }
--- a/internal/fleet/held_up_test.go
+++ b/internal/fleet/held_up_test.go
@@ -21,6 +21,7 @@
 func hearHeldUp(f *Fleet, beat *wire.Beat) (sentAt time.Time) {
 	from := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
 	frozenAt := bootclock.Now().Add(-heldUp)
+	f.tickedAt = frozenAt
 	f.members.Add(from, frozenAt)
 	f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: 1, SentNs: frozenAt.UnixNano()}, frozenAt)
 	beat.From, beat.Incarnation, beat.Sequence, beat.SentNs = from, 1, 2, frozenAt.UnixNano()
@@ -102,8 +103,26 @@
 func TestHeldUpHeartbeatExcludesNoServer(t *testing.T) {
 	c := qt.New(t)
 	f, excluded := fleetWithEngines(c)
-	hearHeldUp(f, &wire.Beat{Fence: 1, Withheld: []string{"e1"}})
+	frozenAt := hearHeldUp(f, &wire.Beat{Fence: 1, Withheld: []string{"e1"}})
 	c.Assert(excluded(), qt.HasLen, 0)
+	now := bootclock.Now()
+	f.recordTick(now)
+	leader := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	f.handleBeat(&wire.Beat{From: leader, Incarnation: 1, Sequence: 3, SentNs: frozenAt.UnixNano(), Fence: 1, Withheld: []string{"e1"}}, now)
+	c.Assert(excluded(), qt.HasLen, 0)
+}
+
+// Guards against requests sent to loading engines because the heartbeats of the leader have come to take longer than an exclusion lasts.
+func TestHeartbeatOnASlowLinkExcludesServers(t *testing.T) {
+	c := qt.New(t)
+	f, excluded := fleetWithEngines(c)
+	leader := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	now := bootclock.Now()
+	for i, takes := range []time.Duration{0, 0, 2 * time.Second} {
+		sentNS := now.Add(-takes).UnixNano()
+		f.handleBeat(&wire.Beat{From: leader, Incarnation: 1, Sequence: uint64(i + 1), SentNs: sentNS, Fence: 1, Withheld: []string{"e1"}}, now)
+	}
+	c.Assert(excluded(), qt.DeepEquals, []string{"e1"})
 }
 
 // Guards against requests sent to loading engines by a gateway that was frozen, until the leader's next heartbeat.
