TestPromptAfterAFreezeWaitsForTheLeader can't lead itself, and hears the leader

It also took its start from after the freeze was set, and checked neither that the leader's heartbeat ends the wait nor that other requests don't wait.

Change: a Fleet that only runs its control goroutine. The prompt waits for all of leaderWait, for no heartbeat sent before the freeze, and is placed after one sent since; a plain request and a prompt whose caller has left don't wait.

It fails without the wait, and if the leader's heartbeat doesn't end it.

--- a/internal/fleet/freeze_test.go
+++ b/internal/fleet/freeze_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -62,22 +63,54 @@
 
 func TestPromptAfterAFreezeWaitsForTheLeader(t *testing.T) {
 	c := qt.New(t)
-	_, f := startWithServers(c, "s1")
-	freeze := func() time.Time {
-		f.loop.Call(func() { f.tickedAt, f.awakeSince = bootclock.Now(), bootclock.Now() })
-		return bootclock.Now()
+	f, _ := fleetWithEngines(c)
+	ctx, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { f.loop.Run(ctx) })
+	defer running.Wait()
+	defer stop()
+	wake := func(at time.Time) {
+		f.loop.Call(func() { f.awakeSince, f.tickedAt = at, at.Add(time.Hour) })
 	}
-	place := func(ctx context.Context, model string) *dispatch.Refusal {
+	place := func(ctx context.Context, model string) {
 		_, refusal := f.Place(ctx, &dispatch.Request{Service: "s", Model: model}, nil)
-		return refusal
+		c.Check(refusal, qt.IsNotNil)
 	}
-	awake := freeze()
-	c.Check(place(context.Background(), "m"), qt.IsNotNil)
-	c.Check(bootclock.Now().Sub(awake) >= leaderWait-time.Millisecond, qt.IsTrue)
-	cancelled, cancel := context.WithCancel(context.Background())
+	awake := bootclock.Now()
+	wake(awake)
+	place(ctx, "m")
+	c.Check(bootclock.Now().Sub(awake) >= leaderWait, qt.IsTrue)
+
+	// From here on the wait doesn't end by itself.
+	awake = bootclock.Now().Add(time.Hour)
+	wake(awake)
+	place(ctx, "")
+	cancelled, cancel := context.WithCancel(ctx)
 	cancel()
-	freeze()
-	c.Check(place(cancelled, "m"), qt.IsNotNil)
+	place(cancelled, "m")
+	placed := make(chan struct{})
+	running.Go(func() {
+		place(ctx, "m")
+		close(placed)
+	})
+	select {
+	case <-placed:
+		c.Fatal("the prompt hasn't waited")
+	case <-time.After(5 * leaderCheckInterval):
+	}
+	f.loop.Call(func() { hearLeader(f, 1, "leader", 1) })
+	select {
+	case <-placed:
+		c.Fatal("the prompt hasn't waited for a heartbeat sent since the freeze")
+	case <-time.After(5 * leaderCheckInterval):
+	}
+	leader := &wire.Peer{Instance: "leader", BeatAddress: "leader", ControlAddress: "leader", FailureDomain: "a"}
+	f.loop.Call(func() { f.handleBeat(&wire.Beat{From: leader, Incarnation: 1, Sequence: 2, Fence: 1}, awake) })
+	select {
+	case <-placed:
+	case <-time.After(10 * time.Second):
+		c.Fatal("the prompt still waits")
+	}
 }
 
 // Guards against prompts that wait for as long as the control goroutine is behind.
