Heartbeats held up by a freeze confirm no configuration

Without a reply of the metadata store a gateway relies on its configuration while it hears a majority and none of it has a later one.

Change: a majority counts from when its heartbeats were sent. The quorum, which notices a freeze itself, counts as before.

TestHeldUpHeartbeatsConfirmNoConfiguration fails without the change.

--- a/internal/fleet/held_up_test.go
+++ b/internal/fleet/held_up_test.go
@@ -11,6 +11,7 @@
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
+	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/weights"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -158,3 +159,28 @@
 	time.Sleep(100 * time.Millisecond)
 	c.Assert(received, qt.HasLen, 0)
 }
+
+// Guards against a configuration that counts as in force after a freeze because of what the others had before it.
+func TestHeldUpHeartbeatsConfirmNoConfiguration(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	f.table.Store(routing.NewTable(routing.Configuration{Version: 1}))
+	now := bootclock.Now()
+	frozenAt := now.Add(-2 * configurationTTL)
+	hear := func(sequence uint64, sentAt, at time.Time) {
+		for _, name := range []string{"b", "c"} {
+			from := &wire.Peer{Instance: name, BeatAddress: name, ControlAddress: name, FailureDomain: "a"}
+			f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: sequence, SentNs: sentAt.UnixNano(), Configuration: 1}, at)
+		}
+	}
+	hear(1, frozenAt, frozenAt)
+	hear(2, frozenAt, frozenAt)
+	f.confirmConfiguration(frozenAt)
+	f.evaluateServers(frozenAt)
+	hear(3, frozenAt, now)
+	f.evaluateServers(now)
+	c.Assert(f.IsConfigurationConfirmed(), qt.IsFalse)
+	hear(4, now, now)
+	f.evaluateServers(now)
+	c.Assert(f.IsConfigurationConfirmed(), qt.IsTrue)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -47,6 +47,8 @@
 	*wire.Peer
 	// LastBeatAt is when its latest heartbeat was received; zero before the first.
 	LastBeatAt time.Time
+	// sentAt is when that one was sent, as by SentAt.
+	sentAt time.Time
 	// addedAt is when it was added to Members.
 	addedAt     time.Time
 	incarnation uint64
@@ -143,7 +145,7 @@
 	}
 	m.setPeer(member, from)
 	member.incarnation, member.sequence = beat.GetIncarnation(), beat.GetSequence()
-	member.LastBeatAt = now
+	member.LastBeatAt, member.sentAt = now, m.SentAt(beat, now)
 	member.Retired = beat.GetRetired()
 	member.Fence, member.Leaving = beat.GetFence(), beat.GetLeaving()
 	if member.Fence > 0 {
--- a/internal/peers/quorum.go
+++ b/internal/peers/quorum.go
@@ -67,7 +67,7 @@
 
 // hearsQuorum reports whether this gateway has heard more than half of the gateways within quorumWithin, itself included.
 func (m *Members) hearsQuorum(now time.Time) bool {
-	heard, all := m.countHeard(now, quorumWithin)
+	heard, all := m.countHeard(func(member *Member) bool { return now.Sub(member.LastBeatAt) <= quorumWithin })
 	m.quorumOf = max(m.quorumOf, all)
 	if 2*heard <= m.quorumOf {
 		return false
@@ -76,22 +76,22 @@
 	return true
 }
 
-// countHeard returns the number of gateways that this one has heard no longer than d ago, and of all, itself included.
-func (m *Members) countHeard(now time.Time, d time.Duration) (heard, all int) {
+// countHeard returns the number of gateways that this one has heard, and of all, itself included.
+func (m *Members) countHeard(isHeard func(*Member) bool) (heard, all int) {
 	known := m.Known()
 	heard = 1
 	for _, member := range known {
-		if now.Sub(member.LastBeatAt) <= d {
+		if isHeard(member) {
 			heard++
 		}
 	}
 	return heard, len(known) + 1
 }
 
-// HearsMajority reports whether this gateway has heard more than half of the gateways no longer than d ago, itself included. It counts
-// them as Quorum does.
+// HearsMajority reports whether this gateway has heard what more than half of the gateways, itself included, sent no longer than d ago.
+// It counts them as Quorum does.
 func (m *Members) HearsMajority(now time.Time, d time.Duration) bool {
-	heard, all := m.countHeard(now, d)
+	heard, all := m.countHeard(func(member *Member) bool { return now.Sub(member.sentAt) <= d })
 	return 2*heard > max(m.quorumOf, all)
 }
 
