--- a/internal/fleet/held_up_test.go
+++ b/internal/fleet/held_up_test.go
@@ -11,6 +11,7 @@
 	"balsamyoke.example/balsamyoke/internal/loopback"
 	"balsamyoke.example/balsamyoke/internal/peers"
 	"balsamyoke.example/balsamyoke/internal/quarantine"
+	"balsamyoke.example/balsamyoke/internal/routing"
 	"balsamyoke.example/balsamyoke/internal/weights"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
@@ -21,6 +22,7 @@
 func hearHeldUp(f *Fleet, beat *wire.Beat) (sentAt time.Time) {
 	from := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
 	frozenAt := bootclock.Now().Add(-heldUp)
+	f.tickedAt = frozenAt
 	f.members.Add(from, frozenAt)
 	f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: 1, SentNs: frozenAt.UnixNano()}, frozenAt)
 	beat.From, beat.Incarnation, beat.Sequence, beat.SentNs = from, 1, 2, frozenAt.UnixNano()
@@ -42,6 +44,27 @@
 	}
 }
 
+// Guards against the same after a freeze that removed the sender from the members before its heartbeats were read.
+func TestHeartbeatHeldUpByALongFreezeReleasesNoPart(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	part := quarantine.Part{Scope: "m", ID: "p"}
+	now := bootclock.Now()
+	frozenAt := now.Add(-40 * time.Second)
+	from := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	hear := func(sequence uint64, at time.Time, served ...*wire.ServedPart) {
+		f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: sequence, SentNs: frozenAt.UnixNano(), ServedParts: served}, at)
+	}
+	hear(1, frozenAt)
+	hear(2, frozenAt)
+	f.evaluateServers(frozenAt)
+	f.quarantine.MergeHold(now, quarantine.Hold{Part: part, CrashedAt: now.Add(-5 * time.Second), Crashes: 2, Length: time.Minute})
+	f.evaluateServers(now)
+	hear(3, now, &wire.ServedPart{Part: requestPart(part)})
+	_, held := f.quarantine.Held(now, []quarantine.Part{part}, false)
+	c.Assert(held, qt.IsTrue)
+}
+
 // Guards against crashes that count twice: a held-up report of one was dated after this gateway's own.
 func TestHeldUpHeartbeatReportsNoSecondCrash(t *testing.T) {
 	c := qt.New(t)
@@ -81,10 +104,28 @@
 func TestHeldUpHeartbeatExcludesNoServer(t *testing.T) {
 	c := qt.New(t)
 	f, excluded := fleetWithEngines(c)
-	hearHeldUp(f, &wire.Beat{Fence: 1, Withheld: []string{"e1"}})
+	frozenAt := hearHeldUp(f, &wire.Beat{Fence: 1, Withheld: []string{"e1"}})
+	c.Assert(excluded(), qt.HasLen, 0)
+	now := bootclock.Now()
+	f.recordTick(now)
+	leader := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	f.handleBeat(&wire.Beat{From: leader, Incarnation: 1, Sequence: 3, SentNs: frozenAt.UnixNano(), Fence: 1, Withheld: []string{"e1"}}, now)
 	c.Assert(excluded(), qt.HasLen, 0)
 }
 
+// Guards against requests sent to loading engines because the heartbeats of the leader have come to take longer than an exclusion lasts.
+func TestHeartbeatOnASlowLinkExcludesServers(t *testing.T) {
+	c := qt.New(t)
+	f, excluded := fleetWithEngines(c)
+	leader := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
+	now := bootclock.Now()
+	for i, takes := range []time.Duration{0, 0, 2 * time.Second} {
+		sentNS := now.Add(-takes).UnixNano()
+		f.handleBeat(&wire.Beat{From: leader, Incarnation: 1, Sequence: uint64(i + 1), SentNs: sentNS, Fence: 1, Withheld: []string{"e1"}}, now)
+	}
+	c.Assert(excluded(), qt.DeepEquals, []string{"e1"})
+}
+
 // Guards against requests sent to loading engines by a gateway that was frozen, until the leader's next heartbeat.
 func TestLeaderTellsAGatewayThatIsBackWhichServersAreExcluded(t *testing.T) {
 	c := qt.New(t)
@@ -118,3 +159,28 @@
 	time.Sleep(100 * time.Millisecond)
 	c.Assert(received, qt.HasLen, 0)
 }
+
+// Guards against a configuration that counts as in force after a freeze because of what the others had before it.
+func TestHeldUpHeartbeatsConfirmNoConfiguration(t *testing.T) {
+	c := qt.New(t)
+	f, _ := fleetWithEngines(c)
+	f.table.Store(routing.NewTable(routing.Configuration{Version: 1}))
+	now := bootclock.Now()
+	frozenAt := now.Add(-2 * configurationTTL)
+	hear := func(sequence uint64, sentAt, at time.Time) {
+		for _, name := range []string{"b", "c"} {
+			from := &wire.Peer{Instance: name, BeatAddress: name, ControlAddress: name, FailureDomain: "a"}
+			f.handleBeat(&wire.Beat{From: from, Incarnation: 1, Sequence: sequence, SentNs: sentAt.UnixNano(), Configuration: 1}, at)
+		}
+	}
+	hear(1, frozenAt, frozenAt)
+	hear(2, frozenAt, frozenAt)
+	f.confirmConfiguration(frozenAt)
+	f.evaluateServers(frozenAt)
+	hear(3, frozenAt, now)
+	f.evaluateServers(now)
+	c.Assert(f.IsConfigurationConfirmed(), qt.IsFalse)
+	hear(4, now, now)
+	f.evaluateServers(now)
+	c.Assert(f.IsConfigurationConfirmed(), qt.IsTrue)
+}
