Servers of a mass expiry stay in use while others return

After an outage of the metadata store that a gateway hasn't noticed, many registrations expire together, and their servers stay in use until the registrations have had time to return. Whether there was a mass expiry was decided again at each reading, from those still missing: as soon as some had returned, or after 1.5 s, the others were out of use although the registrations may take 2.2 s.

TestServersStayInUseWhileOthersOfAMassExpiryReturn failed before: 5 servers in use, 6 wanted.

A registration that was removed in a mass expiry is now marked as such, and the mark stays until it returns or its time is over.

--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -31,6 +31,8 @@
 	at     time.Time
 	// inOutage is set when the registration was removed during an outage of the store or just after it.
 	inOutage bool
+	// inMass is set when the registration was removed together with many others. It stays so while those return.
+	inMass bool
 }
 
 // Registry is the set of servers. It is not safe for concurrent use.
@@ -139,7 +141,11 @@
 	total := len(r.servers) + len(r.expired)
 	massExpiry := recent >= massExpiryMin && float64(recent) >= massExpiryShare*float64(total)
 	for id, e := range r.expired {
-		if massExpiry || e.inOutage && (r.unreachable || now.Sub(r.reachableAt) < returnTimeout) {
+		if massExpiry && now.Sub(e.at) <= massExpiryWindow && !e.inMass {
+			e.inMass = true
+			r.expired[id] = e
+		}
+		if e.inMass || e.inOutage && (r.unreachable || now.Sub(r.reachableAt) < returnTimeout) {
 			used[id] = e.server
 		}
 	}
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -154,3 +154,18 @@
 	r.Put(backend.Server{ID: "s1"})
 	c.Assert(r.Servers(start), qt.HasLen, 2)
 }
+
+// Guards against servers that are out of use as soon as some of the registrations that expired with theirs have returned.
+func TestServersStayInUseWhileOthersOfAMassExpiryReturn(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(6)
+	for i := range 4 {
+		r.Remove(fmt.Sprint("s", i), start)
+	}
+	c.Check(r.Servers(start), qt.HasLen, 6)
+	for i := range 3 {
+		r.Put(backend.Server{ID: fmt.Sprint("s", i)})
+	}
+	c.Check(r.Servers(start.Add(massExpiryWindow+time.Millisecond)), qt.HasLen, 6)
+	c.Check(r.Servers(start.Add(returnTimeout+time.Millisecond)), qt.HasLen, 5)
+}
