Removals are final while the metadata store is known to be up

Callers saw: requests reach servers whose registrations were removed over 2 s (drain_ms) before; some are cut off when the server exits. A removal counted as an expiry of an outage, after which the server stays in use for 2.2 s from the reading, in two cases: one call to the store had failed in the last 2.2 s, also one watch that was cut, or at least three and 40 in 100 of the registrations were removed as read within 1.5 s. Neither shows an outage, and both hold more often the later removals are read.

Cause: the decision counted what was read, and when, instead of asking whether there can have been an outage. Registrations expire after three renewals have failed, so an outage that makes many of them expire lasts for two renewals at least. Each reply of the store shows that it was up at some time between the call and the reply; for a call that waited in vain that is the end of its wait. Each gateway now keeps the latest stretch without a gap of two renewals between replies (own calls for changes, listings, renewals of the leader lease). The leader tells its stretch in the confirmations for which each gateway asks once a second, so that a gateway that was cut off, frozen or polls seldom knows it, too; no call is added. A removal within it, 2.2 s after its beginning or later, is final.

Not changed by this: after an outage of all gateways, or at a gateway that hears no other, removals still count as expired for 2.2 s.

--- a/internal/fleet/confirm.go
+++ b/internal/fleet/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -9,6 +10,7 @@
 	"balsamyoke.example/balsamyoke/internal/bootclock"
 	"balsamyoke.example/balsamyoke/internal/eventlog"
 	"balsamyoke.example/balsamyoke/internal/kvcache"
+	"balsamyoke.example/balsamyoke/internal/registry"
 	"balsamyoke.example/balsamyoke/internal/wire"
 )
 
@@ -84,6 +86,11 @@
 	if reply.GetConfiguration() == 0 && !reply.GetFetchLease() {
 		return
 	}
+	if up, known := f.registry.Uptime(); known {
+		// Rounded so that the time doesn't appear longer than it is.
+		reply.StoreUpFromMs = uint32(min(max(0, now.Sub(up.From).Milliseconds()), math.MaxUint32))
+		reply.StoreUpToMs = uint32(min(now.Sub(up.To).Milliseconds()+1, math.MaxUint32))
+	}
 	f.send(&wire.Beat{From: f.Self, Incarnation: f.Incarnation, Confirmation: reply}, from.GetBeatAddress())
 }
 
@@ -110,6 +117,12 @@
 	if version := c.GetConfiguration(); version > 0 && version <= f.configurationVersion() {
 		f.confirmConfiguration(requestedAt.Add(-time.Duration(c.GetConfigurationAgeMs()) * time.Millisecond))
 	}
+	if c.GetStoreUpToMs() > 0 {
+		f.registry.MergeUptime(registry.Stretch{
+			From: now.Add(-time.Duration(c.GetStoreUpFromMs()) * time.Millisecond),
+			To:   requestedAt.Add(-time.Duration(c.GetStoreUpToMs()) * time.Millisecond),
+		})
+	}
 	f.mergeRetired(c.GetRetired())
 	if c.GetFetchLease() {
 		readFrom := time.Time{}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,8 @@
 	Cold dispatch.ColdBounds
 	// ContactTime is the time within which the gateway must have the newest state again after a disruption.
 	ContactTime time.Duration
+	// RenewalInterval is the interval at which servers renew their registrations; 0 if it isn't known.
+	RenewalInterval time.Duration
 	// WeightsWithin is how long requests may still start on older weight versions after a new target is set.
 	WeightsWithin time.Duration
 	// ServerMemory is the memory of a backend server, in bytes; 0 doesn't bound the bytes of the requests there.
@@ -164,6 +166,7 @@
 	f.originConnections = f.newPool(maxOriginConnections)
 	f.mirror = mirror.New(f.supersedes)
 	f.mirror.LimitValuesOf(f.isEvacuation, maxEvacuationBytes)
+	f.registry.SetRenewalInterval(o.RenewalInterval)
 	f.dispatcher.SetWeightsWithin(o.WeightsWithin)
 	f.dispatcher.SetColdBounds(o.Cold)
 	f.dispatcher.SetServerMemory(o.ServerMemory)
--- a/internal/fleet/follow.go
+++ b/internal/fleet/follow.go
@@ -106,6 +106,7 @@
 	f.loop.Post(func() {
 		now := bootclock.Now()
 		f.registry.StoreReachable(now)
+		f.registry.RecordReply(requestedAt, now)
 		apply(f.applyListing(prefix, listing, now), now)
 		f.recordReply(prefix, requestedAt)
 	})
@@ -140,9 +141,11 @@
 	}
 	f.loop.Post(func() {
 		now := bootclock.Now()
+		asOf := confirmedBy(requestedAt, wait, len(changes.Events) > 0, now)
 		f.registry.StoreReachable(now)
+		f.registry.RecordReply(asOf, now)
 		apply(f.mirror.Apply(prefix, changes, now), now)
-		f.recordReply(prefix, confirmedBy(requestedAt, wait, len(changes.Events) > 0, now))
+		f.recordReply(prefix, asOf)
 	})
 	return nil
 }
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -156,8 +156,10 @@
 // recordHolding records the leader lease as of its latest renewal. While it lasts, this gateway may fetch cached parts.
 func (f *Fleet) recordHolding(holding lease.Holding) {
 	f.loop.Call(func() {
+		now := bootclock.Now()
 		f.lead.until = holding.Until
-		if now := bootclock.Now(); f.mayGrantFetches(now) {
+		f.registry.RecordReply(holding.RenewedAt(), now)
+		if f.mayGrantFetches(now) {
 			f.extendFetchLease(now, f.registeredAt.Load(), f.lead.freeing.ReadFrom())
 		}
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -98,13 +98,14 @@
 			Self: &wire.Peer{
 				Instance: s.Instance, BeatAddress: s.Beats, ControlAddress: s.Control, FailureDomain: s.FailureDomain,
 			},
-			Seeds:         s.Seeds,
-			LeaseTTL:      s.lease(),
-			ContactTime:   s.contactTime(),
-			WeightsWithin: s.weightsWithin(),
-			ServerMemory:  int64(s.ServerMemoryMB) * bytesPerMB,
-			Budget:        s.budget(),
-			Cold:          s.cold(),
+			Seeds:           s.Seeds,
+			LeaseTTL:        s.lease(),
+			ContactTime:     s.contactTime(),
+			RenewalInterval: s.renewalInterval(),
+			WeightsWithin:   s.weightsWithin(),
+			ServerMemory:    int64(s.ServerMemoryMB) * bytesPerMB,
+			Budget:          s.budget(),
+			Cold:            s.cold(),
 		}),
 	}
 	g.requests, g.endRequests = context.WithCancelCause(context.Background())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -23,7 +23,9 @@
 	GraceMS int `json:"grace_ms" long:"grace-ms" description:"time from SIGTERM to SIGKILL, in milliseconds"`
 	LeaseMS int `json:"lease_ms" long:"lease-ms" description:"TTL of the leader lease and minimum time between orders of two leaders, in milliseconds"`
 	// ContactMS bounds how long connections may be silent unnoticed.
-	ContactMS  int     `json:"contact_ms" long:"contact-ms" description:"time within which the gateway must have the newest state after a disruption, in milliseconds"`
+	ContactMS int `json:"contact_ms" long:"contact-ms" description:"time within which the gateway must have the newest state after a disruption, in milliseconds"`
+	// RenewalMS tells registrations that expired in an outage of the metadata store from those of servers that left.
+	RenewalMS  int     `json:"renewal_ms" long:"renewal-ms" description:"interval at which servers renew their registrations, in milliseconds; 0 if unknown"`
 	RetryRatio float64 `json:"retry_ratio" long:"retry-ratio" description:"share of a service's requests that may be retried, over all gateways"`
 	RetrySlack float64 `json:"retry_slack" long:"retry-slack" description:"additional retries allowed in each window, over all gateways"`
 	// WeightsWithinMS is how long after a new target weight version is set requests may still start on older ones.
@@ -41,7 +43,7 @@
 
 // DefaultSettings returns the defaults of the settings that need not be given.
 func DefaultSettings() Settings {
-	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000, WeightsWithinMS: 15000, MemoryMB: 128, ContactMS: 3000, ColdOverage: 1}
+	return Settings{GraceMS: 8000, LeaseMS: 3000, RetryRatio: 0.2, RetrySlack: 10, RetryWindowMS: 10000, WeightsWithinMS: 15000, MemoryMB: 128, ContactMS: 3000, RenewalMS: 1200, ColdOverage: 1}
 }
 
 // Check returns an error for the first invalid setting.
@@ -69,7 +71,7 @@
 	for _, least := range []struct {
 		setting      string
 		value, least int
-	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}, {"weights_within_ms", s.WeightsWithinMS, 1000}, {"memory_mb", s.MemoryMB, 32}, {"server_memory_mb", s.ServerMemoryMB, 0}, {"contact_ms", s.ContactMS, 1500}} {
+	}{{"grace_ms", s.GraceMS, 1}, {"lease_ms", s.LeaseMS, 1000}, {"retry_window_ms", s.RetryWindowMS, 1000}, {"weights_within_ms", s.WeightsWithinMS, 1000}, {"memory_mb", s.MemoryMB, 32}, {"server_memory_mb", s.ServerMemoryMB, 0}, {"contact_ms", s.ContactMS, 1500}, {"renewal_ms", s.RenewalMS, 0}} {
 		if err := settings.CheckAtLeast(least.setting, least.value, least.least); err != nil {
 			return err
 		}
@@ -108,4 +110,8 @@
 
 func (s *Settings) contactTime() time.Duration { return time.Duration(s.ContactMS) * time.Millisecond }
 
+func (s *Settings) renewalInterval() time.Duration {
+	return time.Duration(s.RenewalMS) * time.Millisecond
+}
+
 func (s *Settings) lease() time.Duration { return time.Duration(s.LeaseMS) * time.Millisecond }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -45,6 +45,9 @@
 	renewedAt time.Time
 }
 
+// RenewedAt returns a time before the latest call that granted or renewed the lease.
+func (h Holding) RenewedAt() time.Time { return h.renewedAt }
+
 // Lessor acquires and renews one lease.
 //
 // Invariant: Holding.Until is computed from a time before the call that granted or renewed the lease, so it
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -20,6 +20,9 @@
 	massExpiryWindow = 1500 * time.Millisecond
 	// massExpiryMin is the number of expired registrations below which the share is not significant.
 	massExpiryMin = 3
+	// minOutageIntervals is how long an outage must last to make registrations expire, in intervals at which servers renew them. They
+	// expire after three without a renewal, the first of which may have begun before the outage.
+	minOutageIntervals = 2
 	// resurrectedTimeout is how long a registration that was removed before the store came back from an older copy is
 	// not used. A server that has left doesn't renew it, and it expires in that time.
 	resurrectedTimeout = 5 * time.Second
@@ -46,6 +49,7 @@
 	// restoredAt is when the store was last known to have come back from a copy.
 	restoredAt  time.Time
 	unreachable bool
+	uptime      uptime
 }
 
 // New returns an empty Registry.
@@ -53,6 +57,24 @@
 	return &Registry{servers: make(map[string]backend.Server), expired: make(map[string]expiry), resurrected: make(map[string]time.Time)}
 }
 
+// SetRenewalInterval sets the interval at which servers renew their registrations. Without it, any outage may have made one expire.
+func (r *Registry) SetRenewalInterval(interval time.Duration) {
+	r.uptime.minOutage = minOutageIntervals * interval
+}
+
+// RecordReply records that the store made a reply at some time from earliest to latest. Registrations that are removed while it is known
+// to have had no outage have not expired in one, however late the removals are received.
+func (r *Registry) RecordReply(earliest, latest time.Time) { r.uptime.recordReply(earliest, latest) }
+
+// Uptime returns the latest stretch in which the store is known to have had no outage that makes registrations expire, and false if
+// there is none.
+func (r *Registry) Uptime() (Stretch, bool) {
+	return r.uptime.Stretch, r.uptime.minOutage > 0 && r.uptime.From.Before(r.uptime.To)
+}
+
+// MergeUptime records such a stretch that another gateway knows.
+func (r *Registry) MergeUptime(s Stretch) { r.uptime.merge(s) }
+
 // StoreUnreachable records that the store doesn't reply. It is called after each failed call, before the retry.
 func (r *Registry) StoreUnreachable() { r.unreachable = true }
 
@@ -81,7 +103,10 @@
 }
 
 // StoreRestored records that the store has come back from a copy that may lack recent registrations.
-func (r *Registry) StoreRestored(now time.Time) { r.reachableAt, r.restoredAt = now, now }
+func (r *Registry) StoreRestored(now time.Time) {
+	r.reachableAt, r.restoredAt = now, now
+	r.uptime.restart(now)
+}
 
 // Put adds or replaces a registration. A run of a server that was draining stays so: the store may have lost that
 // report.
@@ -132,7 +157,7 @@
 	used := maps.Clone(r.servers)
 	recent := 0
 	for id, e := range r.expired {
-		if now.Sub(e.at) > returnTimeout {
+		if now.Sub(e.at) > returnTimeout || r.uptime.excludesOutage(e.at, returnTimeout) {
 			delete(r.expired, id)
 		} else if now.Sub(e.at) <= massExpiryWindow {
 			recent++
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -155,6 +155,24 @@
 	c.Assert(r.Servers(start), qt.HasLen, 2)
 }
 
+// Guards against servers whose removals are received together, late, and count as expired although the store was available.
+func TestServersRemovedWhileTheStoreIsAvailableAreNotUsed(t *testing.T) {
+	c := qt.New(t)
+	r := newFilled(6)
+	r.SetRenewalInterval(time.Second)
+	now := start
+	for range 4 {
+		now = now.Add(time.Second)
+		r.RecordReply(now, now)
+	}
+	r.StoreUnreachable()
+	r.StoreReachable(now)
+	for i := range 4 {
+		r.Remove(fmt.Sprint("s", i), now)
+	}
+	c.Check(r.Servers(now), qt.HasLen, 2)
+}
+
 // Guards against servers that are out of use as soon as some of the registrations that expired with theirs have returned.
 func TestServersStayInUseWhileOthersOfAMassExpiryReturn(t *testing.T) {
 	c := qt.New(t)
