--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,8 +114,9 @@
 	lead            leadership
 	// latestFence is the highest fence of a leader that this gateway has heard.
 	latestFence int64
-	// leaderKnownAt is when the latest leader heard sent the heartbeat that decides which servers are excluded here.
-	leaderKnownAt time.Time
+	// exclusionsAsOf is when the latest leader heard sent the heartbeat that decides which servers are excluded here. It is zero before
+	// the first.
+	exclusionsAsOf time.Time
 	// formerLoadTime is the time that loads of weights took when the latest leader heard led; 0 before that.
 	formerLoadTime time.Duration
 	// startedAt is when this run began; peersListed is set after the first listing of the other gateways.
--- a/internal/fleet/freeze.go
+++ b/internal/fleet/freeze.go
@@ -5,8 +5,8 @@
 const (
 	// maxTickDelay is the delay of a tick of evaluate from which this gateway counts as having been frozen.
 	maxTickDelay = 2 * evaluateInterval
-	// leaderWait bounds how long prompts wait after a freeze for the leader's heartbeat: a little over the interval of heartbeats, in
-	// case that there is no leader.
+	// leaderWait bounds how long prompts wait after a freeze for the leader's heartbeat, in case that there is no leader. Where many
+	// gateways share a failure domain their heartbeats are further apart.
 	leaderWait = 250 * time.Millisecond
 	// leaderCheckInterval is the interval at which a waiting prompt looks whether the heartbeat has come.
 	leaderCheckInterval = 10 * time.Millisecond
@@ -47,6 +47,6 @@
 	case f.holdsLead(now):
 		return false
 	default:
-		return f.leaderKnownAt.Before(f.awakeSince) && now.Sub(f.awakeSince) < leaderWait
+		return f.exclusionsAsOf.Before(f.awakeSince) && now.Sub(f.awakeSince) < leaderWait
 	}
 }
--- a/internal/fleet/heartbeats.go
+++ b/internal/fleet/heartbeats.go
@@ -231,6 +231,6 @@
 			excludedAt = sentAt
 		}
 		f.dispatcher.SetExcluded(beat.GetWithheld(), excludedAt)
-		f.leaderKnownAt = later(f.leaderKnownAt, sentAt)
+		f.exclusionsAsOf = later(f.exclusionsAsOf, sentAt)
 	}
 }
--- a/internal/fleet/held_up_test.go
+++ b/internal/fleet/held_up_test.go
@@ -18,7 +18,7 @@
 
 const heldUp = 3 * time.Second
 
-// hearHeldUp lets f hear, after a freeze, a heartbeat that was sent after it began and returns when that was.
+// hearHeldUp lets f hear a heartbeat that waited while f was frozen, and returns when it was sent.
 func hearHeldUp(f *Fleet, beat *wire.Beat) (sentAt time.Time) {
 	from := &wire.Peer{Instance: "b", BeatAddress: "b", ControlAddress: "b", FailureDomain: "a"}
 	frozenAt := bootclock.Now().Add(-heldUp)
--- a/internal/peers/delay.go
+++ b/internal/peers/delay.go
@@ -36,8 +36,9 @@
 	return difference - min(e.least, e.formerLeast)
 }
 
-// SentAt returns when a heartbeat that arrives at now was sent, on this gateway's clock and less what even the fastest ones take. Ages
-// in it are as of that time: one that waited while the receiver was frozen looks new otherwise. It returns now if that isn't known.
+// SentAt adds a heartbeat that arrives at now to the estimate for its sender, and returns when it was sent: on this gateway's clock, and
+// too late by what the fastest heartbeats take. It returns now if that isn't known. Ages in a heartbeat count from then, because one that
+// waited while the receiver was frozen isn't new.
 func (m *Members) SentAt(beat *wire.Beat, now time.Time) time.Time {
 	name := beat.GetFrom().GetInstance()
 	member, estimate := m.members[name], m.delays[name]
