TestGatewayThatIsBehindSharesNoCache cuts off gateways that know each other

Cause: the test presumes that the gateway without the metadata store hears the other one, and doesn't wait for that. When it is cut off, neither hears the other as a rule (traced in 24 of 25 runs). If it has listed no announcements by then, the other one finds it only in its next listing: with stops of the process of 0.4 s (-race) a whole run of the package failed with "took 10.9 s", 2 s allowed, and runs of the test alone failed 2 of 25 (2.1 s; not met in 15 s). Besides, the test's store still answered calls that were waiting when it went down, so that the cut-off gateway got the new configuration: traced in 2 of 14 runs that wait for the heartbeats first, one of them without a stop.

Change: the test waits until the gateways hear each other, and a switchableStore that is down answers no call that was waiting. The bound stays.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -118,7 +118,11 @@
 	if g.isDown() {
 		return metastore.Changes{}, metastore.ErrUnavailable.New("store is down")
 	}
-	return g.Store.Changes(ctx, prefix, from, min(wait, 200*time.Millisecond))
+	changes, err := g.Store.Changes(ctx, prefix, from, min(wait, 200*time.Millisecond))
+	if g.isDown() {
+		return metastore.Changes{}, metastore.ErrUnavailable.New("store is down")
+	}
+	return changes, err
 }
 
 // self returns a gateway that nobody can reach.
@@ -265,6 +269,7 @@
 	// The boundary of requests on public routes, which share cache while no organisation is isolated.
 	shared := a.CacheBoundary("")
 	c.Assert(b.CacheBoundary(""), qt.Equals, shared)
+	awaitPeers(c, a, b)
 	close(offline.offline)
 	put(c, store, "op/config", "2")
 	eventually(c, "one gateway has version 2", func() bool { return a.version() == 2 })
