Streams wait for the read of registrations that they rely on

The rest of a stream waited 0.25 s for the read, or longer by the pause until the read if it was to make it. The time ran from the request on. A gateway that didn't run for 0.4 s during the pause, 50 ms and more after the read before, found the time over when it ran again, and broke off all streams that waited, although the read hadn't begun and seconds were left to their deadlines. A request that joined a read which was to begin late had too little time in any case.

Change: a request waits for the end of the read, whose time runs from its beginning, or for its own end. That is at most 0.25 s for the pause and as much for the read.

A stop during the read itself still breaks off the streams that wait for it.

--- a/internal/fleet/registrations.go
+++ b/internal/fleet/registrations.go
@@ -81,8 +81,7 @@
 		// The read outlasts its first request, because others wait for it.
 		go f.makeRegistrationRead(context.WithoutCancel(ctx), read, beginsIn)
 	}
-	ctx, cancel := context.WithTimeout(ctx, beginsIn+confirmTimeout)
-	defer cancel()
+	// The read bounds the wait. A time limit from now on would pass if the process doesn't run for a moment before the read begins.
 	select {
 	case <-read.done:
 		return read.asOf
--- a/internal/fleet/registrations_test.go
+++ b/internal/fleet/registrations_test.go
@@ -146,6 +146,17 @@
 	})
 }
 
+// Guards against streams that broke off because their gateway didn't run for a moment before it read the registrations.
+func TestRestOfStreamWaitsForAReadThatBeginsLate(t *testing.T) {
+	c := qt.New(t)
+	_, f := startWithServers(c, "s1")
+	read, beginsIn, makes := f.registrationReads.join(bootclock.Now(), registrationReadInterval)
+	c.Assert(makes, qt.IsTrue)
+	time.AfterFunc(2*confirmTimeout, func() { f.makeRegistrationRead(context.Background(), read, beginsIn) })
+	_, refusal := placeRest(f)
+	c.Assert(refusal, qt.IsNil)
+}
+
 // Guards against a gateway that is frozen after it has confirmed a server's run, before it sends the rest of a stream.
 func TestRestOfStreamIsNotSentAtConfirmationFromBeforeAFreeze(t *testing.T) {
 	c := qt.New(t)
