Tests of the entry wait until agents know their engines' weights

Cause: an agent refuses requests until it has read its engine's state. It does so once before it listens, with 250 ms for the call, and again every 250 ms. The test sends its first request as soon as the entry is healthy, without waiting for the agents.

Change: startAgent waits until an agent of a model service knows its engine's weights, for 5 s at most. Nothing else that the tests check has changed.

--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -120,12 +120,26 @@
 	s.GraceSeconds = 1
 	a := agent.New(s, agent.Dependencies{Configuration: fixedConfiguration{holder}, Instances: fixedList{}, Logger: zap.NewNop()})
 	runRole(c, a.Run)
+	if serviceType == manifest.ServiceModel {
+		awaitEngineState(c, a)
+	}
 	return metastore.Instance{
 		ID: name, Role: metastore.RoleAgent, Service: service, Region: "r", FailureDomain: "north",
 		Address: s.Listen, ControlAddress: s.Control, State: metastore.InstanceLive,
 	}
 }
 
+// awaitEngineState waits until an agent knows its engine's weights. It refuses requests before that.
+func awaitEngineState(c *qt.C, a *agent.Agent) {
+	for range 500 {
+		if len(a.State().WeightVersions) > 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Fatal("the agent did not read its engine's state in time")
+}
+
 // runRole runs a role until the test ends.
 func runRole(c *qt.C, run func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
